--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,95 @@
+// Package event defines the numbered log events. Each has a number that never
+// changes, a name and fields; docs/events.md is their catalogue.
+package event
+
+import (
+	"os"
+	"sort"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Level is the severity of an event.
+type Level int8
+
+// The levels.
+const (
+	Debug = Level(zapcore.DebugLevel)
+	Info  = Level(zapcore.InfoLevel)
+	Warn  = Level(zapcore.WarnLevel)
+	Error = Level(zapcore.ErrorLevel)
+)
+
+// Event is a kind of log entry.
+type Event struct {
+	number  int
+	name    string
+	level   Level
+	meaning string
+}
+
+// Number returns the event's number.
+func (e Event) Number() int { return e.number }
+
+// Name returns the event's name in snake case.
+func (e Event) Name() string { return e.name }
+
+// Level returns the event's severity.
+func (e Event) Level() Level { return e.level }
+
+// Meaning returns the sentence that the catalogue gives for the event.
+func (e Event) Meaning() string { return e.meaning }
+
+var catalogue = map[int]Event{}
+
+// define registers an event while the package is initialized. A number that is
+// used twice is a programming error.
+func define(number int, name string, level Level, meaning string) Event {
+	if _, ok := catalogue[number]; ok {
+		panic(errors.Errorf("event number %d is defined twice", number))
+	}
+	e := Event{number: number, name: name, level: level, meaning: meaning}
+	catalogue[number] = e
+	return e
+}
+
+// Catalogue returns every event in order of its number.
+func Catalogue() []Event {
+	events := make([]Event, 0, len(catalogue))
+	for _, e := range catalogue {
+		events = append(events, e)
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].number < events[j].number })
+	return events
+}
+
+// Logger writes events as JSON lines.
+type Logger struct {
+	zap *zap.Logger
+}
+
+// New returns a logger that writes to standard error, with the process's name
+// in each line, and a function that flushes it.
+func New(process string, minimum Level) (Logger, func()) {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(os.Stderr), zapcore.Level(minimum))
+	l := zap.New(core).With(zap.String("process", process))
+	return Logger{zap: l}, func() { _ = l.Sync() }
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() Logger {
+	return Logger{zap: zap.NewNop()}
+}
+
+// Log writes one event with its fields.
+func (l Logger) Log(e Event, fields ...zap.Field) {
+	entry := l.zap.Check(zapcore.Level(e.level), e.name)
+	if entry == nil {
+		return
+	}
+	entry.Write(append([]zap.Field{zap.Int("event", e.number)}, fields...)...)
+}
--- /dev/null
+++ b/outcome/outcome.go
@@ -0,0 +1,47 @@
+// Package outcome defines how a request can end. The set is closed: every
+// request ends with exactly one outcome.
+package outcome
+
+// Kind is the final outcome of a request.
+type Kind string
+
+// The outcomes.
+const (
+	// Answered means that the caller got the whole answer.
+	Answered Kind = "answered"
+	// NotRun means that no backend server has run any part of the request.
+	NotRun Kind = "not_run"
+	// Unknown means that the request may have run, wholly or in part.
+	Unknown Kind = "unknown"
+)
+
+// Reason says why a request was not run or why its outcome is unknown.
+type Reason string
+
+// The reasons. They are the "code" of the error object that callers get.
+const (
+	ReasonNone            Reason = ""
+	ReasonInvalid         Reason = "invalid_request"
+	ReasonUnauthorized    Reason = "unauthorized"
+	ReasonUnknownClass    Reason = "unknown_class"
+	ReasonUnknownModel    Reason = "unknown_model"
+	ReasonUnknownService  Reason = "unknown_service"
+	ReasonTooLarge        Reason = "body_too_large"
+	ReasonShed            Reason = "shed"
+	ReasonOverloaded      Reason = "overloaded"
+	ReasonTargetMissed    Reason = "target_cannot_be_met"
+	ReasonNoLease         Reason = "configuration_lease_lapsed"
+	ReasonStopping        Reason = "stopping"
+	ReasonNoServer        Reason = "no_backend_server"
+	ReasonBackendRefused  Reason = "backend_refused"
+	ReasonBackendLost     Reason = "backend_lost"
+	ReasonIncomplete      Reason = "answer_incomplete"
+	ReasonCallerGone      Reason = "caller_gone"
+	ReasonKeyMissing      Reason = "idempotency_key_missing"
+	ReasonKeyInvalid      Reason = "idempotency_key_invalid"
+	ReasonKeyReused       Reason = "idempotency_key_reused"
+	ReasonKeyExpired      Reason = "idempotency_key_expired"
+	ReasonCallInProgress  Reason = "call_in_progress"
+	ReasonControlUnknown  Reason = "control_unavailable"
+	ReasonRequestNotFound Reason = "request_not_found"
+)
