setting: read and check the settings of entry and control processes

Cause: a process must not start with settings that are wrong. Change: strict YAML with the file, line and reason of each fault; IP numbers only; token files required off loopback and readable by their owner alone. Result: 17 table cases of right and wrong files and 4 of token files pass.

--- /dev/null
+++ b/setting/check.go
@@ -0,0 +1,277 @@
+package setting
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/class"
+)
+
+// The lowest timeout between bytes. Engines send a comment event each second, so
+// a shorter one would cut live streams.
+const minSilenceTimeoutMS = 2000
+
+// LoadEntry reads and checks the settings of an entry.
+func LoadEntry(path string) (Entry, error) {
+	d, err := readDocument(path)
+	if err != nil {
+		return Entry{}, err
+	}
+	w := defaultEntry()
+	if err := d.decode(&w); err != nil {
+		return Entry{}, err
+	}
+	e := w.domain()
+	return e, d.checkEntry(w.Process.Role, e)
+}
+
+// LoadControl reads and checks the settings of a control process.
+func LoadControl(path string) (Control, error) {
+	d, err := readDocument(path)
+	if err != nil {
+		return Control{}, err
+	}
+	w := defaultControl()
+	if err := d.decode(&w); err != nil {
+		return Control{}, err
+	}
+	c := w.domain()
+	return c, d.checkControl(w.Process.Role, c)
+}
+
+// Check reads a settings file of any role and returns the role.
+func Check(path string) (Role, error) {
+	d, err := readDocument(path)
+	if err != nil {
+		return "", err
+	}
+	role, err := d.role()
+	if err != nil {
+		return "", err
+	}
+	if role == RoleEntry {
+		_, err = LoadEntry(path)
+	} else {
+		_, err = LoadControl(path)
+	}
+	return role, err
+}
+
+func (d document) checkEntry(role string, e Entry) error {
+	if err := d.checkProcess(role, RoleEntry, e.Process); err != nil {
+		return err
+	}
+	if len(e.Control) == 0 {
+		return d.errorAt("$.control", "control has no address")
+	}
+	if err := d.checkAddresses("control", e.Control); err != nil {
+		return err
+	}
+	if err := d.checkAddresses("peers", e.Peers); err != nil {
+		return err
+	}
+	if e.Policy != PolicyReal && e.Policy != PolicyNaive {
+		return d.errorAt("$.policy", "policy %q is unknown: want %q or %q", e.Policy, PolicyReal, PolicyNaive)
+	}
+	if err := d.checkRanges(entryRanges(e)); err != nil {
+		return err
+	}
+	return d.checkTokens(e.Process, []tokenFile{
+		{"operator_file", e.Tokens.OperatorFile}, {"server_file", e.Tokens.ServerFile}, {"peer_file", e.Tokens.PeerFile},
+	})
+}
+
+func (d document) checkControl(role string, c Control) error {
+	if err := d.checkProcess(role, RoleControl, c.Process); err != nil {
+		return err
+	}
+	if !filepath.IsAbs(c.DataFolder) {
+		return d.errorAt("$.data_folder", "data_folder %q is not an absolute path", c.DataFolder)
+	}
+	if err := d.checkMembers(c); err != nil {
+		return err
+	}
+	if err := d.checkRanges([]numberRange{{"orders_per_minute", int64(c.OrdersPerMinute), 1, 6000}}); err != nil {
+		return err
+	}
+	return d.checkTokens(c.Process, []tokenFile{
+		{"operator_file", c.Tokens.OperatorFile}, {"peer_file", c.Tokens.PeerFile},
+	})
+}
+
+func (d document) checkProcess(role string, want Role, p Process) error {
+	if Role(role) != want {
+		return d.errorAt("$.role", "role is %q, want %q", role, want)
+	}
+	if !class.ValidName(p.Name) {
+		return d.errorAt("$.name", "name %q is not valid: want lower-case letters, digits, - and _", p.Name)
+	}
+	if !class.ValidName(p.AvailabilityZone) {
+		return d.errorAt("$.availability_zone", "availability_zone %q is not valid", p.AvailabilityZone)
+	}
+	if err := CheckAddress(p.Listen); err != nil {
+		return d.errorAt("$.listen", "listen %s", err)
+	}
+	if err := CheckAddress(p.Advertise); err != nil {
+		return d.errorAt("$.advertise", "advertise %s", err)
+	}
+	if a := netip.MustParseAddrPort(p.Advertise); a.Addr().IsUnspecified() {
+		return d.errorAt("$.advertise", "advertise %q does not name one machine: set the VM's own IP number", p.Advertise)
+	}
+	switch p.LogLevel {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return d.errorAt("$.log_level", "log_level %q is unknown: want debug, info, warn or error", p.LogLevel)
+}
+
+// CheckAddress returns an error unless address is an IP number with a port.
+func CheckAddress(address string) error {
+	if address == "" {
+		return errors.New("is missing: want an IP number with a port, such as 127.0.0.1:8080")
+	}
+	if _, err := netip.ParseAddrPort(address); err == nil {
+		return nil
+	}
+	host, _, found := strings.Cut(address, ":")
+	if _, err := netip.ParseAddr(host); found && err != nil && !strings.HasPrefix(address, "[") {
+		return errors.Errorf("%q is a host name: want an IP number with a port", address)
+	}
+	return errors.Errorf("%q is not an IP number with a port", address)
+}
+
+func (d document) checkAddresses(key string, addresses []string) error {
+	seen := map[string]bool{}
+	for i, a := range addresses {
+		path := fmt.Sprintf("$.%s[%d]", key, i)
+		if err := CheckAddress(a); err != nil {
+			return d.errorAt(path, "%s %s", key, err)
+		}
+		if seen[a] {
+			return d.errorAt(path, "%s lists %q twice", key, a)
+		}
+		seen[a] = true
+	}
+	return nil
+}
+
+func (d document) checkMembers(c Control) error {
+	if c.Join {
+		if len(c.Members) == 0 {
+			return d.errorAt("$.join", "join needs at least one address under members")
+		}
+	} else if err := d.checkVoters(c.Members); err != nil {
+		return err
+	}
+	for i, m := range c.Members {
+		path := fmt.Sprintf("$.members[%d]", i)
+		if !class.ValidName(m.Name) {
+			return d.errorAt(path, "member name %q is not valid", m.Name)
+		}
+		if err := CheckAddress(m.Address); err != nil {
+			return d.errorAt(path, "member %s: address %s", m.Name, err)
+		}
+	}
+	return nil
+}
+
+// checkVoters refuses a first membership that cannot lose a member: an even
+// number of voters bears no more failures than one fewer.
+func (d document) checkVoters(members []Member) error {
+	voters := 0
+	for _, m := range members {
+		if m.Voter {
+			voters++
+		}
+	}
+	if voters%2 == 0 {
+		return d.errorAt("$.members", "members has %d voters: want an odd number, one in each availability zone", voters)
+	}
+	return nil
+}
+
+type numberRange struct {
+	key      string
+	value    int64
+	min, max int64
+}
+
+func entryRanges(e Entry) []numberRange {
+	return []numberRange{
+		{"queue_capacity", int64(e.QueueCapacity), 1, 1_000_000},
+		{"max_body_bytes", int64(e.MaxBodyBytes), 1 << 10, 1 << 28},
+		{"max_header_bytes", int64(e.MaxHeaderBytes), 1 << 10, 1 << 20},
+		{"stop_wait_ms", int64(e.StopWait), 0, 600_000},
+		{"silence_timeout_ms", int64(e.SilenceTimeout), minSilenceTimeoutMS, 600_000},
+		{"call_timeout_ms", int64(e.CallTimeout), 100, 3_600_000},
+		{"retry_percentage", int64(e.RetryPercentage), 0, 100},
+	}
+}
+
+func (d document) checkRanges(ranges []numberRange) error {
+	for _, r := range ranges {
+		if r.value < r.min || r.value > r.max {
+			return d.errorAt("$."+r.key, "%s %d is out of range: want %d to %d", r.key, r.value, r.min, r.max)
+		}
+	}
+	return nil
+}
+
+type tokenFile struct {
+	key, path string
+}
+
+// checkTokens requires token files unless the process serves loopback only.
+func (d document) checkTokens(p Process, files []tokenFile) error {
+	loopback := netip.MustParseAddrPort(p.Listen).Addr().IsLoopback()
+	for _, f := range files {
+		path := "$.tokens." + f.key
+		if f.path == "" && loopback {
+			continue
+		}
+		if f.path == "" {
+			return d.errorAt(path, "tokens.%s is missing: it may be left out on a loopback address only, and listen is %q", f.key, p.Listen)
+		}
+		if _, err := ReadToken(f.path); err != nil {
+			return d.errorAt(path, "tokens.%s: %s", f.key, err)
+		}
+	}
+	return nil
+}
+
+const (
+	// A shorter token could be guessed.
+	minTokenBytes = 16
+	maxTokenBytes = 4096
+	// Permission bits that let users other than the owner read the file.
+	sharedPermissions = 0o077
+)
+
+// ReadToken returns the bearer token in a file, or "" for an empty path. The file
+// must be readable by its owner alone.
+func ReadToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", errors.Wrap(err, "cannot read token file")
+	}
+	if mode := info.Mode().Perm(); mode&sharedPermissions != 0 {
+		return "", errors.Errorf("token file %q has mode %04o: want 0600", path, mode)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "cannot read token file")
+	}
+	token := strings.TrimSpace(string(data))
+	if len(token) < minTokenBytes || len(token) > maxTokenBytes || strings.ContainsAny(token, " \t\r\n") {
+		return "", errors.Errorf("token file %q holds %d bytes: want %d to %d without white space", path, len(token), minTokenBytes, maxTokenBytes)
+	}
+	return token, nil
+}
--- /dev/null
+++ b/setting/codec.go
@@ -0,0 +1,186 @@
+package setting
+
+import (
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+type wireProcess struct {
+	Role             string     `yaml:"role"`
+	Name             string     `yaml:"name"`
+	AvailabilityZone string     `yaml:"availability_zone"`
+	Listen           string     `yaml:"listen"`
+	Advertise        string     `yaml:"advertise"`
+	LogLevel         string     `yaml:"log_level"`
+	Tokens           wireTokens `yaml:"tokens"`
+}
+
+type wireTokens struct {
+	OperatorFile string `yaml:"operator_file"`
+	ServerFile   string `yaml:"server_file"`
+	PeerFile     string `yaml:"peer_file"`
+}
+
+type wireEntry struct {
+	Process          wireProcess `yaml:",inline"`
+	Control          []string    `yaml:"control"`
+	Peers            []string    `yaml:"peers"`
+	Policy           string      `yaml:"policy"`
+	QueueCapacity    int         `yaml:"queue_capacity"`
+	MaxBodyBytes     int         `yaml:"max_body_bytes"`
+	MaxHeaderBytes   int         `yaml:"max_header_bytes"`
+	StopWaitMS       int64       `yaml:"stop_wait_ms"`
+	SilenceTimeoutMS int64       `yaml:"silence_timeout_ms"`
+	CallTimeoutMS    int64       `yaml:"call_timeout_ms"`
+	RetryPercentage  int         `yaml:"retry_percentage"`
+}
+
+type wireControl struct {
+	Process         wireProcess  `yaml:",inline"`
+	DataFolder      string       `yaml:"data_folder"`
+	Members         []wireMember `yaml:"members"`
+	Join            bool         `yaml:"join"`
+	OrdersPerMinute int          `yaml:"orders_per_minute"`
+}
+
+type wireMember struct {
+	Name             string `yaml:"name"`
+	Address          string `yaml:"address"`
+	AvailabilityZone string `yaml:"availability_zone"`
+	Voter            bool   `yaml:"voter"`
+}
+
+// document is a settings file with its syntax tree, which gives the line of each
+// key for error messages.
+type document struct {
+	path string
+	data []byte
+	tree *ast.File
+}
+
+func readDocument(path string) (document, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return document{}, errors.Wrap(err, "cannot read settings")
+	}
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return document{}, errors.Errorf("%s: %s", path, yaml.FormatError(err, false, false))
+	}
+	return document{path: path, data: data, tree: tree}, nil
+}
+
+// decode fills target and refuses keys that it does not know.
+func (d document) decode(target any) error {
+	err := yaml.UnmarshalWithOptions(d.data, target, yaml.Strict())
+	if err != nil {
+		return errors.Errorf("%s: %s", d.path, yaml.FormatError(err, false, false))
+	}
+	return nil
+}
+
+// role returns the value of the key role, whatever else the file holds.
+func (d document) role() (Role, error) {
+	var head struct {
+		Role string `yaml:"role"`
+	}
+	if err := yaml.Unmarshal(d.data, &head); err != nil {
+		return "", errors.Errorf("%s: %s", d.path, yaml.FormatError(err, false, false))
+	}
+	r := Role(head.Role)
+	if r != RoleEntry && r != RoleControl {
+		return "", d.errorAt("$.role", "role %q is unknown: want %q or %q", head.Role, RoleEntry, RoleControl)
+	}
+	return r, nil
+}
+
+// errorAt returns an error that names the file and the line of the key at path.
+func (d document) errorAt(path, format string, arguments ...any) error {
+	reason := errors.Errorf(format, arguments...)
+	line := d.line(path)
+	if line == 0 {
+		return errors.Errorf("%s: %s", d.path, reason)
+	}
+	return errors.Errorf("%s:%d: %s", d.path, line, reason)
+}
+
+// line returns the line of the key at path, or 0 when the file does not have it.
+func (d document) line(path string) int {
+	p, err := yaml.PathString(path)
+	if err != nil {
+		return 0
+	}
+	node, err := p.FilterFile(d.tree)
+	if err != nil || node == nil {
+		return 0
+	}
+	return node.GetToken().Position.Line
+}
+
+func (w wireProcess) domain() Process {
+	return Process{
+		Name:             w.Name,
+		AvailabilityZone: w.AvailabilityZone,
+		Listen:           w.Listen,
+		Advertise:        lo.CoalesceOrEmpty(w.Advertise, w.Listen),
+		LogLevel:         lo.CoalesceOrEmpty(w.LogLevel, "info"),
+		Tokens: Tokens{
+			OperatorFile: w.Tokens.OperatorFile,
+			ServerFile:   w.Tokens.ServerFile,
+			PeerFile:     w.Tokens.PeerFile,
+		},
+	}
+}
+
+func (w wireEntry) domain() Entry {
+	return Entry{
+		Process:         w.Process.domain(),
+		Control:         w.Control,
+		Peers:           w.Peers,
+		Policy:          Policy(w.Policy),
+		QueueCapacity:   w.QueueCapacity,
+		MaxBodyBytes:    w.MaxBodyBytes,
+		MaxHeaderBytes:  w.MaxHeaderBytes,
+		StopWait:        clock.Millis(w.StopWaitMS),
+		SilenceTimeout:  clock.Millis(w.SilenceTimeoutMS),
+		CallTimeout:     clock.Millis(w.CallTimeoutMS),
+		RetryPercentage: w.RetryPercentage,
+	}
+}
+
+func (w wireControl) domain() Control {
+	return Control{
+		Process:         w.Process.domain(),
+		DataFolder:      w.DataFolder,
+		Join:            w.Join,
+		OrdersPerMinute: w.OrdersPerMinute,
+		Members: lo.Map(w.Members, func(m wireMember, _ int) Member {
+			return Member(m)
+		}),
+	}
+}
+
+// defaultEntry holds the values of keys that a file leaves out.
+func defaultEntry() wireEntry {
+	return wireEntry{
+		Policy:           string(PolicyReal),
+		QueueCapacity:    2000,
+		MaxBodyBytes:     4 << 20,
+		MaxHeaderBytes:   16 << 10,
+		StopWaitMS:       5000,
+		SilenceTimeoutMS: 5000,
+		CallTimeoutMS:    30000,
+		RetryPercentage:  10,
+	}
+}
+
+func defaultControl() wireControl {
+	return wireControl{OrdersPerMinute: 6}
+}
--- /dev/null
+++ b/setting/setting_test.go
@@ -0,0 +1,94 @@
+package setting_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/setting"
+)
+
+const validEntry = `role: entry
+name: entry-1
+availability_zone: az-1
+listen: 127.0.0.1:8080
+control: [127.0.0.1:8081]
+`
+
+const validControl = `role: control
+name: control-1
+availability_zone: az-1
+listen: 127.0.0.1:8081
+data_folder: /var/lib/galenaslip
+members:
+  - {name: control-1, address: "127.0.0.1:8081", availability_zone: az-1, voter: true}
+`
+
+// Guards against a wrong setting being accepted, and against an error that does
+// not name the line and the key.
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name, content, want string
+	}{
+		{name: "entry", content: validEntry},
+		{name: "control", content: validControl},
+		{name: "unknown role", content: "role: other\n", want: ":1: role"},
+		{name: "unknown key", content: validEntry + "que_capacity: 3\n", want: "que_capacity"},
+		{name: "duplicate key", content: validEntry + "name: entry-2\n", want: "name"},
+		{name: "host name", content: strings.Replace(validEntry, "127.0.0.1:8080", "localhost:8080", 1), want: ":4: listen \"localhost:8080\" is a host name"},
+		{name: "host name of control", content: strings.Replace(validEntry, "[127.0.0.1:8081]", "[db.example:80]", 1), want: ":5: control"},
+		{name: "no port", content: strings.Replace(validEntry, "127.0.0.1:8080", "127.0.0.1", 1), want: ":4: listen"},
+		{name: "wrong unit", content: validEntry + "stop_wait_ms: 5s\n", want: "6:"},
+		{name: "out of range", content: validEntry + "silence_timeout_ms: 10\n", want: ":6: silence_timeout_ms 10"},
+		{name: "policy", content: validEntry + "policy: fast\n", want: ":6: policy"},
+		{name: "tokens missing", content: strings.Replace(validEntry, "127.0.0.1:8080", "10.0.0.1:8080", 1), want: "is missing"},
+		{name: "advertise any address", content: validEntry + "advertise: 0.0.0.0:80\n", want: ":6: advertise"},
+		{name: "relative folder", content: strings.Replace(validControl, "/var/lib", "var", 1), want: ":5: data_folder"},
+		{name: "even voters", content: validControl + `  - {name: control-2, address: "127.0.0.1:8082", voter: true}` + "\n", want: "2 voters"},
+		{name: "not YAML", content: "role: [", want: "s.yaml"},
+		{name: "empty", content: "", want: "role"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "s.yaml")
+			if err := os.WriteFile(path, []byte(tt.content), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := setting.Check(path)
+			got := ""
+			if err != nil {
+				got = err.Error()
+			}
+			if tt.want == "" && got != "" || !strings.Contains(got, tt.want) {
+				t.Errorf("error: got %q, want one with %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a secret that other users can read, or that can be guessed.
+func TestReadToken(t *testing.T) {
+	tests := []struct {
+		name, content string
+		mode          os.FileMode
+		ok            bool
+	}{
+		{name: "valid", content: "0123456789abcdef\n", mode: 0o600, ok: true},
+		{name: "readable by others", content: "0123456789abcdef\n", mode: 0o644},
+		{name: "short", content: "secret", mode: 0o600},
+		{name: "two lines", content: "0123456789abcdef\n0123456789abcdef", mode: 0o600},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "token")
+			if err := os.WriteFile(path, []byte(tt.content), tt.mode); err != nil {
+				t.Fatal(err)
+			}
+			_, err := setting.ReadToken(path)
+			if got, want := err == nil, tt.ok; got != want {
+				t.Errorf("accepted: got %v (%v), want %v", got, err, want)
+			}
+		})
+	}
+}
