--- a/commands/commands.go
+++ b/commands/commands.go
@@ -1,36 +1,49 @@
-// Package commands holds the command line of galenaslip.
 package commands
 
 import (
+	"fmt"
 	"io"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 )
 
-// Exit codes of the command line.
-const (
-	// ExitOK means that the command did what was asked.
-	ExitOK = 0
-	// ExitFailed means that the command was understood and failed.
-	ExitFailed = 1
-)
-
 // Execute runs the command line and returns the process's exit code.
 func Execute(args []string, stdout, stderr io.Writer) int {
-	root := newRoot()
+	root := NewRoot()
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
-		return ExitFailed
+	err := root.Execute()
+	if err == nil {
+		return int(ExitOK)
 	}
-	return ExitOK
+	fmt.Fprintf(stderr, "error: %s\n", err)
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return int(failure.code)
+	}
+	// Cobra itself fails only on unknown commands, flags and arguments.
+	return int(ExitUsage)
 }
 
-func newRoot() *cobra.Command {
-	return &cobra.Command{
-		Use:          "galenaslip",
-		Short:        "Route language-model traffic and plain services by service level and priority",
-		SilenceUsage: true,
+// NewRoot returns the whole command tree.
+func NewRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "galenaslip",
+		Short: "Route language-model traffic and plain services by service level and priority",
+		Long: `galenaslip puts language models and application services behind one address.
+Operators give each class of requests a latency target and a priority tier; the
+router decides the rest. Start with "galenaslip demo".
+
+` + exitCodeHelp,
+		SilenceUsage:  true,
+		SilenceErrors: true,
 	}
+	root.AddCommand(
+		newConfig(),
+		newState(),
+		newVersion(),
+	)
+	return root
 }
--- a/event/event.go
+++ b/event/event.go
@@ -22,6 +22,17 @@
 	Error = Level(zapcore.ErrorLevel)
 )
 
+// String returns the level as it stands in a log line.
+func (l Level) String() string {
+	return zapcore.Level(l).String()
+}
+
+// ParseLevel returns the level with the given name.
+func ParseLevel(name string) (Level, error) {
+	l, err := zapcore.ParseLevel(name)
+	return Level(l), errors.Wrapf(err, "unknown log level %q", name)
+}
+
 // Event is a kind of log entry.
 type Event struct {
 	number  int
