--- /dev/null
+++ b/admission/lateness.go
@@ -0,0 +1,64 @@
+package admission
+
+import "github.com/galenaslip/galenaslip/clock"
+
+// Bounds of the retry time that a refused caller gets.
+const (
+	minRetryAfter = 100 * clock.Millisecond
+	maxRetryAfter = 1 * clock.Minute
+)
+
+// late reports whether an item that asked for it cannot meet its target.
+func (q *Queue) late(now clock.Millis, item Item) bool {
+	if !item.RefuseIfLate {
+		return false
+	}
+	p := q.pool(item.Pool)
+	slot := now + p.wait(now, p.ahead(item))
+	return slot+q.options.service(item) > item.Deadline
+}
+
+// RetryAfter predicts when the work that goes before an item of this tier has
+// left the queue.
+func (q *Queue) RetryAfter(now clock.Millis, item Item) clock.Millis {
+	p := q.pool(item.Pool)
+	ahead := 0
+	for _, g := range p.groups {
+		if !item.Class.Tier().Above(g.class.Tier()) {
+			ahead += g.len()
+		}
+	}
+	return min(max(p.wait(now, ahead), minRetryAfter), maxRetryAfter)
+}
+
+// ahead counts the items that go before a new one: all of higher tiers, those
+// of other classes of its tier with an earlier deadline, and in its own class
+// what the rounds of the workspaces put first.
+func (p *pool) ahead(item Item) int {
+	n := 0
+	for _, g := range p.groups {
+		switch {
+		case g.class.Tier().Above(item.Class.Tier()):
+			n += g.len()
+		case g.class == item.Class:
+			n += g.aheadOf(item.Workspace)
+		case g.class.Tier() == item.Class.Tier():
+			n += g.deadlines.countWhile(func(e *queued) bool { return e.Deadline <= item.Deadline })
+		}
+	}
+	return n
+}
+
+// aheadOf counts the items that the rounds put before a new last item of a
+// workspace.
+func (g *group) aheadOf(name string) int {
+	own := 0
+	if w, ok := g.workspaces[name]; ok {
+		own = w.items.Len()
+	}
+	n := 0
+	for _, w := range g.workspaces {
+		n += min(w.items.Len(), own+1)
+	}
+	return n
+}
--- /dev/null
+++ b/admission/ordered.go
@@ -0,0 +1,59 @@
+package admission
+
+import "container/heap"
+
+// ordered is a binary heap whose elements know their positions, so that any
+// element is removed in logarithmic time.
+type ordered[T any] struct {
+	elements []T
+	before   func(a, b T) bool
+	position func(element T) *int
+}
+
+func (o *ordered[T]) Len() int { return len(o.elements) }
+
+func (o *ordered[T]) Less(i, j int) bool { return o.before(o.elements[i], o.elements[j]) }
+
+func (o *ordered[T]) Swap(i, j int) {
+	o.elements[i], o.elements[j] = o.elements[j], o.elements[i]
+	*o.position(o.elements[i]) = i
+	*o.position(o.elements[j]) = j
+}
+
+// Push implements heap.Interface; use add.
+func (o *ordered[T]) Push(x any) {
+	element := x.(T)
+	*o.position(element) = len(o.elements)
+	o.elements = append(o.elements, element)
+}
+
+// Pop implements heap.Interface; use remove.
+func (o *ordered[T]) Pop() any {
+	last := len(o.elements) - 1
+	element := o.elements[last]
+	var zero T
+	o.elements[last] = zero
+	o.elements = o.elements[:last]
+	return element
+}
+
+func (o *ordered[T]) add(element T) { heap.Push(o, element) }
+
+func (o *ordered[T]) remove(element T) { heap.Remove(o, *o.position(element)) }
+
+func (o *ordered[T]) fix(element T) { heap.Fix(o, *o.position(element)) }
+
+func (o *ordered[T]) first() T { return o.elements[0] }
+
+// countWhile counts the elements that satisfy a predicate which no element
+// after a refused one satisfies. It visits no more than twice that many.
+func (o *ordered[T]) countWhile(holds func(element T) bool) int {
+	return o.countFrom(0, holds)
+}
+
+func (o *ordered[T]) countFrom(root int, holds func(element T) bool) int {
+	if root >= len(o.elements) || !holds(o.elements[root]) {
+		return 0
+	}
+	return 1 + o.countFrom(2*root+1, holds) + o.countFrom(2*root+2, holds)
+}
