backend: add announcements, registry, challenges and digests

Cause: entries need to know which servers take work, and ages that no delayed message can make too small. Change: immutable announcements, a registry with an index by pool and expiry by heap, challenges that name the entry's life and clock, delta digests over a version vector with short refreshes, and JSON codecs.

--- /dev/null
+++ b/backend/announcement.go
@@ -0,0 +1,332 @@
+package backend
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// State says whether a server takes new work.
+type State string
+
+// The states.
+const (
+	Serving State = "serving"
+	Leaving State = "leaving"
+)
+
+// Kind is the kind of a backend server.
+type Kind string
+
+// The kinds.
+const (
+	Engine  Kind = "engine"
+	Service Kind = "service"
+)
+
+// Role is the part of a generation that an engine does.
+type Role string
+
+// The roles.
+const (
+	Generate Role = "generate"
+	Prefill  Role = "prefill"
+)
+
+// Limits of an announcement. They bound what one malformed message can make an
+// entry store.
+const (
+	maxName   = 128
+	maxPools  = 64
+	maxEvents = 4096
+	maxSlots  = 1 << 16
+	maxCount  = 1 << 40
+	maxAge    = 24 * clock.Hour
+)
+
+// Load is a server's own report of its load, Age milliseconds after it was
+// taken.
+type Load struct {
+	Age             clock.Millis
+	Running         int
+	Waiting         int
+	KVUsed          int
+	TokensPerSecond float64
+}
+
+// CacheEventKind says what happened to a prefix in an engine's cache.
+type CacheEventKind string
+
+// The kinds of cache events.
+const (
+	Stored  CacheEventKind = "stored"
+	Evicted CacheEventKind = "evicted"
+	Cleared CacheEventKind = "cleared"
+)
+
+// CacheEvent reports a change in an engine's prefix cache. Sequence numbers are
+// consecutive in one incarnation.
+type CacheEvent struct {
+	Sequence uint64
+	Kind     CacheEventKind
+	Hash     uint64
+}
+
+// static is the part of an announcement that rarely changes. It is shared
+// between announcements and never modified.
+type static struct {
+	server           string
+	incarnation      uint64
+	kind             Kind
+	role             Role
+	address          string
+	availabilityZone string
+	models           []string
+	services         []string
+	slots            int
+	kvTotal          int
+	checksFencing    bool
+	check            uint32
+	pools            []string
+}
+
+// Announcement is what a server says about itself. It is immutable.
+type Announcement struct {
+	static    *static
+	sequence  uint64
+	state     State
+	challenge string
+	load      Load
+	events    []CacheEvent
+}
+
+// NewAnnouncement returns the announcement of a serving engine with one slot and
+// no models.
+func NewAnnouncement(server string, incarnation, sequence uint64, address string) Announcement {
+	s := static{server: server, incarnation: incarnation, address: address, kind: Engine, role: Generate, slots: 1}
+	return Announcement{static: s.seal(), sequence: sequence, state: Serving}
+}
+
+// seal computes the derived fields.
+func (s static) seal() *static {
+	s.check = s.checksum()
+	s.pools = make([]string, 0, len(s.models)+len(s.services))
+	for _, m := range s.models {
+		s.pools = append(s.pools, ModelPool(m))
+	}
+	for _, v := range s.services {
+		s.pools = append(s.pools, ServicePool(v))
+	}
+	return &s
+}
+
+func (s static) checksum() uint32 {
+	encoded := encodeStatic(s)
+	return uint32(xxhash.Sum64(encoded))
+}
+
+// ModelPool returns the pool of the engines that serve a model.
+func ModelPool(model string) string { return "model:" + model }
+
+// ServicePool returns the pool of the servers of a plain service.
+func ServicePool(service string) string { return "service:" + service }
+
+// Server returns the server's name.
+func (a Announcement) Server() string { return a.static.server }
+
+// Incarnation returns the number of the server process's life.
+func (a Announcement) Incarnation() uint64 { return a.static.incarnation }
+
+// Sequence returns the number of the announcement in its incarnation.
+func (a Announcement) Sequence() uint64 { return a.sequence }
+
+// State returns whether the server takes new work.
+func (a Announcement) State() State { return a.state }
+
+// Kind returns the kind of the server.
+func (a Announcement) Kind() Kind { return a.static.kind }
+
+// Role returns the role of an engine.
+func (a Announcement) Role() Role { return a.static.role }
+
+// Address returns the server's IP address and port.
+func (a Announcement) Address() string { return a.static.address }
+
+// AvailabilityZone returns the server's availability zone.
+func (a Announcement) AvailabilityZone() string { return a.static.availabilityZone }
+
+// Models returns the loaded models. The caller must not modify the slice.
+func (a Announcement) Models() []string { return a.static.models }
+
+// Services returns the services offered. The caller must not modify the slice.
+func (a Announcement) Services() []string { return a.static.services }
+
+// Pools returns the pools that the server belongs to. The caller must not modify
+// the slice.
+func (a Announcement) Pools() []string { return a.static.pools }
+
+// Slots returns how many requests the server runs at once.
+func (a Announcement) Slots() int { return a.static.slots }
+
+// KVTotal returns the size of the KV cache, in the unit of Load.KVUsed.
+func (a Announcement) KVTotal() int { return a.static.kvTotal }
+
+// ChecksFencing reports whether the server refuses orders with an old token.
+func (a Announcement) ChecksFencing() bool { return a.static.checksFencing }
+
+// Challenge returns the challenge that the server echoes.
+func (a Announcement) Challenge() string { return a.challenge }
+
+// Load returns the server's report.
+func (a Announcement) Load() Load { return a.load }
+
+// CacheEvents returns the reported cache events. The caller must not modify the
+// slice.
+func (a Announcement) CacheEvents() []CacheEvent { return a.events }
+
+// WithSequence returns a copy with another sequence number.
+func (a Announcement) WithSequence(sequence uint64) Announcement {
+	a.sequence = sequence
+	return a
+}
+
+// WithState returns a copy with another state.
+func (a Announcement) WithState(state State) Announcement {
+	a.state = state
+	return a
+}
+
+// WithChallenge returns a copy that echoes challenge.
+func (a Announcement) WithChallenge(challenge string) Announcement {
+	a.challenge = challenge
+	return a
+}
+
+// WithLoad returns a copy with another load report.
+func (a Announcement) WithLoad(load Load) Announcement {
+	a.load = load
+	return a
+}
+
+// WithCacheEvents returns a copy with other cache events.
+func (a Announcement) WithCacheEvents(events []CacheEvent) Announcement {
+	a.events = slices.Clone(events)
+	return a
+}
+
+// WithModels returns a copy that serves models.
+func (a Announcement) WithModels(models ...string) Announcement {
+	return a.withStatic(func(s *static) { s.models = slices.Clone(models) })
+}
+
+// WithServices returns a copy that offers services and is of kind Service.
+func (a Announcement) WithServices(services ...string) Announcement {
+	return a.withStatic(func(s *static) {
+		s.kind = Service
+		s.services = slices.Clone(services)
+	})
+}
+
+// WithRole returns a copy with another role.
+func (a Announcement) WithRole(role Role) Announcement {
+	return a.withStatic(func(s *static) { s.role = role })
+}
+
+// WithSlots returns a copy with another number of slots.
+func (a Announcement) WithSlots(slots int) Announcement {
+	return a.withStatic(func(s *static) { s.slots = slots })
+}
+
+// WithKVTotal returns a copy with another size of the KV cache.
+func (a Announcement) WithKVTotal(total int) Announcement {
+	return a.withStatic(func(s *static) { s.kvTotal = total })
+}
+
+// WithAvailabilityZone returns a copy in another availability zone.
+func (a Announcement) WithAvailabilityZone(zone string) Announcement {
+	return a.withStatic(func(s *static) { s.availabilityZone = zone })
+}
+
+// WithChecksFencing returns a copy that does or does not check fencing tokens.
+func (a Announcement) WithChecksFencing(checks bool) Announcement {
+	return a.withStatic(func(s *static) { s.checksFencing = checks })
+}
+
+func (a Announcement) withStatic(change func(*static)) Announcement {
+	s := *a.static
+	change(&s)
+	a.static = s.seal()
+	return a
+}
+
+// newer reports whether a was made after other. Sequence numbers count within
+// one incarnation only.
+func (a Announcement) newer(other Announcement) bool {
+	if a.Incarnation() != other.Incarnation() {
+		return a.Incarnation() > other.Incarnation()
+	}
+	return a.sequence > other.sequence
+}
+
+func (a Announcement) validate() error {
+	if err := a.static.validate(); err != nil {
+		return err
+	}
+	l := a.load
+	switch {
+	case a.state != Serving && a.state != Leaving:
+		return errors.Errorf("invalid state %q: want %q or %q", a.state, Serving, Leaving)
+	case l.Age < 0 || l.Age > maxAge:
+		return errors.Errorf("invalid load age_ms %d: want 0 to %d", l.Age, maxAge)
+	case !count(l.Running) || !count(l.Waiting) || !count(l.KVUsed):
+		return errors.Errorf("invalid load %+v: want counts of 0 or more", l)
+	case !(l.TokensPerSecond >= 0 && l.TokensPerSecond <= maxCount):
+		return errors.Errorf("invalid tokens_per_second %v", l.TokensPerSecond)
+	case len(a.events) > maxEvents:
+		return errors.Errorf("%d cache events: want at most %d", len(a.events), maxEvents)
+	}
+	return validateEvents(a.events)
+}
+
+func (s *static) validate() error {
+	switch {
+	case !name(s.server):
+		return errors.Errorf("invalid server %q", s.server)
+	case s.kind != Engine && s.kind != Service:
+		return errors.Errorf("invalid kind %q: want %q or %q", s.kind, Engine, Service)
+	case s.role != Generate && s.role != Prefill:
+		return errors.Errorf("invalid role %q: want %q or %q", s.role, Generate, Prefill)
+	case len(s.availabilityZone) > maxName:
+		return errors.Errorf("invalid availability_zone %q", s.availabilityZone)
+	case s.slots < 1 || s.slots > maxSlots:
+		return errors.Errorf("invalid slots %d: want 1 to %d", s.slots, maxSlots)
+	case !count(s.kvTotal):
+		return errors.Errorf("invalid kv_total %d", s.kvTotal)
+	case len(s.models)+len(s.services) > maxPools:
+		return errors.Errorf("%d models and services: want at most %d", len(s.models)+len(s.services), maxPools)
+	}
+	for _, n := range append(slices.Clone(s.models), s.services...) {
+		if !name(n) {
+			return errors.Errorf("invalid model or service %q", n)
+		}
+	}
+	_, err := netip.ParseAddrPort(s.address)
+	return errors.Wrapf(err, "invalid address %q", s.address)
+}
+
+func validateEvents(events []CacheEvent) error {
+	for _, e := range events {
+		if e.Kind != Stored && e.Kind != Evicted && e.Kind != Cleared {
+			return errors.Errorf("invalid cache event kind %q", e.Kind)
+		}
+	}
+	return nil
+}
+
+func name(s string) bool { return s != "" && len(s) <= maxName }
+
+func count(n int) bool { return n >= 0 && n <= maxCount }
--- /dev/null
+++ b/backend/codec.go
@@ -0,0 +1,421 @@
+package backend
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+type wireAnnouncement struct {
+	wireStatic
+	Sequence    uint64           `json:"sequence"`
+	State       State            `json:"state"`
+	Challenge   string           `json:"challenge,omitempty"`
+	Load        wireLoad         `json:"load"`
+	CacheEvents []wireCacheEvent `json:"cache_events,omitempty"`
+}
+
+type wireStatic struct {
+	Server           string   `json:"server"`
+	Incarnation      uint64   `json:"incarnation"`
+	Kind             Kind     `json:"kind"`
+	Role             Role     `json:"role,omitempty"`
+	Address          string   `json:"address"`
+	AvailabilityZone string   `json:"availability_zone,omitempty"`
+	Models           []string `json:"models,omitempty"`
+	Services         []string `json:"services,omitempty"`
+	Slots            int      `json:"slots"`
+	ChecksFencing    bool     `json:"checks_fencing,omitempty"`
+}
+
+type wireLoad struct {
+	AgeMS           int64   `json:"age_ms"`
+	Running         int     `json:"running"`
+	Waiting         int     `json:"waiting"`
+	KVUsed          int     `json:"kv_used"`
+	KVTotal         int     `json:"kv_total"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+}
+
+type wireCacheEvent struct {
+	Sequence uint64         `json:"sequence"`
+	Kind     CacheEventKind `json:"kind"`
+	Hash     string         `json:"hash,omitempty"`
+}
+
+// EncodeAnnouncement returns the JSON form of an announcement.
+func EncodeAnnouncement(a Announcement) ([]byte, error) {
+	w := toWire(a)
+	data, err := json.Marshal(w)
+	return data, errors.Wrap(err, "encode announcement")
+}
+
+// DecodeAnnouncement parses and validates an announcement.
+func DecodeAnnouncement(data []byte) (Announcement, error) {
+	var w wireAnnouncement
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Announcement{}, errors.Wrap(err, "decode announcement")
+	}
+	a, err := fromWire(w)
+	return a, errors.Wrap(err, "decode announcement")
+}
+
+func toWire(a Announcement) wireAnnouncement {
+	return wireAnnouncement{
+		wireStatic: toWireStatic(*a.static), Sequence: a.sequence, State: a.state, Challenge: a.challenge,
+		Load:        toWireLoad(a.load, a.static.kvTotal),
+		CacheEvents: toWireEvents(a.events),
+	}
+}
+
+func fromWire(w wireAnnouncement) (Announcement, error) {
+	events, err := fromWireEvents(w.CacheEvents)
+	if err != nil {
+		return Announcement{}, err
+	}
+	a := Announcement{
+		static:   fromWireStatic(w.wireStatic, w.Load.KVTotal),
+		sequence: w.Sequence, state: w.State, challenge: w.Challenge,
+		load: fromWireLoad(w.Load), events: events,
+	}
+	return a, a.validate()
+}
+
+func toWireStatic(s static) wireStatic {
+	return wireStatic{
+		Server: s.server, Incarnation: s.incarnation, Kind: s.kind, Role: s.role,
+		Address: s.address, AvailabilityZone: s.availabilityZone, Models: s.models,
+		Services: s.services, Slots: s.slots, ChecksFencing: s.checksFencing,
+	}
+}
+
+// fromWireStatic treats an absent role as generate, because engines that do not
+// know roles generate.
+func fromWireStatic(w wireStatic, kvTotal int) *static {
+	if w.Role == "" {
+		w.Role = Generate
+	}
+	return static{
+		server: w.Server, incarnation: w.Incarnation, kind: w.Kind, role: w.Role,
+		address: w.Address, availabilityZone: w.AvailabilityZone, models: w.Models,
+		services: w.Services, slots: w.Slots, checksFencing: w.ChecksFencing, kvTotal: kvTotal,
+	}.seal()
+}
+
+// encodeStatic returns the bytes that the checksum of a static part covers.
+func encodeStatic(s static) []byte {
+	data, err := json.Marshal(toWireStatic(s))
+	if err != nil {
+		panic(errors.Wrap(err, "encode static part"))
+	}
+	return strconv.AppendInt(data, int64(s.kvTotal), 10)
+}
+
+func toWireLoad(l Load, kvTotal int) wireLoad {
+	return wireLoad{
+		AgeMS: int64(l.Age), Running: l.Running, Waiting: l.Waiting,
+		KVUsed: l.KVUsed, KVTotal: kvTotal, TokensPerSecond: l.TokensPerSecond,
+	}
+}
+
+func fromWireLoad(w wireLoad) Load {
+	return Load{
+		Age: clock.Millis(w.AgeMS), Running: w.Running, Waiting: w.Waiting,
+		KVUsed: w.KVUsed, TokensPerSecond: w.TokensPerSecond,
+	}
+}
+
+func toWireEvents(events []CacheEvent) []wireCacheEvent {
+	wire := make([]wireCacheEvent, 0, len(events))
+	for _, e := range events {
+		wire = append(wire, wireCacheEvent{Sequence: e.Sequence, Kind: e.Kind, Hash: strconv.FormatUint(e.Hash, 16)})
+	}
+	return wire
+}
+
+func fromWireEvents(wire []wireCacheEvent) ([]CacheEvent, error) {
+	var events []CacheEvent
+	for _, w := range wire {
+		e := CacheEvent{Sequence: w.Sequence, Kind: w.Kind}
+		var err error
+		if w.Kind != Cleared {
+			e.Hash, err = strconv.ParseUint(w.Hash, 16, 64)
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "invalid hash %q", w.Hash)
+		}
+		events = append(events, e)
+	}
+	return events, nil
+}
+
+// Answer is an entry's answer to an announcement.
+type Answer struct {
+	Accepted  bool
+	Challenge string
+	Interval  clock.Millis
+	Reason    string
+}
+
+type wireAnswer struct {
+	Accepted   bool   `json:"accepted"`
+	Challenge  string `json:"challenge"`
+	IntervalMS int64  `json:"interval_ms"`
+	Reason     string `json:"reason"`
+}
+
+// EncodeAnswer returns the JSON form of an answer.
+func EncodeAnswer(a Answer) ([]byte, error) {
+	data, err := json.Marshal(wireAnswer{
+		Accepted: a.Accepted, Challenge: a.Challenge, IntervalMS: int64(a.Interval), Reason: a.Reason,
+	})
+	return data, errors.Wrap(err, "encode answer")
+}
+
+// DecodeAnswer parses an answer.
+func DecodeAnswer(data []byte) (Answer, error) {
+	var w wireAnswer
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Answer{}, errors.Wrap(err, "decode answer")
+	}
+	if w.IntervalMS < 0 || clock.Millis(w.IntervalMS) > maxAge {
+		return Answer{}, errors.Errorf("decode answer: invalid interval_ms %d", w.IntervalMS)
+	}
+	return Answer{
+		Accepted: w.Accepted, Challenge: w.Challenge, Interval: clock.Millis(w.IntervalMS), Reason: w.Reason,
+	}, nil
+}
+
+// Pull is an entry's request for a peer's digest.
+type Pull struct {
+	Entry string
+	Since Version
+}
+
+type wirePull struct {
+	Entry string            `json:"entry"`
+	Since map[string]uint64 `json:"since"`
+}
+
+// EncodePull returns the JSON form of a pull.
+func EncodePull(p Pull) ([]byte, error) {
+	data, err := json.Marshal(wirePull{Entry: p.Entry, Since: p.Since.counters})
+	return data, errors.Wrap(err, "encode pull")
+}
+
+// DecodePull parses a pull.
+func DecodePull(data []byte) (Pull, error) {
+	var w wirePull
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Pull{}, errors.Wrap(err, "decode pull")
+	}
+	if !name(w.Entry) {
+		return Pull{}, errors.Errorf("decode pull: invalid entry %q", w.Entry)
+	}
+	return Pull{Entry: w.Entry, Since: Version{counters: w.Since}}, nil
+}
+
+type wireDigest struct {
+	Entry    string                    `json:"entry"`
+	Version  map[string]uint64         `json:"version"`
+	Full     []wireRecord              `json:"full,omitempty"`
+	Refresh  map[string][]wireRefresh  `json:"refresh,omitempty"`
+	InFlight map[string]int            `json:"in_flight,omitempty"`
+	Waiting  []wireDemand              `json:"waiting,omitempty"`
+	Streams  map[string]map[string]int `json:"streams,omitempty"`
+}
+
+type wireRecord struct {
+	Origin       string           `json:"origin"`
+	Counter      uint64           `json:"counter"`
+	AgeMS        int64            `json:"age_ms"`
+	Announcement wireAnnouncement `json:"announcement"`
+}
+
+type wireDemand struct {
+	Pool     string `json:"pool"`
+	Tier     int    `json:"tier"`
+	Waiting  int    `json:"waiting"`
+	OldestMS int64  `json:"oldest_ms"`
+}
+
+// wireRefresh is an array, because field names would triple its size: server,
+// counter, checksum, sequence, age, load age, running, waiting, KV used, tokens
+// per second, and a list of cache events if there are any.
+type wireRefresh struct {
+	server   string
+	counter  uint64
+	check    uint32
+	sequence uint64
+	ageMS    int64
+	load     wireLoad
+	events   []wireCacheEvent
+}
+
+// MarshalJSON implements json.Marshaler.
+func (w wireRefresh) MarshalJSON() ([]byte, error) {
+	fields := []any{
+		w.server, w.counter, w.check, w.sequence, w.ageMS,
+		w.load.AgeMS, w.load.Running, w.load.Waiting, w.load.KVUsed, w.load.TokensPerSecond,
+	}
+	if len(w.events) > 0 {
+		fields = append(fields, w.events)
+	}
+	return json.Marshal(fields)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (w *wireRefresh) UnmarshalJSON(data []byte) error {
+	var raw []json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return err
+	}
+	targets := []any{
+		&w.server, &w.counter, &w.check, &w.sequence, &w.ageMS,
+		&w.load.AgeMS, &w.load.Running, &w.load.Waiting, &w.load.KVUsed, &w.load.TokensPerSecond,
+		&w.events,
+	}
+	if len(raw) < len(targets)-1 || len(raw) > len(targets) {
+		return errors.Errorf("refresh has %d fields: want %d or %d", len(raw), len(targets)-1, len(targets))
+	}
+	for i, r := range raw {
+		if err := json.Unmarshal(r, targets[i]); err != nil {
+			return errors.Wrapf(err, "refresh field %d", i)
+		}
+	}
+	return nil
+}
+
+// EncodeDigest returns the JSON form of a digest.
+func EncodeDigest(d Digest) ([]byte, error) {
+	w := wireDigest{Entry: d.entry, Version: d.version.counters, InFlight: d.inFlight, Refresh: map[string][]wireRefresh{}}
+	for _, e := range d.records {
+		if e.static == nil {
+			w.Refresh[e.tag.origin] = append(w.Refresh[e.tag.origin], toWireRefresh(e))
+			continue
+		}
+		w.Full = append(w.Full, toWireRecord(e))
+	}
+	for _, q := range d.waiting {
+		w.Waiting = append(w.Waiting, wireDemand{Pool: q.Pool, Tier: q.Tier, Waiting: q.Waiting, OldestMS: int64(q.Oldest)})
+	}
+	w.Streams = toWireStreams(d.streams)
+	data, err := json.Marshal(w)
+	return data, errors.Wrap(err, "encode digest")
+}
+
+func toWireRefresh(e entryRecord) wireRefresh {
+	return wireRefresh{
+		server: e.server, counter: e.tag.counter, check: e.check, sequence: e.sequence,
+		ageMS: int64(e.age), load: toWireLoad(e.load, 0), events: toWireEvents(e.events),
+	}
+}
+
+func toWireRecord(e entryRecord) wireRecord {
+	a := Announcement{static: e.static, sequence: e.sequence, state: e.state, load: e.load, events: e.events}
+	return wireRecord{Origin: e.tag.origin, Counter: e.tag.counter, AgeMS: int64(e.age), Announcement: toWire(a)}
+}
+
+// toWireStreams groups the streams by server, so that each name is sent once.
+func toWireStreams(streams []Stream) map[string]map[string]int {
+	byServer := map[string]map[string]int{}
+	for _, s := range streams {
+		if byServer[s.Server] == nil {
+			byServer[s.Server] = map[string]int{}
+		}
+		byServer[s.Server][s.ID] = s.Position
+	}
+	return byServer
+}
+
+// DecodeDigest parses and validates a digest.
+func DecodeDigest(data []byte) (Digest, error) {
+	var w wireDigest
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Digest{}, errors.Wrap(err, "decode digest")
+	}
+	d := Digest{entry: w.Entry, version: Version{counters: w.Version}, inFlight: w.InFlight}
+	if !name(w.Entry) {
+		return Digest{}, errors.Errorf("decode digest: invalid entry %q", w.Entry)
+	}
+	if err := d.addRecords(w); err != nil {
+		return Digest{}, errors.Wrap(err, "decode digest")
+	}
+	return d, errors.Wrap(d.addLoad(w), "decode digest")
+}
+
+func (d *Digest) addRecords(w wireDigest) error {
+	for _, f := range w.Full {
+		e, err := fromWireRecord(f)
+		if err != nil {
+			return err
+		}
+		d.records = append(d.records, e)
+	}
+	for _, origin := range sortedKeys(w.Refresh) {
+		for _, f := range w.Refresh[origin] {
+			e, err := fromWireRefresh(origin, f)
+			if err != nil {
+				return err
+			}
+			d.records = append(d.records, e)
+		}
+	}
+	return nil
+}
+
+func fromWireRecord(w wireRecord) (entryRecord, error) {
+	a, err := fromWire(w.Announcement)
+	if err != nil {
+		return entryRecord{}, err
+	}
+	if w.AgeMS < 0 || clock.Millis(w.AgeMS) > maxAge {
+		return entryRecord{}, errors.Errorf("invalid age_ms %d of server %q", w.AgeMS, a.Server())
+	}
+	return entryRecord{
+		server: a.Server(), tag: tag{origin: w.Origin, counter: w.Counter},
+		static: a.static, check: a.static.check, sequence: a.sequence, state: a.state,
+		age: clock.Millis(w.AgeMS), load: a.load, events: a.events,
+	}, nil
+}
+
+func fromWireRefresh(origin string, w wireRefresh) (entryRecord, error) {
+	events, err := fromWireEvents(w.events)
+	if err != nil {
+		return entryRecord{}, err
+	}
+	e := entryRecord{
+		server: w.server, tag: tag{origin: origin, counter: w.counter}, check: w.check,
+		sequence: w.sequence, state: Serving, age: clock.Millis(w.ageMS),
+		load: fromWireLoad(w.load), events: events,
+	}
+	if e.age < 0 || e.age > maxAge {
+		return entryRecord{}, errors.Errorf("invalid age %d of server %q", e.age, e.server)
+	}
+	known := static{server: e.server, kind: Engine, role: Generate, slots: 1, address: "0.0.0.0:0"}
+	a := Announcement{static: &known, state: e.state, load: e.load, events: e.events}
+	return e, a.validate()
+}
+
+func (d *Digest) addLoad(w wireDigest) error {
+	for server, n := range w.InFlight {
+		if !name(server) || !count(n) {
+			return errors.Errorf("invalid in_flight %d of server %q", n, server)
+		}
+	}
+	for _, q := range w.Waiting {
+		if !count(q.Waiting) || q.OldestMS < 0 {
+			return errors.Errorf("invalid waiting %+v", q)
+		}
+		d.waiting = append(d.waiting, Demand{Pool: q.Pool, Tier: q.Tier, Waiting: q.Waiting, Oldest: clock.Millis(q.OldestMS)})
+	}
+	for _, server := range sortedKeys(w.Streams) {
+		for _, id := range sortedKeys(w.Streams[server]) {
+			d.streams = append(d.streams, Stream{ID: id, Server: server, Position: w.Streams[server][id]})
+		}
+	}
+	return nil
+}
