--- /dev/null
+++ b/routing/prefix.go
@@ -0,0 +1,124 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/backend"
+)
+
+const (
+	// maxPrefixes bounds the memory of the index: about 10 MB.
+	maxPrefixes = 1 << 16
+	// maxHolders bounds the servers remembered for a prefix; more than the
+	// candidates of a decision are of no use.
+	maxHolders = 4
+)
+
+// cacheState is what is known of the order of a server's cache events.
+type cacheState struct {
+	generation uint64 // raised when all that is known becomes invalid
+	sequence   uint64
+	synced     bool
+}
+
+func (c *cacheState) invalidate() { c.generation++ }
+
+func (c *cacheState) restart() {
+	c.invalidate()
+	c.sequence, c.synced = 0, false
+}
+
+// holder is a server that probably has a prefix. It is void when the server's
+// generation has moved on.
+type holder struct {
+	server     *server
+	generation uint64
+}
+
+func (h holder) valid() bool { return h.server.cache.generation == h.generation }
+
+// prefixIndex finds the servers that probably hold a prefix.
+type prefixIndex struct {
+	byHash *simplelru.LRU[uint64, []holder]
+}
+
+func newPrefixIndex() *prefixIndex {
+	lru, err := simplelru.NewLRU[uint64, []holder](maxPrefixes, nil)
+	if err != nil {
+		panic(errors.Wrap(err, "prefix index"))
+	}
+	return &prefixIndex{byHash: lru}
+}
+
+// apply adds a cache event. After a gap nothing that was known is trusted.
+func (x *prefixIndex) apply(s *server, e backend.CacheEvent) {
+	c := &s.cache
+	if c.synced && e.Sequence <= c.sequence {
+		return
+	}
+	if c.synced && e.Sequence != c.sequence+1 {
+		c.invalidate()
+	}
+	c.sequence, c.synced = e.Sequence, true
+	switch e.Kind {
+	case backend.Stored:
+		x.add(s, []uint64{e.Hash})
+	case backend.Evicted:
+		x.remove(s, e.Hash)
+	case backend.Cleared:
+		c.invalidate()
+	}
+}
+
+func (x *prefixIndex) add(s *server, prefixes []uint64) {
+	for _, hash := range prefixes {
+		x.remove(s, hash)
+		old, _ := x.byHash.Peek(hash)
+		kept := old[:min(len(old), maxHolders-1)]
+		x.byHash.Add(hash, append([]holder{{server: s, generation: s.cache.generation}}, kept...))
+	}
+}
+
+// remove drops a server, and holders that have become void, from a prefix.
+func (x *prefixIndex) remove(s *server, hash uint64) {
+	old, ok := x.byHash.Peek(hash)
+	if !ok {
+		return
+	}
+	kept := slices.DeleteFunc(slices.Clone(old), func(h holder) bool { return h.server == s || !h.valid() })
+	if len(kept) == 0 {
+		x.byHash.Remove(hash)
+		return
+	}
+	x.byHash.Add(hash, kept)
+}
+
+// holders returns the servers that hold the longest prefixes, longest first.
+func (x *prefixIndex) holders(prefixes []uint64) []*server {
+	var found []*server
+	for i := len(prefixes) - 1; i >= 0 && len(found) < maxHolders; i-- {
+		list, _ := x.byHash.Get(prefixes[i])
+		for _, h := range list {
+			if h.valid() && !slices.Contains(found, h.server) {
+				found = append(found, h.server)
+			}
+		}
+	}
+	return found
+}
+
+// longest returns the number of leading prefixes that a server probably holds.
+func (x *prefixIndex) longest(s *server, prefixes []uint64) int {
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		list, _ := x.byHash.Peek(prefixes[i])
+		for _, h := range list {
+			if h.server == s && h.valid() {
+				return i + 1
+			}
+		}
+	}
+	return 0
+}
