control: add the control API, its client and the state machines

Cause: entries and the command line need the control group's API, and the thin end-to-end path needs a control process to talk to. Change: configuration (immutable values, compare-and-set machine, idempotency keys, history, diff, codec), claim (at-most-once calls with attempts), lease (grantor, holder, codec), membership (replacement policy), and control with its HTTP API, forwarding and client over an in-memory log of one member. Nothing has been measured yet.

--- /dev/null
+++ b/claim/codec.go
@@ -0,0 +1,198 @@
+package claim
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+type wireAnswer struct {
+	Status  int                 `json:"status"`
+	Headers map[string][]string `json:"headers,omitempty"`
+	Body    []byte              `json:"body_base64,omitempty"`
+}
+
+type wireCommand struct {
+	Kind            string      `json:"kind,omitempty"`
+	Key             string      `json:"key,omitempty"`
+	BodyHash        string      `json:"body_hash,omitempty"`
+	Entry           string      `json:"entry"`
+	Incarnation     uint64      `json:"incarnation"`
+	Attempt         string      `json:"attempt,omitempty"`
+	State           State       `json:"state,omitempty"`
+	Answer          *wireAnswer `json:"answer,omitempty"`
+	GoneEntry       string      `json:"gone_entry,omitempty"`
+	GoneIncarnation uint64      `json:"gone_incarnation,omitempty"`
+}
+
+type wireResult struct {
+	State  State          `json:"state"`
+	Owned  bool           `json:"owned"`
+	Answer *wireAnswer    `json:"answer,omitempty"`
+	Reason outcome.Reason `json:"reason"`
+}
+
+type wireRecord struct {
+	Key         string      `json:"key"`
+	BodyHash    string      `json:"body_hash"`
+	Entry       string      `json:"entry"`
+	Incarnation uint64      `json:"incarnation"`
+	Attempt     string      `json:"attempt"`
+	Earlier     []string    `json:"earlier,omitempty"`
+	State       State       `json:"state"`
+	Answer      *wireAnswer `json:"answer,omitempty"`
+}
+
+type wireMachine struct {
+	Now    clock.Millis `json:"now_ms"`
+	Claims []wireRecord `json:"claims"`
+}
+
+// The kinds of commands on the wire.
+const (
+	kindAcquire   = "acquire"
+	kindSend      = "send"
+	kindSettle    = "settle"
+	kindOwnerGone = "owner_gone"
+)
+
+// EncodeCommand returns the command as JSON.
+func EncodeCommand(command Command) ([]byte, error) {
+	var w wireCommand
+	switch c := command.(type) {
+	case Acquire:
+		w = toWireCommand(kindAcquire, c.Key, c.Attempt)
+		w.BodyHash, w.GoneEntry, w.GoneIncarnation = c.BodyHash, c.Gone.Entry, c.Gone.Incarnation
+	case Send:
+		w = toWireCommand(kindSend, c.Key, c.Attempt)
+	case Settle:
+		w = toWireCommand(kindSettle, c.Key, c.Attempt)
+		w.State, w.Answer = c.State, toWireAnswer(c.Answer)
+	case OwnerGone:
+		w = toWireCommand(kindOwnerGone, "", Attempt{Owner: c.Owner})
+	default:
+		return nil, errors.Errorf("unknown command %T", command)
+	}
+	data, err := json.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+// DecodeCommand reads a command.
+func DecodeCommand(data []byte) (Command, error) {
+	var w wireCommand
+	if err := json.Unmarshal(data, &w); err != nil {
+		return nil, errors.Wrap(err, "decoding a claim command")
+	}
+	attempt := Attempt{Owner: Owner{Entry: w.Entry, Incarnation: w.Incarnation}, ID: w.Attempt}
+	if attempt.Entry == "" || (attempt.ID == "" && w.Kind != kindOwnerGone) {
+		return nil, errors.Errorf("%s without entry or attempt", w.Kind)
+	}
+	switch w.Kind {
+	case kindAcquire:
+		gone := Owner{Entry: w.GoneEntry, Incarnation: w.GoneIncarnation}
+		return Acquire{Key: w.Key, BodyHash: w.BodyHash, Attempt: attempt, Gone: gone}, nil
+	case kindSend:
+		return Send{Key: w.Key, Attempt: attempt}, nil
+	case kindSettle:
+		if w.State != Answered && w.State != NotRun && w.State != Unknown {
+			return nil, errors.Errorf("a claim cannot be settled as %q", w.State)
+		}
+		return Settle{Key: w.Key, Attempt: attempt, State: w.State, Answer: w.Answer.answer()}, nil
+	case kindOwnerGone:
+		return OwnerGone{Owner: attempt.Owner}, nil
+	}
+	return nil, errors.Errorf("unknown claim command %q", w.Kind)
+}
+
+// EncodeResult returns the result as JSON.
+func EncodeResult(r Result) ([]byte, error) {
+	data, err := json.Marshal(wireResult{State: r.State, Owned: r.Owned, Answer: toWireAnswer(r.Answer), Reason: r.Reason})
+	return data, errors.WithStack(err)
+}
+
+// DecodeResult reads a result.
+func DecodeResult(data []byte) (Result, error) {
+	var w wireResult
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Result{}, errors.Wrap(err, "decoding a claim result")
+	}
+	if w.State != None && w.State != "" && !w.State.Valid() {
+		return Result{}, errors.Errorf("unknown claim state %q", w.State)
+	}
+	return Result{State: w.State, Owned: w.Owned, Answer: w.Answer.answer(), Reason: w.Reason}, nil
+}
+
+// Snapshot returns the whole state as JSON, equal at every member.
+func (m *Machine) Snapshot() ([]byte, error) {
+	w := wireMachine{Now: m.now, Claims: make([]wireRecord, 0, len(m.records))}
+	for _, r := range m.records {
+		w.Claims = append(w.Claims, toWireRecord(r))
+	}
+	slices.SortFunc(w.Claims, func(a, b wireRecord) int { return strings.Compare(a.Key, b.Key) })
+	data, err := json.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+// Restore replaces the state by a snapshot. The state is unchanged when the
+// snapshot is invalid.
+func (m *Machine) Restore(snapshot []byte) error {
+	var w wireMachine
+	if err := json.Unmarshal(snapshot, &w); err != nil {
+		return errors.Wrap(err, "decoding the claims")
+	}
+	restored := NewMachine()
+	restored.now = w.Now
+	for _, c := range w.Claims {
+		created, ok := KeyTime(c.Key)
+		if _, double := restored.records[c.Key]; !ok || double || !c.State.Valid() {
+			return errors.Errorf("invalid claim %q in state %q", c.Key, c.State)
+		}
+		restored.insert(c.record(created))
+	}
+	*m = *restored
+	return nil
+}
+
+func toWireCommand(kind, key string, a Attempt) wireCommand {
+	return wireCommand{Kind: kind, Key: key, Entry: a.Entry, Incarnation: a.Incarnation, Attempt: a.ID}
+}
+
+func toWireAnswer(a Answer) *wireAnswer {
+	if a.Status == 0 && len(a.Headers) == 0 && len(a.Body) == 0 {
+		return nil
+	}
+	return &wireAnswer{Status: a.Status, Headers: a.Headers, Body: a.Body}
+}
+
+func (w *wireAnswer) answer() Answer {
+	if w == nil {
+		return Answer{}
+	}
+	return Answer{Status: w.Status, Headers: w.Headers, Body: w.Body}
+}
+
+func toWireRecord(r *record) wireRecord {
+	return wireRecord{
+		Key: r.key, BodyHash: r.bodyHash, State: r.state,
+		Entry: r.attempt.Entry, Incarnation: r.attempt.Incarnation, Attempt: r.attempt.ID,
+		Earlier: r.earlier, Answer: toWireAnswer(r.answer),
+	}
+}
+
+func (w wireRecord) record(created clock.Millis) *record {
+	return &record{
+		key: w.Key, created: created, bodyHash: w.BodyHash, state: w.State,
+		attempt: Attempt{Owner: Owner{Entry: w.Entry, Incarnation: w.Incarnation}, ID: w.Attempt},
+		earlier: w.Earlier, answer: w.Answer.answer(),
+	}
+}
+
+func compareOwners(a, b Owner) int {
+	return cmp.Or(strings.Compare(a.Entry, b.Entry), cmp.Compare(a.Incarnation, b.Incarnation))
+}
--- /dev/null
+++ b/configuration/change.go
@@ -0,0 +1,76 @@
+package configuration
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// Change is one operator action: SetClass, DeleteClass, AnnounceStop or
+// CancelStop.
+type Change interface {
+	// apply returns the changed configuration, which already has its new
+	// revision, or an error when the change is invalid for it.
+	apply(c Configuration) (Configuration, error)
+}
+
+// SetClass adds a class or replaces the one with its name.
+type SetClass struct {
+	Class class.Class
+}
+
+// DeleteClass removes a class.
+type DeleteClass struct {
+	Name string
+}
+
+// AnnounceStop announces a planned stop.
+type AnnounceStop struct {
+	Kind  StopKind
+	Name  string
+	Grace clock.Millis
+}
+
+// CancelStop withdraws a planned stop.
+type CancelStop struct {
+	ID string
+}
+
+func (s SetClass) apply(c Configuration) (Configuration, error) {
+	if _, ok := c.Class(s.Class.Name()); !ok && len(c.classes) >= MaxClasses {
+		return c, errors.Errorf("too many classes: want at most %d", MaxClasses)
+	}
+	return c.WithClass(s.Class), nil
+}
+
+func (d DeleteClass) apply(c Configuration) (Configuration, error) {
+	if _, ok := c.Class(d.Name); !ok {
+		return c, errors.Errorf("unknown class %q", d.Name)
+	}
+	return c.WithoutClass(d.Name), nil
+}
+
+func (a AnnounceStop) apply(c Configuration) (Configuration, error) {
+	if announced, ok := c.Stopping(a.Kind, a.Name); ok {
+		return c, errors.Errorf("a stop of %s %q is already announced as %q", a.Kind, a.Name, announced.id)
+	}
+	if len(c.stops) >= MaxStops {
+		return c, errors.Errorf("too many planned stops: want at most %d", MaxStops)
+	}
+	// The revision makes the identifier unique and equal at every member.
+	s, err := NewStop(fmt.Sprintf("stop-%d", c.revision), a.Kind, a.Name, a.Grace)
+	if err != nil {
+		return c, err
+	}
+	return c.WithStop(s), nil
+}
+
+func (x CancelStop) apply(c Configuration) (Configuration, error) {
+	if _, ok := c.Stop(x.ID); !ok {
+		return c, errors.Errorf("unknown planned stop %q", x.ID)
+	}
+	return c.WithoutStop(x.ID), nil
+}
--- /dev/null
+++ b/configuration/configuration.go
@@ -0,0 +1,163 @@
+package configuration
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// Bounds of a configuration. Every entry holds all of it and receives it in one
+// message.
+const (
+	MaxClasses = 256
+	MaxStops   = 1024
+	MaxGrace   = 48 * clock.Hour
+)
+
+// StopKind says what a planned stop stops.
+type StopKind string
+
+// The kinds of planned stops.
+const (
+	StopEntry  StopKind = "entry"
+	StopServer StopKind = "server"
+)
+
+// Valid reports whether k is a known kind.
+func (k StopKind) Valid() bool { return k == StopEntry || k == StopServer }
+
+// Stop is an announced planned stop. It is immutable.
+type Stop struct {
+	id    string
+	kind  StopKind
+	name  string
+	grace clock.Millis
+}
+
+// NewStop returns a planned stop, or an error that names the invalid field.
+func NewStop(id string, kind StopKind, name string, grace clock.Millis) (Stop, error) {
+	s := Stop{id: id, kind: kind, name: name, grace: grace}
+	switch {
+	case !kind.Valid():
+		return Stop{}, errors.Errorf("invalid kind %q: want %q or %q", kind, StopEntry, StopServer)
+	case !class.ValidName(name):
+		return Stop{}, errors.Errorf("invalid name %q of a planned stop", name)
+	case grace < 0 || grace > MaxGrace:
+		return Stop{}, errors.Errorf("invalid grace_ms %d: want 0 to %d", grace, MaxGrace)
+	}
+	return s, nil
+}
+
+// ID returns the identifier that cancels the stop.
+func (s Stop) ID() string { return s.id }
+
+// Kind returns what is stopped.
+func (s Stop) Kind() StopKind { return s.kind }
+
+// Name returns the name of the entry or server.
+func (s Stop) Name() string { return s.name }
+
+// Grace returns how long running work may take; 0 means no limit.
+func (s Stop) Grace() clock.Millis { return s.grace }
+
+// Configuration is one revision of what operators configured. It is immutable;
+// the zero value is the empty configuration at revision 0.
+type Configuration struct {
+	revision uint64
+	classes  []class.Class
+	stops    []Stop
+}
+
+// Revision returns the number of the revision.
+func (c Configuration) Revision() uint64 { return c.revision }
+
+// Classes returns the classes in order of their names.
+func (c Configuration) Classes() []class.Class { return slices.Clone(c.classes) }
+
+// Stops returns the planned stops in order of their identifiers.
+func (c Configuration) Stops() []Stop { return slices.Clone(c.stops) }
+
+// Class returns the class with the given name.
+func (c Configuration) Class(name string) (class.Class, bool) {
+	i, ok := c.findClass(name)
+	if !ok {
+		return class.Class{}, false
+	}
+	return c.classes[i], true
+}
+
+// Stop returns the planned stop with the given identifier.
+func (c Configuration) Stop(id string) (Stop, bool) {
+	i, ok := c.findStop(id)
+	if !ok {
+		return Stop{}, false
+	}
+	return c.stops[i], true
+}
+
+// Stopping reports whether a stop of the named entry or server is announced.
+func (c Configuration) Stopping(kind StopKind, name string) (Stop, bool) {
+	i := slices.IndexFunc(c.stops, func(s Stop) bool { return s.kind == kind && s.name == name })
+	if i < 0 {
+		return Stop{}, false
+	}
+	return c.stops[i], true
+}
+
+// WithRevision returns a copy with another revision.
+func (c Configuration) WithRevision(revision uint64) Configuration {
+	c.revision = revision
+	return c
+}
+
+// WithClass returns a copy that holds the class in place of one with its name.
+func (c Configuration) WithClass(added class.Class) Configuration {
+	i, ok := c.findClass(added.Name())
+	c.classes = slices.Clone(c.classes)
+	if ok {
+		c.classes[i] = added
+		return c
+	}
+	c.classes = slices.Insert(c.classes, i, added)
+	return c
+}
+
+// WithoutClass returns a copy without the named class.
+func (c Configuration) WithoutClass(name string) Configuration {
+	c.classes = slices.DeleteFunc(slices.Clone(c.classes), func(k class.Class) bool { return k.Name() == name })
+	return c
+}
+
+// WithStop returns a copy that holds the stop in place of one with its identifier.
+func (c Configuration) WithStop(added Stop) Configuration {
+	i, ok := c.findStop(added.id)
+	c.stops = slices.Clone(c.stops)
+	if ok {
+		c.stops[i] = added
+		return c
+	}
+	c.stops = slices.Insert(c.stops, i, added)
+	return c
+}
+
+// WithoutStop returns a copy without the stop.
+func (c Configuration) WithoutStop(id string) Configuration {
+	c.stops = slices.DeleteFunc(slices.Clone(c.stops), func(s Stop) bool { return s.id == id })
+	return c
+}
+
+func (c Configuration) findClass(name string) (int, bool) {
+	return slices.BinarySearchFunc(c.classes, name, func(k class.Class, n string) int {
+		return strings.Compare(k.Name(), n)
+	})
+}
+
+func (c Configuration) findStop(id string) (int, bool) {
+	return slices.BinarySearchFunc(c.stops, id, func(s Stop, i string) int {
+		return strings.Compare(s.id, i)
+	})
+}
--- /dev/null
+++ b/control/codec.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/claim"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+// command is one entry of the replicated log: a change, a claim command or the
+// retirement of a member's identity. It carries the leader's time of day.
+type command struct {
+	at     clock.Millis
+	change configuration.Change
+	base   uint64
+	key    string
+	claim  claim.Command
+	retire string
+}
+
+type wireCommand struct {
+	At     clock.Millis    `json:"at_ms"`
+	Change json.RawMessage `json:"change,omitempty"`
+	Base   uint64          `json:"base_revision,omitempty"`
+	Key    string          `json:"key,omitempty"`
+	Claim  json.RawMessage `json:"claim,omitempty"`
+	Retire string          `json:"retire,omitempty"`
+}
+
+type wireSnapshot struct {
+	Configuration json.RawMessage `json:"configuration"`
+	Claims        json.RawMessage `json:"claims"`
+	Retired       []string        `json:"retired"`
+}
+
+type wireChangeRequest struct {
+	Base   uint64          `json:"base_revision"`
+	Change json.RawMessage `json:"change"`
+}
+
+// WireMember is a member in the members API.
+type wireMember struct {
+	Identity         string       `json:"identity"`
+	Name             string       `json:"name"`
+	Address          string       `json:"address"`
+	AvailabilityZone string       `json:"availability_zone"`
+	Voter            bool         `json:"voter"`
+	Leader           bool         `json:"leader"`
+	Silence          clock.Millis `json:"silence_ms"`
+	Behind           uint64       `json:"behind"`
+}
+
+type wireMembers struct {
+	// Formed means that the answering member has taken part in an election, so
+	// the group exists.
+	Formed  bool         `json:"formed"`
+	Term    uint64       `json:"term"`
+	Leader  string       `json:"leader"`
+	Members []wireMember `json:"members"`
+}
+
+type wireError struct {
+	Error wireProblem `json:"error"`
+}
+
+type wireProblem struct {
+	Message string         `json:"message"`
+	Type    string         `json:"type"`
+	Param   string         `json:"param,omitempty"`
+	Code    outcome.Reason `json:"code"`
+	Outcome outcome.Kind   `json:"outcome"`
+}
+
+type wireIdentity struct {
+	Identity string `json:"identity"`
+	Joining  bool   `json:"joining"`
+}
+
+func encodeCommand(c command) ([]byte, error) {
+	w := wireCommand{At: c.at, Base: c.base, Key: c.key, Retire: c.retire}
+	var err error
+	if c.change != nil {
+		if w.Change, err = configuration.EncodeChange(c.change); err != nil {
+			return nil, err
+		}
+	}
+	if c.claim != nil {
+		if w.Claim, err = claim.EncodeCommand(c.claim); err != nil {
+			return nil, err
+		}
+	}
+	data, err := json.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+func decodeCommand(data []byte) (command, error) {
+	var w wireCommand
+	if err := json.Unmarshal(data, &w); err != nil {
+		return command{}, errors.Wrap(err, "decoding a command")
+	}
+	c := command{at: w.At, base: w.Base, key: w.Key, retire: w.Retire}
+	var err error
+	if len(w.Change) > 0 {
+		c.change, err = configuration.DecodeChange(w.Change)
+	}
+	if err == nil && len(w.Claim) > 0 {
+		c.claim, err = claim.DecodeCommand(w.Claim)
+	}
+	if err == nil && c.change == nil && c.claim == nil && c.retire == "" {
+		err = errors.New("a command without content")
+	}
+	return c, err
+}
+
+func decodeChangeRequest(data []byte) (command, error) {
+	var w wireChangeRequest
+	if err := json.Unmarshal(data, &w); err != nil {
+		return command{}, errors.Wrap(err, "decoding a change")
+	}
+	change, err := configuration.DecodeChange(w.Change)
+	return command{change: change, base: w.Base}, err
+}
+
+func encodeChangeRequest(change configuration.Change, base uint64) ([]byte, error) {
+	encoded, err := configuration.EncodeChange(change)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(wireChangeRequest{Base: base, Change: encoded})
+	return data, errors.WithStack(err)
+}
+
+func decodeMember(data []byte) (wireMember, error) {
+	var w wireMember
+	if err := json.Unmarshal(data, &w); err != nil {
+		return w, errors.Wrap(err, "decoding a member")
+	}
+	return w, nil
+}
+
+type wireClaim struct {
+	Key         string      `json:"key"`
+	BodyHash    string      `json:"body_hash,omitempty"`
+	Entry       string      `json:"entry"`
+	Incarnation uint64      `json:"incarnation"`
+	Attempt     string      `json:"attempt,omitempty"`
+	State       claim.State `json:"state,omitempty"`
+	Answer      *wireReply  `json:"answer,omitempty"`
+}
+
+type wireReply struct {
+	Status  int                 `json:"status"`
+	Headers map[string][]string `json:"headers,omitempty"`
+	Body    []byte              `json:"body_base64,omitempty"`
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/event"
+)
+
+// maxBody is the largest message, a snapshot with claims at their bound of
+// 64 MiB, which base64 makes a third larger.
+const maxBody = 128 << 20
+
+// Options are the settings of a control process.
+type Options struct {
+	Name             string
+	AvailabilityZone string
+	Listen           string // IP:port; port 0 takes a free one
+	Advertise        string // IP:port that others use; the bound address when empty
+	Folder           string
+	Members          []Member // every member at the first start; empty for a group of one
+	Join             bool     // join an existing group through Members
+	OperatorToken    string   // when empty, loopback addresses need no token
+	PeerToken        string
+	Clock            clock.Clock
+	Logger           event.Logger
+}
+
+// Member is a member in the settings of the first start.
+type Member struct {
+	Name             string
+	Address          string
+	AvailabilityZone string
+}
+
+// Control is one running member of the control group.
+type Control struct {
+	options  Options
+	address  string
+	listener net.Listener
+	machine  *Machine
+	app      *fiber.App
+	peers    *peers
+	metrics  *metrics
+	tokens   tokens
+	log      atomic.Pointer[Log] // nil until the group is known
+	leader   *leader
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	closeLog func()
+}
+
+// New starts a member. It listens at once and opens its log in the background,
+// because the first start waits for the other members. The returned function
+// releases everything without handing leadership over.
+func New(options Options) (*Control, func(), error) {
+	if err := options.validate(); err != nil {
+		return nil, nil, err
+	}
+	listener, err := net.Listen("tcp", options.Listen)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "listening on %s", options.Listen)
+	}
+	c := &Control{
+		options:  options,
+		address:  listener.Addr().String(),
+		listener: listener,
+		machine:  NewMachine(),
+		tokens:   tokens{operator: options.OperatorToken, peer: options.PeerToken},
+	}
+	if c.options.Advertise == "" {
+		c.options.Advertise = c.address
+	}
+	c.peers = newPeers(options.PeerToken)
+	c.leader = newLeader(c)
+	c.metrics = newMetrics(c)
+	c.app = c.newApp()
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.start(func() { _ = c.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
+	c.start(func() { c.open(ctx) })
+	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
+	return c, c.release, nil
+}
+
+func (o Options) validate() error {
+	if !class.ValidName(o.Name) {
+		return errors.Errorf("invalid name %q of a control member", o.Name)
+	}
+	if o.Folder == "" {
+		return errors.New("a control member needs a data folder")
+	}
+	if o.Join && len(o.Members) == 0 {
+		return errors.New("joining a group needs the address of a member")
+	}
+	if !o.Join && len(o.Members) > 0 && !lo.ContainsBy(o.Members, func(m Member) bool { return m.Name == o.Name }) {
+		return errors.Errorf("the members do not include this process, %q", o.Name)
+	}
+	return nil
+}
+
+// Address returns the address that the process is bound to.
+func (c *Control) Address() string { return c.address }
+
+// Machine returns the replicated state of this member.
+func (c *Control) Machine() *Machine { return c.machine }
+
+// Stop hands leadership over, finishes the requests in progress until ctx ends,
+// and releases everything.
+func (c *Control) Stop(ctx context.Context) error {
+	if !c.stopping.CompareAndSwap(false, true) {
+		return nil
+	}
+	c.options.Logger.Log(event.ProcessStopping)
+	c.handOver(ctx)
+	err := c.app.ShutdownWithContext(ctx)
+	c.release()
+	c.options.Logger.Log(event.ProcessStopped)
+	return errors.Wrap(err, "stopping the control process")
+}
+
+func (c *Control) release() {
+	c.stopping.Store(true)
+	c.cancel()
+	// A context that has ended closes the connections in use as well.
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = c.app.ShutdownWithContext(ended)
+	// The server may not have started to accept when it is shut down.
+	_ = c.listener.Close()
+	c.tasks.Wait()
+	if c.closeLog != nil {
+		c.closeLog()
+		c.closeLog = nil
+	}
+	c.peers.close()
+}
+
+func (c *Control) start(task func()) {
+	c.tasks.Add(1)
+	go func() {
+		defer c.tasks.Done()
+		task()
+	}()
+}
+
+// currentLog returns the log once the group is known.
+func (c *Control) currentLog() (Log, bool) {
+	l := c.log.Load()
+	if l == nil {
+		return nil, false
+	}
+	return *l, true
+}
--- /dev/null
+++ b/control/handlers.go
@@ -0,0 +1,300 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/claim"
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/lease"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+func (c *Control) getConfiguration(f fiber.Ctx) error {
+	if err := c.barrier(f); err != nil {
+		return err
+	}
+	return respond(f)(configuration.Encode(c.machine.Configuration()))
+}
+
+func (c *Control) postChange(f fiber.Ctx) error {
+	key := f.Get(headerKey)
+	if key == "" || len(key) > configuration.MaxKeyLength {
+		return problem{fiber.StatusBadRequest, outcome.ReasonKeyMissing, outcome.NotRun, "the header Idempotency-Key is required"}
+	}
+	cmd, err := decodeChangeRequest(f.Body())
+	if err != nil {
+		return invalid(fiber.StatusUnprocessableEntity, err)
+	}
+	cmd.key = string([]byte(key))
+	data, err := c.propose(f, cmd)
+	if err != nil {
+		return err
+	}
+	answer, err := configuration.DecodeAnswer(data)
+	if err != nil {
+		return unknown(err.Error())
+	}
+	c.options.Logger.Log(event.ConfigurationChanged, zap.String("key", cmd.key),
+		zap.String("answer", string(answer.Kind)), zap.Uint64("revision", answer.Revision))
+	return sendJSON(f, changeStatus(answer.Kind), data)
+}
+
+func changeStatus(k configuration.Kind) int {
+	switch k {
+	case configuration.Accepted:
+		return fiber.StatusOK
+	case configuration.Conflict:
+		return fiber.StatusConflict
+	default:
+		return fiber.StatusUnprocessableEntity
+	}
+}
+
+func (c *Control) getHistory(f fiber.Ctx) error {
+	if err := c.barrier(f); err != nil {
+		return err
+	}
+	return respond(f)(configuration.EncodeHistory(c.machine.history()))
+}
+
+func (c *Control) getDiff(f fiber.Ctx) error {
+	if err := c.barrier(f); err != nil {
+		return err
+	}
+	current := c.machine.Configuration().Revision()
+	from, err := queryRevision(f, "from", 0)
+	if err != nil {
+		return err
+	}
+	to, err := queryRevision(f, "to", current)
+	if err != nil {
+		return err
+	}
+	old, okFrom := c.machine.configurationAt(from)
+	changed, okTo := c.machine.configurationAt(to)
+	if !okFrom || !okTo {
+		return invalid(fiber.StatusNotFound, errors.Errorf("revisions %d and %d: the history ends at %d and holds %d changes",
+			from, to, current, configuration.RetainedHistory))
+	}
+	return respond(f)(configuration.EncodeDifferences(configuration.Diff(old, changed)))
+}
+
+func (c *Control) postRenewal(f fiber.Ctx) error {
+	renewal, err := lease.DecodeRenewal(f.Body())
+	if err != nil {
+		return invalid(fiber.StatusBadRequest, err)
+	}
+	c.metrics.renewals.Inc()
+	return respond(f)(lease.EncodeGrant(c.leader.renew(renewal)))
+}
+
+// claimRequest reads the fields that every claim call has.
+func claimRequest(f fiber.Ctx) (wireClaim, claim.Attempt, error) {
+	var w wireClaim
+	if err := json.Unmarshal(f.Body(), &w); err != nil {
+		return w, claim.Attempt{}, invalid(fiber.StatusBadRequest, err)
+	}
+	if !class.ValidName(w.Entry) || w.Attempt == "" {
+		return w, claim.Attempt{}, invalid(fiber.StatusBadRequest,
+			errors.Errorf("a claim call needs entry and attempt, got %q and %q", w.Entry, w.Attempt))
+	}
+	return w, claim.Attempt{Owner: claim.Owner{Entry: w.Entry, Incarnation: w.Incarnation}, ID: w.Attempt}, nil
+}
+
+func (c *Control) postAcquire(f fiber.Ctx) error {
+	w, attempt, err := claimRequest(f)
+	if err != nil {
+		return err
+	}
+	cmd := claim.Acquire{Key: w.Key, BodyHash: w.BodyHash, Attempt: attempt}
+	if holder, ok := c.machine.holder(w.Key); ok && c.leader.expired(holder) {
+		cmd.Gone = holder
+	}
+	return c.runClaim(f, cmd)
+}
+
+func (c *Control) postSend(f fiber.Ctx) error {
+	w, attempt, err := claimRequest(f)
+	if err != nil {
+		return err
+	}
+	return c.runClaim(f, claim.Send{Key: w.Key, Attempt: attempt})
+}
+
+func (c *Control) postSettle(f fiber.Ctx) error {
+	w, attempt, err := claimRequest(f)
+	if err != nil {
+		return err
+	}
+	if w.State != claim.Answered && w.State != claim.NotRun && w.State != claim.Unknown {
+		return invalid(fiber.StatusBadRequest, errors.Errorf("a claim cannot be settled as %q", w.State))
+	}
+	settle := claim.Settle{Key: w.Key, Attempt: attempt, State: w.State}
+	if w.Answer != nil {
+		settle.Answer = claim.Answer{Status: w.Answer.Status, Headers: w.Answer.Headers, Body: w.Answer.Body}
+	}
+	return c.runClaim(f, settle)
+}
+
+func (c *Control) runClaim(f fiber.Ctx, cmd claim.Command) error {
+	data, err := c.propose(f, command{claim: cmd})
+	if err != nil {
+		return err
+	}
+	return sendJSON(f, fiber.StatusOK, data)
+}
+
+func (c *Control) postLookup(f fiber.Ctx) error {
+	var w wireClaim
+	if err := json.Unmarshal(f.Body(), &w); err != nil {
+		return invalid(fiber.StatusBadRequest, err)
+	}
+	if err := c.barrier(f); err != nil {
+		return err
+	}
+	return respond(f)(claim.EncodeResult(c.machine.lookup(w.Key)))
+}
+
+func (c *Control) postReplication(f fiber.Ctx) error {
+	l, ok := c.currentLog()
+	if !ok {
+		return notRun("this member has not joined its group yet")
+	}
+	from, err := l.Receive(slices.Clone(f.Body()))
+	if err != nil {
+		c.options.Logger.Log(event.RequestMalformed, zap.String("from", f.IP()), zap.Error(err))
+		return invalid(fiber.StatusBadRequest, err)
+	}
+	c.leader.heard(from)
+	return f.SendStatus(fiber.StatusNoContent)
+}
+
+func (c *Control) getMembers(f fiber.Ctx) error {
+	return respondValue(f, c.members())
+}
+
+func (c *Control) members() wireMembers {
+	l, ok := c.currentLog()
+	if !ok {
+		return wireMembers{Members: []wireMember{}}
+	}
+	status := l.Status()
+	return wireMembers{
+		Formed: status.Term > 0,
+		Term:   status.Term,
+		Leader: status.Leader,
+		Members: lo.Map(status.Members, func(m LogMember, _ int) wireMember {
+			return wireMember{
+				Identity: m.Identity, Name: m.Name, Address: m.Address, AvailabilityZone: m.AvailabilityZone,
+				Voter: m.Voter, Leader: m.Leader, Silence: c.leader.silence(m), Behind: behind(status, m),
+			}
+		}),
+	}
+}
+
+func behind(status Status, m LogMember) uint64 {
+	if !status.Leads || m.Match >= status.Commit {
+		return 0
+	}
+	return status.Commit - m.Match
+}
+
+func (c *Control) postJoin(f fiber.Ctx) error {
+	w, err := decodeMember(f.Body())
+	if err != nil {
+		return invalid(fiber.StatusBadRequest, err)
+	}
+	if w.Identity == "" || !class.ValidName(w.Name) || w.Address == "" {
+		return invalid(fiber.StatusBadRequest, errors.Errorf("a member needs identity, name and address, got %q, %q and %q",
+			w.Identity, w.Name, w.Address))
+	}
+	if err := c.barrier(f); err != nil {
+		return err
+	}
+	if c.machine.isRetired(w.Identity) {
+		return invalid(fiber.StatusConflict, errors.Errorf("the member %q was replaced and stays out", w.Identity))
+	}
+	if err := c.join(f.Context(), w); err != nil {
+		return err
+	}
+	return respondValue(f, c.members())
+}
+
+func (c *Control) join(ctx context.Context, w wireMember) error {
+	l, _ := c.currentLog()
+	if lo.ContainsBy(l.Status().Members, func(m LogMember) bool { return m.Identity == w.Identity }) {
+		return nil
+	}
+	added := LogMember{Identity: w.Identity, Name: w.Name, Address: w.Address, AvailabilityZone: w.AvailabilityZone}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout.Duration())
+	defer cancel()
+	if _, err := valueOf(l.ChangeMember(ctx, MemberChange{Add: &added})); err != nil {
+		return err
+	}
+	c.options.Logger.Log(event.MemberJoined, zap.String("member", w.Identity))
+	return nil
+}
+
+func (c *Control) postRemove(f fiber.Ctx) error {
+	w, err := decodeMember(f.Body())
+	if err != nil {
+		return invalid(fiber.StatusBadRequest, err)
+	}
+	l, _ := c.currentLog()
+	if !lo.ContainsBy(l.Status().Members, func(m LogMember) bool { return m.Identity == w.Identity }) {
+		return invalid(fiber.StatusNotFound, errors.Errorf("unknown member %q", w.Identity))
+	}
+	if err := c.leader.change(f.Context(), MemberChange{Remove: w.Identity}); err != nil {
+		return err
+	}
+	return respondValue(f, c.members())
+}
+
+// wireState is the answer of /debug/state.
+type wireState struct {
+	Name    string       `json:"name"`
+	Address string       `json:"address"`
+	Leads   bool         `json:"leads"`
+	Commit  uint64       `json:"commit"`
+	Applied uint64       `json:"applied"`
+	Lease   int64        `json:"leader_lease_ms"`
+	Group   wireMembers  `json:"group"`
+	State   size         `json:"state"`
+	Entries []wireLeased `json:"entries"`
+	Sent    uint64       `json:"messages_sent"`
+	Dropped uint64       `json:"messages_dropped"`
+	Failed  uint64       `json:"messages_failed"`
+}
+
+type wireLeased struct {
+	Entry       string `json:"entry"`
+	Incarnation uint64 `json:"incarnation"`
+	Address     string `json:"address"`
+	Revision    uint64 `json:"revision"`
+	Leaving     bool   `json:"leaving"`
+	Claims      int    `json:"claims"`
+}
+
+func (c *Control) debugState(f fiber.Ctx) error {
+	w := wireState{
+		Name: c.options.Name, Address: c.options.Advertise, Group: c.members(), State: c.machine.size(),
+		Sent: c.peers.sent.Load(), Dropped: c.peers.dropped.Load(), Failed: c.peers.failed.Load(),
+		Entries: lo.Map(c.leader.renewals(), func(r lease.Renewal, _ int) wireLeased {
+			return wireLeased{r.Entry, r.Incarnation, r.Address, r.Revision, r.Leaving, r.Claims}
+		}),
+	}
+	if l, ok := c.currentLog(); ok {
+		status := l.Status()
+		w.Leads, w.Commit, w.Applied, w.Lease = status.Leads, status.Commit, status.Applied, int64(status.Lease)
+	}
+	return respondValue(f, w)
+}
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics are the process's counters and gauges.
+type metrics struct {
+	registry     *prometheus.Registry
+	requests     *prometheus.CounterVec
+	unauthorized prometheus.Counter
+	forwarded    prometheus.Counter
+	renewals     prometheus.Counter
+}
+
+func newMetrics(c *Control) *metrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "galenaslip_control_" + name, Help: help})
+	}
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenaslip_control_requests_total", Help: "Requests by path.",
+		}, []string{"path"}),
+		unauthorized: counter("unauthorized_total", "Requests refused for a missing or wrong token."),
+		forwarded:    counter("forwarded_total", "Requests forwarded to the leader."),
+		renewals:     counter("renewals_total", "Lease renewals answered."),
+	}
+	m.registry.MustRegister(m.requests, m.unauthorized, m.forwarded, m.renewals)
+	m.registerGauges(c)
+	return m
+}
+
+func (m *metrics) registerGauges(c *Control) {
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "galenaslip_control_" + name, Help: help,
+		}, value))
+	}
+	status := func(value func(Status) float64) func() float64 {
+		return func() float64 {
+			l, ok := c.currentLog()
+			if !ok {
+				return 0
+			}
+			return value(l.Status())
+		}
+	}
+	gauge("leads", "1 while this member leads.", status(func(s Status) float64 {
+		if s.Leads {
+			return 1
+		}
+		return 0
+	}))
+	gauge("term", "Term of the group.", status(func(s Status) float64 { return float64(s.Term) }))
+	gauge("commit_index", "Newest committed entry.", status(func(s Status) float64 { return float64(s.Commit) }))
+	gauge("applied_index", "Newest applied entry.", status(func(s Status) float64 { return float64(s.Applied) }))
+	gauge("revision", "Configuration revision.", func() float64 { return float64(c.machine.size().Revision) })
+	gauge("claims", "Recorded claims.", func() float64 { return float64(c.machine.size().Claims) })
+	gauge("claim_bytes", "Estimated memory of the claims.", func() float64 { return float64(c.machine.size().ClaimBytes) })
+	gauge("leased_entries", "Entries with a lease.", func() float64 { return float64(len(c.leader.renewals())) })
+	gauge("messages_dropped", "Replication messages dropped.", func() float64 { return float64(c.peers.dropped.Load()) })
+	gauge("messages_failed", "Replication messages not delivered.", func() float64 { return float64(c.peers.failed.Load()) })
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/lease/codec.go
@@ -0,0 +1,117 @@
+package lease
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/configuration"
+)
+
+// maxModels bounds the demands in a renewal; the target has 36 models.
+const maxModels = 1024
+
+type wireDemand struct {
+	Model   string `json:"model"`
+	Waiting int    `json:"waiting"`
+	Servers int    `json:"servers"`
+}
+
+type wireRenewal struct {
+	Entry            string       `json:"entry"`
+	Incarnation      uint64       `json:"incarnation"`
+	Address          string       `json:"address"`
+	AvailabilityZone string       `json:"availability_zone"`
+	Revision         uint64       `json:"revision"`
+	Leaving          bool         `json:"leaving"`
+	Claims           int          `json:"claims"`
+	Models           []wireDemand `json:"models,omitempty"`
+}
+
+type wireEntry struct {
+	Name             string `json:"name"`
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability_zone"`
+}
+
+type wireGrant struct {
+	Granted       bool            `json:"granted"`
+	Length        clock.Millis    `json:"lease_ms"`
+	Term          uint64          `json:"term"`
+	Revision      uint64          `json:"revision"`
+	Configuration json.RawMessage `json:"configuration,omitempty"`
+	Entries       []wireEntry     `json:"entries"`
+}
+
+// EncodeRenewal returns the renewal as JSON.
+func EncodeRenewal(r Renewal) ([]byte, error) {
+	data, err := json.Marshal(wireRenewal{
+		Entry: r.Entry, Incarnation: r.Incarnation, Address: r.Address, AvailabilityZone: r.AvailabilityZone,
+		Revision: r.Revision, Leaving: r.Leaving, Claims: r.Claims,
+		Models: lo.Map(r.Models, func(d Demand, _ int) wireDemand { return wireDemand(d) }),
+	})
+	return data, errors.WithStack(err)
+}
+
+// DecodeRenewal reads a renewal and checks it.
+func DecodeRenewal(data []byte) (Renewal, error) {
+	var w wireRenewal
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Renewal{}, errors.Wrap(err, "decoding a lease renewal")
+	}
+	if !class.ValidName(w.Entry) {
+		return Renewal{}, errors.Errorf("invalid entry name %q", w.Entry)
+	}
+	if len(w.Models) > maxModels {
+		return Renewal{}, errors.Errorf("%d models in a renewal: want at most %d", len(w.Models), maxModels)
+	}
+	r := Renewal{
+		Entry: w.Entry, Incarnation: w.Incarnation, Address: w.Address, AvailabilityZone: w.AvailabilityZone,
+		Revision: w.Revision, Leaving: w.Leaving, Claims: w.Claims,
+	}
+	for _, d := range w.Models {
+		r.Models = append(r.Models, Demand(d))
+	}
+	return r, nil
+}
+
+// EncodeGrant returns the grant as JSON.
+func EncodeGrant(g Grant) ([]byte, error) {
+	w := wireGrant{
+		Granted: g.Granted, Length: g.Length, Term: g.Term, Revision: g.Revision,
+		Entries: lo.Map(g.Entries, func(e Entry, _ int) wireEntry { return wireEntry(e) }),
+	}
+	if g.Configuration != nil {
+		encoded, err := configuration.Encode(*g.Configuration)
+		if err != nil {
+			return nil, err
+		}
+		w.Configuration = encoded
+	}
+	data, err := json.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+// DecodeGrant reads a grant and checks it.
+func DecodeGrant(data []byte) (Grant, error) {
+	var w wireGrant
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Grant{}, errors.Wrap(err, "decoding a lease grant")
+	}
+	g := Grant{Granted: w.Granted, Length: w.Length, Term: w.Term, Revision: w.Revision}
+	for _, e := range w.Entries {
+		g.Entries = append(g.Entries, Entry(e))
+	}
+	if len(w.Configuration) == 0 || string(w.Configuration) == "null" {
+		return g, nil
+	}
+	c, err := configuration.Decode(w.Configuration)
+	if err != nil {
+		return Grant{}, err
+	}
+	g.Configuration = &c
+	return g, nil
+}
--- /dev/null
+++ b/lease/grantor.go
@@ -0,0 +1,124 @@
+package lease
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/configuration"
+)
+
+// forgetAfter is how long an expired lease is remembered, so that a late
+// renewal of an earlier life of the entry is refused.
+const forgetAfter = 1 * clock.Minute
+
+type granted struct {
+	renewal Renewal
+	expires clock.Millis
+}
+
+// Grantor grants leases while its process leads. It has one owner.
+type Grantor struct {
+	term      uint64
+	leads     bool
+	certain   clock.Millis // from here on, leases of former leaders have expired
+	leases    map[string]granted
+	nextSweep clock.Millis
+}
+
+// NewGrantor returns a grantor that does not lead.
+func NewGrantor() *Grantor {
+	return &Grantor{leases: map[string]granted{}}
+}
+
+// Lead starts a term. The caller has applied every entry that was committed
+// before the term; otherwise a grant could carry an older configuration than one
+// that is in force.
+func (g *Grantor) Lead(now clock.Millis, term uint64) {
+	*g = Grantor{term: term, leads: true, certain: now + withMargin(Length), leases: map[string]granted{}}
+}
+
+// Resign ends the term.
+func (g *Grantor) Resign() {
+	*g = Grantor{leases: map[string]granted{}}
+}
+
+// Leads returns the term that the grantor leads in.
+func (g *Grantor) Leads() (uint64, bool) { return g.term, g.leads }
+
+// Renew grants a lease. The caller has read the configuration first and then
+// found that its leader lease in the grantor's term has not expired, in this
+// order.
+func (g *Grantor) Renew(now clock.Millis, current configuration.Configuration, r Renewal) Grant {
+	if !g.leads || r.Incarnation < g.leases[r.Entry].renewal.Incarnation {
+		return Grant{Term: g.term, Revision: current.Revision()}
+	}
+	g.leases[r.Entry] = granted{renewal: r, expires: now + withMargin(Length)}
+	g.sweep(now)
+	grant := Grant{
+		Granted:  true,
+		Length:   Length,
+		Term:     g.term,
+		Revision: current.Revision(),
+		Entries:  g.Entries(now),
+	}
+	if r.Revision < current.Revision() {
+		grant.Configuration = &current
+	}
+	return grant
+}
+
+// Expired reports whether the lease of one life of an entry has certainly
+// expired.
+func (g *Grantor) Expired(now clock.Millis, entry string, incarnation uint64) bool {
+	if !g.leads {
+		return false
+	}
+	held, ok := g.leases[entry]
+	if ok && held.renewal.Incarnation > incarnation {
+		return true
+	}
+	if ok && held.renewal.Incarnation == incarnation {
+		return now >= held.expires
+	}
+	return now >= g.certain
+}
+
+// Entries returns the entries that hold a lease, in order of their names.
+func (g *Grantor) Entries(now clock.Millis) []Entry {
+	entries := make([]Entry, 0, len(g.leases))
+	for _, held := range g.leases {
+		if now < held.expires {
+			r := held.renewal
+			entries = append(entries, Entry{Name: r.Entry, Address: r.Address, AvailabilityZone: r.AvailabilityZone})
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return entries
+}
+
+// Renewals returns the newest renewal of each entry that holds a lease.
+func (g *Grantor) Renewals(now clock.Millis) []Renewal {
+	renewals := make([]Renewal, 0, len(g.leases))
+	for _, held := range g.leases {
+		if now < held.expires {
+			renewals = append(renewals, held.renewal)
+		}
+	}
+	slices.SortFunc(renewals, func(a, b Renewal) int { return strings.Compare(a.Entry, b.Entry) })
+	return renewals
+}
+
+// sweep forgets old leases once in a while, so that the cost of a renewal does
+// not grow with the entries that are gone.
+func (g *Grantor) sweep(now clock.Millis) {
+	if now < g.nextSweep {
+		return
+	}
+	g.nextSweep = now + forgetAfter
+	for name, held := range g.leases {
+		if now >= held.expires+forgetAfter {
+			delete(g.leases, name)
+		}
+	}
+}
