--- /dev/null
+++ b/journal/filesystem.go
@@ -0,0 +1,125 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"sort"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// File is a file that is open for writing. Written data are durable once Sync
+// has returned without an error.
+type File interface {
+	Write(data []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+// Files opens and reads files.
+type Files interface {
+	Read(path string) ([]byte, error)
+	Create(path string) (File, error)
+	Append(path string) (File, error)
+}
+
+// Folders changes folders. A change is durable once SyncFolder has returned.
+type Folders interface {
+	List(folder string) ([]string, error)
+	MakeFolder(folder string) error
+	SyncFolder(folder string) error
+}
+
+// Names changes the names of files and locks them.
+type Names interface {
+	Rename(from, to string) error
+	Remove(path string) error
+	Lock(path string) (func(), error)
+}
+
+// FileSystem is what a journal needs from the machine. A missing file is
+// reported by an error that matches os.ErrNotExist.
+type FileSystem interface {
+	Files
+	Folders
+	Names
+}
+
+const (
+	fileMode   = 0o600
+	folderMode = 0o700
+)
+
+// Disk is the machine's file system.
+type Disk struct{}
+
+// Read returns the content of a file.
+func (Disk) Read(path string) ([]byte, error) {
+	return os.ReadFile(path)
+}
+
+// Create opens an empty file for writing.
+func (Disk) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+}
+
+// Append opens an existing file for writing at its end.
+func (Disk) Append(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// List returns the sorted names of the files in a folder.
+func (Disk) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if !e.IsDir() {
+			names = append(names, e.Name())
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// MakeFolder makes a folder and its parents.
+func (Disk) MakeFolder(folder string) error {
+	return os.MkdirAll(folder, folderMode)
+}
+
+// SyncFolder makes the names in a folder durable.
+func (Disk) SyncFolder(folder string) error {
+	f, err := os.Open(filepath.Clean(folder))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	return f.Sync()
+}
+
+// Rename replaces the file at to with the file at from.
+func (Disk) Rename(from, to string) error {
+	return os.Rename(from, to)
+}
+
+// Remove deletes a file.
+func (Disk) Remove(path string) error {
+	return os.Remove(path)
+}
+
+// Lock takes an exclusive lock that ends with the process at the latest.
+func (Disk) Lock(path string) (func(), error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err != nil {
+		_ = f.Close()
+		return nil, errors.Wrapf(err, "lock %s", path)
+	}
+	return func() { _ = f.Close() }, nil
+}
--- /dev/null
+++ b/journal/outcome.go
@@ -0,0 +1,86 @@
+package journal
+
+import (
+	"fmt"
+	"os"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// Outcome says why a journal cannot be used.
+type Outcome int
+
+// The outcomes.
+const (
+	// Failed is an error of the file system that has no outcome of its own.
+	Failed Outcome = iota
+	// Damaged means that stored data were lost or changed. The member must not
+	// vote with this folder again.
+	Damaged
+	// Foreign means that the folder belongs to another member.
+	Foreign
+	// Locked means that another process uses the folder.
+	Locked
+	// Full means that the disk has no space left.
+	Full
+	// ReadOnly means that the disk or the folder cannot be written.
+	ReadOnly
+	// Closed means that an earlier write failed or the journal was closed.
+	Closed
+)
+
+var outcomeNames = map[Outcome]string{
+	Failed: "failed", Damaged: "damaged", Foreign: "foreign", Locked: "locked",
+	Full: "disk full", ReadOnly: "disk read-only", Closed: "closed",
+}
+
+// String returns the outcome's name.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Error tells what happened to which file.
+type Error struct {
+	Outcome Outcome
+	Path    string
+	Reason  string
+	Cause   error
+}
+
+// Error returns the message.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("journal: %s: %s: %s", e.Outcome, e.Path, e.Reason)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the error of the file system, if there is one.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// OutcomeOf returns the outcome that an error of this package carries.
+func OutcomeOf(err error) Outcome {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Outcome
+	}
+	return Failed
+}
+
+func damaged(path, format string, values ...any) error {
+	return &Error{Outcome: Damaged, Path: path, Reason: fmt.Sprintf(format, values...)}
+}
+
+// failed classifies an error of the file system.
+func failed(path, action string, cause error) error {
+	outcome := Failed
+	switch {
+	case errors.Is(cause, syscall.ENOSPC), errors.Is(cause, syscall.EDQUOT):
+		outcome = Full
+	case errors.Is(cause, syscall.EROFS), errors.Is(cause, os.ErrPermission):
+		outcome = ReadOnly
+	case errors.Is(cause, syscall.EWOULDBLOCK):
+		outcome = Locked
+	}
+	return &Error{Outcome: outcome, Path: path, Reason: action, Cause: cause}
+}
--- /dev/null
+++ b/replica/membership.go
@@ -0,0 +1,171 @@
+package replica
+
+import (
+	"slices"
+
+	"github.com/samber/lo"
+)
+
+// Member is one process of the group.
+type Member struct {
+	Identity         string
+	Name             string
+	Address          string
+	AvailabilityZone string
+	Voter            bool
+}
+
+// ChangeKind is the kind of a membership change.
+type ChangeKind uint8
+
+// The kinds.
+const (
+	// AddLearner adds Member, which gets the log and does not vote.
+	AddLearner ChangeKind = iota + 1
+	// Promote makes the learner with Member's identity a voter.
+	Promote
+	// Remove removes the member with Member's identity for good.
+	Remove
+	// Replace makes the learner with Member's identity a voter in the place of
+	// the voter with the identity Replaces, which is removed for good.
+	Replace
+)
+
+// MemberChange is a change of the membership.
+type MemberChange struct {
+	Kind     ChangeKind
+	Member   Member
+	Replaces string
+}
+
+// maxRemoved bounds the list of removed identities. Older ones are safe to
+// forget: their terms are old and pre-vote keeps them from disturbing.
+const maxRemoved = 256
+
+// membership says who is in the group. It is immutable. While the voters change,
+// previous holds the identities of the former voters, and every decision needs a
+// majority of both the former and the new voters.
+type membership struct {
+	epoch    uint64
+	members  []Member
+	previous []string
+	leaving  []string // removed when the change ends
+	removed  []string // may never come back
+}
+
+func (m membership) find(identity string) (Member, bool) {
+	return lo.Find(m.members, func(x Member) bool { return x.Identity == identity })
+}
+
+func (m membership) voters() []string {
+	return lo.FilterMap(m.members, func(x Member, _ int) (string, bool) { return x.Identity, x.Voter })
+}
+
+func (m membership) joint() bool { return len(m.previous) > 0 }
+
+func (m membership) votes(identity string) bool {
+	member, ok := m.find(identity)
+	return ok && member.Voter || slices.Contains(m.previous, identity)
+}
+
+func (m membership) isRemoved(identity string) bool {
+	return slices.Contains(m.removed, identity)
+}
+
+// quorum returns the highest value that a majority of the voters has reached.
+func (m membership) quorum(value func(identity string) uint64) uint64 {
+	reached := majority(m.voters(), value)
+	if m.joint() {
+		reached = min(reached, majority(m.previous, value))
+	}
+	return reached
+}
+
+func majority(voters []string, value func(string) uint64) uint64 {
+	if len(voters) == 0 {
+		return 0
+	}
+	values := lo.Map(voters, func(v string, _ int) uint64 { return value(v) })
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// won reports whether a majority of the voters has granted a vote.
+func (m membership) won(granted map[string]bool) bool {
+	return m.quorum(func(identity string) uint64 { return lo.Ternary(granted[identity], uint64(1), 0) }) == 1
+}
+
+// withChange returns the membership after the change, or a reason against it.
+func (m membership) withChange(change MemberChange) (membership, string) {
+	current, known := m.find(change.Member.Identity)
+	switch {
+	case change.Member.Identity == "":
+		return m, "the identity is empty"
+	case change.Kind == AddLearner && known:
+		return m, "the identity is already a member"
+	case change.Kind == AddLearner && m.isRemoved(change.Member.Identity):
+		return m, "the identity was removed; join under a new one"
+	case change.Kind != AddLearner && !known:
+		return m, "the identity is not a member"
+	case (change.Kind == Promote || change.Kind == Replace) && current.Voter:
+		return m, "the member is already a voter"
+	}
+	next := membership{epoch: m.epoch, members: slices.Clone(m.members), removed: m.removed}
+	switch change.Kind {
+	case AddLearner:
+		learner := change.Member
+		learner.Voter = false
+		next.members = append(next.members, learner)
+		return next, ""
+	case Promote:
+		return m.withVoters(next, change.Member.Identity, ""), ""
+	case Remove:
+		return m.withoutMember(next, current)
+	case Replace:
+		if former, ok := m.find(change.Replaces); !ok || !former.Voter {
+			return m, "the replaced identity is not a voter"
+		}
+		return m.withVoters(next, change.Member.Identity, change.Replaces), ""
+	default:
+		return m, "the kind of change is unknown"
+	}
+}
+
+func (m membership) withoutMember(next membership, member Member) (membership, string) {
+	if !member.Voter {
+		next.leaving = []string{member.Identity}
+		return next.settled(), ""
+	}
+	if len(m.voters()) == 1 {
+		return m, "the last voter cannot be removed"
+	}
+	return m.withVoters(next, "", member.Identity), ""
+}
+
+// withVoters starts a change in which added becomes a voter and dropped leaves.
+func (m membership) withVoters(next membership, added, dropped string) membership {
+	next.previous = m.voters()
+	for i := range next.members {
+		switch next.members[i].Identity {
+		case added:
+			next.members[i].Voter = true
+		case dropped:
+			next.members[i].Voter = false
+		}
+	}
+	if dropped != "" {
+		next.leaving = []string{dropped}
+	}
+	return next
+}
+
+// settled returns the membership after the former voters have been let go.
+func (m membership) settled() membership {
+	next := membership{epoch: m.epoch}
+	next.members = lo.Reject(m.members, func(x Member, _ int) bool { return slices.Contains(m.leaving, x.Identity) })
+	next.removed = append(slices.Clone(m.removed), m.leaving...)
+	if extra := len(next.removed) - maxRemoved; extra > 0 {
+		next.removed = next.removed[extra:]
+	}
+	return next
+}
