control: run on the replicated log

Change: control uses replica.Replica for commits, reads, leases, membership and hand-over; the transport posts messages with a deadline and closes idle connections after a failure; a process outside the group starts a new life and asks to join. Silence and progress come from the log, so the membership policy is a function of them. The log founds groups and keeps removed identities out, so control no longer does.

--- /dev/null
+++ b/configuration/seed_test.go
@@ -0,0 +1,6 @@
+package configuration_test
+
+import "flag"
+
+// Property tests draw the same cases in every run; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
--- a/control/codec.go
+++ b/control/codec.go
@@ -11,15 +11,14 @@
 	"github.com/galenaslip/galenaslip/outcome"
 )
 
-// command is one entry of the replicated log: a change, a claim command or the
-// retirement of a member's identity. It carries the leader's time of day.
+// command is one entry of the replicated log: a change or a claim command. It
+// carries the leader's time of day.
 type command struct {
 	at     clock.Millis
 	change configuration.Change
 	base   uint64
 	key    string
 	claim  claim.Command
-	retire string
 }
 
 type wireCommand struct {
@@ -28,13 +27,11 @@
 	Base   uint64          `json:"base_revision,omitempty"`
 	Key    string          `json:"key,omitempty"`
 	Claim  json.RawMessage `json:"claim,omitempty"`
-	Retire string          `json:"retire,omitempty"`
 }
 
 type wireSnapshot struct {
 	Configuration json.RawMessage `json:"configuration"`
 	Claims        json.RawMessage `json:"claims"`
-	Retired       []string        `json:"retired"`
 }
 
 type wireChangeRequest struct {
@@ -42,7 +39,7 @@
 	Change json.RawMessage `json:"change"`
 }
 
-// WireMember is a member in the members API.
+// wireMember is a member in the members API.
 type wireMember struct {
 	Identity         string       `json:"identity"`
 	Name             string       `json:"name"`
@@ -50,14 +47,11 @@
 	AvailabilityZone string       `json:"availability_zone"`
 	Voter            bool         `json:"voter"`
 	Leader           bool         `json:"leader"`
-	Silence          clock.Millis `json:"silence_ms"`
+	Silent           clock.Millis `json:"silent_ms"`
 	Behind           uint64       `json:"behind"`
 }
 
 type wireMembers struct {
-	// Formed means that the answering member has taken part in an election, so
-	// the group exists.
-	Formed  bool         `json:"formed"`
 	Term    uint64       `json:"term"`
 	Leader  string       `json:"leader"`
 	Members []wireMember `json:"members"`
@@ -75,13 +69,8 @@
 	Outcome outcome.Kind   `json:"outcome"`
 }
 
-type wireIdentity struct {
-	Identity string `json:"identity"`
-	Joining  bool   `json:"joining"`
-}
-
 func encodeCommand(c command) ([]byte, error) {
-	w := wireCommand{At: c.at, Base: c.base, Key: c.key, Retire: c.retire}
+	w := wireCommand{At: c.at, Base: c.base, Key: c.key}
 	var err error
 	if c.change != nil {
 		if w.Change, err = configuration.EncodeChange(c.change); err != nil {
@@ -102,7 +91,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return command{}, errors.Wrap(err, "decoding a command")
 	}
-	c := command{at: w.At, base: w.Base, key: w.Key, retire: w.Retire}
+	c := command{at: w.At, base: w.Base, key: w.Key}
 	var err error
 	if len(w.Change) > 0 {
 		c.change, err = configuration.DecodeChange(w.Change)
@@ -110,7 +99,7 @@
 	if err == nil && len(w.Claim) > 0 {
 		c.claim, err = claim.DecodeCommand(w.Claim)
 	}
-	if err == nil && c.change == nil && c.claim == nil && c.retire == "" {
+	if err == nil && c.change == nil && c.claim == nil {
 		err = errors.New("a command without content")
 	}
 	return c, err
--- a/control/control.go
+++ b/control/control.go
@@ -52,16 +52,14 @@
 	peers    *peers
 	metrics  *metrics
 	tokens   tokens
-	log      atomic.Pointer[Log] // nil until the group is known
+	log      atomic.Pointer[life]
 	leader   *leader
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
-	closeLog func()
 }
 
-// New starts a member. It listens at once and opens its log in the background,
-// because the first start waits for the other members. The returned function
+// New starts a member. It does not wait for the group. The returned function
 // releases everything without handing leadership over.
 func New(options Options) (*Control, func(), error) {
 	if err := options.validate(); err != nil {
@@ -85,10 +83,15 @@
 	c.leader = newLeader(c)
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
+	if err := c.openLog(); err != nil {
+		_ = listener.Close()
+		return nil, nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.start(func() { _ = c.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
-	c.start(func() { c.open(ctx) })
+	c.start(func() { c.leader.run(ctx) })
+	c.start(func() { c.watch(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
 	return c, c.release, nil
 }
@@ -129,6 +132,7 @@
 	return errors.Wrap(err, "stopping the control process")
 }
 
+// release may be called more than once.
 func (c *Control) release() {
 	c.stopping.Store(true)
 	c.cancel()
@@ -139,11 +143,8 @@
 	// The server may not have started to accept when it is shut down.
 	_ = c.listener.Close()
 	c.tasks.Wait()
-	if c.closeLog != nil {
-		c.closeLog()
-		c.closeLog = nil
-	}
-	c.peers.close()
+	c.log.Load().release()
+	c.peers.client.CloseIdleConnections()
 }
 
 func (c *Control) start(task func()) {
@@ -153,12 +154,3 @@
 		task()
 	}()
 }
-
-// currentLog returns the log once the group is known.
-func (c *Control) currentLog() (Log, bool) {
-	l := c.log.Load()
-	if l == nil {
-		return nil, false
-	}
-	return *l, true
-}
--- a/control/forward.go
+++ b/control/forward.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/replica"
 )
 
 // proposeTimeout is how long a request waits for its commit. A leader that lost
@@ -28,13 +29,9 @@
 // this member does not lead.
 func (c *Control) atLeader(next fiber.Handler) fiber.Handler {
 	return func(f fiber.Ctx) error {
-		l, ok := c.currentLog()
-		if !ok {
-			return notRun("this member has not joined its group yet")
-		}
-		status := l.Status()
+		status := c.log.Load().Status()
 		var moved notLeader
-		if !status.Leads {
+		if status.Role != replica.Leader {
 			moved = notLeader{leader: status.Leader}
 		} else if err := next(f); !errors.As(err, &moved) {
 			return err
@@ -63,8 +60,7 @@
 		}
 	}
 	request.SetBodyRaw(f.Body())
-	if err := c.peers.client.DoTimeout(request, response, forwardTimeout.Duration()); err != nil {
-		c.peers.client.CloseIdleConnections()
+	if err := c.peers.do(request, response, forwardTimeout.Duration()); err != nil {
 		return unreachable(leader, err)
 	}
 	return sendJSON(f, response.StatusCode(), slices.Clone(response.Body()))
@@ -81,44 +77,38 @@
 }
 
 // propose commits a command and returns what the state machine answered.
-func (c *Control) propose(f fiber.Ctx, cmd command) ([]byte, error) {
-	l, ok := c.currentLog()
-	if !ok {
-		return nil, notRun("this member has not joined its group yet")
-	}
+func (c *Control) propose(ctx context.Context, cmd command) ([]byte, error) {
 	cmd.at = c.options.Clock.Wall()
 	data, err := encodeCommand(cmd)
 	if err != nil {
 		return nil, invalid(fiber.StatusUnprocessableEntity, err)
 	}
-	ctx, cancel := context.WithTimeout(f.Context(), proposeTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout.Duration())
 	defer cancel()
-	return valueOf(l.Propose(ctx, data))
+	return valueOf(c.log.Load().Propose(ctx, data))
 }
 
 // barrier returns once this member has applied everything that was committed
 // when it was called, as the leader.
 func (c *Control) barrier(f fiber.Ctx) error {
-	l, ok := c.currentLog()
-	if !ok {
-		return notRun("this member has not joined its group yet")
-	}
 	ctx, cancel := context.WithTimeout(f.Context(), proposeTimeout.Duration())
 	defer cancel()
-	result := l.Barrier(ctx)
-	if result.Kind == Unknown {
+	result := c.log.Load().Barrier(ctx)
+	if result.Kind == replica.Unknown {
 		return notRun("the group has no quorum")
 	}
 	_, err := valueOf(result)
 	return err
 }
 
-func valueOf(r Result) ([]byte, error) {
+func valueOf(r replica.Result) ([]byte, error) {
 	switch r.Kind {
-	case Committed:
+	case replica.Committed:
 		return r.Value, nil
-	case NotLeader:
+	case replica.NotLeader:
 		return nil, notLeader{leader: r.Leader}
+	case replica.Refused:
+		return nil, invalid(fiber.StatusConflict, errors.New(r.Reason))
 	default:
 		return nil, unknown("the change was not confirmed in time and may still commit")
 	}
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -1,9 +1,8 @@
 package control
 
 import (
-	"context"
 	"encoding/json"
-	"slices"
+	"strings"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
@@ -12,10 +11,12 @@
 
 	"github.com/galenaslip/galenaslip/claim"
 	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/replica"
 )
 
 func (c *Control) getConfiguration(f fiber.Ctx) error {
@@ -35,7 +36,7 @@
 		return invalid(fiber.StatusUnprocessableEntity, err)
 	}
 	cmd.key = string([]byte(key))
-	data, err := c.propose(f, cmd)
+	data, err := c.propose(f.Context(), cmd)
 	if err != nil {
 		return err
 	}
@@ -146,7 +147,7 @@
 }
 
 func (c *Control) runClaim(f fiber.Ctx, cmd claim.Command) error {
-	data, err := c.propose(f, command{claim: cmd})
+	data, err := c.propose(f.Context(), command{claim: cmd})
 	if err != nil {
 		return err
 	}
@@ -165,47 +166,48 @@
 }
 
 func (c *Control) postReplication(f fiber.Ctx) error {
-	l, ok := c.currentLog()
-	if !ok {
-		return notRun("this member has not joined its group yet")
-	}
-	from, err := l.Receive(slices.Clone(f.Body()))
+	message, err := replica.DecodeMessage(f.Body())
 	if err != nil {
 		c.options.Logger.Log(event.RequestMalformed, zap.String("from", f.IP()), zap.Error(err))
 		return invalid(fiber.StatusBadRequest, err)
 	}
-	c.leader.heard(from)
+	c.log.Load().Receive(message)
 	return f.SendStatus(fiber.StatusNoContent)
 }
 
+// getMembers asks the leader, which knows every member's progress. Without a
+// leader this member's own view is better than none.
 func (c *Control) getMembers(f fiber.Ctx) error {
-	return respondValue(f, c.members())
+	own := func(f fiber.Ctx) error { return respondValue(f, c.members()) }
+	if c.log.Load().Status().Leader == "" {
+		return own(f)
+	}
+	return c.atLeader(own)(f)
 }
 
 func (c *Control) members() wireMembers {
-	l, ok := c.currentLog()
-	if !ok {
-		return wireMembers{Members: []wireMember{}}
-	}
-	status := l.Status()
+	status := c.log.Load().Status()
 	return wireMembers{
-		Formed: status.Term > 0,
 		Term:   status.Term,
 		Leader: status.Leader,
-		Members: lo.Map(status.Members, func(m LogMember, _ int) wireMember {
+		Members: lo.Map(status.Members, func(m replica.Member, _ int) wireMember {
 			return wireMember{
 				Identity: m.Identity, Name: m.Name, Address: m.Address, AvailabilityZone: m.AvailabilityZone,
-				Voter: m.Voter, Leader: m.Leader, Silence: c.leader.silence(m), Behind: behind(status, m),
+				Voter: m.Voter, Leader: m.Identity == status.LeaderIdentity,
+				Silent: status.Progress[m.Identity].Silent, Behind: behind(status, m.Identity),
 			}
 		}),
 	}
 }
 
-func behind(status Status, m LogMember) uint64 {
-	if !status.Leads || m.Match >= status.Commit {
+// behind returns the committed entries that a member lacks, as far as this
+// member knows.
+func behind(s replica.Status, identity string) uint64 {
+	progress, ok := s.Progress[identity]
+	if !ok || progress.Match >= s.Commit {
 		return 0
 	}
-	return status.Commit - m.Match
+	return s.Commit - progress.Match
 }
 
 func (c *Control) postJoin(f fiber.Ctx) error {
@@ -220,28 +222,30 @@
 	if err := c.barrier(f); err != nil {
 		return err
 	}
-	if c.machine.isRetired(w.Identity) {
-		return invalid(fiber.StatusConflict, errors.Errorf("the member %q was replaced and stays out", w.Identity))
+	if c.isMember(w.Identity) {
+		return respondValue(f, c.members())
 	}
-	if err := c.join(f.Context(), w); err != nil {
-		return err
+	added := replica.Member{Identity: w.Identity, Name: w.Name, Address: w.Address, AvailabilityZone: w.AvailabilityZone}
+	if err := c.leader.change(f.Context(), replica.MemberChange{Kind: replica.AddLearner, Member: added}); err != nil {
+		return joinProblem(err)
 	}
+	c.options.Logger.Log(event.MemberJoined, zap.String("member", w.Identity))
 	return respondValue(f, c.members())
 }
 
-func (c *Control) join(ctx context.Context, w wireMember) error {
-	l, _ := c.currentLog()
-	if lo.ContainsBy(l.Status().Members, func(m LogMember) bool { return m.Identity == w.Identity }) {
-		return nil
-	}
-	added := LogMember{Identity: w.Identity, Name: w.Name, Address: w.Address, AvailabilityZone: w.AvailabilityZone}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout.Duration())
-	defer cancel()
-	if _, err := valueOf(l.ChangeMember(ctx, MemberChange{Add: &added})); err != nil {
-		return err
-	}
-	c.options.Logger.Log(event.MemberJoined, zap.String("member", w.Identity))
-	return nil
+// joinProblem keeps the conflict for an identity that was removed, after which
+// the process starts a new life. Other refusals, such as a change in progress,
+// are over soon.
+func joinProblem(err error) error {
+	var p problem
+	if errors.As(err, &p) && p.status == fiber.StatusConflict && !strings.Contains(p.message, "was removed") {
+		return notRun(p.message)
+	}
+	return err
+}
+
+func (c *Control) isMember(identity string) bool {
+	return lo.ContainsBy(c.log.Load().Status().Members, func(m replica.Member) bool { return m.Identity == identity })
 }
 
 func (c *Control) postRemove(f fiber.Ctx) error {
@@ -249,11 +253,11 @@
 	if err != nil {
 		return invalid(fiber.StatusBadRequest, err)
 	}
-	l, _ := c.currentLog()
-	if !lo.ContainsBy(l.Status().Members, func(m LogMember) bool { return m.Identity == w.Identity }) {
+	if !c.isMember(w.Identity) {
 		return invalid(fiber.StatusNotFound, errors.Errorf("unknown member %q", w.Identity))
 	}
-	if err := c.leader.change(f.Context(), MemberChange{Remove: w.Identity}); err != nil {
+	change := replica.MemberChange{Kind: replica.Remove, Member: replica.Member{Identity: w.Identity}}
+	if err := c.leader.change(f.Context(), change); err != nil {
 		return err
 	}
 	return respondValue(f, c.members())
@@ -261,18 +265,20 @@
 
 // wireState is the answer of /debug/state.
 type wireState struct {
-	Name    string       `json:"name"`
-	Address string       `json:"address"`
-	Leads   bool         `json:"leads"`
-	Commit  uint64       `json:"commit"`
-	Applied uint64       `json:"applied"`
-	Lease   int64        `json:"leader_lease_ms"`
-	Group   wireMembers  `json:"group"`
-	State   size         `json:"state"`
-	Entries []wireLeased `json:"entries"`
-	Sent    uint64       `json:"messages_sent"`
-	Dropped uint64       `json:"messages_dropped"`
-	Failed  uint64       `json:"messages_failed"`
+	Name     string       `json:"name"`
+	Identity string       `json:"identity"`
+	Address  string       `json:"address"`
+	Role     string       `json:"role"`
+	Commit   uint64       `json:"commit"`
+	Applied  uint64       `json:"applied"`
+	Lease    clock.Millis `json:"leader_lease_ms"`
+	Founded  bool         `json:"founded"`
+	Outside  bool         `json:"outside"`
+	Group    wireMembers  `json:"group"`
+	State    size         `json:"state"`
+	Entries  []wireLeased `json:"entries"`
+	Sent     uint64       `json:"messages_sent"`
+	Failed   uint64       `json:"messages_failed"`
 }
 
 type wireLeased struct {
@@ -285,16 +291,15 @@
 }
 
 func (c *Control) debugState(f fiber.Ctx) error {
-	w := wireState{
-		Name: c.options.Name, Address: c.options.Advertise, Group: c.members(), State: c.machine.size(),
-		Sent: c.peers.sent.Load(), Dropped: c.peers.dropped.Load(), Failed: c.peers.failed.Load(),
+	status := c.log.Load().Status()
+	return respondValue(f, wireState{
+		Name: c.options.Name, Identity: status.Identity, Address: c.options.Advertise,
+		Role: status.Role.String(), Commit: status.Commit, Applied: status.Applied,
+		Lease: status.LeaseRemaining, Founded: status.Founded, Outside: status.Outside,
+		Group: c.members(), State: c.machine.size(),
+		Sent: c.peers.sent.Load(), Failed: c.peers.failed.Load(),
 		Entries: lo.Map(c.leader.renewals(), func(r lease.Renewal, _ int) wireLeased {
 			return wireLeased{r.Entry, r.Incarnation, r.Address, r.Revision, r.Leaving, r.Claims}
 		}),
-	}
-	if l, ok := c.currentLog(); ok {
-		status := l.Status()
-		w.Leads, w.Commit, w.Applied, w.Lease = status.Leads, status.Commit, status.Applied, int64(status.Lease)
-	}
-	return respondValue(f, w)
+	})
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -12,12 +12,16 @@
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/membership"
+	"github.com/galenaslip/galenaslip/replica"
 )
 
 // leaderInterval is how often the leader looks for lost voters and entries. A
 // new leader grants its first lease within this time after its election.
 const leaderInterval = 200 * clock.Millisecond
 
+// handOverTimeout covers the rest of the leader lease and one election.
+const handOverTimeout = 4 * clock.Second
+
 // leader is what only the leading member does: grant leases, replace lost
 // voters and end the sent claims of lost entries.
 type leader struct {
@@ -31,79 +35,53 @@
 	return &leader{control: c, grantor: lease.NewGrantor(), policy: membership.New(c.options.Clock.Now())}
 }
 
-// run is the leader's duty. It does nothing while another member leads.
+// run does the leader's duty. It does nothing while another member leads.
 func (l *leader) run(ctx context.Context) {
-	l.tick(ctx)
-	l.control.options.Clock.Every(ctx, leaderInterval, func() { l.tick(ctx) })
-}
-
-func (l *leader) tick(ctx context.Context) {
-	log, ok := l.control.currentLog()
-	if !ok {
-		return
-	}
-	status := log.Status()
-	if !status.Leads {
-		l.resign()
-		return
-	}
-	if !l.lead(ctx, log, status.Term) {
-		return
-	}
-	l.endClaims(ctx, log)
-	l.changeMembers(ctx, status)
-}
-
-// lead starts a term once everything committed before it is applied.
-func (l *leader) lead(ctx context.Context, log Log, term uint64) bool {
-	if current, leads := l.leads(); leads && current == term {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout.Duration())
-	defer cancel()
-	if log.Barrier(ctx).Kind != Committed || log.Status().Term != term {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.now()
-	l.grantor.Lead(now, term)
-	l.policy = membership.New(now)
-	l.control.options.Logger.Log(event.ControlLeads, zap.Uint64("term", term))
-	return true
+	l.control.options.Clock.Every(ctx, leaderInterval, func() {
+		status := l.control.log.Load().Status()
+		if !l.follow(status) {
+			return
+		}
+		l.endClaims(ctx)
+		l.changeMembers(ctx, status)
+	})
 }
 
-func (l *leader) resign() {
+// follow starts or ends the leader's term and reports whether this member leads
+// with a lease. The log gives a lease only once everything that was committed
+// before the term is applied here.
+func (l *leader) follow(s replica.Status) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, leads := l.grantor.Leads(); !leads {
-		return
+	term, leads := l.grantor.Leads()
+	switch {
+	case s.Role != replica.Leader:
+		if leads {
+			l.grantor.Resign()
+			l.control.options.Logger.Log(event.ControlResigned, zap.Uint64("term", term))
+		}
+		return false
+	case s.LeaseRemaining <= 0:
+		return false
+	case !leads || term != s.Term:
+		now := l.now()
+		l.grantor.Lead(now, s.Term)
+		l.policy = membership.New(now)
+		l.control.options.Logger.Log(event.ControlLeads, zap.Uint64("term", s.Term))
 	}
-	l.grantor.Resign()
-	l.control.options.Logger.Log(event.ControlResigned)
-}
-
-func (l *leader) leads() (uint64, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.grantor.Leads()
+	return true
 }
 
 // renew grants a lease. The configuration is read before the leader lease is
 // checked; see lease.Grantor.
 func (l *leader) renew(r lease.Renewal) lease.Grant {
-	log, ok := l.control.currentLog()
-	if !ok {
-		return lease.Grant{}
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	current := l.control.machine.Configuration()
-	status := log.Status()
-	term, leads := l.grantor.Leads()
-	if !leads || !status.Leads || status.Term != term || status.Lease <= 0 {
+	status := l.control.log.Load().Status()
+	if !l.follow(status) {
 		return lease.Grant{Term: status.Term, Revision: current.Revision()}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return l.grantor.Renew(l.now(), current, r)
 }
 
@@ -121,95 +99,70 @@
 }
 
 // endClaims makes the sent claims of entries without a lease unknown.
-func (l *leader) endClaims(ctx context.Context, log Log) {
+func (l *leader) endClaims(ctx context.Context) {
 	for _, owner := range l.control.machine.sentOwners() {
 		if !l.expired(owner) {
 			continue
 		}
 		l.control.options.Logger.Log(event.OwnerLeaseExpired, zap.String("entry", owner.Entry))
-		l.propose(ctx, log, command{claim: claim.OwnerGone{Owner: owner}})
-	}
-}
-
-func (l *leader) propose(ctx context.Context, log Log, c command) Result {
-	c.at = l.control.options.Clock.Wall()
-	data, err := encodeCommand(c)
-	if err != nil {
-		panic(err) // the leader's own commands can be encoded
+		_, err := l.control.propose(ctx, command{claim: claim.OwnerGone{Owner: owner}})
+		if err != nil {
+			return // the next round tries again
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout.Duration())
-	defer cancel()
-	return log.Propose(ctx, data)
 }
 
-func (l *leader) changeMembers(ctx context.Context, status Status) {
+func (l *leader) changeMembers(ctx context.Context, s replica.Status) {
 	l.mu.Lock()
-	action, due := l.policy.Decide(l.now(), lo.Map(status.Members, func(m LogMember, _ int) membership.Member {
+	action, due := l.policy.Decide(l.now(), lo.Map(s.Members, func(m replica.Member, _ int) membership.Member {
 		return membership.Member{
 			Identity: m.Identity, Name: m.Name, AvailabilityZone: m.AvailabilityZone,
-			Voter: m.Voter, Leader: m.Leader, Behind: behind(status, m),
+			Voter: m.Voter, Leader: m.Identity == s.Identity,
+			Silent: s.Progress[m.Identity].Silent, Behind: behind(s, m.Identity),
 		}
 	}))
 	l.mu.Unlock()
 	if !due {
 		return
 	}
-	err := l.change(ctx, MemberChange{Remove: action.Remove, Promote: action.Promote})
-	if err != nil {
+	if err := l.change(ctx, changeOf(action)); err != nil {
 		l.control.options.Logger.Log(event.MemberChangeFailed, zap.String("removed", action.Remove), zap.Error(err))
 	}
 }
 
-// change removes a member. Its identity is retired first, so that it stays out
-// even when the answer to the change is lost.
-func (l *leader) change(ctx context.Context, change MemberChange) error {
-	log, ok := l.control.currentLog()
-	if !ok {
-		return notRun("this member has not joined its group yet")
-	}
-	if _, err := valueOf(l.propose(ctx, log, command{retire: change.Remove})); err != nil {
-		return err
+func changeOf(a membership.Action) replica.MemberChange {
+	if a.Promote == "" {
+		return replica.MemberChange{Kind: replica.Remove, Member: replica.Member{Identity: a.Remove}}
 	}
+	return replica.MemberChange{Kind: replica.Replace, Member: replica.Member{Identity: a.Promote}, Replaces: a.Remove}
+}
+
+func (l *leader) change(ctx context.Context, change replica.MemberChange) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout.Duration())
 	defer cancel()
-	if _, err := valueOf(log.ChangeMember(ctx, change)); err != nil {
+	if _, err := valueOf(l.control.log.Load().ChangeMember(ctx, change)); err != nil {
 		return err
 	}
-	l.control.options.Logger.Log(event.MemberReplaced,
-		zap.String("removed", change.Remove), zap.String("promoted", change.Promote))
+	l.control.options.Logger.Log(event.MembersChanged, zap.Uint8("kind", uint8(change.Kind)),
+		zap.String("member", change.Member.Identity), zap.String("replaces", change.Replaces))
 	return nil
 }
 
-func (l *leader) heard(identity string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.policy.Heard(l.now(), identity)
-}
-
-func (l *leader) silence(m LogMember) clock.Millis {
-	if m.Leader {
-		return 0
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.policy.Silence(l.now(), m.Identity)
-}
-
 func (l *leader) now() clock.Millis { return l.control.options.Clock.Now() }
 
 // handOver gives leadership to the voter that is least behind.
 func (c *Control) handOver(ctx context.Context) {
-	l, ok := c.currentLog()
-	if !ok {
+	log := c.log.Load()
+	s := log.Status()
+	others := lo.Filter(s.Members, func(m replica.Member, _ int) bool { return m.Voter && m.Identity != s.Identity })
+	if s.Role != replica.Leader || len(others) == 0 {
 		return
 	}
-	status := l.Status()
-	others := lo.Filter(status.Members, func(m LogMember, _ int) bool { return m.Voter && !m.Leader })
-	if !status.Leads || len(others) == 0 {
-		return
-	}
-	next := lo.MaxBy(others, func(a, b LogMember) bool { return a.Match > b.Match })
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout.Duration())
+	next := lo.MaxBy(others, func(a, b replica.Member) bool {
+		return s.Progress[a.Identity].Match > s.Progress[b.Identity].Match
+	})
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout.Duration())
 	defer cancel()
-	l.TransferLeadership(ctx, next.Identity)
+	result := log.TransferLeadership(ctx, next.Identity)
+	c.options.Logger.Log(event.LeadershipHandedOver, zap.String("to", next.Identity), zap.Stringer("result", result.Kind))
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -12,19 +11,12 @@
 	"github.com/galenaslip/galenaslip/configuration"
 )
 
-// maxRetired bounds the identities that are remembered as replaced. Identities
-// are random and are not drawn again.
-const maxRetired = 4096
-
-// Machine is the replicated state of the control group: configuration, claims
-// and the identities that may not return. Handlers read it while the log
-// applies entries.
+// Machine is the replicated state of the control group: configuration and
+// claims. Handlers read it while the log applies entries.
 type Machine struct {
 	mu             sync.RWMutex
 	configurations *configuration.Machine
 	claims         *claim.Machine
-	retired        []string
-	applied        uint64
 }
 
 // NewMachine returns an empty machine.
@@ -34,10 +26,9 @@
 
 // Apply runs one committed command and returns the encoded answer, which is
 // empty for a command that cannot be decoded.
-func (m *Machine) Apply(index uint64, data []byte) []byte {
+func (m *Machine) Apply(_ uint64, data []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.applied = index
 	c, err := decodeCommand(data)
 	if err != nil {
 		return nil
@@ -50,24 +41,10 @@
 }
 
 func (m *Machine) run(c command) ([]byte, error) {
-	switch {
-	case c.change != nil:
+	if c.change != nil {
 		return configuration.EncodeAnswer(m.configurations.Apply(c.at, c.change, c.base, c.key))
-	case c.claim != nil:
-		return claim.EncodeResult(m.claims.Apply(c.at, c.claim))
-	}
-	m.retire(c.retire)
-	return []byte("{}"), nil
-}
-
-func (m *Machine) retire(identity string) {
-	if slices.Contains(m.retired, identity) {
-		return
-	}
-	m.retired = append(m.retired, identity)
-	if extra := len(m.retired) - maxRetired; extra > 0 {
-		m.retired = m.retired[extra:]
 	}
+	return claim.EncodeResult(m.claims.Apply(c.at, c.claim))
 }
 
 // Snapshot returns the whole state.
@@ -82,7 +59,7 @@
 	if err != nil {
 		panic(err)
 	}
-	data, err := json.Marshal(wireSnapshot{Configuration: configurations, Claims: claims, Retired: m.retired})
+	data, err := json.Marshal(wireSnapshot{Configuration: configurations, Claims: claims})
 	if err != nil {
 		panic(err)
 	}
@@ -105,7 +82,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.configurations, m.claims, m.retired = configurations, claims, w.Retired
+	m.configurations, m.claims = configurations, claims
 	return nil
 }
 
@@ -146,10 +123,11 @@
 	return m.claims.Owners()
 }
 
-func (m *Machine) isRetired(identity string) bool {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	return slices.Contains(m.retired, identity)
+// reset empties the machine for a new life of the data folder.
+func (m *Machine) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.configurations, m.claims = configuration.NewMachine(), claim.NewMachine()
 }
 
 // size is what debug state and metrics report about the machine.
@@ -160,7 +138,6 @@
 	Claims     int          `json:"claims"`
 	ClaimBytes int          `json:"claim_bytes"`
 	Time       clock.Millis `json:"time_of_day_ms"`
-	Retired    int          `json:"retired_identities"`
 }
 
 func (m *Machine) size() size {
@@ -169,6 +146,6 @@
 	c := m.configurations.Current()
 	return size{
 		Revision: c.Revision(), Classes: len(c.Classes()), Stops: len(c.Stops()),
-		Claims: m.claims.Len(), ClaimBytes: m.claims.Bytes(), Time: m.claims.Now(), Retired: len(m.retired),
+		Claims: m.claims.Len(), ClaimBytes: m.claims.Bytes(), Time: m.claims.Now(),
 	}
 }
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -5,6 +5,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/replica"
 )
 
 // metrics are the process's counters and gauges.
@@ -40,29 +43,19 @@
 			Name: "galenaslip_control_" + name, Help: help,
 		}, value))
 	}
-	status := func(value func(Status) float64) func() float64 {
-		return func() float64 {
-			l, ok := c.currentLog()
-			if !ok {
-				return 0
-			}
-			return value(l.Status())
-		}
+	status := func(value func(replica.Status) float64) func() float64 {
+		return func() float64 { return value(c.log.Load().Status()) }
 	}
-	gauge("leads", "1 while this member leads.", status(func(s Status) float64 {
-		if s.Leads {
-			return 1
-		}
-		return 0
+	gauge("leads", "1 while this member leads.", status(func(s replica.Status) float64 {
+		return lo.Ternary(s.Role == replica.Leader, 1.0, 0.0)
 	}))
-	gauge("term", "Term of the group.", status(func(s Status) float64 { return float64(s.Term) }))
-	gauge("commit_index", "Newest committed entry.", status(func(s Status) float64 { return float64(s.Commit) }))
-	gauge("applied_index", "Newest applied entry.", status(func(s Status) float64 { return float64(s.Applied) }))
+	gauge("term", "Term of the group.", status(func(s replica.Status) float64 { return float64(s.Term) }))
+	gauge("commit_index", "Newest committed entry.", status(func(s replica.Status) float64 { return float64(s.Commit) }))
+	gauge("applied_index", "Newest applied entry.", status(func(s replica.Status) float64 { return float64(s.Applied) }))
 	gauge("revision", "Configuration revision.", func() float64 { return float64(c.machine.size().Revision) })
 	gauge("claims", "Recorded claims.", func() float64 { return float64(c.machine.size().Claims) })
 	gauge("claim_bytes", "Estimated memory of the claims.", func() float64 { return float64(c.machine.size().ClaimBytes) })
 	gauge("leased_entries", "Entries with a lease.", func() float64 { return float64(len(c.leader.renewals())) })
-	gauge("messages_dropped", "Replication messages dropped.", func() float64 { return float64(c.peers.dropped.Load()) })
 	gauge("messages_failed", "Replication messages not delivered.", func() float64 { return float64(c.peers.failed.Load()) })
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -139,9 +139,9 @@
 }
 
 func (c *Control) ready(f fiber.Ctx) error {
-	l, ok := c.currentLog()
-	if !ok || c.stopping.Load() || l.Status().Leader == "" {
-		return notRun("no leader is known, or the process is stopping")
+	s := c.log.Load().Status()
+	if c.stopping.Load() || s.Leader == "" || s.Failure != nil {
+		return notRun("no leader is known, the disk has failed, or the process is stopping")
 	}
 	return f.SendString("ready")
 }
--- a/membership/policy.go
+++ b/membership/policy.go
@@ -17,8 +17,9 @@
 	// fresh is the silence up to which a learner counts as reachable. Ten
 	// heartbeats of 100 ms may be lost.
 	fresh = 1 * clock.Second
-	// caughtUp is how many entries a learner may be behind to be promoted.
-	caughtUp = 1000
+	// caughtUp is how many entries a learner may be behind to be promoted. The
+	// log refuses one that is further behind, because it would hold up commits.
+	caughtUp = 64
 	// maxPause is the longest time between two decisions. A longer one means
 	// that this process was frozen, and then silence proves nothing.
 	maxPause = 3 * clock.Second
@@ -31,7 +32,8 @@
 	AvailabilityZone string
 	Voter            bool
 	Leader           bool
-	Behind           uint64 // committed entries that the member lacks
+	Silent           clock.Millis // since the leader last heard from it
+	Behind           uint64       // committed entries that it lacks
 }
 
 // Action is one membership change: Remove leaves, and Promote, unless empty,
@@ -41,26 +43,20 @@
 	Promote string
 }
 
-// Policy is the leader's view of who is lost. It has one owner.
+// Policy decides at the leader. It has one owner.
 type Policy struct {
 	since   clock.Millis // start of the observation
 	decided clock.Millis
-	heard   map[string]clock.Millis
 }
 
 // New returns a policy that has observed nothing.
 func New(now clock.Millis) *Policy {
-	return &Policy{since: now, decided: now, heard: map[string]clock.Millis{}}
+	return &Policy{since: now, decided: now}
 }
 
-// Heard notes that a message of the member arrived.
-func (p *Policy) Heard(now clock.Millis, identity string) {
-	p.heard[identity] = now
-}
-
-// Silence returns for how long nothing was heard from the member.
-func (p *Policy) Silence(now clock.Millis, identity string) clock.Millis {
-	return now - max(p.since, p.heard[identity])
+// silence returns for how long the member was silent while this policy watched.
+func (p *Policy) silence(now clock.Millis, m Member) clock.Millis {
+	return min(m.Silent, now-p.since)
 }
 
 // Decide returns the next change, if one is due. The caller makes it and waits
@@ -70,15 +66,18 @@
 		p.since = now
 	}
 	p.decided = now
-	p.forget(members)
-	learners := p.promotable(now, members)
+	members = lo.Map(members, func(m Member, _ int) Member {
+		m.Silent = p.silence(now, m)
+		return m
+	})
+	learners := promotable(members)
 	if action, ok := successor(members, learners); ok {
 		return action, true
 	}
-	if action, ok := p.replaceLost(now, members, learners); ok {
+	if action, ok := replaceLost(members, learners); ok {
 		return action, true
 	}
-	return p.removeSuperseded(now, members)
+	return removeSuperseded(members)
 }
 
 // successor replaces a voter whose VM has already returned under a new identity:
@@ -94,12 +93,12 @@
 	return Action{}, false
 }
 
-func (p *Policy) replaceLost(now clock.Millis, members, learners []Member) (Action, bool) {
+func replaceLost(members, learners []Member) (Action, bool) {
 	if len(learners) == 0 {
 		return Action{}, false
 	}
 	for _, v := range members {
-		if v.Voter && !v.Leader && p.Silence(now, v.Identity) >= LostAfter {
+		if v.Voter && !v.Leader && v.Silent >= LostAfter {
 			return Action{Remove: v.Identity, Promote: choose(v, members, learners).Identity}, true
 		}
 	}
@@ -108,13 +107,13 @@
 
 // removeSuperseded removes a lost learner whose VM has returned under a new
 // identity.
-func (p *Policy) removeSuperseded(now clock.Millis, members []Member) (Action, bool) {
+func removeSuperseded(members []Member) (Action, bool) {
 	for _, m := range members {
-		if m.Voter || p.Silence(now, m.Identity) < LostAfter {
+		if m.Voter || m.Silent < LostAfter {
 			continue
 		}
 		returned := lo.ContainsBy(members, func(o Member) bool {
-			return o.Name == m.Name && o.Identity != m.Identity && p.Silence(now, o.Identity) < fresh
+			return o.Name == m.Name && o.Identity != m.Identity && o.Silent < fresh
 		})
 		if returned {
 			return Action{Remove: m.Identity}, true
@@ -123,10 +122,9 @@
 	return Action{}, false
 }
 
-func (p *Policy) promotable(now clock.Millis, members []Member) []Member {
+func promotable(members []Member) []Member {
 	return lo.Filter(members, func(m Member, _ int) bool {
-		_, known := p.heard[m.Identity]
-		return !m.Voter && known && p.Silence(now, m.Identity) < fresh && m.Behind <= caughtUp
+		return !m.Voter && m.Silent < fresh && m.Behind <= caughtUp
 	})
 }
 
@@ -145,11 +143,3 @@
 			cmp.Compare(a.Identity, b.Identity))
 	})
 }
-
-func (p *Policy) forget(members []Member) {
-	for identity := range p.heard {
-		if !lo.ContainsBy(members, func(m Member) bool { return m.Identity == identity }) {
-			delete(p.heard, identity)
-		}
-	}
-}
