--- /dev/null
+++ b/control/start.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"path/filepath"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gofiber/fiber/v3"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/replica"
+)
+
+// logFolder is the folder of the replicated log under the data folder.
+const logFolder = "log"
+
+const (
+	// watchInterval is how often a member without a group asks to join.
+	watchInterval = 500 * clock.Millisecond
+	// leaderless is how long a member waits for a leader before it asks whether
+	// it still belongs to the group. Elections end earlier.
+	leaderless = 5 * clock.Second
+	// maxVoters is the size of the voting group: one in each of three zones.
+	maxVoters = 3
+)
+
+// life is one life of the data folder: a log with its identity.
+type life struct {
+	*replica.Replica
+	release func()
+}
+
+func (c *Control) openLog() error {
+	r, release, err := replica.New(replica.Options{
+		Name:      c.options.Name,
+		Address:   c.options.Advertise,
+		Folder:    filepath.Join(c.options.Folder, logFolder),
+		Members:   c.options.founders(c.options.Advertise),
+		Clock:     c.options.Clock,
+		Machine:   c.machine,
+		Transport: c.peers,
+		Seed:      xxhash.Sum64String(c.options.Name + strconv.FormatInt(int64(c.options.Clock.Wall()), 10)),
+		Log:       c.options.Logger.Log,
+	})
+	if err != nil {
+		return err
+	}
+	c.log.Store(&life{Replica: r, release: release})
+	return nil
+}
+
+// founders returns the voters of the first start: one in each zone, filled up to
+// three in the order of the settings. The other members join as learners once
+// the group exists.
+func (o Options) founders(address string) []replica.Member {
+	if o.Join {
+		return nil
+	}
+	if len(o.Members) == 0 {
+		return []replica.Member{{Name: o.Name, Address: address, AvailabilityZone: o.AvailabilityZone, Voter: true}}
+	}
+	distinct := lo.UniqBy(o.Members, func(m Member) string { return m.AvailabilityZone })
+	others := lo.Without(o.Members, distinct...)
+	wanted := min(maxVoters, len(o.Members)-(len(o.Members)+1)%2)
+	return lo.Map(append(distinct, others...)[:wanted], func(m Member, _ int) replica.Member {
+		return replica.Member{Name: m.Name, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Voter: true}
+	})
+}
+
+// watch keeps this process in the group: a new life of the data folder asks to
+// join, and a member that was removed starts a new life.
+func (c *Control) watch(ctx context.Context) {
+	heard := c.options.Clock.Now()
+	c.options.Clock.Every(ctx, watchInterval, func() {
+		s := c.log.Load().Status()
+		now := c.options.Clock.Now()
+		if s.Leader != "" {
+			heard = now
+		}
+		belongs := lo.ContainsBy(s.Members, func(m replica.Member) bool { return m.Identity == s.Identity })
+		switch {
+		case s.Failure != nil || !s.Founded:
+		case s.Outside:
+			c.beginLife()
+		case !belongs || now-heard >= leaderless:
+			c.askToJoin(s.Identity)
+		}
+	})
+}
+
+// askToJoin asks the other members in turn. Asking for an identity that belongs
+// to the group changes nothing; one that was removed is refused for good.
+func (c *Control) askToJoin(identity string) {
+	self := wireMember{
+		Identity: identity, Name: c.options.Name, Address: c.options.Advertise,
+		AvailabilityZone: c.options.AvailabilityZone,
+	}
+	for _, m := range c.options.Members {
+		if m.Name == c.options.Name {
+			continue
+		}
+		switch status, _ := c.peers.join(m.Address, self); status {
+		case fiber.StatusOK:
+			return
+		case fiber.StatusConflict:
+			c.beginLife()
+			return
+		}
+	}
+}
+
+// beginLife sets the log aside and starts again under a new identity, as a
+// learner once it has joined.
+func (c *Control) beginLife() {
+	former := c.log.Load()
+	c.options.Logger.Log(event.MemberJoining, zap.String("former", former.Status().Identity))
+	former.release()
+	err := replica.Abandon(journal.Disk{}, filepath.Join(c.options.Folder, logFolder))
+	if err == nil {
+		c.machine.reset()
+		err = c.openLog()
+	}
+	if err != nil {
+		c.options.Logger.Log(event.ControlStartFailed, zap.Error(err))
+	}
+}
--- /dev/null
+++ b/event/control.go
@@ -0,0 +1,15 @@
+package event
+
+// Events of the control process, 300 to 399.
+var (
+	ControlLeads         = define(300, "control_leads", Info, "This member leads the control group and grants leases.")
+	ControlResigned      = define(301, "control_resigned", Info, "This member no longer leads the control group.")
+	MembersChanged       = define(302, "members_changed", Warn, "The leader changed the members of the group.")
+	MemberChangeFailed   = define(303, "member_change_failed", Warn, "A membership change did not commit; it is tried again.")
+	MemberJoined         = define(304, "member_joined", Info, "A new member joined as a learner.")
+	MemberJoining        = define(305, "member_joining", Warn, "This member is outside the group and starts again under a new identity.")
+	OwnerLeaseExpired    = define(306, "owner_lease_expired", Warn, "An entry with sent calls lost its lease; the calls become unknown.")
+	ControlStartFailed   = define(307, "control_start_failed", Error, "The replicated log cannot be opened.")
+	ConfigurationChanged = define(308, "configuration_changed", Info, "A configuration change was answered.")
+	LeadershipHandedOver = define(309, "leadership_handed_over", Info, "A stopping leader asked another voter to lead.")
+)
--- /dev/null
+++ b/membership/policy.go
@@ -0,0 +1,145 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// Times and bounds of the policy.
+const (
+	// LostAfter is how long a voter is silent before it is replaced. A restart
+	// takes less; a replacement is final for the member's identity.
+	LostAfter = 10 * clock.Second
+	// fresh is the silence up to which a learner counts as reachable. Ten
+	// heartbeats of 100 ms may be lost.
+	fresh = 1 * clock.Second
+	// caughtUp is how many entries a learner may be behind to be promoted. The
+	// log refuses one that is further behind, because it would hold up commits.
+	caughtUp = 64
+	// maxPause is the longest time between two decisions. A longer one means
+	// that this process was frozen, and then silence proves nothing.
+	maxPause = 3 * clock.Second
+)
+
+// Member is a member of the group, as the leader sees it.
+type Member struct {
+	Identity         string
+	Name             string
+	AvailabilityZone string
+	Voter            bool
+	Leader           bool
+	Silent           clock.Millis // since the leader last heard from it
+	Behind           uint64       // committed entries that it lacks
+}
+
+// Action is one membership change: Remove leaves, and Promote, unless empty,
+// becomes a voter in the same change.
+type Action struct {
+	Remove  string
+	Promote string
+}
+
+// Policy decides at the leader. It has one owner.
+type Policy struct {
+	since   clock.Millis // start of the observation
+	decided clock.Millis
+}
+
+// New returns a policy that has observed nothing.
+func New(now clock.Millis) *Policy {
+	return &Policy{since: now, decided: now}
+}
+
+// silence returns for how long the member was silent while this policy watched.
+func (p *Policy) silence(now clock.Millis, m Member) clock.Millis {
+	return min(m.Silent, now-p.since)
+}
+
+// Decide returns the next change, if one is due. The caller makes it and waits
+// for its end before it asks again.
+func (p *Policy) Decide(now clock.Millis, members []Member) (Action, bool) {
+	if now-p.decided > maxPause {
+		p.since = now
+	}
+	p.decided = now
+	members = lo.Map(members, func(m Member, _ int) Member {
+		m.Silent = p.silence(now, m)
+		return m
+	})
+	learners := promotable(members)
+	if action, ok := successor(members, learners); ok {
+		return action, true
+	}
+	if action, ok := replaceLost(members, learners); ok {
+		return action, true
+	}
+	return removeSuperseded(members)
+}
+
+// successor replaces a voter whose VM has already returned under a new identity:
+// the former identity cannot come back.
+func successor(members, learners []Member) (Action, bool) {
+	for _, l := range learners {
+		for _, v := range members {
+			if v.Voter && !v.Leader && v.Name == l.Name {
+				return Action{Remove: v.Identity, Promote: l.Identity}, true
+			}
+		}
+	}
+	return Action{}, false
+}
+
+func replaceLost(members, learners []Member) (Action, bool) {
+	if len(learners) == 0 {
+		return Action{}, false
+	}
+	for _, v := range members {
+		if v.Voter && !v.Leader && v.Silent >= LostAfter {
+			return Action{Remove: v.Identity, Promote: choose(v, members, learners).Identity}, true
+		}
+	}
+	return Action{}, false
+}
+
+// removeSuperseded removes a lost learner whose VM has returned under a new
+// identity.
+func removeSuperseded(members []Member) (Action, bool) {
+	for _, m := range members {
+		if m.Voter || m.Silent < LostAfter {
+			continue
+		}
+		returned := lo.ContainsBy(members, func(o Member) bool {
+			return o.Name == m.Name && o.Identity != m.Identity && o.Silent < fresh
+		})
+		if returned {
+			return Action{Remove: m.Identity}, true
+		}
+	}
+	return Action{}, false
+}
+
+func promotable(members []Member) []Member {
+	return lo.Filter(members, func(m Member, _ int) bool {
+		return !m.Voter && m.Silent < fresh && m.Behind <= caughtUp
+	})
+}
+
+// choose prefers a learner whose zone has no other voter, so that the loss of
+// one zone costs one vote, and then the one that is least behind.
+func choose(lost Member, members, learners []Member) Member {
+	shared := func(l Member) int {
+		return lo.CountBy(members, func(m Member) bool {
+			return m.Voter && m.Identity != lost.Identity && m.AvailabilityZone == l.AvailabilityZone
+		})
+	}
+	return slices.MinFunc(learners, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(shared(a), shared(b)),
+			cmp.Compare(a.Behind, b.Behind),
+			cmp.Compare(a.Identity, b.Identity))
+	})
+}
