--- /dev/null
+++ b/entry/announce.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"github.com/gofiber/fiber/v3"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+// announceInterval is how often servers are asked to announce themselves.
+const announceInterval = 1 * clock.Second
+
+// announcements serves POST /v1/announcements.
+func (e *Entry) announcements(c fiber.Ctx) error {
+	a, err := backend.DecodeAnnouncement(c.Body())
+	if err != nil {
+		e.options.Logger.Log(event.AnnouncementRefused, zap.String("address", c.IP()), zap.Error(err))
+		return invalid(outcome.ReasonInvalid, "", err.Error()).write(c)
+	}
+	answers := make(chan backend.Answer, 1)
+	ok := e.dispatcher.offer(func(now clock.Millis) { answers <- e.dispatcher.announced(now, e.challenger, a) })
+	if !ok {
+		e.dispatcher.dropped.Add(1)
+		return notRun(outcome.ReasonOverloaded, "the entry is overloaded").write(c)
+	}
+	select {
+	case answer := <-answers:
+		return sendEncoded(c)(backend.EncodeAnswer(answer))
+	case <-e.ctx.Done():
+		return notRun(outcome.ReasonStopping, "the entry is stopping").write(c)
+	}
+}
+
+func sendEncoded(c fiber.Ctx) func(body []byte, err error) error {
+	return func(body []byte, err error) error {
+		if err != nil {
+			return err
+		}
+		c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+		return c.Send(body)
+	}
+}
+
+// announced records an announcement if its challenge proves its age.
+func (d *dispatcher) announced(now clock.Millis, challenger *backend.Challenger, a backend.Announcement) backend.Answer {
+	answer := backend.Answer{Challenge: challenger.Issue(now), Interval: announceInterval}
+	age, ok := challenger.Check(now, a.Challenge())
+	if !ok {
+		answer.Reason = "challenge"
+		return answer
+	}
+	accepted := d.registry.Accept(now, a, age)
+	answer.Accepted = accepted == backend.Accepted
+	if !answer.Accepted {
+		answer.Reason = string(accepted)
+		return answer
+	}
+	d.router.CacheEvents(a.Server(), a.CacheEvents())
+	for _, pool := range a.Pools() {
+		d.pool(pool).served = true
+		d.pump(now, pool)
+	}
+	return answer
+}
--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/stream"
+)
+
+// bytesPerToken estimates prompt tokens, which the router cannot count.
+const bytesPerToken = 4
+
+// maxModelName bounds the names that the entry keeps and logs.
+const maxModelName = 128
+
+// chat is a validated chat request. Fields that the router does not know are
+// passed on as they are.
+type chat struct {
+	fields map[string]json.RawMessage
+	model  string
+	stream bool
+	prompt string
+}
+
+type continueWire struct {
+	Position int    `json:"position"`
+	Text     string `json:"text"`
+}
+
+func parseChat(body []byte) (*chat, *problem) {
+	c := &chat{}
+	if err := json.Unmarshal(body, &c.fields); err != nil || c.fields == nil {
+		return nil, invalid(outcome.ReasonInvalid, "", "the body is not a JSON object")
+	}
+	if err := json.Unmarshal(c.fields["model"], &c.model); err != nil || c.model == "" || len(c.model) > maxModelName {
+		return nil, invalid(outcome.ReasonInvalid, "model", "model must be a name")
+	}
+	if raw, ok := c.fields["stream"]; ok {
+		if err := json.Unmarshal(raw, &c.stream); err != nil {
+			return nil, invalid(outcome.ReasonInvalid, "stream", "stream must be true or false")
+		}
+	}
+	if p := c.checkNumbers(); p != nil {
+		return nil, p
+	}
+	return c, c.readPrompt()
+}
+
+// checkNumbers refuses counts that engines would refuse, before anything is
+// queued, and several choices, which cannot be continued elsewhere.
+func (c *chat) checkNumbers() *problem {
+	for _, name := range []string{"max_tokens", "max_completion_tokens", "n"} {
+		raw, ok := c.fields[name]
+		if !ok || string(raw) == "null" {
+			continue
+		}
+		var n int
+		if err := json.Unmarshal(raw, &n); err != nil || n < 1 {
+			return invalid(outcome.ReasonInvalid, name, name+" must be a positive number")
+		}
+		if name == "n" && n != 1 {
+			return invalid(outcome.ReasonInvalid, name, "n must be 1")
+		}
+	}
+	return nil
+}
+
+func (c *chat) readPrompt() *problem {
+	var messages []struct {
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(c.fields["messages"], &messages); err != nil || len(messages) == 0 {
+		return invalid(outcome.ReasonInvalid, "messages", "messages must be a list with at least one message")
+	}
+	parts := make([]string, len(messages))
+	for i, m := range messages {
+		parts[i] = contentText(m.Content)
+	}
+	c.prompt = strings.Join(parts, "\n")
+	return nil
+}
+
+// contentText returns the text of a message's content. Anything but plain text
+// counts with its JSON form, which still tells equal prefixes.
+func contentText(raw json.RawMessage) string {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return string(raw)
+	}
+	return text
+}
+
+// encode returns the body for an engine. The answer is always streamed, because
+// only a stream can be continued.
+func (c *chat) encode(priority int, t *stream.Transcript) ([]byte, error) {
+	fields := make(map[string]json.RawMessage, len(c.fields)+3)
+	for name, raw := range c.fields {
+		fields[name] = raw
+	}
+	delete(fields, "continue_from")
+	fields["stream"] = json.RawMessage("true")
+	fields["priority"] = json.RawMessage(fmt.Sprint(priority))
+	if t.Position() > 0 {
+		from, err := json.Marshal(continueWire{Position: t.Position(), Text: t.Text()})
+		if err != nil {
+			return nil, err
+		}
+		fields["continue_from"] = from
+	}
+	return json.Marshal(fields)
+}
+
+type completionWire struct {
+	ID       string           `json:"id"`
+	Object   string           `json:"object"`
+	Created  int64            `json:"created"`
+	Model    string           `json:"model"`
+	Choices  []completionPart `json:"choices"`
+	Usage    completionUsage  `json:"usage"`
+	Position int              `json:"position"`
+}
+
+type completionPart struct {
+	Index   int               `json:"index"`
+	Message completionMessage `json:"message"`
+	Finish  string            `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// completion builds the whole answer from a complete transcript.
+func completion(id, model string, created int64, t *stream.Transcript) ([]byte, error) {
+	return json.Marshal(completionWire{
+		ID:      id,
+		Object:  "chat.completion",
+		Created: created,
+		Model:   model,
+		Choices: []completionPart{{
+			Message: completionMessage{Role: "assistant", Content: t.Text()},
+			Finish:  t.Finish(),
+		}},
+		Usage: completionUsage{
+			PromptTokens:     t.Usage().PromptTokens,
+			CompletionTokens: t.Position(),
+			TotalTokens:      t.Usage().PromptTokens + t.Position(),
+		},
+		Position: t.Position(),
+	})
+}
--- /dev/null
+++ b/entry/debug.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+type stateWire struct {
+	Name         string        `json:"name"`
+	Address      string        `json:"address"`
+	Policy       Policy        `json:"policy"`
+	Ready        bool          `json:"ready"`
+	Stopping     bool          `json:"stopping"`
+	LeaseMS      int64         `json:"lease_ms"`
+	Term         uint64        `json:"term"`
+	Revision     uint64        `json:"revision"`
+	Inbox        int           `json:"inbox"`
+	Refused      int64         `json:"refused_inbox_full"`
+	Dropped      int64         `json:"dropped_announcements"`
+	Samples      int64         `json:"dropped_samples"`
+	PullFailures int64         `json:"pull_failures"`
+	Servers      []serverWire  `json:"servers"`
+	Pools        []poolWire    `json:"pools"`
+	Requests     []requestWire `json:"requests"`
+	Peers        []peerWire    `json:"peers"`
+}
+
+type serverWire struct {
+	Server  string `json:"server"`
+	Address string `json:"address"`
+	Usable  bool   `json:"usable"`
+	State   string `json:"state"`
+	AgeMS   int64  `json:"age_ms"`
+	Running int    `json:"running"`
+	Slots   int    `json:"slots"`
+}
+
+type poolWire struct {
+	Pool    string `json:"pool"`
+	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
+	Free    int    `json:"free"`
+}
+
+type requestWire struct {
+	ID       string `json:"id"`
+	Class    string `json:"class"`
+	Pool     string `json:"pool"`
+	Server   string `json:"server,omitempty"`
+	Running  bool   `json:"running"`
+	Position int    `json:"position"`
+	AgeMS    int64  `json:"age_ms"`
+}
+
+type peerWire struct {
+	Entry   string `json:"entry"`
+	Address string `json:"address"`
+	AgeMS   int64  `json:"age_ms"`
+	Streams int    `json:"streams"`
+}
+
+// maxStateRequests bounds the requests that one state answer lists.
+const maxStateRequests = 1000
+
+// debugState serves GET /debug/state.
+func (e *Entry) debugState(c fiber.Ctx) error {
+	w, p := ask(e, e.dispatcher.describe)
+	if p != nil {
+		return p.write(c)
+	}
+	view := e.leases.view.Load()
+	w.Name, w.Address, w.Policy = e.options.Name, e.advertised, e.options.Policy
+	w.Ready, w.Stopping = e.ready() == nil, e.stopping.Load()
+	w.LeaseMS = int64(max(view.expires-e.options.Clock.Now(), 0))
+	w.Term, w.Revision = view.term, view.configuration.Revision()
+	w.Samples, w.PullFailures = e.accountant.dropped.Load(), e.pullFailures.Load()
+	return c.JSON(w)
+}
+
+func (d *dispatcher) describe(now clock.Millis) stateWire {
+	w := stateWire{Inbox: len(d.inbox), Refused: d.refused.Load(), Dropped: d.dropped.Load()}
+	w.Servers = lo.Map(d.registry.Servers(now), func(s backend.Server, _ int) serverWire {
+		return serverWire{
+			Server: s.Server(), Address: s.Address(), Usable: s.Usable, State: string(s.State()),
+			AgeMS: int64(s.Age), Running: s.Load().Running, Slots: s.Slots(),
+		}
+	})
+	for name, p := range d.pools {
+		w.Pools = append(w.Pools, poolWire{
+			Pool: name, Waiting: len(p.waiting), Running: len(p.running), Free: d.router.FreeSlots(now, name),
+		})
+	}
+	sort.Slice(w.Pools, func(i, j int) bool { return w.Pools[i].Pool < w.Pools[j].Pool })
+	for _, j := range d.jobs {
+		if len(w.Requests) < maxStateRequests {
+			w.Requests = append(w.Requests, j.describe(now))
+		}
+	}
+	for name, p := range d.peers {
+		w.Peers = append(w.Peers, peerWire{Entry: name, Address: p.address, AgeMS: int64(now - p.at), Streams: len(p.streams)})
+	}
+	return w
+}
+
+func (j *job) describe(now clock.Millis) requestWire {
+	w := requestWire{
+		ID: j.work.id, Class: j.work.class.Name(), Pool: j.work.pool, Running: j.running,
+		Position: int(j.work.produced.Load()), AgeMS: int64(now - j.work.arrived),
+	}
+	if j.running {
+		w.Server = j.server
+	}
+	return w
+}
+
+type modelsWire struct {
+	Object string      `json:"object"`
+	Data   []modelWire `json:"data"`
+}
+
+type modelWire struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models serves GET /v1/models.
+func (e *Entry) models(c fiber.Ctx) error {
+	pools, p := ask(e, func(now clock.Millis) []string { return e.dispatcher.registry.Pools(now) })
+	if p != nil {
+		return p.write(c)
+	}
+	w := modelsWire{Object: "list", Data: []modelWire{}}
+	for _, pool := range pools {
+		if model, ok := strings.CutPrefix(pool, backend.ModelPool("")); ok {
+			w.Data = append(w.Data, modelWire{ID: model, Object: "model", OwnedBy: "galenaslip"})
+		}
+	}
+	return c.JSON(w)
+}
+
+// healthz serves GET /healthz: the process answers.
+func (e *Entry) healthz(c fiber.Ctx) error {
+	return c.SendString("ok")
+}
+
+// readyz serves GET /readyz: the entry takes new work.
+func (e *Entry) readyz(c fiber.Ctx) error {
+	if p := e.ready(); p != nil {
+		return p.write(c)
+	}
+	return c.SendString("ready")
+}
+
+func (e *Entry) ready() *problem {
+	switch {
+	case e.stopping.Load():
+		return notRun(outcome.ReasonStopping, "the entry is stopping")
+	case !e.leases.valid():
+		return noLease()
+	}
+	return nil
+}
+
+type callWire struct {
+	Key    string          `json:"key"`
+	State  string          `json:"state"`
+	Answer *callAnswerWire `json:"answer,omitempty"`
+}
+
+type callAnswerWire struct {
+	Status  int                 `json:"status"`
+	Headers map[string][]string `json:"headers"`
+	Body    []byte              `json:"body_base64"`
+}
+
+// lookupCall serves GET /v1/calls/{key}.
+func (e *Entry) lookupCall(c fiber.Ctx) error {
+	key := string([]byte(c.Params("key")))
+	o, p := e.newOnceLookup(key)
+	if p != nil {
+		return e.reject(c, p)
+	}
+	ctx, cancel := o.context()
+	defer cancel()
+	reply := e.options.Control.Lookup(ctx, key)
+	switch {
+	case reply.Kind != outcome.Answered:
+		return e.reject(c, notRun(outcome.ReasonControlUnknown, reply.Message))
+	case reply.Result.Reason == outcome.ReasonRequestNotFound:
+		return e.reject(c, notFound(outcome.ReasonRequestNotFound, "key", "unknown key"))
+	case reply.Result.Reason != outcome.ReasonNone:
+		return e.reject(c, o.refusal(reply.Result.Reason))
+	}
+	w := callWire{Key: key, State: string(reply.Result.State)}
+	if a := reply.Result.Answer; a.Status != 0 {
+		w.Answer = &callAnswerWire{Status: a.Status, Headers: a.Headers, Body: a.Body}
+	}
+	return c.JSON(w)
+}
--- /dev/null
+++ b/entry/dispatcher.go
@@ -0,0 +1,316 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/galenaslip/galenaslip/admission"
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/routing"
+)
+
+const (
+	// inboxSize is the capacity of the dispatcher's inbox. When it is full, new
+	// requests are refused and announcements are dropped; messages about
+	// accepted work wait.
+	inboxSize = 4096
+	// tickInterval is how often the dispatcher looks at what time alone changes.
+	tickInterval = 100 * clock.Millisecond
+	// retryFull is the retry time when the inbox is full.
+	retryFull = 1 * clock.Second
+)
+
+// dispatcher owns queue, registry and router. Only its goroutine touches the
+// fields below inbox.
+type dispatcher struct {
+	options  Options
+	leases   *leaseKeeper
+	inbox    chan func(now clock.Millis)
+	refused  atomic.Int64
+	dropped  atomic.Int64
+	registry *backend.Registry
+	queue    queue
+	router   router
+	jobs     map[string]*job
+	pools    map[string]*poolState
+	peers    map[string]*peerState
+	stops    map[string]clock.Millis
+}
+
+// job is what the dispatcher keeps of a request.
+type job struct {
+	work     *work
+	running  bool
+	server   string
+	started  clock.Millis
+	starved  bool
+	begun    bool // was sent to a server at least once
+	leaving  bool // was interrupted and will end soon
+	excluded []string
+}
+
+// poolState holds the jobs of a pool.
+type poolState struct {
+	waiting map[string]*job
+	running map[string]*job
+	served  bool         // had a usable server at some time
+	since   clock.Millis // start of the present time without a usable server
+}
+
+func newDispatcher(options Options, leases *leaseKeeper, epoch uint64) *dispatcher {
+	registry := backend.New(backend.Options{Entry: options.Name, Epoch: epoch})
+	d := &dispatcher{
+		options:  options,
+		leases:   leases,
+		inbox:    make(chan func(clock.Millis), inboxSize),
+		registry: registry,
+		jobs:     map[string]*job{},
+		pools:    map[string]*poolState{},
+		peers:    map[string]*peerState{},
+		stops:    map[string]clock.Millis{},
+	}
+	d.queue, d.router = newPolicy(options, registry)
+	return d
+}
+
+// run handles messages until ctx ends. The time is read after each wait.
+func (d *dispatcher) run(ctx context.Context) {
+	tick, release := d.options.Clock.After(tickInterval)
+	defer func() { release() }()
+	for {
+		select {
+		case handle := <-d.inbox:
+			handle(d.options.Clock.Now())
+		case <-tick:
+			d.tick(d.options.Clock.Now())
+			tick, release = d.options.Clock.After(tickInterval)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// offer passes on a message that may be dropped when the inbox is full.
+func (d *dispatcher) offer(handle func(now clock.Millis)) bool {
+	select {
+	case d.inbox <- handle:
+		return true
+	default:
+		return false
+	}
+}
+
+// send passes on a message about accepted work. It waits for room.
+func (d *dispatcher) send(ctx context.Context, handle func(now clock.Millis)) {
+	select {
+	case d.inbox <- handle:
+	case <-ctx.Done():
+	}
+}
+
+// submit queues new work. The decision arrives at w.assigned.
+func (d *dispatcher) submit(w *work) *problem {
+	if d.offer(func(now clock.Millis) { d.admit(now, w) }) {
+		return nil
+	}
+	d.refused.Add(1)
+	return shed(outcome.ReasonOverloaded, "the entry is overloaded", retryFull).withStatus(503)
+}
+
+func (d *dispatcher) admit(now clock.Millis, w *work) {
+	if p := d.refusal(now, w); p != nil {
+		w.assigned <- assignment{refused: p}
+		return
+	}
+	offer := d.queue.Offer(now, w.item())
+	for _, item := range offer.Shed {
+		d.shed(now, item)
+	}
+	if !offer.Accepted {
+		w.assigned <- assignment{refused: refusedOffer(offer)}
+		return
+	}
+	j := &job{work: w}
+	d.jobs[w.id] = j
+	d.pool(w.pool).waiting[w.id] = j
+	d.pump(now, w.pool)
+}
+
+func (d *dispatcher) refusal(now clock.Millis, w *work) *problem {
+	if _, ok := d.jobs[w.id]; ok {
+		return invalid(outcome.ReasonInvalid, "X-Request-Id", "a request with this identifier is running")
+	}
+	if d.known(now, w.pool) {
+		return nil
+	}
+	return unknownPool(now, w.pool)
+}
+
+func refusedOffer(offer admission.Offer) *problem {
+	switch offer.Reason {
+	case outcome.ReasonTargetMissed:
+		return shed(offer.Reason, "the target cannot be met", offer.RetryAfter)
+	case outcome.ReasonShed:
+		return shed(offer.Reason, "the queue is full", offer.RetryAfter)
+	}
+	return invalid(offer.Reason, "", "the request cannot be queued")
+}
+
+func (d *dispatcher) shed(now clock.Millis, item admission.Item) {
+	j, ok := d.jobs[item.ID]
+	if !ok {
+		return
+	}
+	retryAfter := d.queue.RetryAfter(now, item)
+	d.forget(j)
+	j.work.assigned <- assignment{refused: shed(outcome.ReasonShed, "work of a higher tier needs the place", retryAfter)}
+}
+
+// forget drops a job from all indexes.
+func (d *dispatcher) forget(j *job) {
+	delete(d.jobs, j.work.id)
+	p := d.pool(j.work.pool)
+	delete(p.waiting, j.work.id)
+	delete(p.running, j.work.id)
+}
+
+// withdraw drops work whose caller has gone. It may be queued or just assigned.
+func (d *dispatcher) withdraw(now clock.Millis, id string) {
+	j, ok := d.jobs[id]
+	if !ok {
+		return
+	}
+	d.queue.Remove(id)
+	d.finish(now, j, routing.Cancelled)
+}
+
+// finished records the end of work.
+func (d *dispatcher) finished(now clock.Millis, id string, result routing.Result) {
+	if j, ok := d.jobs[id]; ok {
+		d.finish(now, j, result)
+	}
+}
+
+func (d *dispatcher) finish(now clock.Millis, j *job, result routing.Result) {
+	if j.running {
+		d.router.Progress(now, j.work.id, int(j.work.produced.Load()))
+		d.router.Finished(now, j.work.id, result)
+	}
+	d.forget(j)
+	d.pump(now, j.work.pool)
+}
+
+// again queues work once more after an attempt that did not complete it. The
+// server is avoided when the attempt failed there.
+func (d *dispatcher) again(now clock.Millis, id string, result routing.Result) {
+	j, ok := d.jobs[id]
+	if !ok || !j.running {
+		return
+	}
+	d.router.Progress(now, id, int(j.work.produced.Load()))
+	d.router.Finished(now, id, result)
+	if result == routing.Failed {
+		j.excluded = append(j.excluded, j.server)
+	}
+	j.running, j.leaving, j.begun = false, false, true
+	p := d.pool(j.work.pool)
+	delete(p.running, id)
+	p.waiting[id] = j
+	d.queue.Requeue(now, j.work.item())
+	d.pump(now, j.work.pool)
+}
+
+// pump hands out free slots of a pool.
+func (d *dispatcher) pump(now clock.Millis, name string) {
+	p := d.pool(name)
+	for len(p.waiting) > 0 {
+		free := d.router.FreeSlots(now, name)
+		if free == 0 {
+			d.preempt(now, name)
+			return
+		}
+		d.queue.Free(name, free)
+		item, ok := d.queue.Next(now, name, d.demands(now))
+		if !ok {
+			return
+		}
+		if !d.dispatch(now, item) {
+			return
+		}
+	}
+}
+
+// dispatch passes an item on. It returns false when no server takes it.
+func (d *dispatcher) dispatch(now clock.Millis, item admission.Item) bool {
+	j, ok := d.jobs[item.ID]
+	if !ok {
+		return true
+	}
+	if !j.begun && !d.leases.valid() {
+		d.forget(j)
+		j.work.assigned <- assignment{refused: noLease()}
+		return true
+	}
+	request := j.work.request(j.excluded)
+	choice, ok := d.choose(now, j, request)
+	if !ok {
+		d.queue.Requeue(now, item)
+		return false
+	}
+	server := choice.Server.Server()
+	d.router.Sent(now, request, server)
+	j.running, j.server, j.started, j.starved = true, server, now, item.Starved
+	p := d.pool(item.Pool)
+	delete(p.waiting, item.ID)
+	p.running[item.ID] = j
+	j.work.assigned <- assignment{server: server, address: choice.Server.Address(), priority: choice.Priority}
+	return true
+}
+
+// choose falls back to the servers that failed before when there are no others.
+func (d *dispatcher) choose(now clock.Millis, j *job, request routing.Request) (routing.Choice, bool) {
+	choice, ok := d.router.Choose(now, request)
+	if ok || len(request.Exclude) == 0 {
+		return choice, ok
+	}
+	j.excluded = nil
+	request.Exclude = nil
+	return d.router.Choose(now, request)
+}
+
+// preempt takes a slot back for waiting work of a higher tier.
+func (d *dispatcher) preempt(now clock.Millis, name string) {
+	running := make([]admission.Running, 0, len(d.pool(name).running))
+	for _, j := range d.pool(name).running {
+		running = append(running, j.admitted())
+	}
+	id, ok := d.queue.Preempt(now, name, running)
+	if !ok {
+		return
+	}
+	if j, ok := d.jobs[id]; ok {
+		d.interrupt(j, preempted)
+	}
+}
+
+func (d *dispatcher) interrupt(j *job, reason interruption) {
+	if !j.leaving {
+		j.leaving = true
+		j.work.stop.fire(reason)
+	}
+}
+
+func (j *job) admitted() admission.Running {
+	return admission.Running{
+		ID:        j.work.id,
+		Class:     j.work.class,
+		Started:   j.started,
+		Produced:  int(j.work.produced.Load()),
+		Resumable: !j.work.onceOnly,
+		OnceOnly:  j.work.onceOnly,
+		Starved:   j.starved,
+		Server:    j.server,
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/engine"
+	"github.com/galenaslip/galenaslip/event"
+)
+
+// Entry is the process on the data path.
+type Entry struct {
+	options      Options
+	listener     net.Listener
+	advertised   string
+	incarnation  uint64
+	app          *fiber.App
+	client       *engine.Client
+	closeClient  func()
+	dispatcher   *dispatcher
+	leases       *leaseKeeper
+	challenger   *backend.Challenger
+	accountant   *accountant
+	budget       *budget
+	rejections   rejections
+	strangers    atomic.Int64
+	pullFailures atomic.Int64
+	stopping     atomic.Bool // readiness fails
+	refusing     atomic.Bool // new work is refused
+	stopped      chan struct{}
+	once         sync.Once
+	ctx          context.Context
+	cancel       context.CancelFunc
+	tasks        taskGroup
+}
+
+// taskGroup runs goroutines and waits for them.
+type taskGroup struct {
+	sync.WaitGroup
+}
+
+// New starts an entry. The returned function releases everything at once; work
+// that is running then ends with an error.
+func New(options Options) (*Entry, func(), error) {
+	options = options.withDefaults()
+	if err := options.validate(); err != nil {
+		return nil, nil, err
+	}
+	l, err := net.Listen("tcp", options.Listen)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "listen on %s", options.Listen)
+	}
+	e := assemble(options, l)
+	e.start()
+	options.Logger.Log(event.ProcessStarted, zap.String("address", e.Address()))
+	return e, e.release, nil
+}
+
+func assemble(options Options, l net.Listener) *Entry {
+	incarnation := uint64(options.Clock.Wall())
+	client, closeClient := engine.New(engine.Options{Clock: options.Clock, Silence: options.Timeouts.Silence})
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{
+		options:     options,
+		listener:    l,
+		advertised:  options.Advertise,
+		incarnation: incarnation,
+		client:      client,
+		closeClient: closeClient,
+		challenger:  backend.NewChallenger(options.Name, incarnation),
+		accountant:  newAccountant(),
+		budget:      newBudget(options.RetryPercentage),
+		stopped:     make(chan struct{}),
+		ctx:         ctx,
+		cancel:      cancel,
+	}
+	if e.advertised == "" {
+		e.advertised = l.Addr().String()
+	}
+	e.leases = newLeaseKeeper(options, incarnation, e.advertised)
+	e.dispatcher = newDispatcher(options, e.leases, incarnation)
+	e.app = e.routes()
+	return e
+}
+
+func (e *Entry) start() {
+	timeouts := e.options.Timeouts
+	e.tasks.Go(func() { e.dispatcher.run(e.ctx) })
+	e.tasks.Go(func() { e.accountant.run(e.ctx) })
+	e.tasks.Go(func() { e.leases.run(e.ctx) })
+	e.tasks.Go(func() { e.options.Clock.Every(e.ctx, timeouts.Digest, func() { e.pullAll(e.ctx) }) })
+	e.tasks.Go(func() { e.options.Clock.Every(e.ctx, tickInterval, e.watchStop) })
+	e.tasks.Go(func() {
+		l := &callerListener{Listener: e.listener, idle: timeouts.CallerIdle, now: e.options.Clock}
+		_ = e.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+}
+
+func (e *Entry) routes() *fiber.App {
+	app := fiber.New(fiber.Config{
+		BodyLimit:      e.options.Limits.BodyBytes,
+		ReadBufferSize: e.options.Limits.HeaderBytes,
+		Concurrency:    e.options.Limits.Connections,
+		ReadTimeout:    e.options.Timeouts.CallerRead.Duration(),
+		ErrorHandler:   func(c fiber.Ctx, err error) error { return e.reject(c, describeHTTP(err)) },
+	})
+	app.Post("/v1/chat/completions", e.chatCompletions)
+	app.Get("/v1/models", e.models)
+	app.Get("/v1/streams/:id", e.resumeStream)
+	app.Get("/v1/calls/:key", e.lookupCall)
+	app.All(servicesPrefix+"*", e.serviceCall)
+	app.Post("/v1/announcements", e.guard(e.options.Tokens.Server), e.announcements)
+	app.Post(digestPath, e.guard(e.options.Tokens.Peer), e.digest)
+	app.Post(releasePath+":id", e.guard(e.options.Tokens.Peer), e.released)
+	app.Get("/debug/state", e.guard(e.options.Tokens.Operator), e.debugState)
+	app.Get("/healthz", e.healthz)
+	app.Get("/readyz", e.readyz)
+	return app
+}
+
+// Address returns the bound address.
+func (e *Entry) Address() string {
+	return e.listener.Addr().String()
+}
+
+// Stopped is closed once a planned stop has finished every request.
+func (e *Entry) Stopped() <-chan struct{} {
+	return e.stopped
+}
+
+// watchStop begins the planned stop that an operator has announced.
+func (e *Entry) watchStop() {
+	s, ok := e.leases.configuration().Stopping(configuration.StopEntry, e.options.Name)
+	if !ok || e.stopping.Load() {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		if s.Grace() > 0 {
+			ctx, cancel = context.WithTimeout(ctx, s.Grace().Duration())
+			defer cancel()
+		}
+		_ = e.Stop(ctx)
+	}()
+}
+
+// Stop fails readiness, waits for the load balancer, finishes every request and
+// ends. When ctx ends first, the rest is cut off.
+func (e *Entry) Stop(ctx context.Context) error {
+	if !e.stopping.CompareAndSwap(false, true) {
+		<-e.stopped
+		return nil
+	}
+	e.options.Logger.Log(event.ProcessStopping)
+	e.leases.leaving.Store(true)
+	e.options.Clock.Sleep(ctx, e.options.Timeouts.StopWait)
+	e.refusing.Store(true)
+	err := e.app.ShutdownWithContext(ctx)
+	e.release()
+	e.options.Logger.Log(event.ProcessStopped)
+	return errors.Wrap(err, "stop the HTTP server")
+}
+
+func (e *Entry) release() {
+	e.once.Do(func() {
+		e.stopping.Store(true)
+		e.refusing.Store(true)
+		e.cancel()
+		_ = e.listener.Close()
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = e.app.ShutdownWithContext(ended)
+		e.tasks.Wait()
+		e.closeClient()
+		close(e.stopped)
+	})
+}
--- /dev/null
+++ b/entry/once.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/gofiber/fiber/v3"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/claim"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/engine"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+const (
+	// retryInProgress is the retry time of a call whose key is in progress.
+	retryInProgress = 1 * clock.Second
+	// settlePause is the wait before an unrecorded outcome is sent again.
+	settlePause = 500 * clock.Millisecond
+	// settleTries bounds the repetitions; with the pause they outlast an
+	// election.
+	settleTries = 60
+)
+
+// onceCall is the claim of one at-most-once call.
+type onceCall struct {
+	entry   *Entry
+	key     string
+	hash    string
+	attempt claim.Attempt
+	// marked is set before the claim is marked as sent, because the mark may be
+	// in force even when its answer is lost.
+	marked bool
+}
+
+func (e *Entry) newOnce(key string, s *call) (*onceCall, *problem) {
+	if key == "" {
+		return nil, invalid(outcome.ReasonKeyMissing, headerKey, "the call needs an idempotency key")
+	}
+	if _, ok := claim.KeyTime(key); !ok {
+		return nil, invalid(outcome.ReasonKeyInvalid, headerKey, "the idempotency key is not a UUID of version 7")
+	}
+	return &onceCall{
+		entry:   e,
+		key:     string([]byte(key)),
+		hash:    hashCall(s),
+		attempt: claim.Attempt{Owner: claim.Owner{Entry: e.options.Name, Incarnation: e.incarnation}, ID: control.NewAttempt()},
+	}, nil
+}
+
+// hashCall covers all that makes two calls the same.
+func hashCall(s *call) string {
+	h := sha256.New()
+	for _, part := range []string{s.work.pool, s.method, s.path} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(s.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// runOnce claims the key, makes the call and records how it ended.
+func (s *call) runOnce() result {
+	o := s.once
+	o.entry.leases.claims.Add(1)
+	defer o.entry.leases.claims.Add(-1)
+	if r, ok := o.acquire(); !ok {
+		return r
+	}
+	r := s.compete()
+	o.record(r)
+	return r
+}
+
+func (o *onceCall) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(o.entry.ctx, o.entry.options.Timeouts.Claim.Duration())
+}
+
+// acquire claims the key. It returns the caller's answer when the call must not
+// be made.
+func (o *onceCall) acquire() (result, bool) {
+	ctx, cancel := o.context()
+	defer cancel()
+	reply := o.entry.options.Control.Acquire(ctx, o.key, o.hash, o.attempt)
+	if reply.Kind != outcome.Answered {
+		return result{problem: notRun(outcome.ReasonControlUnknown, "the key could not be claimed: "+reply.Message)}, false
+	}
+	if reply.Result.Owned && reply.Result.State == claim.Claimed {
+		return result{}, true
+	}
+	return o.former(reply.Result), false
+}
+
+// former answers from the state of a claim that this attempt does not own.
+func (o *onceCall) former(r claim.Result) result {
+	if r.Reason != outcome.ReasonNone && r.Reason != outcome.ReasonCallInProgress {
+		return result{problem: o.refusal(r.Reason)}
+	}
+	switch r.State {
+	case claim.Answered:
+		return result{answer: recorded(r.Answer)}
+	case claim.Unknown:
+		return result{problem: unknown(outcome.ReasonBackendLost, "an earlier call with this key may have run")}
+	}
+	p := unknown(outcome.ReasonCallInProgress, "a call with this key is in progress").withStatus(fiber.StatusTooEarly)
+	p.retryAfter = retryInProgress
+	return result{problem: p}
+}
+
+func (o *onceCall) refusal(reason outcome.Reason) *problem {
+	switch reason {
+	case outcome.ReasonKeyReused:
+		return invalid(reason, headerKey, "the key was used with another call").withStatus(fiber.StatusConflict)
+	case outcome.ReasonKeyExpired:
+		return unknown(reason, "the key is too old").withStatus(fiber.StatusGone)
+	case outcome.ReasonKeyInvalid:
+		return invalid(reason, headerKey, "the key is invalid")
+	}
+	return notRun(reason, "the key could not be claimed")
+}
+
+// markSent runs once connected, directly before the first byte. The lease is
+// checked after the last wait.
+func (o *onceCall) markSent() error {
+	o.marked = true
+	ctx, cancel := o.context()
+	defer cancel()
+	reply := o.entry.options.Control.Send(ctx, o.key, o.attempt)
+	switch {
+	case reply.Kind != outcome.Answered:
+		return notRun(outcome.ReasonControlUnknown, "the call could not be marked as sent: "+reply.Message)
+	case !reply.Result.Owned || reply.Result.State != claim.Sent:
+		return o.former(reply.Result).problemOr(notRun(outcome.ReasonControlUnknown, "the claim was lost"))
+	case !o.entry.leases.valid():
+		return noLease()
+	}
+	return nil
+}
+
+func (r result) problemOr(p *problem) *problem {
+	if r.problem != nil {
+		return r.problem
+	}
+	return p
+}
+
+// record settles the claim. The answer goes to the caller even when it could
+// not be recorded; the record is then tried again in the background.
+func (o *onceCall) record(r result) {
+	state, answer := o.end(r)
+	if o.settle(state, answer) {
+		return
+	}
+	o.entry.options.Logger.Log(event.SettleFailed, zap.String("key", o.key), zap.String("state", string(state)))
+	o.entry.leases.claims.Add(1)
+	o.entry.tasks.Go(func() {
+		defer o.entry.leases.claims.Add(-1)
+		for range settleTries {
+			if !o.entry.options.Clock.Sleep(o.entry.ctx, settlePause) || o.settle(state, answer) {
+				return
+			}
+		}
+	})
+}
+
+func (o *onceCall) end(r result) (claim.State, claim.Answer) {
+	switch {
+	case r.problem == nil:
+		return claim.Answered, recording(r.answer)
+	case r.problem.outcome == outcome.NotRun:
+		return claim.NotRun, claim.Answer{}
+	}
+	return claim.Unknown, claim.Answer{}
+}
+
+// settle reports whether the outcome is recorded, or cannot be by any try.
+func (o *onceCall) settle(state claim.State, answer claim.Answer) bool {
+	ctx, cancel := o.context()
+	defer cancel()
+	reply := o.entry.options.Control.Settle(ctx, o.key, o.attempt, state, answer)
+	if reply.Result.Reason == outcome.ReasonTooLarge {
+		reply = o.entry.options.Control.Settle(ctx, o.key, o.attempt, claim.Unknown, claim.Answer{})
+	}
+	return reply.Kind == outcome.Answered
+}
+
+func recording(a engine.Answer) claim.Answer {
+	headers := map[string][]string{}
+	for _, h := range a.Headers {
+		headers[h.Name] = append(headers[h.Name], h.Value)
+	}
+	return claim.Answer{Status: a.Status, Headers: headers, Body: a.Body}
+}
+
+func recorded(a claim.Answer) engine.Answer {
+	answer := engine.Answer{Status: a.Status, Body: a.Body}
+	for name, values := range a.Headers {
+		for _, v := range values {
+			answer.Headers = append(answer.Headers, engine.Header{Name: name, Value: v})
+		}
+	}
+	return answer
+}
+
+// newOnceLookup checks a key that is only looked up.
+func (e *Entry) newOnceLookup(key string) (*onceCall, *problem) {
+	if _, ok := claim.KeyTime(key); !ok {
+		return nil, invalid(outcome.ReasonKeyInvalid, "key", "the key is not a UUID of version 7")
+	}
+	return &onceCall{entry: e, key: key}, nil
+}
--- /dev/null
+++ b/entry/path_test.go
@@ -0,0 +1,124 @@
+package entry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/standin"
+	"github.com/galenaslip/galenaslip/stream"
+)
+
+// transcript is what a caller has read of a stream.
+type transcript struct {
+	stream.Transcript
+	done    bool
+	problem string
+}
+
+// readStream reads a stream until it ends or stop returns true.
+func readStream(tb testing.TB, body io.Reader, into *transcript, stop func() bool) {
+	tb.Helper()
+	r := stream.NewReader(body, 1<<20)
+	for !stop() {
+		e, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			into.problem = err.Error()
+			return
+		}
+		switch {
+		case e.Comment:
+		case e.Name == "error":
+			into.problem = string(e.Data)
+		case string(e.Data) == stream.Done:
+			into.done = true
+		default:
+			c, err := stream.ParseChunk(bytes.Clone(e.Data))
+			if err != nil {
+				tb.Fatal(err)
+			}
+			if !into.Add(c) {
+				tb.Errorf("position %d arrived twice", c.Position)
+			}
+		}
+	}
+}
+
+func never() bool { return false }
+
+// expect compares a whole stream with the engine's answer to the prompt.
+func (tr *transcript) expect(tb testing.TB, prompt string) {
+	tb.Helper()
+	want := strings.Join(standin.Answer(testModel, prompt), "")
+	if tr.Text() != want {
+		tb.Errorf("bytes at position %d: got %q, want %q (problem %q)", tr.Position(), tr.Text(), want, tr.problem)
+	}
+	if !tr.done || tr.problem != "" {
+		tb.Errorf("end: got done %v and problem %q, want a complete answer", tr.done, tr.problem)
+	}
+}
+
+// open starts a streamed chat request.
+func (s *site) open(e int, prompt string, options ...option) *http.Response {
+	s.t.Helper()
+	r, err := http.DefaultClient.Do(request(s.t, http.MethodPost, s.url(e, "/v1/chat/completions"), chatBody(prompt, true), options...))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = r.Body.Close() })
+	return r
+}
+
+func (s *site) url(e int, path string) string {
+	return "http://" + s.entries[e].Address() + path
+}
+
+// Guards against answers that differ from what the engine generated, streamed
+// or whole, and against a call that does not reach its service.
+func TestAnswers(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 1, 1)
+	const prompt = "Which clause limits the layer? [tokens=40]"
+	t.Run("streamed", func(t *testing.T) {
+		r := s.open(0, prompt, with("X-Request-Id", "r-1"))
+		if got := r.Header.Get("X-Request-Id"); r.StatusCode != http.StatusOK || got != "r-1" {
+			t.Fatalf("got status %d and id %q, want 200 and r-1", r.StatusCode, got)
+		}
+		var tr transcript
+		readStream(t, r.Body, &tr, never)
+		tr.expect(t, prompt)
+	})
+	t.Run("whole", func(t *testing.T) {
+		got := do(t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatBody(prompt, false))
+		var w struct {
+			Choices []struct{ Message struct{ Content string } }
+			Usage   struct {
+				CompletionTokens int `json:"completion_tokens"`
+			}
+		}
+		if err := json.Unmarshal(got.body, &w); err != nil || len(w.Choices) != 1 {
+			t.Fatalf("got %s (%v)", got.body, err)
+		}
+		if want := strings.Join(standin.Answer(testModel, prompt), ""); w.Choices[0].Message.Content != want || w.Usage.CompletionTokens != 40 {
+			t.Errorf("got %+v, want %q with 40 tokens", w, want)
+		}
+	})
+	t.Run("service", func(t *testing.T) {
+		key := newKey()
+		got := do(t, http.MethodPost, s.url(0, "/v1/services/ledger/postings?x=%2F1"), []byte("42"), with("Idempotency-Key", key))
+		if got.status != http.StatusCreated || !strings.Contains(string(got.body), `"/postings?x=%2F1"`) {
+			t.Errorf("got %d %s, want 201 and the path unchanged", got.status, got.body)
+		}
+		if got := s.services[0].State().Runs[key]; got != 1 {
+			t.Errorf("runs: got %d, want 1", got)
+		}
+	})
+}
--- /dev/null
+++ b/entry/policy.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"github.com/galenaslip/galenaslip/admission"
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/routing"
+)
+
+// queue decides the order of waiting requests.
+type queue interface {
+	Offer(now clock.Millis, item admission.Item) admission.Offer
+	Requeue(now clock.Millis, item admission.Item)
+	Remove(id string) bool
+	Free(pool string, slots int)
+	Next(now clock.Millis, pool string, peers []admission.Demand) (admission.Item, bool)
+	Preempt(now clock.Millis, pool string, running []admission.Running) (string, bool)
+	RetryAfter(now clock.Millis, item admission.Item) clock.Millis
+	Waiting() []admission.Demand
+}
+
+// router chooses a server for a request.
+type router interface {
+	FreeSlots(now clock.Millis, pool string) int
+	Choose(now clock.Millis, request routing.Request) (routing.Choice, bool)
+	Sent(now clock.Millis, request routing.Request, server string)
+	Progress(now clock.Millis, id string, tokens int)
+	Finished(now clock.Millis, id string, result routing.Result)
+	PeerLoad(now clock.Millis, peer string, inFlight map[string]int, age clock.Millis)
+	CacheEvents(server string, events []backend.CacheEvent)
+}
+
+func newPolicy(options Options, registry *backend.Registry) (queue, router) {
+	queueOptions := admission.Options{Limit: options.Limits.Queue}
+	routerOptions := routing.Options{Entry: options.Name, Registry: registry}
+	if options.Policy == PolicyNaive {
+		return admission.NewNaive(queueOptions), routing.NewNaive(routerOptions)
+	}
+	return admission.New(queueOptions), routing.New(routerOptions)
+}
--- /dev/null
+++ b/entry/pool.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"strings"
+
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+const (
+	// learnTime is how long after its start an entry does not know yet which
+	// models and services exist.
+	learnTime = 3 * clock.Second
+	// handoffMargin is the time before the deadline of a server's planned stop
+	// at which running streams move to another server.
+	handoffMargin = 2 * clock.Second
+)
+
+func (d *dispatcher) pool(name string) *poolState {
+	p, ok := d.pools[name]
+	if !ok {
+		p = &poolState{waiting: map[string]*job{}, running: map[string]*job{}}
+		d.pools[name] = p
+	}
+	return p
+}
+
+// known reports whether a pool has or had a server. Only such pools are kept,
+// so that callers cannot fill the memory with names.
+func (d *dispatcher) known(now clock.Millis, name string) bool {
+	if p, ok := d.pools[name]; ok && p.served {
+		return true
+	}
+	if len(d.registry.Pool(now, name)) == 0 {
+		return false
+	}
+	d.pool(name).served = true
+	return true
+}
+
+func unknownPool(now clock.Millis, pool string) *problem {
+	if now < learnTime {
+		return notRun(outcome.ReasonNoServer, "the entry has just started and does not know the servers yet")
+	}
+	if model, ok := strings.CutPrefix(pool, backend.ModelPool("")); ok {
+		return notFound(outcome.ReasonUnknownModel, "model", "unknown model "+model)
+	}
+	return notFound(outcome.ReasonUnknownService, "service", "unknown service "+strings.TrimPrefix(pool, backend.ServicePool("")))
+}
+
+// tick does what time alone makes necessary.
+func (d *dispatcher) tick(now clock.Millis) {
+	d.registry.Advance(now)
+	d.dropPeers(now)
+	d.applyStops(now)
+	for name, p := range d.pools {
+		for id, j := range p.running {
+			d.router.Progress(now, id, int(j.work.produced.Load()))
+		}
+		d.giveUp(now, name, p)
+		d.pump(now, name)
+	}
+}
+
+// giveUp refuses waiting work of a pool that has had no usable server for long.
+func (d *dispatcher) giveUp(now clock.Millis, name string, p *poolState) {
+	if len(d.registry.Pool(now, name)) > 0 {
+		p.served = true
+		p.since = now
+		return
+	}
+	if now-p.since < d.options.Timeouts.NoServer {
+		return
+	}
+	for id, j := range p.waiting {
+		d.queue.Remove(id)
+		d.forget(j)
+		j.work.assigned <- assignment{refused: notRun(outcome.ReasonNoServer, "no backend server is available")}
+	}
+}
+
+// applyStops treats servers with a planned stop as leaving, and moves their
+// streams when the grace period is nearly over.
+func (d *dispatcher) applyStops(now clock.Millis) {
+	var names []string
+	for _, s := range d.leases.configuration().Stops() {
+		if s.Kind() != configuration.StopServer {
+			continue
+		}
+		names = append(names, s.Name())
+		if _, ok := d.stops[s.ID()]; !ok {
+			d.stops[s.ID()] = now
+		}
+		if s.Grace() > 0 && now >= d.stops[s.ID()]+s.Grace()-handoffMargin {
+			d.moveFrom(s.Name())
+		}
+	}
+	d.registry.SetStops(now, names)
+}
+
+func (d *dispatcher) moveFrom(server string) {
+	for _, j := range d.jobs {
+		if j.running && j.server == server && !j.work.onceOnly {
+			d.interrupt(j, serverStops)
+		}
+	}
+}
--- /dev/null
+++ b/entry/problem.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+// problem is why a request has no answer, as the caller is told.
+type problem struct {
+	status     int
+	outcome    outcome.Kind
+	reason     outcome.Reason
+	message    string
+	param      string
+	retryAfter clock.Millis
+}
+
+// Error implements error.
+func (p *problem) Error() string { return string(p.reason) + ": " + p.message }
+
+func invalid(reason outcome.Reason, param, message string) *problem {
+	return &problem{status: fiber.StatusBadRequest, outcome: outcome.NotRun, reason: reason, param: param, message: message}
+}
+
+func notFound(reason outcome.Reason, param, message string) *problem {
+	return &problem{status: fiber.StatusNotFound, outcome: outcome.NotRun, reason: reason, param: param, message: message}
+}
+
+func notRun(reason outcome.Reason, message string) *problem {
+	return &problem{status: fiber.StatusServiceUnavailable, outcome: outcome.NotRun, reason: reason, message: message}
+}
+
+func unknown(reason outcome.Reason, message string) *problem {
+	return &problem{status: fiber.StatusBadGateway, outcome: outcome.Unknown, reason: reason, message: message}
+}
+
+func timedOut(message string) *problem {
+	return &problem{status: fiber.StatusGatewayTimeout, outcome: outcome.Unknown, reason: outcome.ReasonBackendLost, message: message}
+}
+
+func shed(reason outcome.Reason, message string, retryAfter clock.Millis) *problem {
+	return &problem{
+		status: fiber.StatusTooManyRequests, outcome: outcome.NotRun, reason: reason, message: message, retryAfter: retryAfter,
+	}
+}
+
+func (p *problem) withStatus(status int) *problem {
+	changed := *p
+	changed.status = status
+	return &changed
+}
+
+type errorWire struct {
+	Error errorBodyWire `json:"error"`
+}
+
+type errorBodyWire struct {
+	Message string         `json:"message"`
+	Type    string         `json:"type"`
+	Param   string         `json:"param,omitempty"`
+	Code    outcome.Reason `json:"code"`
+	Outcome outcome.Kind   `json:"outcome"`
+}
+
+func (p *problem) encode() []byte {
+	body, err := json.Marshal(errorWire{Error: errorBodyWire{
+		Message: p.message, Type: p.kind(), Param: p.param, Code: p.reason, Outcome: p.outcome,
+	}})
+	if err != nil {
+		panic(errors.Wrap(err, "encode error object"))
+	}
+	return body
+}
+
+// kind returns the type in the sense of the OpenAI error object.
+func (p *problem) kind() string {
+	switch {
+	case p.status == fiber.StatusTooManyRequests:
+		return "rate_limit_error"
+	case p.status < fiber.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+func (p *problem) write(c fiber.Ctx) error {
+	if p.retryAfter > 0 {
+		seconds := (p.retryAfter + clock.Second - 1) / clock.Second
+		c.Set(fiber.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+	c.Status(p.status)
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(p.encode())
+}
+
+// describeHTTP turns an error of the HTTP server, such as a body above the
+// limit, into a problem.
+func describeHTTP(err error) *problem {
+	var p *problem
+	if errors.As(err, &p) {
+		return p
+	}
+	status := fiber.StatusBadRequest
+	var known *fiber.Error
+	if errors.As(err, &known) {
+		status = known.Code
+	}
+	switch status {
+	case fiber.StatusRequestEntityTooLarge:
+		return invalid(outcome.ReasonTooLarge, "", "the body exceeds the size limit").withStatus(status)
+	case fiber.StatusRequestHeaderFieldsTooLarge:
+		return invalid(outcome.ReasonTooLarge, "", "the headers exceed the size limit").withStatus(status)
+	}
+	return invalid(outcome.ReasonInvalid, "", err.Error()).withStatus(status)
+}
--- /dev/null
+++ b/entry/time.go
@@ -0,0 +1,12 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// deadline converts a delay to the absolute time that net.Conn wants.
+func deadline(c clock.Clock, delay clock.Millis) time.Time {
+	return time.UnixMilli(int64(c.Wall() + delay))
+}
--- /dev/null
+++ b/event/entry.go
@@ -0,0 +1,14 @@
+package event
+
+// Events of entries, 400 to 499.
+var (
+	LeaseGained         = define(400, "lease_gained", Info, "The entry holds a configuration lease again.")
+	LeaseLost           = define(401, "lease_lost", Error, "The configuration lease has ended; new work is refused.")
+	ConfigurationLoaded = define(402, "configuration_loaded", Info, "A newer configuration is in force.")
+	RequestContinued    = define(403, "request_continued", Warn, "A backend server was lost; the request goes on elsewhere.")
+	RequestIncomplete   = define(404, "request_incomplete", Error, "An answer could not be completed.")
+	CancelFailed        = define(405, "cancel_failed", Warn, "A request could not be cancelled at its engine.")
+	SettleFailed        = define(406, "settle_failed", Error, "The outcome of an at-most-once call could not be recorded.")
+	PeerUnreachable     = define(407, "peer_unreachable", Warn, "No digest was received from another entry.")
+	AnnouncementRefused = define(408, "announcement_refused", Warn, "A backend server's announcement is invalid.")
+)
--- /dev/null
+++ b/standin/announcer.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+const announceTimeout = 1 * time.Second
+
+// maxCacheEvents bounds the cache events in one announcement.
+const maxCacheEvents = 256
+
+type announcementWire struct {
+	Server           string       `json:"server"`
+	Incarnation      uint64       `json:"incarnation"`
+	Sequence         uint64       `json:"sequence"`
+	State            string       `json:"state"`
+	Kind             string       `json:"kind"`
+	Address          string       `json:"address"`
+	AvailabilityZone string       `json:"availability_zone"`
+	Models           []string     `json:"models"`
+	Services         []string     `json:"services"`
+	Slots            int          `json:"slots"`
+	ChecksFencing    bool         `json:"checks_fencing"`
+	Challenge        string       `json:"challenge"`
+	Load             loadWire     `json:"load"`
+	CacheEvents      []cacheEvent `json:"cache_events"`
+}
+
+type loadWire struct {
+	AgeMS           int64   `json:"age_ms"`
+	Running         int     `json:"running"`
+	Waiting         int     `json:"waiting"`
+	KVUsed          int     `json:"kv_used"`
+	KVTotal         int     `json:"kv_total"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+}
+
+type acceptanceWire struct {
+	Accepted   bool   `json:"accepted"`
+	Challenge  string `json:"challenge"`
+	IntervalMS int64  `json:"interval_ms"`
+	Reason     string `json:"reason"`
+}
+
+// announcer announces a stand-in to one entry after the other, as a load
+// balancer would spread the announcements.
+type announcer struct {
+	options    Announce
+	clock      clock.Clock
+	client     *fasthttp.Client
+	describe   func() announcementWire
+	mu         sync.Mutex
+	sequence   uint64
+	next       int
+	challenges map[string]string
+	leaving    bool
+	muted      func() bool
+}
+
+func newAnnouncer(options Announce, c clock.Clock, muted func() bool, describe func() announcementWire) *announcer {
+	return &announcer{
+		options:    options,
+		clock:      c,
+		client:     &fasthttp.Client{ReadTimeout: announceTimeout, WriteTimeout: announceTimeout},
+		describe:   describe,
+		challenges: map[string]string{},
+		muted:      muted,
+	}
+}
+
+// run announces until ctx ends.
+func (a *announcer) run(ctx context.Context) {
+	if len(a.options.Entries) == 0 {
+		return
+	}
+	for {
+		if !a.muted() {
+			a.announce()
+		}
+		if !a.clock.Sleep(ctx, a.options.Interval) {
+			return
+		}
+	}
+}
+
+// leave announces the departure at every entry.
+func (a *announcer) leave() {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	for range a.options.Entries {
+		a.announce()
+	}
+}
+
+// announce sends to the next entry that answers. The entry's new challenge is
+// used at once when the former one was too old.
+func (a *announcer) announce() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	wire := a.describe()
+	if a.leaving {
+		wire.State = "leaving"
+	}
+	for range a.options.Entries {
+		entry := a.options.Entries[a.next%len(a.options.Entries)]
+		a.next++
+		if a.sendTwice(entry, wire) {
+			return
+		}
+	}
+}
+
+func (a *announcer) sendTwice(entry string, wire announcementWire) bool {
+	for range 2 {
+		a.sequence++
+		wire.Sequence = a.sequence
+		wire.Challenge = a.challenges[entry]
+		answer, err := a.post(entry, wire)
+		if err != nil {
+			return false
+		}
+		a.challenges[entry] = answer.Challenge
+		if answer.Accepted {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *announcer) post(entry string, wire announcementWire) (acceptanceWire, error) {
+	var answer acceptanceWire
+	body, err := json.Marshal(wire)
+	if err != nil {
+		return answer, errors.Wrap(err, "encode announcement")
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + entry + "/v1/announcements")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	if a.options.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+a.options.Token)
+	}
+	request.SetBody(body)
+	if err := a.client.DoTimeout(request, response, announceTimeout); err != nil {
+		return answer, errors.Wrapf(err, "announce to %s", entry)
+	}
+	return answer, errors.Wrap(json.Unmarshal(response.Body(), &answer), "decode answer")
+}
--- /dev/null
+++ b/stream/chunk.go
@@ -0,0 +1,106 @@
+package stream
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// Chunk is one part of a streamed chat answer.
+type Chunk struct {
+	ID       string
+	Model    string
+	Role     string
+	Text     string
+	Finish   string
+	Position int
+	// Opaque is set when the chunk holds output other than text of the first
+	// choice. Such an answer cannot be continued from its text alone.
+	Opaque bool
+	Usage  Usage
+}
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int
+	CompletionTokens int
+}
+
+type chunkWire struct {
+	ID       string       `json:"id"`
+	Object   string       `json:"object"`
+	Created  int64        `json:"created"`
+	Model    string       `json:"model"`
+	Choices  []choiceWire `json:"choices"`
+	Position int          `json:"position,omitempty"`
+	Usage    *usageWire   `json:"usage,omitempty"`
+}
+
+type choiceWire struct {
+	Index  int       `json:"index"`
+	Delta  deltaWire `json:"delta"`
+	Finish *string   `json:"finish_reason"`
+}
+
+type deltaWire struct {
+	Role      string          `json:"role,omitempty"`
+	Content   string          `json:"content,omitempty"`
+	ToolCalls json.RawMessage `json:"tool_calls,omitempty"`
+}
+
+type usageWire struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// ParseChunk decodes the data of one event of a chat stream.
+func ParseChunk(data []byte) (Chunk, error) {
+	var wire chunkWire
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return Chunk{}, errors.Wrap(err, "decode chunk")
+	}
+	c := Chunk{ID: wire.ID, Model: wire.Model, Position: wire.Position}
+	if wire.Usage != nil {
+		c.Usage = Usage{PromptTokens: wire.Usage.PromptTokens, CompletionTokens: wire.Usage.CompletionTokens}
+	}
+	for _, choice := range wire.Choices {
+		c = c.withChoice(choice)
+	}
+	return c, nil
+}
+
+func (c Chunk) withChoice(choice choiceWire) Chunk {
+	if choice.Index != 0 || len(choice.Delta.ToolCalls) > 0 {
+		c.Opaque = true
+		return c
+	}
+	c.Role = choice.Delta.Role
+	c.Text = choice.Delta.Content
+	if choice.Finish != nil {
+		c.Finish = *choice.Finish
+	}
+	return c
+}
+
+// AppendChunk appends the chunk's JSON to b.
+func AppendChunk(b []byte, c Chunk) []byte {
+	wire := chunkWire{ID: c.ID, Object: "chat.completion.chunk", Model: c.Model, Position: c.Position}
+	choice := choiceWire{Delta: deltaWire{Role: c.Role, Content: c.Text}}
+	if c.Finish != "" {
+		choice.Finish = &c.Finish
+	}
+	wire.Choices = []choiceWire{choice}
+	if c.Usage != (Usage{}) {
+		wire.Usage = &usageWire{
+			PromptTokens:     c.Usage.PromptTokens,
+			CompletionTokens: c.Usage.CompletionTokens,
+			TotalTokens:      c.Usage.PromptTokens + c.Usage.CompletionTokens,
+		}
+	}
+	encoded, err := json.Marshal(wire)
+	if err != nil {
+		panic(errors.Wrap(err, "encode chunk"))
+	}
+	return append(b, encoded...)
+}
--- /dev/null
+++ b/stream/doc.go
@@ -0,0 +1,3 @@
+// Package stream reads and writes server-sent events and keeps the transcript
+// of a streamed answer.
+package stream
