--- /dev/null
+++ b/commands/class.go
@@ -0,0 +1,124 @@
+package commands
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/spf13/cobra"
+
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/control"
+)
+
+func newClass() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "class",
+		Short: "List and change the classes of requests",
+	}
+	addControlFlags(c)
+	c.AddCommand(newClassList(), newClassSet(), newClassDelete())
+	return c
+}
+
+func newClassList() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "list",
+		Short: "List the classes with their targets and tiers",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return withClient(c, func(client *control.Client) error {
+				current, reply := client.Configuration(c.Context())
+				if err := replyFailure(reply); err != nil {
+					return err
+				}
+				return classTable(current).print(c)
+			})
+		},
+	}
+	addOutputFlag(c)
+	return c
+}
+
+type classView struct {
+	Name     string `json:"name"`
+	Tier     int    `json:"tier"`
+	TargetMS int64  `json:"target_ms"`
+	Measure  string `json:"measure"`
+}
+
+func viewClass(c class.Class, _ int) classView {
+	return classView{Name: c.Name(), Tier: int(c.Tier()), TargetMS: int64(c.Target()), Measure: string(c.Measure())}
+}
+
+func classTable(current configuration.Configuration) table {
+	views := lo.Map(current.Classes(), viewClass)
+	rows := lo.Map(views, func(v classView, _ int) []string {
+		return []string{v.Name, strconv.Itoa(v.Tier), strconv.FormatInt(v.TargetMS, 10), v.Measure}
+	})
+	return table{header: []string{"class", "tier", "target_ms", "measure"}, rows: rows, value: views}
+}
+
+func describeClass(c class.Class) string {
+	return fmt.Sprintf("%s (tier %d, target_ms %d, measure %s)", c.Name(), c.Tier(), c.Target(), c.Measure())
+}
+
+func newClassSet() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "set NAME",
+		Short: "Create a class, or change its target or tier",
+		Long: `Create a class, or change its target or tier. A flag that is left out keeps the
+value of an existing class; a new class needs --tier and --target-ms.`,
+		Example: "  galenaslip class set clause-query --tier 1 --target-ms 580 --measure first_token",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return applyChange(c, func(current configuration.Configuration) (configuration.Change, error) {
+				return buildClass(c, current, args[0])
+			})
+		},
+	}
+	c.Flags().Int("tier", 0, fmt.Sprintf("priority, %d (first) to %d", class.HighestTier, class.LowestTier))
+	c.Flags().Int64("target-ms", 0, "latency target in milliseconds")
+	c.Flags().String("measure", "", fmt.Sprintf("what the target is measured to: %q (default) or %q", class.FirstToken, class.Completion))
+	addChangeFlags(c)
+	return c
+}
+
+func buildClass(c *cobra.Command, current configuration.Configuration, name string) (configuration.Change, error) {
+	tier, err := c.Flags().GetInt("tier")
+	if err != nil {
+		return nil, errors.Wrap(err, "cannot read --tier")
+	}
+	target, err := c.Flags().GetInt64("target-ms")
+	if err != nil {
+		return nil, errors.Wrap(err, "cannot read --target-ms")
+	}
+	measure, err := c.Flags().GetString("measure")
+	if err != nil {
+		return nil, errors.Wrap(err, "cannot read --measure")
+	}
+	old, _ := current.Class(name)
+	built, err := class.New(name,
+		lo.CoalesceOrEmpty(class.Tier(tier), old.Tier()),
+		lo.CoalesceOrEmpty(clock.Millis(target), old.Target()),
+		lo.CoalesceOrEmpty(class.Measure(measure), old.Measure(), class.FirstToken))
+	return configuration.SetClass{Class: built}, err
+}
+
+func newClassDelete() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "delete NAME",
+		Short: "Delete a class; requests that name it are refused from then on",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return applyChange(c, func(configuration.Configuration) (configuration.Change, error) {
+				return configuration.DeleteClass{Name: args[0]}, nil
+			})
+		},
+	}
+	addChangeFlags(c)
+	return c
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -14,7 +15,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return int(ExitOK)
 	}
@@ -41,6 +42,10 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
+		newServe(),
+		newStandin(),
+		newClass(),
+		newStop(),
 		newConfig(),
 		newState(),
 		newVersion(),
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,139 @@
+package commands
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/samber/do/v2"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/entry"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/setting"
+)
+
+func newServe() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "serve",
+		Short: "Run one process of the router",
+	}
+	c.AddCommand(
+		newServeRole("entry", "Run an entry: the data path between callers and backend servers", serveEntry),
+		newServeRole("control", "Run a control process: one member of the replicated state", serveControl),
+	)
+	return c
+}
+
+func newServeRole(role, short string, run func(*cobra.Command, string) error) *cobra.Command {
+	c := &cobra.Command{
+		Use:   role,
+		Short: short,
+		Long: short + `.
+
+The process runs until it gets SIGTERM or SIGINT, or until an operator announces
+its planned stop. It then finishes its work and ends with exit code 0.`,
+		Example: "  galenaslip serve " + role + " --settings /etc/galenaslip/" + role + ".yaml",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			path, err := c.Flags().GetString("settings")
+			if err != nil {
+				return errors.Wrap(err, "cannot read --settings")
+			}
+			return run(c, path)
+		},
+	}
+	c.Flags().String("settings", "", "settings file (required)")
+	// The flag was defined in the line above.
+	if err := c.MarkFlagRequired("settings"); err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// process is what serve runs: an entry or a control process.
+type process interface {
+	Address() string
+	Stop(ctx context.Context) error
+}
+
+func serveEntry(c *cobra.Command, path string) error {
+	settings, err := setting.LoadEntry(path)
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	injector, release, err := newInjector(settings.Process)
+	if err != nil {
+		return err
+	}
+	defer release()
+	do.ProvideValue(injector, settings)
+	do.Provide(injector, provideControlClient)
+	do.Provide(injector, provideEntry)
+	e, err := do.Invoke[*entry.Entry](injector)
+	if err != nil {
+		return fail(ExitFailed, errors.Wrap(err, "cannot start the entry"))
+	}
+	return runProcess(c.Context(), do.MustInvoke[event.Logger](injector), e, e.Stopped())
+}
+
+func serveControl(c *cobra.Command, path string) error {
+	settings, err := setting.LoadControl(path)
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	injector, release, err := newInjector(settings.Process)
+	if err != nil {
+		return err
+	}
+	defer release()
+	do.ProvideValue(injector, settings)
+	do.Provide(injector, provideControl)
+	member, err := do.Invoke[*control.Control](injector)
+	if err != nil {
+		return fail(ExitFailed, errors.Wrap(err, "cannot start the control process"))
+	}
+	return runProcess(c.Context(), do.MustInvoke[event.Logger](injector), member, nil)
+}
+
+// newInjector returns a container with the clock and the logger that every
+// process uses.
+func newInjector(p setting.Process) (*do.RootScope, func(), error) {
+	level, err := event.ParseLevel(p.LogLevel)
+	if err != nil {
+		return nil, nil, fail(ExitUsage, err)
+	}
+	logger, flush := event.New(p.Name, level)
+	injector := do.New()
+	do.ProvideValue(injector, clock.New())
+	do.ProvideValue(injector, logger)
+	release := func() {
+		_ = injector.Shutdown()
+		flush()
+	}
+	return injector, release, nil
+}
+
+// runProcess waits for a signal or for the process's own planned stop. A second
+// signal ends the process at once.
+func runProcess(ctx context.Context, logger event.Logger, p process, stopped <-chan struct{}) error {
+	signals, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer release()
+	logger.Log(event.ProcessStarted, zap.String("address", p.Address()))
+	select {
+	case <-signals.Done():
+	case <-stopped:
+	}
+	release()
+	logger.Log(event.ProcessStopping)
+	if err := p.Stop(ctx); err != nil {
+		return fail(ExitFailed, errors.Wrap(err, "graceful stop failed"))
+	}
+	logger.Log(event.ProcessStopped)
+	return nil
+}
--- /dev/null
+++ b/commands/standin.go
@@ -0,0 +1,113 @@
+package commands
+
+import (
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/setting"
+	"github.com/galenaslip/galenaslip/standin"
+)
+
+func newStandin() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in backend server for trials and tests",
+	}
+	c.AddCommand(newStandinEngine(), newStandinLedger())
+	return c
+}
+
+// announceFlags are the flags that both kinds of stand-in have.
+type announceFlags struct {
+	name, listen, zone, tokenFile string
+	entries                       []string
+}
+
+func (f *announceFlags) add(flags *pflag.FlagSet, name string) {
+	flags.StringVar(&f.name, "name", name, "name of the server")
+	flags.StringVar(&f.listen, "listen", "127.0.0.1:0", "IP number and port; port 0 takes a free one")
+	flags.StringVar(&f.zone, "availability-zone", "az-1", "availability zone")
+	flags.StringSliceVar(&f.entries, "announce-to", []string{"127.0.0.1:8080"}, "addresses of entries to announce to")
+	flags.StringVar(&f.tokenFile, "token-file", "", "file with the server's bearer token; its mode must be 0600")
+}
+
+func (f *announceFlags) options() (standin.Announce, error) {
+	for _, a := range append([]string{f.listen}, f.entries...) {
+		if err := setting.CheckAddress(a); err != nil {
+			return standin.Announce{}, failf(ExitUsage, "address %s", err)
+		}
+	}
+	token, err := setting.ReadToken(f.tokenFile)
+	return standin.Announce{Entries: f.entries, Token: token, AvailabilityZone: f.zone}, fail(ExitUsage, err)
+}
+
+func newStandinEngine() *cobra.Command {
+	var f announceFlags
+	var o standin.EngineOptions
+	var tokenTime int64
+	c := &cobra.Command{
+		Use:     "engine",
+		Short:   "Run a stand-in model engine",
+		Example: "  galenaslip standin engine --name engine-1 --models m-small --announce-to 127.0.0.1:8080",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			announce, err := f.options()
+			if err != nil {
+				return err
+			}
+			logger, flush := event.New(f.name, event.Info)
+			defer flush()
+			o.Name, o.Listen, o.Announce = f.name, f.listen, announce
+			o.Clock, o.Logger, o.TokenTime = clock.New(), logger, clock.Millis(tokenTime)
+			engine, release, err := standin.NewEngine(o)
+			if err != nil {
+				return fail(ExitFailed, errors.Wrap(err, "cannot start the stand-in engine"))
+			}
+			defer release()
+			return runProcess(c.Context(), logger, engine, nil)
+		},
+	}
+	f.add(c.Flags(), "engine-1")
+	c.Flags().StringSliceVar(&o.Models, "models", []string{"m-small"}, "models that the engine serves")
+	c.Flags().Int64Var(&tokenTime, "token-time-ms", 20, "time of one step with one request, in milliseconds")
+	c.Flags().Float64Var(&o.PrefillRate, "prefill-rate", 0, "prompt tokens a second; 0 takes the default")
+	c.Flags().IntVar(&o.Slots, "slots", 16, "requests that run at the same time")
+	c.Flags().BoolVar(&o.IgnoreFencing, "ignore-fencing", false, "run orders with an old fencing token")
+	return c
+}
+
+func newStandinLedger() *cobra.Command {
+	var f announceFlags
+	var services []string
+	var latency int64
+	c := &cobra.Command{
+		Use:     "ledger",
+		Short:   "Run a stand-in plain service that counts how often each key ran",
+		Example: "  galenaslip standin ledger --name ledger-1 --services ledger --announce-to 127.0.0.1:8080",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			announce, err := f.options()
+			if err != nil {
+				return err
+			}
+			logger, flush := event.New(f.name, event.Info)
+			defer flush()
+			service, release, err := standin.NewService(standin.ServiceOptions{
+				Name: f.name, Listen: f.listen, Services: services, Announce: announce,
+				Clock: clock.New(), Logger: logger, Latency: clock.Millis(latency),
+			})
+			if err != nil {
+				return fail(ExitFailed, errors.Wrap(err, "cannot start the stand-in service"))
+			}
+			defer release()
+			return runProcess(c.Context(), logger, service, nil)
+		},
+	}
+	f.add(c.Flags(), "ledger-1")
+	c.Flags().StringSliceVar(&services, "services", []string{"ledger"}, "services that the server offers")
+	c.Flags().Int64Var(&latency, "latency-ms", 5, "time of one call, in milliseconds")
+	return c
+}
--- a/setting/check.go
+++ b/setting/check.go
@@ -183,14 +183,8 @@
 // checkVoters refuses a first membership that cannot lose a member: an even
 // number of voters bears no more failures than one fewer.
 func (d document) checkVoters(members []Member) error {
-	voters := 0
-	for _, m := range members {
-		if m.Voter {
-			voters++
-		}
-	}
-	if voters%2 == 0 {
-		return d.errorAt("$.members", "members has %d voters: want an odd number, one in each availability zone", voters)
+	if voters := len(members); voters%2 == 0 {
+		return d.errorAt("$.members", "members lists %d voters: want an odd number, one in each availability zone", voters)
 	}
 	return nil
 }
@@ -209,7 +203,7 @@
 		{"stop_wait_ms", int64(e.StopWait), 0, 600_000},
 		{"silence_timeout_ms", int64(e.SilenceTimeout), minSilenceTimeoutMS, 600_000},
 		{"call_timeout_ms", int64(e.CallTimeout), 100, 3_600_000},
-		{"retry_percentage", int64(e.RetryPercentage), 0, 100},
+		{"retry_percentage", int64(e.RetryPercentage), 1, 100},
 	}
 }
 
--- a/setting/codec.go
+++ b/setting/codec.go
@@ -54,7 +54,6 @@
 	Name             string `yaml:"name"`
 	Address          string `yaml:"address"`
 	AvailabilityZone string `yaml:"availability_zone"`
-	Voter            bool   `yaml:"voter"`
 }
 
 // document is a settings file with its syntax tree, which gives the line of each
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -71,10 +71,9 @@
 	OrdersPerMinute int
 }
 
-// Member is a control process of the first membership.
+// Member is a control process of the first membership, a voter.
 type Member struct {
 	Name             string
 	Address          string
 	AvailabilityZone string
-	Voter            bool
 }
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -22,7 +22,7 @@
 listen: 127.0.0.1:8081
 data_folder: /var/lib/galenaslip
 members:
-  - {name: control-1, address: "127.0.0.1:8081", availability_zone: az-1, voter: true}
+  - {name: control-1, address: "127.0.0.1:8081", availability_zone: az-1}
 `
 
 // Guards against a wrong setting being accepted, and against an error that does
@@ -45,7 +45,7 @@
 		{name: "tokens missing", content: strings.Replace(validEntry, "127.0.0.1:8080", "10.0.0.1:8080", 1), want: "is missing"},
 		{name: "advertise any address", content: validEntry + "advertise: 0.0.0.0:80\n", want: ":6: advertise"},
 		{name: "relative folder", content: strings.Replace(validControl, "/var/lib", "var", 1), want: ":5: data_folder"},
-		{name: "even voters", content: validControl + `  - {name: control-2, address: "127.0.0.1:8082", voter: true}` + "\n", want: "2 voters"},
+		{name: "even voters", content: validControl + `  - {name: control-2, address: "127.0.0.1:8082"}` + "\n", want: "2 voters"},
 		{name: "not YAML", content: "role: [", want: "s.yaml"},
 		{name: "empty", content: "", want: "role"},
 	}
