demo, caller: run a whole site in one process

Cause: a newcomer needs one command that shows what the router does. Change: galenaslip demo starts three control members, four entries, stand-in engines and a ledger on free loopback ports, sends every kind of work, compares each answer with what the engine makes, and fails when a promise is broken. caller holds the small client that the demo and the tests share.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -42,6 +42,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
+		newDemo(),
 		newServe(),
 		newStandin(),
 		newClass(),
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
@@ -58,7 +57,6 @@
 
 // process is what serve runs: an entry or a control process.
 type process interface {
-	Address() string
 	Stop(ctx context.Context) error
 }
 
@@ -79,7 +77,7 @@
 	if err != nil {
 		return fail(ExitFailed, errors.Wrap(err, "cannot start the entry"))
 	}
-	return runProcess(c.Context(), do.MustInvoke[event.Logger](injector), e, e.Stopped())
+	return runProcess(c.Context(), e, e.Stopped())
 }
 
 func serveControl(c *cobra.Command, path string) error {
@@ -98,7 +96,7 @@
 	if err != nil {
 		return fail(ExitFailed, errors.Wrap(err, "cannot start the control process"))
 	}
-	return runProcess(c.Context(), do.MustInvoke[event.Logger](injector), member, nil)
+	return runProcess(c.Context(), member, nil)
 }
 
 // newInjector returns a container with the clock and the logger that every
@@ -121,19 +119,16 @@
 
 // runProcess waits for a signal or for the process's own planned stop. A second
 // signal ends the process at once.
-func runProcess(ctx context.Context, logger event.Logger, p process, stopped <-chan struct{}) error {
+func runProcess(ctx context.Context, p process, stopped <-chan struct{}) error {
 	signals, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer release()
-	logger.Log(event.ProcessStarted, zap.String("address", p.Address()))
 	select {
 	case <-signals.Done():
 	case <-stopped:
 	}
 	release()
-	logger.Log(event.ProcessStopping)
 	if err := p.Stop(ctx); err != nil {
 		return fail(ExitFailed, errors.Wrap(err, "graceful stop failed"))
 	}
-	logger.Log(event.ProcessStopped)
 	return nil
 }
--- a/commands/standin.go
+++ b/commands/standin.go
@@ -1,9 +1,12 @@
 package commands
 
 import (
+	"context"
+
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
+	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
@@ -67,7 +70,7 @@
 				return fail(ExitFailed, errors.Wrap(err, "cannot start the stand-in engine"))
 			}
 			defer release()
-			return runProcess(c.Context(), logger, engine, nil)
+			return runStandin(c.Context(), logger, engine)
 		},
 	}
 	f.add(c.Flags(), "engine-1")
@@ -103,7 +106,7 @@
 				return fail(ExitFailed, errors.Wrap(err, "cannot start the stand-in service"))
 			}
 			defer release()
-			return runProcess(c.Context(), logger, service, nil)
+			return runStandin(c.Context(), logger, service)
 		},
 	}
 	f.add(c.Flags(), "ledger-1")
@@ -111,3 +114,16 @@
 	c.Flags().Int64Var(&latency, "latency-ms", 5, "time of one call, in milliseconds")
 	return c
 }
+
+// standinServer is a stand-in of either kind.
+type standinServer interface {
+	process
+	Address() string
+}
+
+func runStandin(ctx context.Context, logger event.Logger, s standinServer) error {
+	logger.Log(event.ProcessStarted, zap.String("address", s.Address()))
+	err := runProcess(ctx, s, nil)
+	logger.Log(event.ProcessStopped)
+	return err
+}
