--- a/commands/commands.go
+++ b/commands/commands.go
@@ -49,6 +49,7 @@
 		newStop(),
 		newConfig(),
 		newState(),
+		newKey(),
 		newVersion(),
 	)
 	return root
--- /dev/null
+++ b/commands/path_test.go
@@ -0,0 +1,81 @@
+package commands_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenaslip/galenaslip/caller"
+	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/standin"
+)
+
+// Guards against parts that work alone but not as separate processes: one
+// streamed request, one whole request and one posting, end to end, then a planned
+// stop by SIGTERM that must end with exit code 0.
+func TestPath(t *testing.T) {
+	s := newSite(t, 2)
+	c := caller.New()
+	want := strings.Join(standin.Answer("m-small", "a clause [tokens=30]"), "")
+	streamed, err := c.Stream(query(t, s.entries[0], "a clause [tokens=30]", true))
+	if got := streamed.Text; err != nil || got != want {
+		t.Errorf("streamed answer: got %q (%v), want %q", got, err, want)
+	}
+	whole, err := c.Whole(query(t, s.entries[1], "a clause [tokens=30]", false))
+	if got := whole.Text; err != nil || got != want {
+		t.Errorf("whole answer: got %q (%v), want %q", got, err, want)
+	}
+	s.checkPosting(t, c)
+	for _, p := range append(s.entryProcess, s.controls...) {
+		if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := p.exitCode(t), 0; got != want {
+			t.Errorf("exit code after SIGTERM: got %d, want %d", got, want)
+		}
+	}
+}
+
+func posting(address, key string) caller.Request {
+	return caller.Request{
+		Entry: address, Class: "posting", Workspace: "w", Key: key,
+		Method: http.MethodPost, Path: "/v1/services/ledger/postings", Body: []byte(`{"premium":1}`),
+	}
+}
+
+func (s *site) checkPosting(t *testing.T, c *caller.Caller) {
+	t.Helper()
+	key := uuid.Must(uuid.NewV7()).String()
+	first, err := c.Call(posting(s.entries[0], key))
+	if err != nil || first.Outcome != outcome.Answered {
+		t.Fatalf("posting: got %+v (%v), want it answered", first, err)
+	}
+	second, err := c.Call(posting(s.entries[1], key))
+	if got, want := second.Text, first.Text; err != nil || got != want {
+		t.Errorf("repeated posting at another entry: got %q (%v), want %q", got, err, want)
+	}
+	if got, want := s.runs(t)[key], 1; got != want {
+		t.Errorf("runs of the posting: got %d, want %d", got, want)
+	}
+}
+
+// runs returns how often the ledger ran each key.
+func (s *site) runs(t *testing.T) map[string]int {
+	t.Helper()
+	_, body, err := fasthttp.Get(nil, "http://"+s.ledger+"/stand-in/state")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var state struct {
+		Runs map[string]int `json:"runs"`
+	}
+	if err := json.Unmarshal(body, &state); err != nil {
+		t.Fatal(err)
+	}
+	return state.Runs
+}
