--- a/commands/standin.go
+++ b/commands/standin.go
@@ -19,7 +19,7 @@
 		Use:   "standin",
 		Short: "Run a stand-in backend server for trials and tests",
 	}
-	c.AddCommand(newStandinEngine(), newStandinLedger())
+	c.AddCommand(newStandinEngine(), newStandinLedger(), newStandinFleet())
 	return c
 }
 
@@ -115,6 +115,39 @@
 	return c
 }
 
+func newStandinFleet() *cobra.Command {
+	var f announceFlags
+	var o standin.FleetOptions
+	c := &cobra.Command{
+		Use:     "fleet",
+		Short:   "Announce many engines that do not exist, to measure an entry",
+		Example: "  galenaslip standin fleet --count 260 --models 36 --announce-to 127.0.0.1:8080",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			announce, err := f.options()
+			if err != nil {
+				return err
+			}
+			o.Prefix, o.Announce, o.Clock = f.name+"-", announce, clock.New()
+			_, release := standin.NewFleet(o)
+			return runProcess(c.Context(), releaser(release), nil)
+		},
+	}
+	f.add(c.Flags(), "fleet")
+	c.Flags().IntVar(&o.Count, "count", 100, "number of engines")
+	c.Flags().IntVar(&o.Models, "models", 1, "number of models; each engine serves one")
+	return c
+}
+
+// releaser is a process whose stop is its clean-up function.
+type releaser func()
+
+// Stop implements process.
+func (r releaser) Stop(context.Context) error {
+	r()
+	return nil
+}
+
 // standinServer is a stand-in of either kind.
 type standinServer interface {
 	process
