--- a/commands/failure_test.go
+++ b/commands/failure_test.go
@@ -27,7 +27,7 @@
 	} `json:"group"`
 }
 
-func (s *site) controlState(t *testing.T, i int) (controlState, bool) {
+func (s *site) controlState(t testing.TB, i int) (controlState, bool) {
 	t.Helper()
 	output, code := s.runPlain("state", s.controlAddress[i])
 	var state controlState
@@ -35,7 +35,7 @@
 }
 
 // leader returns the index of the control process that leads.
-func (s *site) leader(t *testing.T) int {
+func (s *site) leader(t testing.TB) int {
 	t.Helper()
 	found := -1
 	eventually(t, "a control process leads", func() bool {
@@ -50,13 +50,13 @@
 	return found
 }
 
-func (s *site) restartControl(t *testing.T, i int) {
+func (s *site) restartControl(t testing.TB, i int) {
 	t.Helper()
 	s.controls[i] = start(t, "serve", "control", "--settings", s.controlFiles[i])
 	s.controls[i].address(t)
 }
 
-func kill(t *testing.T, p *process, signal syscall.Signal) {
+func kill(t testing.TB, p *process, signal syscall.Signal) {
 	t.Helper()
 	if err := p.command.Process.Signal(signal); err != nil {
 		t.Fatal(err)
--- a/commands/site_test.go
+++ b/commands/site_test.go
@@ -60,7 +60,7 @@
 	ended   chan struct{}
 }
 
-func start(t *testing.T, args ...string) *process {
+func start(t testing.TB, args ...string) *process {
 	t.Helper()
 	path, err := binary()
 	if err != nil {
@@ -98,7 +98,7 @@
 	_ = p.command.Wait()
 }
 
-func (p *process) address(t *testing.T) string {
+func (p *process) address(t testing.TB) string {
 	t.Helper()
 	late, release := wall.After(startLimit)
 	defer release()
@@ -114,7 +114,7 @@
 }
 
 // exitCode waits for the process to end.
-func (p *process) exitCode(t *testing.T) int {
+func (p *process) exitCode(t testing.TB) int {
 	t.Helper()
 	late, release := wall.After(startLimit)
 	defer release()
@@ -127,7 +127,7 @@
 	}
 }
 
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	deadline := wall.Now() + startLimit
 	for !condition() {
@@ -149,7 +149,7 @@
 	engineProcess  *process
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -159,7 +159,7 @@
 	return l.Addr().String()
 }
 
-func writeSettings(t *testing.T, folder, name, content string) string {
+func writeSettings(t testing.TB, folder, name, content string) string {
 	t.Helper()
 	path := filepath.Join(folder, name+".yaml")
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
@@ -168,7 +168,7 @@
 	return path
 }
 
-func newSite(t *testing.T, entries int) *site {
+func newSite(t testing.TB, entries int) *site {
 	t.Helper()
 	s := &site{}
 	folder := t.TempDir()
@@ -176,13 +176,7 @@
 	s.runOK(t, "class", "set", "clause-query", "--tier", "1", "--target-ms", "580")
 	s.runOK(t, "class", "set", "posting", "--tier", "1", "--target-ms", "2000", "--measure", "completion")
 	for i := range entries {
-		name := fmt.Sprintf("entry-%d", i+1)
-		path := writeSettings(t, folder, name, fmt.Sprintf(
-			"role: entry\nname: %s\navailability_zone: az-1\nlisten: %s\ncontrol: [%s]\nstop_wait_ms: 100\n",
-			name, freeAddress(t), strings.Join(s.controlAddress, ", ")))
-		p := start(t, "serve", "entry", "--settings", path)
-		s.entryProcess = append(s.entryProcess, p)
-		s.entries = append(s.entries, p.address(t))
+		s.startEntry(t, folder, i)
 	}
 	announce := strings.Join(s.entries, ",")
 	s.engineProcess = start(t, "standin", "engine", "--announce-to", announce, "--token-time-ms", "5")
@@ -192,7 +186,18 @@
 	return s
 }
 
-func (s *site) startControl(t *testing.T, folder string) {
+func (s *site) startEntry(t testing.TB, folder string, i int) {
+	t.Helper()
+	name := fmt.Sprintf("entry-%d", i+1)
+	path := writeSettings(t, folder, name, fmt.Sprintf(
+		"role: entry\nname: %s\navailability_zone: az-%d\nlisten: %s\ncontrol: [%s]\nstop_wait_ms: 100\n",
+		name, i%3+1, freeAddress(t), strings.Join(s.controlAddress, ", ")))
+	p := start(t, "serve", "entry", "--settings", path)
+	s.entryProcess = append(s.entryProcess, p)
+	s.entries = append(s.entries, p.address(t))
+}
+
+func (s *site) startControl(t testing.TB, folder string) {
 	t.Helper()
 	members := ""
 	for i := range 3 {
@@ -229,7 +234,7 @@
 }
 
 // runOK repeats a command while the control group is not available.
-func (s *site) runOK(t *testing.T, args ...string) {
+func (s *site) runOK(t testing.TB, args ...string) {
 	t.Helper()
 	eventually(t, fmt.Sprintf("command %v succeeds", args), func() bool {
 		_, code := s.run(args...)
@@ -237,7 +242,7 @@
 	})
 }
 
-func (s *site) awaitServers(t *testing.T) {
+func (s *site) awaitServers(t testing.TB) {
 	t.Helper()
 	c := caller.New()
 	for _, address := range s.entries {
@@ -252,7 +257,7 @@
 	}
 }
 
-func query(t *testing.T, address, prompt string, streamed bool) caller.Request {
+func query(t testing.TB, address, prompt string, streamed bool) caller.Request {
 	t.Helper()
 	r, err := caller.Chat(address, "clause-query", "w", "m-small", prompt, streamed)
 	if err != nil {
