--- a/journal/main_test.go
+++ b/journal/main_test.go
@@ -6,10 +6,13 @@
 	"testing"
 )
 
-// TestMain fixes the seed of property tests unless the command line sets it.
+// TestMain fixes the seed of property tests unless the command line sets it. A
+// failure prints its seed, so no file is needed to repeat it.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	flag.Parse()
 	os.Exit(m.Run())
--- a/replica/codec.go
+++ b/replica/codec.go
@@ -127,10 +127,12 @@
 	Previous []string     `json:"previous,omitempty"`
 	Leaving  []string     `json:"leaving,omitempty"`
 	Removed  []string     `json:"removed,omitempty"`
+
+	Lives map[string]string `json:"lives,omitempty"`
 }
 
 func encodeMembership(m membership) []byte {
-	w := wireMembership{Epoch: m.epoch, Previous: m.previous, Leaving: m.leaving, Removed: m.removed}
+	w := wireMembership{Epoch: m.epoch, Previous: m.previous, Leaving: m.leaving, Removed: m.removed, Lives: m.lives}
 	for _, member := range m.members {
 		w.Members = append(w.Members, wireMember(member))
 	}
@@ -146,7 +148,7 @@
 	if err := decodeStrict(data, &w); err != nil {
 		return membership{}, errors.Wrap(err, "replica: decode membership")
 	}
-	m := membership{epoch: w.Epoch, previous: w.Previous, leaving: w.Leaving, removed: w.Removed}
+	m := membership{epoch: w.Epoch, previous: w.Previous, leaving: w.Leaving, removed: w.Removed, lives: w.Lives}
 	for _, member := range w.Members {
 		m.members = append(m.members, Member(member))
 	}
--- a/replica/core.go
+++ b/replica/core.go
@@ -32,13 +32,13 @@
 const (
 	// entryOverhead approximates the bytes of an entry besides its data.
 	entryOverhead = 64
-	// maxAppendBytes bounds one append message and one batch for the disk.
-	maxAppendBytes = 1 << 20
-	// snapshotPart is the size of one part of a snapshot in transfer.
-	snapshotPart = 256 << 10
-	// keptEntries stay in memory after a snapshot, for followers that are only
-	// slightly behind.
-	keptEntries = 1024
+	// defaultAppendBytes bounds one append message and one batch for the disk.
+	defaultAppendBytes = 1 << 20
+	// defaultPartBytes is the size of one part of a snapshot in transfer.
+	defaultPartBytes = 256 << 10
+	// defaultKept entries stay in memory after a snapshot, for followers that are
+	// only slightly behind.
+	defaultKept = 1024
 	// promotionLag is the number of entries that a learner may be behind when it
 	// becomes a voter; it receives them in one append message.
 	promotionLag = 64
@@ -52,8 +52,18 @@
 	heartbeat clock.Millis
 	election  clock.Millis
 	seed      uint64
+	limits    limits
 }
 
+// limits bound memory and messages.
+type limits struct {
+	kept        uint64 // entries that stay in memory after a snapshot
+	appendBytes int    // of an append message and of a batch for the disk
+	partBytes   uint64 // of a part of a snapshot
+}
+
+var defaultLimits = limits{kept: defaultKept, appendBytes: defaultAppendBytes, partBytes: defaultPartBytes}
+
 // lease is shorter than the time for which voters refuse votes.
 func (o coreOptions) lease() clock.Millis { return o.election - o.election/10 }
 
@@ -203,6 +213,12 @@
 // mayVote reports whether this member may take part in elections at all.
 func (c *core) mayVote() bool { return c.founded && !c.outside }
 
+// mayLead reports whether this member campaigns. A voter whose removal is not
+// committed still does: its log may be the only one that can win the election.
+func (c *core) mayLead() bool {
+	return c.current().value.votes(c.identity()) || c.committed().value.votes(c.identity())
+}
+
 func (c *core) resetElection(now clock.Millis) {
 	jitter := clock.Millis(c.random.Int64N(int64(c.options.election)))
 	c.electionDue = now + c.options.election + jitter
@@ -229,8 +245,10 @@
 	switch {
 	case !c.founded:
 		c.sayHello()
-	case c.mayVote() && c.current().value.votes(c.identity()):
+	case c.mayVote() && c.mayLead():
 		c.preCampaign()
+	case c.mayVote():
+		c.askMembership()
 	}
 }
 
@@ -253,7 +271,12 @@
 		c.leaveOffice(now)
 		return
 	}
-	if !c.founded || c.outside || !c.admit(now, m) || !c.stepTerm(now, m) {
+	if !c.founded {
+		// The sender may be the only one left that knows the founding lives.
+		c.send(m.From, Message{Kind: MessageHello, Life: c.vote.Life})
+		return
+	}
+	if c.outside || !c.admit(now, m) || !c.stepTerm(now, m) {
 		return
 	}
 	c.dispatch(now, m)
@@ -394,7 +417,7 @@
 	if c.handed >= c.commit {
 		return task{}, false
 	}
-	entries := c.log.slice(c.handed+1, maxAppendBytes)
+	entries := c.log.slice(c.handed+1, c.options.limits.appendBytes)
 	entries = entries[:min(uint64(len(entries)), c.commit-c.handed)]
 	c.handed += uint64(len(entries))
 	return task{entries: entries}, true
@@ -411,7 +434,7 @@
 		vote := c.vote
 		b.vote = &vote
 	}
-	b.entries = c.log.slice(c.unsaved, maxAppendBytes)
+	b.entries = c.log.slice(c.unsaved, c.options.limits.appendBytes)
 	c.unsaved += uint64(len(b.entries))
 	if c.unsaved > c.log.last() {
 		// Replies may speak for entries that are only in a later batch.
--- a/replica/election.go
+++ b/replica/election.go
@@ -40,6 +40,13 @@
 	c.askVotes(Message{Kind: MessagePreVote, Term: c.vote.Term + 1})
 }
 
+// askMembership asks the voters for a vote that would not count. A learner that
+// no leader sends to learns in this way that it was removed.
+func (c *core) askMembership() {
+	c.leader = Member{}
+	c.askVotes(Message{Kind: MessagePreVote, Term: c.vote.Term + 1})
+}
+
 func (c *core) campaign(now clock.Millis, transfer bool) {
 	c.role, c.leader = Candidate, Member{}
 	c.vote.Term++
--- a/replica/founding.go
+++ b/replica/founding.go
@@ -34,7 +34,14 @@
 		c.queue(m.From, Message{Kind: MessageHelloReply, Life: c.vote.Life})
 		return
 	}
-	c.queue(m.From, Message{Kind: MessageHelloReply, Lives: c.vote.Lives})
+	c.queue(m.From, Message{Kind: MessageHelloReply, Lives: c.foundingLives()})
+}
+
+func (c *core) foundingLives() map[string]string {
+	if len(c.vote.Lives) > 0 {
+		return c.vote.Lives
+	}
+	return c.current().value.lives
 }
 
 func (c *core) onHelloReply(m Message) {
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -38,6 +38,10 @@
 	Replaces string
 }
 
+// ReasonRemoved is the reason of a Refused AddLearner for an identity that has
+// been in the group. The member has to call Abandon and join under a new one.
+const ReasonRemoved = "the identity was removed; join under a new one"
+
 // maxRemoved bounds the list of removed identities. Older ones are safe to
 // forget: their terms are old and pre-vote keeps them from disturbing.
 const maxRemoved = 256
@@ -51,6 +55,9 @@
 	previous []string
 	leaving  []string // removed when the change ends
 	removed  []string // may never come back
+	// lives are the founding folders, so that members that joined later can tell
+	// them to a founding member that was away.
+	lives map[string]string
 }
 
 func (m membership) find(identity string) (Member, bool) {
@@ -104,13 +111,13 @@
 	case change.Kind == AddLearner && known:
 		return m, "the identity is already a member"
 	case change.Kind == AddLearner && m.isRemoved(change.Member.Identity):
-		return m, "the identity was removed; join under a new one"
+		return m, ReasonRemoved
 	case change.Kind != AddLearner && !known:
 		return m, "the identity is not a member"
 	case (change.Kind == Promote || change.Kind == Replace) && current.Voter:
 		return m, "the member is already a voter"
 	}
-	next := membership{epoch: m.epoch, members: slices.Clone(m.members), removed: m.removed}
+	next := membership{epoch: m.epoch, members: slices.Clone(m.members), removed: m.removed, lives: m.lives}
 	switch change.Kind {
 	case AddLearner:
 		learner := change.Member
@@ -161,7 +168,7 @@
 
 // settled returns the membership after the former voters have been let go.
 func (m membership) settled() membership {
-	next := membership{epoch: m.epoch}
+	next := membership{epoch: m.epoch, lives: m.lives}
 	next.members = lo.Reject(m.members, func(x Member, _ int) bool { return slices.Contains(m.leaving, x.Identity) })
 	next.removed = append(slices.Clone(m.removed), m.leaving...)
 	if extra := len(next.removed) - maxRemoved; extra > 0 {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -197,6 +197,7 @@
 		heartbeat: o.Heartbeat,
 		election:  o.Election,
 		seed:      o.Seed,
+		limits:    defaultLimits,
 	}
 }
 
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -55,7 +55,11 @@
 	}
 	// The membership is repeated as the first entry of the term. It commits
 	// earlier entries, and tells it to members that joined without it.
-	c.appendOwn(now, []journal.Entry{{Kind: entryMembership, Data: encodeMembership(c.current().value)}})
+	repeated := c.current().value
+	if len(repeated.lives) == 0 {
+		repeated.lives = c.vote.Lives
+	}
+	c.appendOwn(now, []journal.Entry{{Kind: entryMembership, Data: encodeMembership(repeated)}})
 	c.heartbeat(now)
 	c.sendAll(now)
 }
@@ -216,7 +220,7 @@
 	}
 	c.send(p.identity, Message{
 		Kind: MessageAppend, Index: before, LogTerm: term, Commit: c.commit,
-		Entries: c.log.slice(p.next, maxAppendBytes),
+		Entries: c.log.slice(p.next, c.options.limits.appendBytes),
 	})
 }
 
@@ -370,7 +374,8 @@
 		return "the identity is not a member"
 	case now-p.heardAt >= c.options.election:
 		return "the learner does not answer"
-	case p.match+promotionLag < c.commit:
+	case p.match < c.current().index || p.match+promotionLag < c.commit:
+		// It must also know the membership, or it could not take part in elections.
 		return "the learner has not caught up"
 	default:
 		return ""
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -21,7 +21,7 @@
 		p.snapshot, p.offset = &snapshot, 0
 	}
 	s := p.snapshot
-	end := min(uint64(len(s.Data)), p.offset+snapshotPart)
+	end := min(uint64(len(s.Data)), p.offset+c.options.limits.partBytes)
 	c.send(p.identity, Message{
 		Kind: MessageSnapshot, Index: s.Index, LogTerm: s.Term, Members: s.Members,
 		Offset: p.offset, Data: s.Data[p.offset:end], Done: end == uint64(len(s.Data)),
@@ -102,8 +102,8 @@
 	}
 	s := journal.Snapshot{Index: index, Term: term, Members: encodeMembership(placed.value), Data: data}
 	c.snapshot, c.newSnapshot = s, &s
-	if index > keptEntries {
-		c.compact(index - keptEntries)
+	if kept := c.options.limits.kept; index > kept {
+		c.compact(index - kept)
 	}
 }
 
