--- /dev/null
+++ b/replica/main_test.go
@@ -0,0 +1,19 @@
+package replica_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of property tests unless the command line sets it. A
+// failure prints its seed, so no file is needed to repeat it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
