--- /dev/null
+++ b/lease/benchmark_test.go
@@ -0,0 +1,84 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/lease"
+)
+
+// roundTrip renews once with everything that a renewal costs besides the network:
+// both codecs, the grantor and the holder. It returns the bytes sent both ways.
+func roundTrip(b *testing.B, g *lease.Grantor, h *lease.Holder, at clock.Millis, claims int) int {
+	b.Helper()
+	renewal, number := h.Request(at, claims, nil, false)
+	request, err := lease.EncodeRenewal(renewal)
+	if err != nil {
+		b.Fatal(err)
+	}
+	decoded, err := lease.DecodeRenewal(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	answer, err := lease.EncodeGrant(g.Renew(at, configuration.Configuration{}, decoded))
+	if err != nil {
+		b.Fatal(err)
+	}
+	grant, err := lease.DecodeGrant(answer)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if !h.Accept(at, number, grant) {
+		b.Fatal("the lease was not prolonged")
+	}
+	return len(request) + len(answer)
+}
+
+// BenchmarkRenewal compares one renewal per process for all that it holds with
+// one renewal for each lease. One operation renews all leases of a process.
+func BenchmarkRenewal(b *testing.B) {
+	for _, leases := range []int{1, 100, 10_000} {
+		for _, messages := range lo.Uniq([]int{1, leases}) {
+			name := fmt.Sprintf("leases=%d/messages=%d", leases, messages)
+			b.Run(name, func(b *testing.B) {
+				g, h := lease.NewGrantor(), lease.NewHolder("entry-1", 1, "10.0.0.1:8080", "az-1")
+				g.Lead(0, 1)
+				bytes, at := 0, clock.Millis(0)
+				for b.Loop() {
+					at += lease.Interval
+					for range messages {
+						bytes += roundTrip(b, g, h, at, leases/messages)
+					}
+				}
+				b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
+				b.ReportMetric(float64(b.N*messages)/b.Elapsed().Seconds(), "renewals/s")
+			})
+		}
+	}
+}
+
+// BenchmarkEntries shows what the list of entries in each grant costs as the
+// number of entries grows.
+func BenchmarkEntries(b *testing.B) {
+	for _, entries := range []int{4, 40, 460} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			g := lease.NewGrantor()
+			g.Lead(0, 1)
+			for i := range entries {
+				g.Renew(0, configuration.Configuration{}, lease.Renewal{
+					Entry: fmt.Sprintf("entry-%d", i), Address: "10.0.0.1:8080", AvailabilityZone: "az-1",
+				})
+			}
+			h := lease.NewHolder("entry-1", 1, "10.0.0.1:8080", "az-1")
+			bytes := 0
+			for b.Loop() {
+				bytes += roundTrip(b, g, h, 1, 0)
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
+		})
+	}
+}
--- /dev/null
+++ b/membership/policy_test.go
@@ -0,0 +1,135 @@
+package membership_test
+
+import (
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/membership"
+)
+
+// Property tests draw the same cases in every run; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func voter(identity, zone string, silent clock.Millis) membership.Member {
+	return membership.Member{Identity: identity, Name: identity, AvailabilityZone: zone, Voter: true, Silent: silent}
+}
+
+func learner(identity, name, zone string, silent clock.Millis, behind uint64) membership.Member {
+	return membership.Member{Identity: identity, Name: name, AvailabilityZone: zone, Silent: silent, Behind: behind}
+}
+
+// Guards against a voter that is replaced too early or not at all, and against a
+// learner that is promoted while it is lost, behind or in a zone that has a vote.
+func TestDecide(t *testing.T) {
+	lost, leader := membership.LostAfter, membership.Member{Identity: "a", Name: "a", AvailabilityZone: "z1", Voter: true, Leader: true}
+	tests := []struct {
+		name    string
+		members []membership.Member
+		want    membership.Action
+	}{
+		{"all well", []membership.Member{voter("b", "z2", 0), voter("c", "z3", lost-1), learner("d", "d", "z1", 0, 0)}, membership.Action{}},
+		{"lost", []membership.Member{voter("b", "z2", 0), voter("c", "z3", lost), learner("d", "d", "z1", 0, 0)}, membership.Action{Remove: "c", Promote: "d"}},
+		{"no learner", []membership.Member{voter("b", "z2", 0), voter("c", "z3", lost)}, membership.Action{}},
+		{"learner lost", []membership.Member{voter("c", "z3", lost), learner("d", "d", "z1", lost, 0)}, membership.Action{}},
+		{"learner behind", []membership.Member{voter("c", "z3", lost), learner("d", "d", "z1", 0, 65)}, membership.Action{}},
+		{"zone without a vote", []membership.Member{voter("b", "z2", 0), voter("c", "z3", lost), learner("d", "d", "z1", 0, 0), learner("e", "e", "z3", 0, 9)}, membership.Action{Remove: "c", Promote: "e"}},
+		{"returned with a new identity", []membership.Member{voter("c", "z3", 0), learner("c2", "c", "z3", 0, 0), learner("d", "d", "z1", 0, 0)}, membership.Action{Remove: "c", Promote: "c2"}},
+		{"returned, not caught up", []membership.Member{voter("c", "z3", 500), learner("c2", "c", "z3", 0, 900)}, membership.Action{}},
+		{"learner's former identity", []membership.Member{voter("c", "z3", 0), learner("d", "d", "z1", lost, 0), learner("d2", "d", "z1", 0, 0)}, membership.Action{Remove: "d"}},
+		{"learner lost, VM not back", []membership.Member{voter("c", "z3", 0), learner("d", "d", "z1", lost, 0), learner("e", "e", "z2", 0, 0)}, membership.Action{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := membership.New(0)
+			for at := clock.Second; at < lost; at += clock.Second {
+				p.Decide(at, nil)
+			}
+			got, ok := p.Decide(lost, append([]membership.Member{leader}, tt.members...))
+			if got != tt.want || ok != (tt.want != membership.Action{}) {
+				t.Errorf("got %+v (%v), want %+v", got, ok, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a leader that was frozen or is new and takes its own pause for
+// the loss of the others.
+func TestPauseProvesNothing(t *testing.T) {
+	members := []membership.Member{voter("c", "z3", 1<<40), learner("d", "d", "z1", 0, 0)}
+	p := membership.New(1 << 30)
+	start := clock.Millis(1 << 30)
+	decide := func(after clock.Millis) bool {
+		_, ok := p.Decide(start+after, members)
+		return ok
+	}
+	for after := clock.Second; after < membership.LostAfter; after += clock.Second {
+		if decide(after) {
+			t.Fatalf("a new leader replaced a voter after %d ms", after)
+		}
+	}
+	pause := 60 * clock.Second
+	for after := pause; after < pause+membership.LostAfter; after += clock.Second {
+		if decide(after) {
+			t.Fatalf("a leader replaced a voter %d ms after it was frozen", after-pause)
+		}
+	}
+	if !decide(pause + membership.LostAfter) {
+		t.Error("the lost voter was not replaced")
+	}
+}
+
+// Guards against a change that leaves fewer voters than before, removes the
+// leader, or gives an identity that left its vote back. Members fail and return
+// at random, and each decision is carried out.
+func TestVotersStay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := []membership.Member{{Identity: "a", Name: "a", Voter: true, Leader: true}, voter("b", "", 0), voter("c", "", 0), learner("d", "d", "", 0, 0)}
+		p, at, removed, joined := membership.New(0), clock.Millis(0), map[string]bool{}, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			at += 2 * clock.Second
+			for i := range members[1:] {
+				m := &members[i+1]
+				m.Silent += 2 * clock.Second
+				if rapid.IntRange(0, 3).Draw(t, "heard") > 0 {
+					m.Silent = 0
+				}
+			}
+			if action, ok := p.Decide(at, members); ok {
+				members = carryOut(t, members, action)
+				removed[action.Remove] = true
+				joined++
+				members = append(members, learner(string(rune('d'+joined)), action.Remove, "", 0, 0))
+			}
+			voters := 0
+			for _, m := range members {
+				if m.Voter {
+					voters++
+				}
+				if removed[m.Identity] {
+					t.Fatalf("%s is a member again", m.Identity)
+				}
+			}
+			if voters != 3 || !members[0].Leader {
+				t.Fatalf("got %d voters, want 3 with the leader: %+v", voters, members)
+			}
+		}
+	})
+}
+
+func carryOut(t *rapid.T, members []membership.Member, a membership.Action) []membership.Member {
+	var kept []membership.Member
+	for _, m := range members {
+		if m.Identity == a.Remove && m.Voter && a.Promote == "" {
+			t.Fatalf("voter %s is removed without a successor", m.Identity)
+		}
+		if m.Identity == a.Remove {
+			continue
+		}
+		m.Voter = m.Voter || m.Identity == a.Promote
+		kept = append(kept, m)
+	}
+	return kept
+}
