--- a/control/start.go
+++ b/control/start.go
@@ -84,9 +84,10 @@
 		}
 		belongs := lo.ContainsBy(s.Members, func(m replica.Member) bool { return m.Identity == s.Identity })
 		switch {
-		case s.Failure != nil || !s.Founded:
+		case s.Failure != nil:
 		case s.Outside:
 			c.beginLife()
+		case !s.Founded: // the log waits for the other founders by itself
 		case !belongs || now-heard >= leaderless:
 			c.askToJoin(s.Identity)
 		}
