--- /dev/null
+++ b/control/api_test.go
@@ -0,0 +1,192 @@
+package control_test
+
+import (
+	"flag"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenaslip/galenaslip/claim"
+	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/control"
+)
+
+// Property tests draw the same cases in every run; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func request(t *testing.T, method, url, token, body string, headers ...string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close() //nolint:errcheck // The body was read.
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(data)
+}
+
+// Guards against a status, outcome or body that differs from the design page, and
+// against calls that the wrong token, or none, may make.
+func TestAPI(t *testing.T) {
+	t.Parallel()
+	c := startMember(t, control.Options{Name: "c1", Listen: "127.0.0.1:0", PeerToken: "p", OperatorToken: "o"})
+	client := newClient(t, "o", c.Address())
+	client.Configuration(t.Context()) // waits for the first leader
+	const set = `{"base_revision":0,"change":{"set_class":{"name":"posting","tier":1,"target_ms":500,"measure":"completion"}}}`
+	const renew = `{"entry":"e1","incarnation":1,"address":"a","availability_zone":"z","revision":%,"leaving":false,"claims":0,"models":[]}`
+	claimed := func(extra string) string {
+		return `{"key":"` + control.NewKey() + `","body_hash":"h","entry":"e1","incarnation":1` + extra + `}`
+	}
+	tests := []struct {
+		method, path, token, key, body string
+		status                         int
+		want                           string
+	}{
+		{"GET", "/healthz", "", "", "", 200, "ok"},
+		{"GET", "/readyz", "", "", "", 200, "ready"},
+		{"GET", "/metrics", "", "", "", 200, "galenaslip_control_leads 1"},
+		{"GET", "/debug/state", "o", "", "", 200, `"role":"leader"`},
+		{"GET", "/v1/configuration", "", "", "", 401, `"outcome":"not_run"`},
+		{"GET", "/v1/configuration", "x", "", "", 401, `"code":"unauthorized"`},
+		{"GET", "/v1/configuration", "p", "", "", 200, `{"revision":0,"classes":[],"stops":[]}`},
+		{"POST", "/v1/configuration/changes", "p", "k", set, 401, "unauthorized"},
+		{"POST", "/v1/configuration/changes", "o", "", set, 400, `"code":"idempotency_key_missing"`},
+		{"POST", "/v1/configuration/changes", "o", "k", `{"base_revision":0,"change":{"set_class":{"name":"a","tier":9}}}`, 422, `invalid tier 9`},
+		{"POST", "/v1/configuration/changes", "o", "k", set, 200, `{"accepted":true,"kind":"accepted","revision":1}`},
+		{"POST", "/v1/configuration/changes", "o", "k", set, 200, `{"accepted":true,"kind":"accepted","revision":1}`},
+		{"POST", "/v1/configuration/changes", "o", "l", set, 409, `"accepted":false,"kind":"conflict","revision":1,"differences":[{"new_class":{"name":"posting"`},
+		{"POST", "/v1/configuration/changes", "o", "m", `{"base_revision":1,"change":{"delete_class":{"name":"x"}}}`, 422, `unknown class`},
+		{"POST", "/v1/configuration/changes", "o", "n", `{"base_revision":1,"change":{"announce_stop":{"kind":"server","name":"engine-7","grace_ms":5}}}`, 200, `"revision":2`},
+		{"GET", "/v1/configuration", "o", "", "", 200, `{"revision":2,"classes":[{"name":"posting","tier":1,"target_ms":500,"measure":"completion"}],"stops":[{"id":"stop-2","kind":"server","name":"engine-7","grace_ms":5}]}`},
+		{"GET", "/v1/configuration/diff?from=1&to=2", "o", "", "", 200, `[{"new_stop":{"id":"stop-2"`},
+		{"GET", "/v1/configuration/diff?from=1&to=9", "o", "", "", 404, `"outcome":"not_run"`},
+		{"GET", "/v1/configuration/history", "o", "", "", 200, `"key":"k"`},
+		{"POST", "/v1/leases/renew", "o", "", renew, 401, "unauthorized"},
+		{"POST", "/v1/leases/renew", "p", "", strings.Replace(renew, "%", "1", 1), 200, `"granted":true,"lease_ms":3000,"term":1,"revision":2,"configuration":{"revision":2`},
+		{"POST", "/v1/leases/renew", "p", "", strings.Replace(renew, "%", "2", 1), 200, `"revision":2,"entries":[{"name":"e1","address":"a","availability_zone":"z"}]}`},
+		{"POST", "/v1/claims/acquire", "o", "", claimed(`,"attempt":"a"`), 401, "unauthorized"},
+		{"POST", "/v1/claims/acquire", "p", "", claimed(""), 400, "attempt"},
+		{"POST", "/v1/claims/acquire", "p", "", claimed(`,"attempt":"a"`), 200, `{"state":"claimed","owned":true,"reason":""}`},
+		{"POST", "/v1/claims/send", "p", "", claimed(`,"attempt":"a"`), 200, `{"state":"none","owned":false,"reason":"request_not_found"}`},
+		{"POST", "/v1/claims/settle", "p", "", claimed(`,"attempt":"a","state":"sent"`), 400, "cannot be settled"},
+		{"POST", "/v1/claims/lookup", "p", "", claimed(""), 200, `{"state":"none","owned":false,"reason":"request_not_found"}`},
+		{"POST", "/v1/replication", "o", "", `{}`, 401, "unauthorized"},
+		{"POST", "/v1/replication", "p", "", `{}`, 400, `"outcome":"not_run"`},
+		{"GET", "/v1/members", "o", "", "", 200, `"identity":"c1"`},
+		{"POST", "/v1/members/join", "p", "", `{"identity":"i"}`, 400, "a member needs"},
+		{"POST", "/v1/members/remove", "p", "", `{"identity":"c1"}`, 401, "unauthorized"},
+		{"POST", "/v1/members/remove", "o", "", `{"identity":"i"}`, 404, "unknown member"},
+		{"POST", "/v1/members/remove", "o", "", `{"identity":"c1"}`, 409, "last voter"},
+		{"GET", "/v1/none", "o", "", "", 404, `"outcome":"not_run"`},
+	}
+	for _, tt := range tests {
+		headers := []string{"Idempotency-Key", tt.key}
+		if tt.key == "" {
+			headers = nil
+		}
+		status, body := request(t, tt.method, "http://"+c.Address()+tt.path, tt.token, tt.body, headers...)
+		if status != tt.status || !strings.Contains(body, tt.want) {
+			t.Errorf("%s %s with %q: got %d %s, want %d %s", tt.method, tt.path, tt.token, status, body, tt.status, tt.want)
+		}
+	}
+}
+
+// Guards against a request that members pass around in a loop, and against one
+// that a follower does not pass on at all.
+func TestForwardOnce(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	url := "http://" + g.options[g.follower()].Listen + "/v1/configuration"
+	if status, body := request(t, http.MethodGet, url, "", ""); status != 200 {
+		t.Errorf("at a follower: got %d %s, want 200", status, body)
+	}
+	status, body := request(t, http.MethodGet, url, "", "", "X-Galenaslip-Forwarded", "true")
+	if status != 503 || !strings.Contains(body, `"outcome":"not_run"`) {
+		t.Errorf("forwarded before: got %d %s, want 503 not_run", status, body)
+	}
+}
+
+// Guards against members whose state differs after the same commands, one of them
+// through a snapshot.
+func TestMachineIsDeterministic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		direct, restored := control.NewMachine(), control.NewMachine()
+		for i := range rapid.IntRange(1, 40).Draw(t, "commands") {
+			command := drawCommand(t)
+			if got, want := restored.Apply(uint64(i), command), direct.Apply(uint64(i), command); string(got) != string(want) {
+				t.Fatalf("%s: got %s, want %s", command, got, want)
+			}
+			if rapid.IntRange(0, 7).Draw(t, "snapshot") == 0 {
+				next := control.NewMachine()
+				if err := next.Restore(restored.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+				restored = next
+			}
+		}
+		if got, want := string(restored.Snapshot()), string(direct.Snapshot()); got != want {
+			t.Fatalf("got %s, want %s", got, want)
+		}
+	})
+}
+
+// drawCommand returns an entry of the log as a leader writes it, or a broken one.
+func drawCommand(t *rapid.T) []byte {
+	key := rapid.SampledFrom([]string{"0198c5d1-0000-7000-8000-000000000001", "0198c5d1-0000-7000-8000-000000000002"}).Draw(t, "key")
+	attempt := claim.Attempt{Owner: claim.Owner{Entry: "e1", Incarnation: 1}, ID: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "attempt")}
+	var inner []byte
+	var err error
+	field := "claim"
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		inner, err = claim.EncodeCommand(claim.Acquire{Key: key, Attempt: attempt})
+	case 1:
+		inner, err = claim.EncodeCommand(claim.Send{Key: key, Attempt: attempt})
+	case 2:
+		inner, err = claim.EncodeCommand(claim.Settle{Key: key, Attempt: attempt, State: claim.Answered, Answer: claim.Answer{Status: 200}})
+	case 3:
+		field = "change"
+		inner, err = configuration.EncodeChange(classOf(rapid.IntRange(0, 3).Draw(t, "target")))
+	default:
+		return []byte(rapid.SampledFrom([]string{"", "{}", `{"change":{}}`, `{"claim":{"kind":"send"}}`}).Draw(t, "broken"))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := rapid.SampledFrom([]string{"0", "1", "2"}).Draw(t, "base")
+	return []byte(`{"at_ms":1756000000000,"base_revision":` + base + `,"key":"` + attempt.ID + base + `","` + field + `":` + string(inner) + `}`)
+}
+
+// Guards against log entries and snapshots on which the machine panics or that
+// change it although they cannot be decoded.
+func FuzzMachine(f *testing.F) {
+	f.Add([]byte(`{"at_ms":1,"base_revision":0,"key":"k","change":{"cancel_stop":{"id":"s"}}}`))
+	f.Add([]byte(`{"at_ms":1,"claim":{"kind":"owner_gone","entry":"e"}}`))
+	f.Add(control.NewMachine().Snapshot())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := control.NewMachine()
+		empty := string(m.Snapshot())
+		if len(m.Apply(1, data)) == 0 && string(m.Snapshot()) != empty {
+			t.Errorf("a command without an answer changed the state")
+		}
+		if m.Restore(data) == nil {
+			m.Snapshot()
+		}
+	})
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -48,6 +48,7 @@
 
 // Guards against calls of the API and its client that do not fit together.
 func TestOneMember(t *testing.T) {
+	t.Parallel()
 	member := startMember(t, control.Options{Name: "c1", Listen: "127.0.0.1:0", PeerToken: "p", OperatorToken: "o"})
 	operator, entry := newClient(t, "o", member.Address()), newClient(t, "p", member.Address())
 	ctx := t.Context()
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -399,7 +399,7 @@
 			g.crash(name)
 		}
 	}
-	c, release, err := control.NewClient(control.ClientOptions{Addresses: []string{g.options[alone].Listen}, Clock: g.clock, Budget: 3 * clock.Second})
+	c, release, err := control.NewClient(control.ClientOptions{Addresses: []string{g.options[alone].Listen}, Clock: g.clock, Budget: clock.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
