--- a/admission/lateness.go
+++ b/admission/lateness.go
@@ -13,9 +13,14 @@
 	if !item.RefuseIfLate {
 		return false
 	}
+	slack := float64(item.Deadline - now - q.options.service(item))
 	p := q.pool(item.Pool)
-	slot := now + p.wait(now, p.ahead(item))
-	return slot+q.options.service(item) > item.Deadline
+	gap := p.interval(now)
+	if slack < 0 || gap == 0 {
+		return slack < 0
+	}
+	allowed := int(slack / gap)
+	return p.ahead(item, allowed+1) > allowed
 }
 
 // RetryAfter predicts when the work that goes before an item of this tier has
@@ -33,8 +38,9 @@
 
 // ahead counts the items that go before a new one: all of higher tiers, those
 // of other classes of its tier with an earlier deadline, and in its own class
-// what the rounds of the workspaces put first.
-func (p *pool) ahead(item Item) int {
+// what the rounds of the workspaces put first. It stops counting near limit,
+// because the cost grows with the count.
+func (p *pool) ahead(item Item, limit int) int {
 	n := 0
 	for _, g := range p.groups {
 		switch {
@@ -43,7 +49,7 @@
 		case g.class == item.Class:
 			n += g.aheadOf(item.Workspace)
 		case g.class.Tier() == item.Class.Tier():
-			n += g.deadlines.countWhile(func(e *queued) bool { return e.Deadline <= item.Deadline })
+			n += g.deadlines.countWhile(limit-n, func(e *queued) bool { return e.Deadline <= item.Deadline })
 		}
 	}
 	return n
--- a/admission/ordered.go
+++ b/admission/ordered.go
@@ -45,15 +45,16 @@
 
 func (o *ordered[T]) first() T { return o.elements[0] }
 
-// countWhile counts the elements that satisfy a predicate which no element
-// after a refused one satisfies. It visits no more than twice that many.
-func (o *ordered[T]) countWhile(holds func(element T) bool) int {
-	return o.countFrom(0, holds)
+// countWhile counts the elements, up to limit, that satisfy a predicate which no
+// element after a refused one satisfies. It visits about twice that many.
+func (o *ordered[T]) countWhile(limit int, holds func(element T) bool) int {
+	return o.countFrom(0, limit, holds)
 }
 
-func (o *ordered[T]) countFrom(root int, holds func(element T) bool) int {
-	if root >= len(o.elements) || !holds(o.elements[root]) {
+func (o *ordered[T]) countFrom(root, limit int, holds func(element T) bool) int {
+	if limit <= 0 || root >= len(o.elements) || !holds(o.elements[root]) {
 		return 0
 	}
-	return 1 + o.countFrom(2*root+1, holds) + o.countFrom(2*root+2, holds)
+	n := 1 + o.countFrom(2*root+1, limit-1, holds)
+	return n + o.countFrom(2*root+2, limit-n, holds)
 }
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -154,17 +154,18 @@
 	p.backlog = len(p.groups) > 0
 }
 
-// wait predicts when a slot reaches an item with so many items ahead of it. A
-// pool that has stalled predicts at least the length of the stall per slot.
-func (p *pool) wait(now clock.Millis, ahead int) clock.Millis {
-	if !p.measured {
-		return 0
-	}
-	gap := p.gap
-	if p.backlog {
-		gap = max(gap, float64(now-p.lastGrant))
+// interval predicts the time between slots, or 0 without a measurement. A pool
+// that has stalled predicts at least the length of the stall.
+func (p *pool) interval(now clock.Millis) float64 {
+	if p.measured && p.backlog {
+		return max(p.gap, float64(now-p.lastGrant))
 	}
-	return clock.Millis(gap * float64(ahead))
+	return p.gap
+}
+
+// wait predicts when a slot reaches an item with so many items ahead of it.
+func (p *pool) wait(now clock.Millis, ahead int) clock.Millis {
+	return clock.Millis(p.interval(now) * float64(ahead))
 }
 
 // waitingAt counts the items of a tier.
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -1,16 +1,20 @@
 package admission_test
 
 import (
+	"slices"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"github.com/galenaslip/galenaslip/admission"
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/outcome"
 )
 
 const pool = "model:m-small"
 
-func newClass(tb testing.TB, name string, tier class.Tier, target clock.Millis) class.Class {
+func newClass(tb rapid.TB, name string, tier class.Tier, target clock.Millis) class.Class {
 	tb.Helper()
 	c, err := class.New(name, tier, target, class.FirstToken)
 	if err != nil {
@@ -46,3 +50,122 @@
 		})
 	}
 }
+
+func newItem(id string, c class.Class, arrived clock.Millis) admission.Item {
+	return admission.Item{ID: id, Pool: pool, Class: c, Arrived: arrived, Deadline: arrived + c.Target()}
+}
+
+// steady returns a queue whose pool got one slot each gap while work waited.
+func steady(tb rapid.TB, gap clock.Millis, service clock.Millis) *admission.Queue {
+	tb.Helper()
+	q := admission.New(admission.Options{Limit: 100, Service: func(admission.Item) clock.Millis { return service }})
+	filler := newClass(tb, "filler", 4, clock.Hour)
+	for i, id := range []string{"f1", "f2", "f3"} {
+		q.Offer(0, newItem(id, filler, 0))
+		if i > 0 {
+			q.Next(clock.Millis(i)*gap, pool, nil)
+		}
+	}
+	return q
+}
+
+// Guards against refusals that ignore the time of the service after the slot or
+// a pool that has stalled since its rate was measured.
+func TestLatePrediction(t *testing.T) {
+	query := newClass(t, "clause-query", 1, 580)
+	tests := []struct {
+		name         string
+		gap, service clock.Millis
+		now          clock.Millis
+		accepted     bool
+	}{
+		{name: "in time", gap: 100, service: 400, now: 200, accepted: true},
+		{name: "long service", gap: 100, service: 600, now: 200},
+		{name: "slow pool", gap: 700, service: 0, now: 1400},
+		{name: "stalled pool", gap: 100, service: 0, now: 900},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := steady(t, tt.gap, tt.service)
+			q.Offer(tt.now, newItem("first", newClass(t, "read", 1, 300), tt.now))
+			item := newItem("second", query, tt.now)
+			item.RefuseIfLate = true
+			if got := q.Offer(tt.now, item).Accepted; got != tt.accepted {
+				t.Errorf("accepted: got %v, want %v", got, tt.accepted)
+			}
+		})
+	}
+}
+
+// Guards against preemption for work that gets a slot in time anyway.
+func TestPreemptUrgent(t *testing.T) {
+	review := newClass(t, "review", 2, 10*clock.Second)
+	running := []admission.Running{{ID: "r", Class: newClass(t, "tagging", 3, 1000), Resumable: true}}
+	for gap, want := range map[clock.Millis]bool{100: false, 6000: true} {
+		q := steady(t, gap, 0)
+		q.Offer(2*gap, newItem("review", review, 2*gap))
+		if _, got := q.Preempt(2*gap, pool, running); got != want {
+			t.Errorf("gap %d: got %v, want %v", gap, got, want)
+		}
+	}
+}
+
+// Guards against a slot that preemption freed for a higher tier but that goes to
+// a starving class of a tier below the preempted work.
+func TestPreemptedSlotIsNotForStarving(t *testing.T) {
+	q := admission.New(admission.Options{Limit: 10})
+	q.Offer(0, newItem("starving", newClass(t, "digest", 4, 100), 0))
+	tagging := newClass(t, "tagging", 3, 1000)
+	running := []admission.Running{{ID: "r1", Class: tagging, Resumable: true}, {ID: "r2", Class: tagging}}
+	for _, id := range []string{"query 1", "query 2"} {
+		q.Offer(60000, newItem(id, newClass(t, "clause-query", 1, 580), 60000))
+	}
+	q.Preempt(60000, pool, running)
+	q.Preempt(60000, pool, running)
+	for _, want := range []string{"query 1", "query 2", "starving"} {
+		if got, _ := q.Next(60000, pool, nil); got.ID != want {
+			t.Errorf("next: got %q, want %q", got.ID, want)
+		}
+	}
+}
+
+// Guards against a class that starves forever because every slot is left to
+// peers, and against one that then takes more than one in ten.
+func TestStarvingBesidePeers(t *testing.T) {
+	q := admission.New(admission.Options{Limit: 10})
+	digest := newClass(t, "digest", 4, 100)
+	for _, id := range []string{"1", "2", "3"} {
+		q.Offer(0, newItem(id, digest, 0))
+	}
+	peers := []admission.Demand{{Pool: pool, Tier: 1, Waiting: 5}}
+	granted := []clock.Millis{}
+	for now := clock.Millis(0); now < 20*clock.Second; now += 10 {
+		if _, ok := q.Next(now, pool, peers); ok {
+			granted = append(granted, now)
+		}
+	}
+	// The bound is 5 s. Slots are counted each 500 ms, and the call after the
+	// ninth one gets the tenth.
+	if want := []clock.Millis{5010, 9510, 14010}; !slices.Equal(granted, want) {
+		t.Errorf("granted: got %v, want %v", granted, want)
+	}
+}
+
+// Guards against accepted work that is refused, lost or doubled when it is
+// queued again, and against a sum that misses a pool or tier.
+func TestRequeueAndWaiting(t *testing.T) {
+	q := admission.New(admission.Options{Limit: 0})
+	c, d := newClass(t, "c", 2, 100), newClass(t, "d", 3, 100)
+	q.Offer(5, newItem("first", c, 5))
+	if got, want := q.Offer(5, newItem("first", c, 5)).Reason, outcome.ReasonInvalid; got != want {
+		t.Errorf("the same ID again: got %q, want %q", got, want)
+	}
+	for _, id := range []string{"a", "b", "b"} {
+		q.Requeue(6, newItem(id, c, 3))
+	}
+	q.Requeue(6, newItem("d", d, 4))
+	want := []admission.Demand{{Pool: pool, Tier: 2, Waiting: 3, Oldest: 3}, {Pool: pool, Tier: 3, Waiting: 1, Oldest: 4}}
+	if got := q.Waiting(); !slices.Equal(got, want) {
+		t.Errorf("waiting: got %v, want %v", got, want)
+	}
+}
