entry, engine, standin, stream: test failures and measure the added time

Faults that the tests showed and that are fixed: an answer of status 204 crashed the client, a timeout while the header was read counted as lost and not as silent, streams lived on after the entry was released, and the stand-in took all requests without an identifier for one. An abandoned request with a reused identifier no longer withdraws the other request.

--- a/engine/client.go
+++ b/engine/client.go
@@ -156,7 +156,8 @@
 
 // read returns the rest of the body up to the client's limit.
 func (e *exchange) read() ([]byte, *Failure) {
-	if e.response.SkipBody {
+	// HEAD, 204 and 304 have no body.
+	if e.response.BodyStream() == nil {
 		e.complete = true
 		return nil, nil
 	}
--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,215 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/engine"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/standin"
+)
+
+// scripted answers each request with fixed bytes and then closes, keeps open or
+// goes silent.
+type scripted struct {
+	address     string
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+func script(t *testing.T, answer string, then func(c net.Conn) bool) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &scripted{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.serve(c, answer, then)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serve(c net.Conn, answer string, then func(c net.Conn) bool) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.requests.Add(1)
+		_, _ = io.WriteString(c, answer)
+		if !then(c) {
+			return
+		}
+	}
+}
+
+func closes(net.Conn) bool { return false }
+
+func keeps(net.Conn) bool { return true }
+
+func silent(c net.Conn) bool {
+	_, _ = c.Read(make([]byte, 1))
+	return false
+}
+
+func newClient(t *testing.T, options engine.Options) *engine.Client {
+	t.Helper()
+	options.Clock = clock.New()
+	c, release := engine.New(options)
+	t.Cleanup(release)
+	return c
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Guards against a failure that is taken for one in which nothing was sent, or
+// for the end of a complete answer.
+func TestFailures(t *testing.T) {
+	t.Parallel()
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	tests := []struct {
+		name, answer string
+		then         func(net.Conn) bool
+		streamed     bool
+		refuse       bool
+		want         engine.Kind
+		notRun       bool
+		requests     int64
+	}{
+		{name: "no answer", then: closes, want: engine.Lost, requests: 1},
+		{name: "silent before the header", then: silent, want: engine.Silent, requests: 1},
+		{name: "cut body", answer: ok[:len(ok)-1], then: closes, want: engine.Lost, requests: 1},
+		{name: "silent body", answer: ok[:len(ok)-1], then: silent, want: engine.Silent, requests: 1},
+		{name: "cut stream", answer: streamHead + "5\r\ndata:", streamed: true, then: closes, want: engine.Lost, requests: 1},
+		{name: "stream closed between chunks", answer: streamHead + "9\r\ndata: a\n\n\r\n", streamed: true, then: closes, want: engine.Lost, requests: 1},
+		{name: "silent stream", answer: streamHead + "9\r\ndata: a\n\n\r\n", streamed: true, then: silent, want: engine.Silent, requests: 1},
+		{name: "not HTTP", answer: "hello\r\n\r\n", then: closes, want: engine.Lost, requests: 1},
+		{name: "too large", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000), then: keeps, want: engine.Malformed, requests: 1},
+		{name: "error status", answer: "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", streamed: true, then: keeps, want: engine.Refused, requests: 1},
+		{name: "not run by the server's word", answer: "HTTP/1.1 503 X\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n", then: keeps, want: engine.Refused, notRun: true, requests: 1},
+		{name: "refused before the first byte", answer: ok, then: keeps, refuse: true, want: engine.NotSent, notRun: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := script(t, tt.answer, tt.then)
+			c := newClient(t, engine.Options{Silence: 200 * clock.Millisecond, MaxBody: 1000})
+			before := func() error {
+				if tt.refuse {
+					return errors.New("refused")
+				}
+				return nil
+			}
+			err := attempt(c, s.address, tt.streamed, before)
+			var f *engine.Failure
+			if !errors.As(err, &f) || f.Kind != tt.want || f.ProvablyNotRun() != tt.notRun {
+				t.Errorf("got %v, want %s and not run %v", err, tt.want, tt.notRun)
+			}
+			if got := s.requests.Load(); got != tt.requests {
+				t.Errorf("requests: got %d, want %d", got, tt.requests)
+			}
+		})
+	}
+}
+
+func attempt(c *engine.Client, address string, streamed bool, before func() error) error {
+	if !streamed {
+		_, err := c.Call(context.Background(), engine.Request{Method: "POST", Address: address, Path: "/", Body: []byte("x"), BeforeWrite: before})
+		return err
+	}
+	s, err := c.Chat(context.Background(), address, "r-1", []byte("{}"), before)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		if _, err := s.Next(); err != nil {
+			return err
+		}
+	}
+}
+
+// Guards against a call that is reported as sent when nobody listens.
+func TestNobodyListens(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	err = attempt(newClient(t, engine.Options{}), l.Addr().String(), false, nil)
+	if got := engine.KindOf(err); got != engine.NotSent {
+		t.Errorf("got %s (%v), want %s", got, err, engine.NotSent)
+	}
+}
+
+// Guards against a pooled connection under a call that needs a fresh one, and
+// against answers without a body.
+func TestConnections(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name, method, answer string
+		fresh                bool
+		want                 int64
+	}{
+		{name: "reused", method: "GET", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", want: 1},
+		{name: "fresh", method: "POST", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", fresh: true, want: 3},
+		{name: "closed by the server", method: "GET", answer: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", want: 3},
+		{name: "head", method: "HEAD", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", want: 1},
+		{name: "no content", method: "DELETE", answer: "HTTP/1.1 204 X\r\n\r\n", want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := script(t, tt.answer, keeps)
+			c := newClient(t, engine.Options{})
+			for range 3 {
+				if _, err := c.Call(t.Context(), engine.Request{Method: tt.method, Address: s.address, Path: "/", Fresh: tt.fresh}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := s.connections.Load(); got != tt.want {
+				t.Errorf("connections: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a path that is rewritten on the way to a service.
+func TestPathIsKept(t *testing.T) {
+	t.Parallel()
+	s, release, err := standin.NewService(standin.ServiceOptions{Listen: "127.0.0.1:0", Clock: clock.New(), Logger: event.Discard()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
+	const path = "/a%2Fb/../c//d?x=%20&y"
+	answer, err := newClient(t, engine.Options{}).Call(t.Context(), engine.Request{Method: "GET", Address: s.Address(), Path: path})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := `"path":"` + strings.ReplaceAll(path, "&", `\u0026`) + `"`; !strings.Contains(string(answer.Body), want) {
+		t.Errorf("got %s, want %s", answer.Body, want)
+	}
+}
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 
 	"github.com/pkg/errors"
 )
@@ -68,7 +67,8 @@
 // broken classifies an error on a connection.
 func broken(address string, c *connection, err error) *Failure {
 	f := &Failure{Kind: Lost, Address: address, Cause: err}
-	var timeout net.Error
+	// fasthttp's timeout error is no net.Error.
+	var timeout interface{ Timeout() bool }
 	switch {
 	case !c.wrote.Load():
 		f.Kind = NotSent
--- a/entry/account.go
+++ b/entry/account.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/outcome"
@@ -25,20 +23,11 @@
 // accountant counts outcomes on a goroutine of its own.
 type accountant struct {
 	samples chan sample
-	dropped atomic.Int64
-	mu      sync.Mutex
-	counts  map[outcomeKey]int
+	metrics *metrics
 }
 
-// outcomeKey is what outcomes are counted by.
-type outcomeKey struct {
-	class  string
-	kind   outcome.Kind
-	reason outcome.Reason
-}
-
-func newAccountant() *accountant {
-	return &accountant{samples: make(chan sample, accountSize), counts: map[outcomeKey]int{}}
+func newAccountant(m *metrics) *accountant {
+	return &accountant{samples: make(chan sample, accountSize), metrics: m}
 }
 
 func (a *accountant) run(ctx context.Context) {
@@ -53,30 +42,13 @@
 }
 
 func (a *accountant) add(s sample) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.counts[outcomeKey{class: s.work.class.Name(), kind: s.kind, reason: s.reason}]++
+	a.metrics.requests.WithLabelValues(s.work.class.Name(), string(s.kind), string(s.reason)).Inc()
 }
 
 func (e *Entry) account(s sample) {
 	select {
 	case e.accountant.samples <- s:
 	default:
-		e.accountant.dropped.Add(1)
-	}
-}
-
-// rejections counts requests that were refused before they were queued.
-type rejections struct {
-	mu     sync.Mutex
-	counts map[outcome.Reason]int
-}
-
-func (r *rejections) count(reason outcome.Reason) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.counts == nil {
-		r.counts = map[outcome.Reason]int{}
+		e.metrics.samples.Inc()
 	}
-	r.counts[reason]++
 }
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -23,7 +23,7 @@
 	answers := make(chan backend.Answer, 1)
 	ok := e.dispatcher.offer(func(now clock.Millis) { answers <- e.dispatcher.announced(now, e.challenger, a) })
 	if !ok {
-		e.dispatcher.dropped.Add(1)
+		e.metrics.dropped.Inc()
 		return notRun(outcome.ReasonOverloaded, "the entry is overloaded").write(c)
 	}
 	select {
--- a/entry/body.go
+++ b/entry/body.go
@@ -18,7 +18,10 @@
 	maxRead = 4096
 )
 
-var errCallerGone = errors.New("the caller has gone")
+var (
+	errCallerGone = errors.New("the caller has gone")
+	errReleased   = errors.New("the entry has ended")
+)
 
 // body is the response body of a streamed answer. The HTTP server reads it and
 // closes it when the answer is complete or a write to the caller failed.
@@ -26,6 +29,7 @@
 	clock   clock.Clock
 	out     <-chan message
 	cancel  func()
+	closing <-chan struct{} // ends when the entry releases everything
 	conn    net.Conn
 	pending []byte
 	spare   []byte
@@ -35,8 +39,8 @@
 	quiet   bool // nothing was sent since the last tick
 }
 
-func newBody(c clock.Clock, out <-chan message, cancel func(), conn net.Conn) *body {
-	b := &body{clock: c, out: out, cancel: cancel, conn: conn}
+func newBody(c clock.Clock, out <-chan message, cancel func(), closing <-chan struct{}, conn net.Conn) *body {
+	b := &body{clock: c, out: out, cancel: cancel, closing: closing, conn: conn}
 	b.tick, b.release = c.After(callerCheck)
 	return b
 }
@@ -73,6 +77,8 @@
 			b.spare = stream.AppendComment(b.spare, "waiting")
 		}
 		b.quiet = true
+	case <-b.closing:
+		return errReleased
 	}
 	b.pending = b.spare
 	return nil
--- a/entry/debug.go
+++ b/entry/debug.go
@@ -13,23 +13,19 @@
 )
 
 type stateWire struct {
-	Name         string        `json:"name"`
-	Address      string        `json:"address"`
-	Policy       Policy        `json:"policy"`
-	Ready        bool          `json:"ready"`
-	Stopping     bool          `json:"stopping"`
-	LeaseMS      int64         `json:"lease_ms"`
-	Term         uint64        `json:"term"`
-	Revision     uint64        `json:"revision"`
-	Inbox        int           `json:"inbox"`
-	Refused      int64         `json:"refused_inbox_full"`
-	Dropped      int64         `json:"dropped_announcements"`
-	Samples      int64         `json:"dropped_samples"`
-	PullFailures int64         `json:"pull_failures"`
-	Servers      []serverWire  `json:"servers"`
-	Pools        []poolWire    `json:"pools"`
-	Requests     []requestWire `json:"requests"`
-	Peers        []peerWire    `json:"peers"`
+	Name     string        `json:"name"`
+	Address  string        `json:"address"`
+	Policy   Policy        `json:"policy"`
+	Ready    bool          `json:"ready"`
+	Stopping bool          `json:"stopping"`
+	LeaseMS  int64         `json:"lease_ms"`
+	Term     uint64        `json:"term"`
+	Revision uint64        `json:"revision"`
+	Inbox    int           `json:"inbox"`
+	Servers  []serverWire  `json:"servers"`
+	Pools    []poolWire    `json:"pools"`
+	Requests []requestWire `json:"requests"`
+	Peers    []peerWire    `json:"peers"`
 }
 
 type serverWire struct {
@@ -78,14 +74,13 @@
 	view := e.leases.view.Load()
 	w.Name, w.Address, w.Policy = e.options.Name, e.advertised, e.options.Policy
 	w.Ready, w.Stopping = e.ready() == nil, e.stopping.Load()
-	w.LeaseMS = int64(max(view.expires-e.options.Clock.Now(), 0))
+	w.LeaseMS = int64(e.leases.remaining())
 	w.Term, w.Revision = view.term, view.configuration.Revision()
-	w.Samples, w.PullFailures = e.accountant.dropped.Load(), e.pullFailures.Load()
 	return c.JSON(w)
 }
 
 func (d *dispatcher) describe(now clock.Millis) stateWire {
-	w := stateWire{Inbox: len(d.inbox), Refused: d.refused.Load(), Dropped: d.dropped.Load()}
+	w := stateWire{Inbox: len(d.inbox)}
 	w.Servers = lo.Map(d.registry.Servers(now), func(s backend.Server, _ int) serverWire {
 		return serverWire{
 			Server: s.Server(), Address: s.Address(), Usable: s.Usable, State: string(s.State()),
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -7,6 +7,7 @@
 	"github.com/galenaslip/galenaslip/admission"
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/routing"
 )
@@ -28,8 +29,6 @@
 	options  Options
 	leases   *leaseKeeper
 	inbox    chan func(now clock.Millis)
-	refused  atomic.Int64
-	dropped  atomic.Int64
 	registry *backend.Registry
 	queue    queue
 	router   router
@@ -37,6 +36,10 @@
 	pools    map[string]*poolState
 	peers    map[string]*peerState
 	stops    map[string]clock.Millis
+	// demand is what waits for models, for the lease renewal.
+	demand       atomic.Pointer[[]lease.Demand]
+	waitingCount atomic.Int64
+	runningCount atomic.Int64
 }
 
 // job is what the dispatcher keeps of a request.
@@ -72,6 +75,7 @@
 		stops:    map[string]clock.Millis{},
 	}
 	d.queue, d.router = newPolicy(options, registry)
+	d.demand.Store(&[]lease.Demand{})
 	return d
 }
 
@@ -111,11 +115,12 @@
 }
 
 // submit queues new work. The decision arrives at w.assigned.
-func (d *dispatcher) submit(w *work) *problem {
+func (e *Entry) submit(w *work) *problem {
+	d := e.dispatcher
 	if d.offer(func(now clock.Millis) { d.admit(now, w) }) {
 		return nil
 	}
-	d.refused.Add(1)
+	e.metrics.refused.Inc()
 	return shed(outcome.ReasonOverloaded, "the entry is overloaded", retryFull).withStatus(503)
 }
 
@@ -177,18 +182,24 @@
 }
 
 // withdraw drops work whose caller has gone. It may be queued or just assigned.
-func (d *dispatcher) withdraw(now clock.Millis, id string) {
-	j, ok := d.jobs[id]
+func (d *dispatcher) withdraw(now clock.Millis, w *work) {
+	j, ok := d.job(w)
 	if !ok {
 		return
 	}
-	d.queue.Remove(id)
+	d.queue.Remove(w.id)
 	d.finish(now, j, routing.Cancelled)
 }
 
+// job returns the job of work, and not that of other work with its identifier.
+func (d *dispatcher) job(w *work) (*job, bool) {
+	j, ok := d.jobs[w.id]
+	return j, ok && j.work == w
+}
+
 // finished records the end of work.
-func (d *dispatcher) finished(now clock.Millis, id string, result routing.Result) {
-	if j, ok := d.jobs[id]; ok {
+func (d *dispatcher) finished(now clock.Millis, w *work, result routing.Result) {
+	if j, ok := d.job(w); ok {
 		d.finish(now, j, result)
 	}
 }
@@ -204,27 +215,31 @@
 
 // again queues work once more after an attempt that did not complete it. The
 // server is avoided when the attempt failed there.
-func (d *dispatcher) again(now clock.Millis, id string, result routing.Result) {
-	j, ok := d.jobs[id]
+func (d *dispatcher) again(now clock.Millis, w *work, result routing.Result) {
+	j, ok := d.job(w)
 	if !ok || !j.running {
 		return
 	}
-	d.router.Progress(now, id, int(j.work.produced.Load()))
-	d.router.Finished(now, id, result)
+	d.router.Progress(now, w.id, int(w.produced.Load()))
+	d.router.Finished(now, w.id, result)
 	if result == routing.Failed {
 		j.excluded = append(j.excluded, j.server)
 	}
 	j.running, j.leaving, j.begun = false, false, true
-	p := d.pool(j.work.pool)
-	delete(p.running, id)
-	p.waiting[id] = j
-	d.queue.Requeue(now, j.work.item())
-	d.pump(now, j.work.pool)
+	p := d.pool(w.pool)
+	delete(p.running, w.id)
+	p.waiting[w.id] = j
+	d.queue.Requeue(now, w.item())
+	d.pump(now, w.pool)
 }
 
 // pump hands out free slots of a pool.
 func (d *dispatcher) pump(now clock.Millis, name string) {
 	p := d.pool(name)
+	if len(p.waiting) == 0 {
+		return
+	}
+	peers := d.demands(now)
 	for len(p.waiting) > 0 {
 		free := d.router.FreeSlots(now, name)
 		if free == 0 {
@@ -232,7 +247,7 @@
 			return
 		}
 		d.queue.Free(name, free)
-		item, ok := d.queue.Next(now, name, d.demands(now))
+		item, ok := d.queue.Next(now, name, peers)
 		if !ok {
 			return
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -14,32 +15,31 @@
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/engine"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/lease"
 )
 
 // Entry is the process on the data path.
 type Entry struct {
-	options      Options
-	listener     net.Listener
-	advertised   string
-	incarnation  uint64
-	app          *fiber.App
-	client       *engine.Client
-	closeClient  func()
-	dispatcher   *dispatcher
-	leases       *leaseKeeper
-	challenger   *backend.Challenger
-	accountant   *accountant
-	budget       *budget
-	rejections   rejections
-	strangers    atomic.Int64
-	pullFailures atomic.Int64
-	stopping     atomic.Bool // readiness fails
-	refusing     atomic.Bool // new work is refused
-	stopped      chan struct{}
-	once         sync.Once
-	ctx          context.Context
-	cancel       context.CancelFunc
-	tasks        taskGroup
+	options     Options
+	listener    net.Listener
+	advertised  string
+	incarnation uint64
+	app         *fiber.App
+	client      *engine.Client
+	closeClient func()
+	dispatcher  *dispatcher
+	leases      *leaseKeeper
+	challenger  *backend.Challenger
+	accountant  *accountant
+	budget      *budget
+	metrics     *metrics
+	stopping    atomic.Bool // readiness fails
+	refusing    atomic.Bool // new work is refused
+	stopped     chan struct{}
+	once        sync.Once
+	ctx         context.Context
+	cancel      context.CancelFunc
+	tasks       taskGroup
 }
 
 // taskGroup runs goroutines and waits for them.
@@ -76,7 +76,6 @@
 		client:      client,
 		closeClient: closeClient,
 		challenger:  backend.NewChallenger(options.Name, incarnation),
-		accountant:  newAccountant(),
 		budget:      newBudget(options.RetryPercentage),
 		stopped:     make(chan struct{}),
 		ctx:         ctx,
@@ -87,6 +86,9 @@
 	}
 	e.leases = newLeaseKeeper(options, incarnation, e.advertised)
 	e.dispatcher = newDispatcher(options, e.leases, incarnation)
+	e.leases.demand = func() []lease.Demand { return *e.dispatcher.demand.Load() }
+	e.metrics = newMetrics(e)
+	e.accountant = newAccountant(e.metrics)
 	e.app = e.routes()
 	return e
 }
@@ -121,6 +123,7 @@
 	app.Post(digestPath, e.guard(e.options.Tokens.Peer), e.digest)
 	app.Post(releasePath+":id", e.guard(e.options.Tokens.Peer), e.released)
 	app.Get("/debug/state", e.guard(e.options.Tokens.Operator), e.debugState)
+	app.Get("/metrics", adaptor.HTTPHandler(e.metrics.handler()))
 	app.Get("/healthz", e.healthz)
 	app.Get("/readyz", e.readyz)
 	return app
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -33,7 +33,7 @@
 	configuration configuration.Configuration
 	entries       map[string]lease.Entry
 	down          bool
-	beforeSend    func()
+	afterSend     func()
 }
 
 func newFakeControl(tb testing.TB) *fakeControl {
@@ -91,8 +91,11 @@
 
 func (f *fakeControl) Send(_ context.Context, key string, a claim.Attempt) control.ClaimReply {
 	reply := f.apply(claim.Send{Key: key, Attempt: a})
-	if f.beforeSend != nil {
-		f.beforeSend()
+	f.mu.Lock()
+	hook := f.afterSend
+	f.mu.Unlock()
+	if hook != nil {
+		hook()
 	}
 	return reply
 }
@@ -314,3 +317,10 @@
 func newKey() string {
 	return uuid.Must(uuid.NewV7()).String()
 }
+
+// expired returns a context that has ended, for a stop without any patience.
+func expired() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -26,7 +26,7 @@
 	w.streamed = request.stream
 	w.promptTokens = len(request.prompt)/bytesPerToken + 1
 	w.prefix = engine.Prefixes(request.model, request.prompt)
-	if p := e.dispatcher.submit(w); p != nil {
+	if p := e.submit(w); p != nil {
 		return e.reject(c, p)
 	}
 	e.budget.add()
@@ -51,7 +51,7 @@
 	}
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-store")
-	b := newBody(e.options.Clock, out, cancel, conn)
+	b := newBody(e.options.Clock, out, cancel, e.ctx.Done(), conn)
 	b.add(first)
 	b.pending = b.spare
 	c.Response().SetBodyStream(b, -1)
@@ -81,7 +81,8 @@
 	}
 }
 
-// wait returns the next message, or false once the caller has gone.
+// wait returns the next message, or false once the caller has gone or the entry
+// has ended.
 func (e *Entry) wait(conn net.Conn, out <-chan message) (message, bool) {
 	for {
 		select {
@@ -98,12 +99,15 @@
 			if callerGone(conn) {
 				return message{}, false
 			}
+		case <-e.ctx.Done():
+			release()
+			return message{}, false
 		}
 	}
 }
 
 // reject answers a request that was never queued.
 func (e *Entry) reject(c fiber.Ctx, p *problem) error {
-	e.rejections.count(p.reason)
+	e.metrics.rejections.WithLabelValues(string(p.reason)).Inc()
 	return p.write(c)
 }
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -22,7 +22,7 @@
 	held    bool
 	claims  atomic.Int64
 	leaving atomic.Bool
-	demands func() []lease.Demand
+	demand  func() []lease.Demand
 }
 
 // leaseView is an immutable copy of the holder's state.
@@ -37,6 +37,7 @@
 	k := &leaseKeeper{
 		options: options,
 		holder:  lease.NewHolder(options.Name, incarnation, address, options.AvailabilityZone),
+		demand:  func() []lease.Demand { return nil },
 	}
 	k.view.Store(&leaseView{})
 	return k
@@ -48,6 +49,11 @@
 	return k.options.Clock.Now() < k.view.Load().expires
 }
 
+// remaining returns the rest of the lease.
+func (k *leaseKeeper) remaining() clock.Millis {
+	return max(k.view.Load().expires-k.options.Clock.Now(), 0)
+}
+
 func (k *leaseKeeper) configuration() configuration.Configuration {
 	return k.view.Load().configuration
 }
@@ -73,11 +79,7 @@
 func (k *leaseKeeper) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, k.options.Timeouts.Renewal.Duration())
 	defer cancel()
-	var demands []lease.Demand
-	if k.demands != nil {
-		demands = k.demands()
-	}
-	renewal, number := k.holder.Request(k.options.Clock.Now(), int(k.claims.Load()), demands, k.leaving.Load())
+	renewal, number := k.holder.Request(k.options.Clock.Now(), int(k.claims.Load()), k.demand(), k.leaving.Load())
 	grant, reply := k.options.Control.Renew(ctx, renewal)
 	now := k.options.Clock.Now()
 	if reply.Kind == outcome.Answered {
--- /dev/null
+++ b/entry/measure_test.go
@@ -0,0 +1,199 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/entry"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/standin"
+)
+
+const (
+	loadModel   = "m-load"
+	probeModel  = "m-probe"
+	loadEngines = 20
+	loadSlots   = 60
+	// loadTokenTime gives about 15 tokens a second and stream, as in the target.
+	loadTokenTime = 66 * clock.Millisecond
+	cpuTime       = 5 * clock.Second
+)
+
+// measured is a site with one entry, an idle engine for probes and engines that
+// carry the open streams.
+type measured struct {
+	*site
+	probe  *standin.Engine
+	load   []*standin.Engine
+	client *http.Client
+	tokens atomic.Int64
+}
+
+func newMeasured(b *testing.B) *measured {
+	b.Helper()
+	s := newSite(b, 1, 0, 0, func(o *entry.Options, _ *standin.EngineOptions) { o.Timeouts.Silence = 5 * clock.Second })
+	m := &measured{site: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2000}}}
+	o := standin.EngineOptions{
+		Listen: "127.0.0.1:0", Clock: clock.New(), Logger: event.Discard(), Announce: s.announce(),
+		Models: []string{probeModel}, TokenTime: 1, Slots: 64,
+	}
+	s.addEngine("probe", o)
+	o.Models, o.TokenTime, o.Slots, o.BatchGrowth, o.KVTokens = []string{loadModel}, loadTokenTime, loadSlots, 1e-6, 1<<30
+	for i := range loadEngines {
+		s.addEngine(fmt.Sprintf("load-%d", i), o)
+	}
+	m.probe, m.load = s.engines[0], s.engines[1:]
+	s.eventually("every server is known", s.known)
+	return m
+}
+
+func (m *measured) start(ctx context.Context, address, model, prompt string) (*http.Response, error) {
+	body := strings.Replace(string(chatBody(prompt, true)), testModel, model, 1)
+	r := request(m.t, http.MethodPost, "http://"+address+"/v1/chat/completions", []byte(body))
+	return m.client.Do(r.WithContext(ctx))
+}
+
+// openStreams keeps n streams running until the returned function is called.
+func (m *measured) openStreams(n int, direct bool) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var streams sync.WaitGroup
+	for i := range n {
+		address := m.entries[0].Address()
+		if direct {
+			address = m.load[i%len(m.load)].Address()
+		}
+		streams.Go(func() { m.count(ctx, address, fmt.Sprintf("stream %d [tokens=1000]", i)) })
+	}
+	m.eventually("every stream runs", func() bool { return m.tokens.Load() >= int64(n) })
+	return func() {
+		cancel()
+		streams.Wait()
+		m.eventually("every stream has ended", func() bool {
+			running := 0
+			for _, e := range m.load {
+				running += e.State().Running
+			}
+			return running == 0 || direct
+		})
+	}
+}
+
+// count reads a stream and counts its tokens by their lines.
+func (m *measured) count(ctx context.Context, address, prompt string) {
+	r, err := m.start(ctx, address, loadModel, prompt)
+	if err != nil {
+		return
+	}
+	defer func() { _ = r.Body.Close() }()
+	lines := bufio.NewReader(r.Body)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		if len(line) > 6 && line[0] == 'd' {
+			m.tokens.Add(1)
+		}
+	}
+}
+
+// firstToken returns the time from the request to its first token.
+func (m *measured) firstToken(address string, i int) time.Duration {
+	c := m.clockNow()
+	r, err := m.start(context.Background(), address, probeModel, fmt.Sprintf("probe %d [tokens=2]", i))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	lines := bufio.NewReader(r.Body)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		if len(line) > 6 && line[0] == 'd' {
+			break
+		}
+	}
+	taken := m.clockNow() - c
+	_, _ = io.Copy(io.Discard, r.Body)
+	return taken
+}
+
+// clockNow reads the clock with more than the milliseconds of the clock
+// package, which are too coarse for the times measured here.
+func (m *measured) clockNow() time.Duration {
+	var now syscall.Timeval
+	if err := syscall.Gettimeofday(&now); err != nil {
+		m.t.Fatal(err)
+	}
+	return time.Duration(now.Nano())
+}
+
+// BenchmarkFirstToken measures the time to first token through the entry and at
+// the stand-in directly, in turn.
+func BenchmarkFirstToken(b *testing.B) {
+	for _, n := range []int{1, 1000} {
+		b.Run(fmt.Sprintf("streams=%d", n), func(b *testing.B) {
+			m := newMeasured(b)
+			stop := m.openStreams(n, false)
+			defer stop()
+			direct, through := hdrhistogram.New(1, 1e7, 3), hdrhistogram.New(1, 1e7, 3)
+			for i := 0; b.Loop(); i++ {
+				_ = direct.RecordValue(m.firstToken(m.probe.Address(), 2*i).Microseconds())
+				_ = through.RecordValue(m.firstToken(m.entries[0].Address(), 2*i+1).Microseconds())
+			}
+			for _, q := range []float64{50, 95} {
+				d, t := direct.ValueAtQuantile(q), through.ValueAtQuantile(q)
+				b.ReportMetric(float64(d)/1000, fmt.Sprintf("direct-p%.0f-ms", q))
+				b.ReportMetric(float64(t)/1000, fmt.Sprintf("entry-p%.0f-ms", q))
+				b.ReportMetric(float64(t-d)/1000, fmt.Sprintf("added-p%.0f-ms", q))
+			}
+		})
+	}
+}
+
+// BenchmarkRelay measures the processor time for 1,000 tokens of 1,000 streams
+// through the entry, above that of the same streams without it. Stand-ins and
+// readers run in the same process in both cases.
+func BenchmarkRelay(b *testing.B) {
+	m := newMeasured(b)
+	for b.Loop() {
+		direct := m.cpu(true)
+		through := m.cpu(false)
+		b.ReportMetric(direct, "direct-cpu-ms/1000-tokens")
+		b.ReportMetric(through, "entry-cpu-ms/1000-tokens")
+		b.ReportMetric(through-direct, "added-cpu-ms/1000-tokens")
+	}
+}
+
+// cpu returns the processor milliseconds for 1,000 tokens.
+func (m *measured) cpu(direct bool) float64 {
+	m.tokens.Store(0)
+	stop := m.openStreams(1000, direct)
+	defer stop()
+	tokens, used := m.tokens.Load(), m.cpuNow()
+	m.clock.Sleep(context.Background(), cpuTime)
+	tokens, used = m.tokens.Load()-tokens, m.cpuNow()-used
+	return float64(used.Microseconds()) / float64(tokens)
+}
+
+func (m *measured) cpuNow() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		m.t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/entry/once_test.go
@@ -0,0 +1,122 @@
+package entry_test
+
+import (
+	"bytes"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/standin"
+)
+
+func (s *site) post(e int, key, body string) reply {
+	s.t.Helper()
+	return do(s.t, http.MethodPost, s.url(e, "/v1/services/ledger/postings"), []byte(body), with("Idempotency-Key", key))
+}
+
+func (s *site) runs(key string) int {
+	sum := 0
+	for _, v := range s.services {
+		sum += v.State().Runs[key]
+	}
+	return sum
+}
+
+// Guards against a non-idempotent call that runs twice, and against an outcome
+// that says not run for a call that ran.
+func TestOnceOnlyFaults(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		fault  standin.FaultKind
+		status int
+		code   string
+		runs   int
+		// after is what a repetition with the same key gets.
+		after     int
+		afterRuns int
+	}{
+		{name: "no fault", status: 201, code: "/", runs: 1, after: 201, afterRuns: 1},
+		{name: "closed before it ran", fault: standin.CloseBefore, status: 502, code: "backend_lost/unknown", after: 502},
+		{name: "closed before the first byte of the answer", fault: standin.CloseAfter, status: 502, code: "backend_lost/unknown", runs: 1, after: 502, afterRuns: 1},
+		{name: "not run by the server's word", fault: standin.NotRun, status: 503, code: "backend_refused/not_run", after: 201, afterRuns: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2, 0, 2)
+			for _, v := range s.services {
+				v.Fault(standin.Fault{Kind: tt.fault})
+			}
+			key := newKey()
+			got := s.post(0, key, "42")
+			if got.status != tt.status || got.code() != tt.code || s.runs(key) != tt.runs {
+				t.Errorf("got %d %s and %d runs, want %d %s and %d", got.status, got.code(), s.runs(key), tt.status, tt.code, tt.runs)
+			}
+			for _, v := range s.services {
+				v.Fault(standin.Fault{Kind: standin.Recover})
+			}
+			again := s.post(1, key, "42")
+			if again.status != tt.after || s.runs(key) != tt.afterRuns {
+				t.Errorf("again: got %d and %d runs, want %d and %d", again.status, s.runs(key), tt.after, tt.afterRuns)
+			}
+			if tt.status == 201 && !bytes.Equal(again.body, got.body) {
+				t.Errorf("recorded answer: got %s, want %s", again.body, got.body)
+			}
+			if other := s.post(1, key, "43"); other.status != http.StatusConflict {
+				t.Errorf("another body: got %d, want 409", other.status)
+			}
+		})
+	}
+}
+
+// Guards against two simultaneous posts with one key that both run.
+func TestOnceOnlyRace(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, 0, 2)
+	key := newKey()
+	var posts sync.WaitGroup
+	statuses := make([]int, 16)
+	for i := range statuses {
+		posts.Go(func() { statuses[i] = s.post(i%2, key, "42").status })
+	}
+	posts.Wait()
+	for _, got := range statuses {
+		if got != http.StatusCreated && got != http.StatusTooEarly {
+			t.Errorf("status: got %d, want 201 or 425", got)
+		}
+	}
+	if got := s.runs(key); got != 1 {
+		t.Errorf("runs: got %d, want 1", got)
+	}
+	var call struct{ State string }
+	get(t, s.entries[0], "/v1/calls/"+key, &call)
+	if call.State != "answered" {
+		t.Errorf("recorded state: got %q, want answered", call.State)
+	}
+}
+
+// Guards against a call that is written although the lease ended while the
+// claim was marked as sent.
+func TestOnceOnlyLeaseEndsBeforeWrite(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 0, 1)
+	lapse := func() {
+		s.control.set(func(f *fakeControl) { f.down = true })
+		s.eventually("the lease has lapsed", func() bool { return !s.answers(0, "/readyz") })
+		s.control.set(func(f *fakeControl) { f.down = false })
+		s.clock.Sleep(t.Context(), 10*clock.Millisecond)
+	}
+	s.control.set(func(f *fakeControl) { f.afterSend = lapse })
+	key := newKey()
+	got := s.post(0, key, "42")
+	if got.status != http.StatusServiceUnavailable || got.code() != "configuration_lease_lapsed/not_run" || s.runs(key) != 0 {
+		t.Errorf("got %d %s and %d runs, want 503 not run and none", got.status, got.code(), s.runs(key))
+	}
+	s.control.set(func(f *fakeControl) { f.afterSend = nil })
+	s.eventually("the entry is ready", func() bool { return s.answers(0, "/readyz") })
+	if got := s.post(0, key, "42"); got.status != http.StatusCreated || s.runs(key) != 1 {
+		t.Errorf("again: got %d and %d runs, want 201 and one", got.status, s.runs(key))
+	}
+}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -66,10 +66,10 @@
 	}
 }
 
-// open starts a streamed chat request.
-func (s *site) open(e int, prompt string, options ...option) *http.Response {
+// open starts a streamed chat request at the first entry.
+func (s *site) open(prompt string, options ...option) *http.Response {
 	s.t.Helper()
-	r, err := http.DefaultClient.Do(request(s.t, http.MethodPost, s.url(e, "/v1/chat/completions"), chatBody(prompt, true), options...))
+	r, err := http.DefaultClient.Do(request(s.t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatBody(prompt, true), options...))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -88,7 +88,7 @@
 	s := newSite(t, 1, 1, 1)
 	const prompt = "Which clause limits the layer? [tokens=40]"
 	t.Run("streamed", func(t *testing.T) {
-		r := s.open(0, prompt, with("X-Request-Id", "r-1"))
+		r := s.open(prompt, with("X-Request-Id", "r-1"))
 		if got := r.Header.Get("X-Request-Id"); r.StatusCode != http.StatusOK || got != "r-1" {
 			t.Fatalf("got status %d and id %q, want 200 and r-1", r.StatusCode, got)
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	digest, began, err := e.fetch(ctx, address)
 	if err != nil {
-		e.pullFailures.Add(1)
+		e.metrics.pulls.Inc()
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			e.options.Logger.Log(event.PeerUnreachable, zap.String("address", address), zap.Error(err))
 		}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -6,6 +6,7 @@
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
 )
 
@@ -33,7 +34,7 @@
 	if p, ok := d.pools[name]; ok && p.served {
 		return true
 	}
-	if len(d.registry.Pool(now, name)) == 0 {
+	if d.registry.PoolSize(now, name) == 0 {
 		return false
 	}
 	d.pool(name).served = true
@@ -62,11 +63,30 @@
 		d.giveUp(now, name, p)
 		d.pump(now, name)
 	}
+	d.publishDemand(now)
+}
+
+// publishDemand publishes counts for the lease keeper and the metrics.
+func (d *dispatcher) publishDemand(now clock.Millis) {
+	demand := []lease.Demand{}
+	waiting, running := 0, 0
+	for name, p := range d.pools {
+		waiting += len(p.waiting)
+		running += len(p.running)
+		if model, ok := strings.CutPrefix(name, backend.ModelPool("")); ok {
+			demand = append(demand, lease.Demand{
+				Model: model, Waiting: len(p.waiting), Servers: d.registry.PoolSize(now, name),
+			})
+		}
+	}
+	d.demand.Store(&demand)
+	d.waitingCount.Store(int64(waiting))
+	d.runningCount.Store(int64(running))
 }
 
 // giveUp refuses waiting work of a pool that has had no usable server for long.
 func (d *dispatcher) giveUp(now clock.Millis, name string, p *poolState) {
-	if len(d.registry.Pool(now, name)) > 0 {
+	if d.registry.PoolSize(now, name) > 0 {
 		p.served = true
 		p.since = now
 		return
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -92,7 +92,7 @@
 				return
 			}
 		case <-r.ctx.Done():
-			r.tell(func(d *dispatcher, now clock.Millis) { d.withdraw(now, r.work.id) })
+			r.tell(func(d *dispatcher, now clock.Millis) { d.withdraw(now, r.work) })
 			r.account(outcome.Unknown, outcome.ReasonCallerGone)
 			return
 		}
@@ -127,7 +127,7 @@
 		r.fail(r.problem)
 		return true
 	case moved:
-		r.tell(func(d *dispatcher, now clock.Millis) { d.again(now, r.work.id, routing.Cancelled) })
+		r.tell(func(d *dispatcher, now clock.Millis) { d.again(now, r.work, routing.Cancelled) })
 		return false
 	}
 	return r.retry(a, v)
@@ -144,14 +144,15 @@
 		r.fail(r.problem)
 		return true
 	}
+	r.entry.metrics.continued.Inc()
 	r.entry.options.Logger.Log(event.RequestContinued, zap.String("request", r.work.id),
 		zap.String("server", a.server), zap.Int("position", r.transcript.Position()), zap.Error(r.problem))
-	r.tell(func(d *dispatcher, now clock.Millis) { d.again(now, r.work.id, routing.Failed) })
+	r.tell(func(d *dispatcher, now clock.Millis) { d.again(now, r.work, routing.Failed) })
 	return false
 }
 
 func (r *relay) finished(result routing.Result) {
-	r.tell(func(d *dispatcher, now clock.Millis) { d.finished(now, r.work.id, result) })
+	r.tell(func(d *dispatcher, now clock.Millis) { d.finished(now, r.work, result) })
 }
 
 // fail ends the request with an error. Once a server may have run a part, the
--- a/entry/service.go
+++ b/entry/service.go
@@ -175,8 +175,7 @@
 
 // compete queues the call and tries servers until one answers.
 func (s *call) compete() result {
-	d := s.entry.dispatcher
-	if p := d.submit(s.work); p != nil {
+	if p := s.entry.submit(s.work); p != nil {
 		return result{problem: p}
 	}
 	for {
@@ -190,7 +189,7 @@
 				return r
 			}
 		case <-s.ctx.Done():
-			s.tell(func(d *dispatcher, now clock.Millis) { d.withdraw(now, s.work.id) })
+			s.tell(func(d *dispatcher, now clock.Millis) { d.withdraw(now, s.work) })
 			return result{problem: s.honest(notRun(outcome.ReasonCallerGone, "the caller has gone"))}
 		}
 	}
@@ -220,7 +219,7 @@
 	}
 	p := s.describe(err)
 	if s.mayRetry(err) {
-		s.tell(func(d *dispatcher, now clock.Millis) { d.again(now, s.work.id, routing.Failed) })
+		s.tell(func(d *dispatcher, now clock.Millis) { d.again(now, s.work, routing.Failed) })
 		return result{}, true
 	}
 	s.finished(routing.Failed)
@@ -228,7 +227,7 @@
 }
 
 func (s *call) finished(r routing.Result) {
-	s.tell(func(d *dispatcher, now clock.Millis) { d.finished(now, s.work.id, r) })
+	s.tell(func(d *dispatcher, now clock.Millis) { d.finished(now, s.work, r) })
 }
 
 func (s *call) send(a assignment) (engine.Answer, error) {
--- a/entry/token.go
+++ b/entry/token.go
@@ -20,7 +20,7 @@
 		if admitted(c, token) {
 			return c.Next()
 		}
-		e.strangers.Add(1)
+		e.metrics.strangers.Inc()
 		e.options.Logger.Log(event.StrangerRefused, zap.String("path", c.Path()), zap.String("address", c.IP()))
 		p := invalid(outcome.ReasonUnauthorized, fiber.HeaderAuthorization, "missing or wrong token")
 		return p.withStatus(fiber.StatusUnauthorized).write(c)
--- a/standin/routes.go
+++ b/standin/routes.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/event"
@@ -37,10 +38,13 @@
 	if !e.serves(wire.Model) {
 		return refuse(c, fiber.StatusNotFound, "unknown model "+wire.Model)
 	}
-	s, err := wire.sequence(c.Get("X-Request-Id"))
+	s, err := wire.sequence(c.Get("X-Request-Id", uuid.NewString()))
 	if err != nil {
 		return refuse(c, fiber.StatusBadRequest, err.Error())
 	}
+	if s.largest() > e.options.KVTokens {
+		return refuse(c, fiber.StatusBadRequest, "the request does not fit into KV memory")
+	}
 	s.arrived = e.options.Clock.Now()
 	position := s.start
 	if !e.batch.add(s) {
--- a/standin/sequence.go
+++ b/standin/sequence.go
@@ -42,6 +42,11 @@
 	return len(s.prompt)/bytesPerToken + 1 + s.produced
 }
 
+// largest returns the KV memory that the whole answer needs.
+func (s *sequence) largest() int {
+	return len(s.prompt)/bytesPerToken + 1 + len(s.answer)
+}
+
 func (s *sequence) live() bool {
 	return s.state == stateWaiting || s.state == stateRunning
 }
