entry: resume at the same entry, keep slow callers' tokens, pass tool calls on

An interrupted attempt spools what the caller has not taken. Opaque answers are passed on as the engine's own body. Refused connections linger for up to 1 s. The queue gets a prediction of service time for refuse-if-late.

--- a/engine/chat.go
+++ b/engine/chat.go
@@ -22,7 +22,25 @@
 
 // Chat starts an answer. The body is a chat request with stream set.
 func (c *Client) Chat(ctx context.Context, address, id string, body []byte, beforeWrite func() error) (*Stream, error) {
-	return c.stream(ctx, Request{
+	return c.stream(ctx, chatRequest(address, id, body, beforeWrite))
+}
+
+// Whole returns the body of an answer that is not streamed. The engine may stay
+// silent for longer than on a stream.
+func (c *Client) Whole(
+	ctx context.Context, address, id string, body []byte, silence clock.Millis, beforeWrite func() error,
+) ([]byte, error) {
+	r := chatRequest(address, id, body, beforeWrite)
+	r.Silence = silence
+	answer, err := c.Call(ctx, r)
+	if err == nil && answer.Status != fasthttp.StatusOK {
+		return nil, &Failure{Kind: Refused, Address: address, Status: answer.Status, Body: answer.Body}
+	}
+	return answer.Body, err
+}
+
+func chatRequest(address, id string, body []byte, beforeWrite func() error) Request {
+	return Request{
 		Method:  fasthttp.MethodPost,
 		Address: address,
 		Path:    "/v1/chat/completions",
@@ -32,7 +50,7 @@
 		},
 		Body:        body,
 		BeforeWrite: beforeWrite,
-	})
+	}
 }
 
 // Resume reads on from a position in the engine's buffer.
--- a/entry/account.go
+++ b/entry/account.go
@@ -13,11 +13,10 @@
 
 // sample is the only outcome of one request.
 type sample struct {
-	work       *work
-	kind       outcome.Kind
-	reason     outcome.Reason
-	firstToken clock.Millis // zero when there was none
-	ended      clock.Millis
+	work   *work
+	kind   outcome.Kind
+	reason outcome.Reason
+	ended  clock.Millis
 }
 
 // accountant counts outcomes on a goroutine of its own.
--- a/entry/body.go
+++ b/entry/body.go
@@ -98,9 +98,11 @@
 func (b *body) add(m message) {
 	switch {
 	case m.problem != nil:
+		b.spare = append(b.spare, m.data...)
 		b.spare = stream.AppendEvent(b.spare, "error", m.problem.encode())
 		b.ended = true
 	case m.done:
+		b.spare = append(b.spare, m.data...)
 		b.spare = stream.AppendEvent(b.spare, "", []byte(stream.Done))
 		b.ended = true
 	default:
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -9,12 +11,30 @@
 	"github.com/galenaslip/galenaslip/clock"
 )
 
+const (
+	// lingerTime and lingerBytes bound what is read from a caller that was
+	// refused before its request had arrived. Closing the connection with unread
+	// bytes resets it, and the caller would lose the answer.
+	lingerTime  = 1 * clock.Second
+	lingerBytes = 4 << 20
+)
+
 // callerConn sets a fresh write deadline before each write. The HTTP server's
 // own write timeout covers a whole response and would cut long streams.
 type callerConn struct {
 	net.Conn
-	idle clock.Millis
-	now  clock.Clock
+	idle   clock.Millis
+	now    clock.Clock
+	linger atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok && c.linger.Swap(false) && half.CloseWrite() == nil && c.SetReadDeadline(deadline(c.now, lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn.
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"strconv"
 	"strings"
 
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/stream"
 )
@@ -22,8 +24,14 @@
 	model  string
 	stream bool
 	prompt string
+	// opaque is set when the answer may hold more than the text of one choice.
+	// Such an answer is not continued elsewhere.
+	opaque bool
 }
 
+// opaqueFields ask for output that a transcript of the text does not hold.
+var opaqueFields = []string{"tools", "functions", "logprobs", "modalities", "audio"}
+
 type continueWire struct {
 	Position int    `json:"position"`
 	Text     string `json:"text"`
@@ -45,11 +53,12 @@
 	if p := c.checkNumbers(); p != nil {
 		return nil, p
 	}
+	c.opaque = c.opaque || lo.SomeBy(opaqueFields, func(name string) bool { return len(c.fields[name]) > 0 })
 	return c, c.readPrompt()
 }
 
 // checkNumbers refuses counts that engines would refuse, before anything is
-// queued, and several choices, which cannot be continued elsewhere.
+// queued.
 func (c *chat) checkNumbers() *problem {
 	for _, name := range []string{"max_tokens", "max_completion_tokens", "n"} {
 		raw, ok := c.fields[name]
@@ -60,9 +69,7 @@
 		if err := json.Unmarshal(raw, &n); err != nil || n < 1 {
 			return invalid(outcome.ReasonInvalid, name, name+" must be a positive number")
 		}
-		if name == "n" && n != 1 {
-			return invalid(outcome.ReasonInvalid, name, "n must be 1")
-		}
+		c.opaque = c.opaque || name == "n" && n > 1
 	}
 	return nil
 }
@@ -92,16 +99,16 @@
 	return text
 }
 
-// encode returns the body for an engine. The answer is always streamed, because
-// only a stream can be continued.
+// encode returns the body for an engine. The answer is streamed, because only a
+// stream can be continued, unless it is opaque and the caller wants it whole.
 func (c *chat) encode(priority int, t *stream.Transcript) ([]byte, error) {
 	fields := make(map[string]json.RawMessage, len(c.fields)+3)
 	for name, raw := range c.fields {
 		fields[name] = raw
 	}
 	delete(fields, "continue_from")
-	fields["stream"] = json.RawMessage("true")
-	fields["priority"] = json.RawMessage(fmt.Sprint(priority))
+	fields["stream"] = json.RawMessage(strconv.FormatBool(c.stream || !c.opaque))
+	fields["priority"] = json.RawMessage(strconv.Itoa(priority))
 	if t.Position() > 0 {
 		from, err := json.Marshal(continueWire{Position: t.Position(), Text: t.Text()})
 		if err != nil {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -26,16 +26,18 @@
 // dispatcher owns queue, registry and router. Only its goroutine touches the
 // fields below inbox.
 type dispatcher struct {
-	options  Options
-	leases   *leaseKeeper
-	inbox    chan func(now clock.Millis)
-	registry *backend.Registry
-	queue    queue
-	router   router
-	jobs     map[string]*job
-	pools    map[string]*poolState
-	peers    map[string]*peerState
-	stops    map[string]clock.Millis
+	options   Options
+	leases    *leaseKeeper
+	inbox     chan func(now clock.Millis)
+	registry  *backend.Registry
+	queue     queue
+	router    router
+	jobs      map[string]*job
+	pools     map[string]*poolState
+	peers     map[string]*peerState
+	adopted   map[string]*adopted
+	estimates *estimates
+	stops     map[string]clock.Millis
 	// demand is what waits for models, for the lease renewal.
 	demand       atomic.Pointer[[]lease.Demand]
 	waitingCount atomic.Int64
@@ -65,16 +67,18 @@
 func newDispatcher(options Options, leases *leaseKeeper, epoch uint64) *dispatcher {
 	registry := backend.New(backend.Options{Entry: options.Name, Epoch: epoch})
 	d := &dispatcher{
-		options:  options,
-		leases:   leases,
-		inbox:    make(chan func(clock.Millis), inboxSize),
-		registry: registry,
-		jobs:     map[string]*job{},
-		pools:    map[string]*poolState{},
-		peers:    map[string]*peerState{},
-		stops:    map[string]clock.Millis{},
+		options:   options,
+		leases:    leases,
+		inbox:     make(chan func(clock.Millis), inboxSize),
+		registry:  registry,
+		jobs:      map[string]*job{},
+		pools:     map[string]*poolState{},
+		peers:     map[string]*peerState{},
+		adopted:   map[string]*adopted{},
+		estimates: newEstimates(),
+		stops:     map[string]clock.Millis{},
 	}
-	d.queue, d.router = newPolicy(options, registry)
+	d.queue, d.router = newPolicy(options, registry, d.estimates)
 	d.demand.Store(&[]lease.Demand{})
 	return d
 }
@@ -208,6 +212,9 @@
 	if j.running {
 		d.router.Progress(now, j.work.id, int(j.work.produced.Load()))
 		d.router.Finished(now, j.work.id, result)
+		if result == routing.Completed {
+			d.estimates.learn(now, j.work, j.started)
+		}
 	}
 	d.forget(j)
 	d.pump(now, j.work.pool)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/galenaslip/galenaslip/engine"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/lease"
+	"github.com/galenaslip/galenaslip/outcome"
 )
 
 // Entry is the process on the data path.
@@ -36,6 +37,7 @@
 	stopping    atomic.Bool // readiness fails
 	refusing    atomic.Bool // new work is refused
 	stopped     chan struct{}
+	searches    chan struct{} // running searches
 	once        sync.Once
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -78,6 +80,7 @@
 		challenger:  backend.NewChallenger(options.Name, incarnation),
 		budget:      newBudget(options.RetryPercentage),
 		stopped:     make(chan struct{}),
+		searches:    make(chan struct{}, maxSearches),
 		ctx:         ctx,
 		cancel:      cancel,
 	}
@@ -112,7 +115,7 @@
 		ReadBufferSize: e.options.Limits.HeaderBytes,
 		Concurrency:    e.options.Limits.Connections,
 		ReadTimeout:    e.options.Timeouts.CallerRead.Duration(),
-		ErrorHandler:   func(c fiber.Ctx, err error) error { return e.reject(c, describeHTTP(err)) },
+		ErrorHandler:   e.handleError,
 	})
 	app.Post("/v1/chat/completions", e.chatCompletions)
 	app.Get("/v1/models", e.models)
@@ -129,6 +132,15 @@
 	return app
 }
 
+// handleError answers requests that the HTTP server or a handler could not take.
+func (e *Entry) handleError(c fiber.Ctx, err error) error {
+	p := describeHTTP(err)
+	if caller, ok := c.RequestCtx().Conn().(*callerConn); ok && p.reason == outcome.ReasonTooLarge {
+		caller.linger.Store(true)
+	}
+	return e.reject(c, p)
+}
+
 // Address returns the bound address.
 func (e *Entry) Address() string {
 	return e.listener.Addr().String()
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -71,6 +71,9 @@
 			return m.problem.write(c)
 		case !m.done:
 			continue
+		case m.whole != nil:
+			c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+			return c.Send(m.whole)
 		}
 		answer, err := completion(r.work.id, r.chat.model, int64(e.options.Clock.Wall()/clock.Second), &r.transcript)
 		if err != nil {
--- a/entry/options.go
+++ b/entry/options.go
@@ -40,6 +40,7 @@
 	Silence    clock.Millis // longest time without a byte from an engine
 	Resume     clock.Millis // longest time for an engine to answer a resume
 	Call       clock.Millis // whole call of a plain service
+	Answer     clock.Millis // longest silence before an answer that engines do not stream
 	Claim      clock.Millis // one command at the control group
 	Renewal    clock.Millis // one renewal of the lease
 	CallerRead clock.Millis // whole request from a caller
@@ -60,6 +61,7 @@
 	DefaultSilence    = 5 * clock.Second
 	DefaultResume     = 1 * clock.Second
 	DefaultCall       = 30 * clock.Second
+	DefaultAnswer     = 10 * clock.Minute
 	DefaultClaim      = 2 * clock.Second
 	DefaultRenewal    = 900 * clock.Millisecond
 	DefaultCallerRead = 30 * clock.Second
@@ -120,6 +122,7 @@
 	t.Silence = orDefault(t.Silence, DefaultSilence)
 	t.Resume = orDefault(t.Resume, DefaultResume)
 	t.Call = orDefault(t.Call, DefaultCall)
+	t.Answer = orDefault(t.Answer, DefaultAnswer)
 	t.Claim = orDefault(t.Claim, DefaultClaim)
 	t.Renewal = orDefault(t.Renewal, DefaultRenewal)
 	t.CallerRead = orDefault(t.CallerRead, DefaultCallerRead)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -36,6 +36,10 @@
 			streams = append(streams, backend.Stream{ID: id, Server: j.server, Position: int(j.work.produced.Load())})
 		}
 	}
+	for id, a := range d.adopted {
+		inFlight[a.server]++
+		streams = append(streams, backend.Stream{ID: id, Server: a.server, Position: int(a.position.Load())})
+	}
 	waiting := []backend.Demand{}
 	for _, w := range d.queue.Waiting() {
 		waiting = append(waiting, backend.Demand{
@@ -79,17 +83,3 @@
 		}
 	}
 }
-
-// locate finds the engine that runs a peer's stream, and the peer's address.
-func (d *dispatcher) locate(now clock.Millis, id string) place {
-	for _, p := range d.peers {
-		s, found := p.streams[id]
-		if !found {
-			continue
-		}
-		if server, known := d.registry.Server(now, s.Server); known {
-			return place{engine: server.Address(), peer: p.address, found: true}
-		}
-	}
-	return place{}
-}
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -30,8 +30,8 @@
 	CacheEvents(server string, events []backend.CacheEvent)
 }
 
-func newPolicy(options Options, registry *backend.Registry) (queue, router) {
-	queueOptions := admission.Options{Limit: options.Limits.Queue}
+func newPolicy(options Options, registry *backend.Registry, e *estimates) (queue, router) {
+	queueOptions := admission.Options{Limit: options.Limits.Queue, Service: e.service}
 	routerOptions := routing.Options{Entry: options.Name, Registry: registry}
 	if options.Policy == PolicyNaive {
 		return admission.NewNaive(queueOptions), routing.NewNaive(routerOptions)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -35,8 +35,10 @@
 	data []byte
 	// problem ends the answer with an error.
 	problem *problem
-	// done ends a complete answer.
-	done bool
+	// done ends a complete answer. Whole is the engine's own body when the
+	// answer was not streamed to the entry.
+	done  bool
+	whole []byte
 }
 
 // verdict is how an attempt ended.
@@ -67,7 +69,12 @@
 	attempts   int
 	problem    *problem     // the reason of the last failed attempt
 	address    atomic.Value // string: the server of the present attempt
-	firstToken clock.Millis
+	whole      []byte
+	// spooling is closed when the attempt is interrupted. From then on events
+	// go to the backlog when the caller is slow, so that the slot gets free and
+	// no token is lost.
+	spooling chan struct{}
+	backlog  []byte
 }
 
 func newRelay(e *Entry, w *work, c *chat) *relay {
@@ -110,7 +117,7 @@
 	switch v {
 	case complete:
 		r.finished(routing.Completed)
-		r.emit(message{done: true})
+		r.emit(message{done: true, whole: r.whole})
 		r.account(outcome.Answered, outcome.ReasonNone)
 		return true
 	case gone:
@@ -120,6 +127,7 @@
 		return true
 	case handed:
 		r.finished(routing.Cancelled)
+		r.emit(message{problem: unknown(outcome.ReasonIncomplete, "another connection has taken the stream over")})
 		r.account(outcome.Unknown, outcome.ReasonCallerGone)
 		return true
 	case refused:
@@ -173,9 +181,16 @@
 // emit passes a message to the caller. It returns false when the caller has
 // gone.
 func (r *relay) emit(m message) bool {
+	if len(r.backlog) > 0 {
+		m.data = append(r.backlog, m.data...)
+		r.backlog = nil
+	}
 	select {
 	case r.out <- m:
 		return true
+	case <-r.spooling:
+		r.backlog = m.data
+		return true
 	case <-r.ctx.Done():
 		return false
 	}
@@ -186,9 +201,15 @@
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	r.address.Store(a.address)
-	r.work.stop.arm(func(reason interruption) { r.entry.interrupt(ctx, cancel, reason, a.address, r.work.id) })
+	spooling := make(chan struct{})
+	r.spooling = spooling
+	r.work.stop.arm(func(reason interruption) {
+		close(spooling)
+		r.entry.interrupt(ctx, cancel, reason, a.address, r.work.id)
+	})
 	v := r.converse(ctx, a)
 	reason := r.work.stop.disarm()
+	r.spooling = nil
 	switch {
 	case v == complete:
 		return complete
@@ -203,11 +224,15 @@
 }
 
 func (r *relay) converse(ctx context.Context, a assignment) verdict {
+	if r.chat.opaque && !r.work.streamed {
+		return r.fetch(ctx, a)
+	}
 	s, v := r.connect(ctx, a)
 	if v != "" {
 		return v
 	}
 	if !r.emit(message{}) {
+		s.Close()
 		return gone
 	}
 	for resumes := 0; ; resumes++ {
@@ -230,7 +255,7 @@
 // connections may go silent while new ones work. It returns nil when the engine
 // is given up.
 func (r *relay) resume(ctx context.Context, a assignment, resumes int) *engine.Stream {
-	if resumes >= maxResumes {
+	if resumes >= maxResumes || !r.transcript.Continuable() {
 		r.abandon(a.address)
 		return nil
 	}
@@ -251,6 +276,21 @@
 	r.entry.cancelAt(address, r.work.id, func() bool { return r.address.Load() != address })
 }
 
+// fetch takes an opaque answer as a whole. It is not continued after a failure
+// but run again, which callers allow for model work.
+func (r *relay) fetch(ctx context.Context, a assignment) verdict {
+	body, err := r.chat.encode(a.priority, &r.transcript)
+	if err != nil {
+		r.problem = invalid(outcome.ReasonInvalid, "", err.Error())
+		return refused
+	}
+	r.whole, err = r.entry.client.Whole(ctx, a.address, r.work.id, body, r.entry.options.Timeouts.Answer, r.checkLease)
+	if err != nil {
+		return r.judge(a, err)
+	}
+	return complete
+}
+
 // connect starts the answer at the engine.
 func (r *relay) connect(ctx context.Context, a assignment) (*engine.Stream, verdict) {
 	body, err := r.chat.encode(a.priority, &r.transcript)
@@ -370,8 +410,8 @@
 	if !r.transcript.Add(c) {
 		return ""
 	}
-	if r.firstToken == 0 && c.Text != "" {
-		r.firstToken = r.entry.options.Clock.Now()
+	if c.Text != "" && r.work.firstToken.Load() == 0 {
+		r.work.firstToken.Store(int64(r.entry.options.Clock.Now()))
 	}
 	r.work.produced.Store(int64(r.transcript.Position()))
 	if !r.work.streamed {
@@ -385,5 +425,5 @@
 
 // account reports the request's only outcome.
 func (r *relay) account(kind outcome.Kind, reason outcome.Reason) {
-	r.entry.account(sample{work: r.work, kind: kind, reason: reason, firstToken: r.firstToken, ended: r.entry.options.Clock.Now()})
+	r.entry.account(sample{work: r.work, kind: kind, reason: reason, ended: r.entry.options.Clock.Now()})
 }
--- a/entry/work.go
+++ b/entry/work.go
@@ -24,6 +24,8 @@
 	prefix       []uint64
 	// produced is written by the request's goroutine and read by the dispatcher.
 	produced atomic.Int64
+	// firstToken is the time of the first token, or zero.
+	firstToken atomic.Int64
 	// assigned gets each decision of the dispatcher. At most one is outstanding.
 	assigned chan assignment
 	// stop ends the running attempt.
