entry: settle claims whose commit or record is uncertain

Cause: when the answer to an acquire was lost, the committed claim stayed in state claimed for as long as its entry lived, and every repetition got 425. The outcome of a call was no longer recorded after 30 s without control.

Change: an uncertain acquire is settled as not run in the background; records are tried until they succeed or the entry ends, and a planned stop waits for them. Bodies are taken as they came, so that a compressed body is neither unpacked nor changed.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -15,7 +15,7 @@
 
 // announcements serves POST /v1/announcements.
 func (e *Entry) announcements(c fiber.Ctx) error {
-	a, err := backend.DecodeAnnouncement(c.Body())
+	a, err := backend.DecodeAnnouncement(c.BodyRaw())
 	if err != nil {
 		e.options.Logger.Log(event.AnnouncementRefused, zap.String("address", c.IP()), zap.Error(err))
 		return invalid(outcome.ReasonInvalid, "", err.Error()).write(c)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,9 +44,29 @@
 	tasks       taskGroup
 }
 
-// taskGroup runs goroutines and waits for them.
+// taskGroup runs goroutines and waits for them. It takes no new ones once
+// someone waits.
 type taskGroup struct {
-	sync.WaitGroup
+	mu     sync.Mutex
+	closed bool
+	tasks  sync.WaitGroup
+}
+
+// Go runs a task, unless someone waits already.
+func (g *taskGroup) Go(task func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		g.tasks.Go(task)
+	}
+}
+
+// Wait returns once every task has ended.
+func (g *taskGroup) Wait() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.tasks.Wait()
 }
 
 // New starts an entry. The returned function releases everything at once; work
@@ -180,11 +200,18 @@
 	e.options.Clock.Sleep(ctx, e.options.Timeouts.StopWait)
 	e.refusing.Store(true)
 	err := e.app.ShutdownWithContext(ctx)
+	e.awaitRecords(ctx)
 	e.release()
 	e.options.Logger.Log(event.ProcessStopped)
 	return errors.Wrap(err, "stop the HTTP server")
 }
 
+// awaitRecords waits until the outcome of each at-most-once call is recorded.
+func (e *Entry) awaitRecords(ctx context.Context) {
+	for e.leases.claims.Load() > 0 && e.options.Clock.Sleep(ctx, tickInterval) {
+	}
+}
+
 func (e *Entry) release() {
 	e.once.Do(func() {
 		e.stopping.Store(true)
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -34,6 +34,7 @@
 	entries       map[string]lease.Entry
 	down          bool
 	afterSend     func()
+	lostAnswers   map[string]int // answers that are lost, by call
 }
 
 func newFakeControl(tb testing.TB) *fakeControl {
@@ -86,7 +87,7 @@
 }
 
 func (f *fakeControl) Acquire(_ context.Context, key, bodyHash string, a claim.Attempt) control.ClaimReply {
-	return f.apply(claim.Acquire{Key: key, BodyHash: bodyHash, Attempt: a})
+	return f.lose("acquire", f.apply(claim.Acquire{Key: key, BodyHash: bodyHash, Attempt: a}))
 }
 
 func (f *fakeControl) Send(_ context.Context, key string, a claim.Attempt) control.ClaimReply {
@@ -101,9 +102,26 @@
 }
 
 func (f *fakeControl) Settle(_ context.Context, key string, a claim.Attempt, s claim.State, answer claim.Answer) control.ClaimReply {
+	f.mu.Lock()
+	lost := f.lostAnswers["settle"] > 0
+	f.mu.Unlock()
+	if lost {
+		return f.lose("settle", control.ClaimReply{})
+	}
 	return f.apply(claim.Settle{Key: key, Attempt: a, State: s, Answer: answer})
 }
 
+// lose replaces a reply by one that says nothing, as often as was asked for.
+func (f *fakeControl) lose(call string, reply control.ClaimReply) control.ClaimReply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostAnswers[call] == 0 {
+		return reply
+	}
+	f.lostAnswers[call]--
+	return control.ClaimReply{Reply: control.Reply{Kind: outcome.Unknown}}
+}
+
 func (f *fakeControl) Lookup(_ context.Context, key string) control.ClaimReply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -17,7 +17,7 @@
 	if p != nil {
 		return e.reject(c, p)
 	}
-	request, p := parseChat(c.Body())
+	request, p := parseChat(c.BodyRaw())
 	if p != nil {
 		return e.reject(c, p)
 	}
--- a/entry/once.go
+++ b/entry/once.go
@@ -19,11 +19,14 @@
 const (
 	// retryInProgress is the retry time of a call whose key is in progress.
 	retryInProgress = 1 * clock.Second
-	// settlePause is the wait before an unrecorded outcome is sent again.
-	settlePause = 500 * clock.Millisecond
-	// settleTries bounds the repetitions; with the pause they outlast an
-	// election.
-	settleTries = 60
+	// settlePause is the first wait before an unrecorded outcome is sent again.
+	// It doubles up to maxSettlePause. The tries go on while the entry lives: as
+	// long as it does, nobody else may settle the claim.
+	settlePause    = 500 * clock.Millisecond
+	maxSettlePause = 8 * clock.Second
+	// maxNotFound bounds the tries to settle a claim that the group does not
+	// know. With the pauses they take over 20 s, ten times as long as a proposal.
+	maxNotFound = 6
 )
 
 // onceCall is the claim of one at-most-once call.
@@ -35,6 +38,7 @@
 	// marked is set before the claim is marked as sent, because the mark may be
 	// in force even when its answer is lost.
 	marked bool
+	tries  int
 }
 
 func (e *Entry) newOnce(key string, s *call) (*onceCall, *problem) {
@@ -86,6 +90,10 @@
 	ctx, cancel := o.context()
 	defer cancel()
 	reply := o.entry.options.Control.Acquire(ctx, o.key, o.hash, o.attempt)
+	if reply.Kind == outcome.Unknown {
+		// The claim may still commit, and would then stay without an end.
+		o.settleLater(claim.NotRun, claim.Answer{})
+	}
 	if reply.Kind != outcome.Answered {
 		return result{problem: notRun(outcome.ReasonControlUnknown, "the key could not be claimed: "+reply.Message)}, false
 	}
@@ -156,13 +164,16 @@
 		return
 	}
 	o.entry.options.Logger.Log(event.SettleFailed, zap.String("key", o.key), zap.String("state", string(state)))
+	o.settleLater(state, answer)
+}
+
+func (o *onceCall) settleLater(state claim.State, answer claim.Answer) {
 	o.entry.leases.claims.Add(1)
 	o.entry.tasks.Go(func() {
 		defer o.entry.leases.claims.Add(-1)
-		for range settleTries {
-			if !o.entry.options.Clock.Sleep(o.entry.ctx, settlePause) || o.settle(state, answer) {
-				return
-			}
+		pause := settlePause
+		for o.entry.options.Clock.Sleep(o.entry.ctx, pause) && !o.settle(state, answer) {
+			pause = min(2*pause, maxSettlePause)
 		}
 	})
 }
@@ -185,7 +196,13 @@
 	if reply.Result.Reason == outcome.ReasonTooLarge {
 		reply = o.entry.options.Control.Settle(ctx, o.key, o.attempt, claim.Unknown, claim.Answer{})
 	}
-	return reply.Kind == outcome.Answered
+	return reply.Kind == outcome.Answered && !o.mayCommitLater(reply.Result.Reason)
+}
+
+// mayCommitLater reports whether the claim itself may still be under way.
+func (o *onceCall) mayCommitLater(reason outcome.Reason) bool {
+	o.tries++
+	return reason == outcome.ReasonRequestNotFound && o.tries < maxNotFound
 }
 
 func recording(a engine.Answer) claim.Answer {
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -120,3 +120,32 @@
 		t.Errorf("again: got %d and %d runs, want 201 and one", got.status, s.runs(key))
 	}
 }
+
+// Guards against a key that stays in progress for ever, or an answer that is
+// withheld or never recorded, when the control group's answers are lost.
+func TestOnceOnlyControlAnswersLost(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		call   string
+		status int
+		runs   int
+	}{
+		{call: "acquire", status: http.StatusServiceUnavailable},
+		{call: "settle", status: http.StatusCreated, runs: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.call, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2, 0, 1)
+			s.control.set(func(f *fakeControl) { f.lostAnswers = map[string]int{tt.call: 1} })
+			key := newKey()
+			if got := s.post(0, key, "42"); got.status != tt.status || s.runs(key) != tt.runs {
+				t.Errorf("got %d %s and %d runs, want %d and %d", got.status, got.code(), s.runs(key), tt.status, tt.runs)
+			}
+			s.eventually("the repetition is answered", func() bool { return s.post(1, key, "42").status == http.StatusCreated })
+			if got := s.runs(key); got != 1 {
+				t.Errorf("runs: got %d, want 1", got)
+			}
+		})
+	}
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -93,7 +93,7 @@
 
 // digest serves POST /peer/v1/digest.
 func (e *Entry) digest(c fiber.Ctx) error {
-	pull, err := backend.DecodePull(c.Body())
+	pull, err := backend.DecodePull(c.BodyRaw())
 	if err != nil {
 		e.options.Logger.Log(event.RequestMalformed, zap.String("address", c.IP()), zap.Error(err))
 		return invalid(outcome.ReasonInvalid, "", err.Error()).write(c)
--- a/entry/service.go
+++ b/entry/service.go
@@ -77,7 +77,7 @@
 		method:  string([]byte(c.Method())),
 		path:    path,
 		headers: callHeaders(c, h.id),
-		body:    append([]byte(nil), c.Body()...),
+		body:    append([]byte(nil), c.BodyRaw()...),
 		ctx:     ctx,
 		cancel:  cancel,
 		out:     make(chan result, 1),
@@ -138,6 +138,9 @@
 				<-s.out
 				return conn.Close()
 			}
+		case <-e.ctx.Done():
+			release()
+			return conn.Close()
 		}
 	}
 }
