--- a/entry/announce.go
+++ b/entry/announce.go
@@ -15,7 +15,7 @@
 
 // announcements serves POST /v1/announcements.
 func (e *Entry) announcements(c fiber.Ctx) error {
-	a, err := backend.DecodeAnnouncement(c.Body())
+	a, err := backend.DecodeAnnouncement(c.BodyRaw())
 	if err != nil {
 		e.options.Logger.Log(event.AnnouncementRefused, zap.String("address", c.IP()), zap.Error(err))
 		return invalid(outcome.ReasonInvalid, "", err.Error()).write(c)
@@ -23,7 +23,7 @@
 	answers := make(chan backend.Answer, 1)
 	ok := e.dispatcher.offer(func(now clock.Millis) { answers <- e.dispatcher.announced(now, e.challenger, a) })
 	if !ok {
-		e.dispatcher.dropped.Add(1)
+		e.metrics.dropped.Inc()
 		return notRun(outcome.ReasonOverloaded, "the entry is overloaded").write(c)
 	}
 	select {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -14,37 +15,58 @@
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/engine"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/lease"
+	"github.com/galenaslip/galenaslip/outcome"
 )
 
 // Entry is the process on the data path.
 type Entry struct {
-	options      Options
-	listener     net.Listener
-	advertised   string
-	incarnation  uint64
-	app          *fiber.App
-	client       *engine.Client
-	closeClient  func()
-	dispatcher   *dispatcher
-	leases       *leaseKeeper
-	challenger   *backend.Challenger
-	accountant   *accountant
-	budget       *budget
-	rejections   rejections
-	strangers    atomic.Int64
-	pullFailures atomic.Int64
-	stopping     atomic.Bool // readiness fails
-	refusing     atomic.Bool // new work is refused
-	stopped      chan struct{}
-	once         sync.Once
-	ctx          context.Context
-	cancel       context.CancelFunc
-	tasks        taskGroup
+	options     Options
+	listener    net.Listener
+	advertised  string
+	incarnation uint64
+	app         *fiber.App
+	client      *engine.Client
+	closeClient func()
+	dispatcher  *dispatcher
+	leases      *leaseKeeper
+	challenger  *backend.Challenger
+	accountant  *accountant
+	budget      *budget
+	metrics     *metrics
+	stopping    atomic.Bool // readiness fails
+	refusing    atomic.Bool // new work is refused
+	stopped     chan struct{}
+	searches    chan struct{} // running searches
+	once        sync.Once
+	ctx         context.Context
+	cancel      context.CancelFunc
+	tasks       taskGroup
 }
 
-// taskGroup runs goroutines and waits for them.
+// taskGroup runs goroutines and waits for them. It takes no new ones once
+// someone waits.
 type taskGroup struct {
-	sync.WaitGroup
+	mu     sync.Mutex
+	closed bool
+	tasks  sync.WaitGroup
+}
+
+// Go runs a task, unless someone waits already.
+func (g *taskGroup) Go(task func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		g.tasks.Go(task)
+	}
+}
+
+// Wait returns once every task has ended.
+func (g *taskGroup) Wait() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.tasks.Wait()
 }
 
 // New starts an entry. The returned function releases everything at once; work
@@ -76,9 +98,9 @@
 		client:      client,
 		closeClient: closeClient,
 		challenger:  backend.NewChallenger(options.Name, incarnation),
-		accountant:  newAccountant(),
 		budget:      newBudget(options.RetryPercentage),
 		stopped:     make(chan struct{}),
+		searches:    make(chan struct{}, maxSearches),
 		ctx:         ctx,
 		cancel:      cancel,
 	}
@@ -87,6 +109,9 @@
 	}
 	e.leases = newLeaseKeeper(options, incarnation, e.advertised)
 	e.dispatcher = newDispatcher(options, e.leases, incarnation)
+	e.leases.demand = func() []lease.Demand { return *e.dispatcher.demand.Load() }
+	e.metrics = newMetrics(e)
+	e.accountant = newAccountant(e.metrics)
 	e.app = e.routes()
 	return e
 }
@@ -110,7 +135,7 @@
 		ReadBufferSize: e.options.Limits.HeaderBytes,
 		Concurrency:    e.options.Limits.Connections,
 		ReadTimeout:    e.options.Timeouts.CallerRead.Duration(),
-		ErrorHandler:   func(c fiber.Ctx, err error) error { return e.reject(c, describeHTTP(err)) },
+		ErrorHandler:   e.handleError,
 	})
 	app.Post("/v1/chat/completions", e.chatCompletions)
 	app.Get("/v1/models", e.models)
@@ -121,11 +146,21 @@
 	app.Post(digestPath, e.guard(e.options.Tokens.Peer), e.digest)
 	app.Post(releasePath+":id", e.guard(e.options.Tokens.Peer), e.released)
 	app.Get("/debug/state", e.guard(e.options.Tokens.Operator), e.debugState)
+	app.Get("/metrics", adaptor.HTTPHandler(e.metrics.handler()))
 	app.Get("/healthz", e.healthz)
 	app.Get("/readyz", e.readyz)
 	return app
 }
 
+// handleError answers requests that the HTTP server or a handler could not take.
+func (e *Entry) handleError(c fiber.Ctx, err error) error {
+	p := describeHTTP(err)
+	if caller, ok := c.RequestCtx().Conn().(*callerConn); ok && p.reason == outcome.ReasonTooLarge {
+		caller.linger.Store(true)
+	}
+	return e.reject(c, p)
+}
+
 // Address returns the bound address.
 func (e *Entry) Address() string {
 	return e.listener.Addr().String()
@@ -165,11 +200,18 @@
 	e.options.Clock.Sleep(ctx, e.options.Timeouts.StopWait)
 	e.refusing.Store(true)
 	err := e.app.ShutdownWithContext(ctx)
+	e.awaitRecords(ctx)
 	e.release()
 	e.options.Logger.Log(event.ProcessStopped)
 	return errors.Wrap(err, "stop the HTTP server")
 }
 
+// awaitRecords waits until the outcome of each at-most-once call is recorded.
+func (e *Entry) awaitRecords(ctx context.Context) {
+	for e.leases.claims.Load() > 0 && e.options.Clock.Sleep(ctx, tickInterval) {
+	}
+}
+
 func (e *Entry) release() {
 	e.once.Do(func() {
 		e.stopping.Store(true)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	digest, began, err := e.fetch(ctx, address)
 	if err != nil {
-		e.pullFailures.Add(1)
+		e.metrics.pulls.Inc()
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			e.options.Logger.Log(event.PeerUnreachable, zap.String("address", address), zap.Error(err))
 		}
@@ -93,7 +93,7 @@
 
 // digest serves POST /peer/v1/digest.
 func (e *Entry) digest(c fiber.Ctx) error {
-	pull, err := backend.DecodePull(c.Body())
+	pull, err := backend.DecodePull(c.BodyRaw())
 	if err != nil {
 		e.options.Logger.Log(event.RequestMalformed, zap.String("address", c.IP()), zap.Error(err))
 		return invalid(outcome.ReasonInvalid, "", err.Error()).write(c)
