entry: keep the reader of a stream between the parts of a test

Cause: with 24 runs of TestContinuation at the same time, 4 failed with a token missing near the fault. The test made a new reader for each part of one body and lost the events that the former one had read ahead. Ruled out: a fault of the relay, which this change does not touch. Change: the transcript keeps the reader of its body.

--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -19,12 +19,23 @@
 	stream.Transcript
 	done    bool
 	problem string
+	body    io.Reader
+	reader  *stream.Reader
+}
+
+// from returns the reader of a body. It is kept between calls, because it may hold
+// events that were read ahead.
+func (tr *transcript) from(body io.Reader) *stream.Reader {
+	if tr.body != body {
+		tr.body, tr.reader = body, stream.NewReader(body, 1<<20)
+	}
+	return tr.reader
 }
 
 // readStream reads a stream until it ends or stop returns true.
 func readStream(tb testing.TB, body io.Reader, into *transcript, stop func() bool) {
 	tb.Helper()
-	r := stream.NewReader(body, 1<<20)
+	r := into.from(body)
 	for !stop() {
 		e, err := r.Next()
 		if errors.Is(err, io.EOF) {
