--- a/demo/demo.go
+++ b/demo/demo.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -15,12 +14,30 @@
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/caller"
+	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/entry"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/site"
 	"github.com/galenaslip/galenaslip/standin"
 )
 
+// Sizes of the demo's site.
+const (
+	entries     = 4
+	engines     = 3
+	modelName   = "m-small"
+	serviceName = "ledger"
+	freePort    = "127.0.0.1:0"
+)
+
+const (
+	tokenTime   = 5 * clock.Millisecond
+	prefillRate = 50_000 // tokens a second
+	engineSlots = 8
+)
+
 const (
 	burstSize   = 48
 	lookupCount = 4
@@ -46,25 +63,67 @@
 // Run starts a site, sends every kind of work and prints what became of it. It
 // returns an error when a promise of the router was broken.
 func Run(ctx context.Context, options Options) error {
-	folder, err := os.MkdirTemp("", "galenaslip-demo-")
+	classes, err := makeClasses()
 	if err != nil {
-		return errors.Wrap(err, "cannot make a temporary folder")
+		return err
 	}
-	defer os.RemoveAll(folder) //nolint:errcheck // The folder is temporary.
-	fmt.Fprintf(options.Output, "Starting %d control members, %d entries, %d stand-in engines and a ledger on loopback ports.\n", zones, entries, engines)
-	s, err := newSite(ctx, options.Clock, options.Logger, folder)
-	defer s.release()
+	fmt.Fprintf(options.Output, "Starting 3 control members, %d entries, %d stand-in engines and a ledger on loopback ports.\n", entries, engines)
+	s, release, err := site.New(ctx, siteOptions(options, classes))
 	if err != nil {
 		return err
 	}
-	d := &demo{site: s, caller: caller.New()}
+	defer release()
+	d := &demo{clock: options.Clock, site: s, caller: caller.New()}
 	d.run()
 	return d.report(options.Output)
 }
 
+type classSpec struct {
+	name    string
+	tier    class.Tier
+	target  clock.Millis
+	measure class.Measure
+}
+
+var classSpecs = []classSpec{
+	{"clause-query", 1, 580 * clock.Millisecond, class.FirstToken},
+	{"posting", 1, 2 * clock.Second, class.Completion},
+	{"lookup", 2, 1 * clock.Second, class.Completion},
+	{"treaty-digest", 3, 8 * clock.Hour, class.Completion},
+	{"row-tagging", 4, 30 * clock.Second, class.Completion},
+}
+
+func makeClasses() ([]class.Class, error) {
+	classes := make([]class.Class, 0, len(classSpecs))
+	for _, spec := range classSpecs {
+		c, err := class.New(spec.name, spec.tier, spec.target, spec.measure)
+		if err != nil {
+			return nil, err
+		}
+		classes = append(classes, c)
+	}
+	return classes, nil
+}
+
+func siteOptions(options Options, classes []class.Class) site.Options {
+	return site.Options{
+		Entries: lo.Times(entries, func(int) string { return freePort }),
+		Engines: lo.Times(engines, func(i int) site.Server {
+			return site.Server{Name: fmt.Sprintf("engine-%d", i+1), Address: freePort, Offers: []string{modelName}}
+		}),
+		Services: []site.Server{{Name: "ledger-1", Address: freePort, Offers: []string{serviceName}}},
+		Engine:   standin.EngineOptions{TokenTime: tokenTime, PrefillRate: prefillRate, Slots: engineSlots},
+		Policy:   entry.PolicyReal,
+		Classes:  classes,
+		Clock:    options.Clock,
+		Logger:   options.Logger,
+	}
+}
+
 // demo sends the work and collects the results.
 type demo struct {
-	site   *site
+	clock  clock.Clock
+	site   *site.Site
 	caller *caller.Caller
 	mu     sync.Mutex
 	all    []result
@@ -100,11 +159,11 @@
 }
 
 func (d *demo) entry(i int) string {
-	return d.site.entries[i%len(d.site.entries)]
+	return d.site.Entries()[i%entries]
 }
 
 func (d *demo) chat(i int, class, prompt string, streamed bool) {
-	started := d.site.clock.Now()
+	started := d.clock.Now()
 	q, err := caller.Chat(d.entry(i), class, "demo", modelName, prompt, streamed)
 	if err != nil {
 		d.add(result{class: class, kind: outcome.NotRun, detail: err.Error()})
@@ -116,27 +175,27 @@
 	}
 	r, err := send(q)
 	correct := r.Outcome != outcome.Answered || r.Text == strings.Join(standin.Answer(modelName, prompt), "")
-	d.add(result{class: class, kind: r.Outcome, correct: correct, latency: d.site.clock.Now() - started, detail: detail(r, err)})
+	d.add(result{class: class, kind: r.Outcome, correct: correct, latency: d.clock.Now() - started, detail: detail(r, err)})
 }
 
 func (d *demo) lookup(i int) {
-	started := d.site.clock.Now()
+	started := d.clock.Now()
 	r, err := d.caller.Call(caller.Request{
 		Entry: d.entry(i), Class: "lookup", Workspace: "demo",
 		Method: http.MethodGet, Path: "/v1/services/" + serviceName + "/treaties/7",
 	})
-	d.add(result{class: "lookup", kind: r.Outcome, correct: true, latency: d.site.clock.Now() - started, detail: detail(r, err)})
+	d.add(result{class: "lookup", kind: r.Outcome, correct: true, latency: d.clock.Now() - started, detail: detail(r, err)})
 }
 
 // posting sends the one posting to an entry. The second time it is the
 // repetition of a caller that did not get the first answer.
 func (d *demo) posting(i int) {
-	started := d.site.clock.Now()
+	started := d.clock.Now()
 	r, err := d.caller.Call(caller.Request{
 		Entry: d.entry(i), Class: "posting", Workspace: "demo", Key: d.key,
 		Method: http.MethodPost, Path: "/v1/services/" + serviceName + "/postings", Body: []byte(`{"premium":1200}`),
 	})
-	d.add(result{class: "posting", kind: r.Outcome, correct: true, latency: d.site.clock.Now() - started, detail: detail(r, err)})
+	d.add(result{class: "posting", kind: r.Outcome, correct: true, latency: d.clock.Now() - started, detail: detail(r, err)})
 }
 
 func detail(r caller.Reply, err error) string {
@@ -154,7 +213,7 @@
 	if err := d.table(w); err != nil {
 		return err
 	}
-	runs := d.site.ledger.State().Runs[d.key]
+	runs := d.site.Runs(d.key)
 	fmt.Fprintf(w, "\nThe posting was sent twice with one key; the ledger ran it %d time(s).\n", runs)
 	if runs != 1 {
 		return errors.Errorf("broken promise: the posting ran %d times, want 1", runs)
