placement: plan loads and role changes with fencing tokens

Cause: a model without a live server, or with more demand than its servers can take, needs a server, and a former leader's orders must not undo new ones. Change: a pure planner that changes roles first, loads within the weight store's limits, highest tier first, makes room on an idle engine for a model that has none, resends under one order ID until the report shows the effect, and waits for the former lease plus the delivery time before it orders engines that ignore the token. Engines in the prefill role are no longer in any pool.

--- a/backend/announcement.go
+++ b/backend/announcement.go
@@ -111,9 +111,13 @@
 	return Announcement{static: s.seal(), sequence: sequence, state: Serving}
 }
 
-// seal computes the derived fields.
+// seal computes the derived fields. An engine in the prefill role is in no pool,
+// because it does not answer requests.
 func (s static) seal() *static {
 	s.check = s.checksum()
+	if s.role == Prefill {
+		return &s
+	}
 	s.pools = make([]string, 0, len(s.models)+len(s.services))
 	for _, m := range s.models {
 		s.pools = append(s.pools, ModelPool(m))
--- /dev/null
+++ b/placement/planner_test.go
@@ -0,0 +1,285 @@
+package placement_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/placement"
+)
+
+// TestMain fixes rapid's seed, so that a run can be repeated.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "4711")
+	}
+	os.Exit(m.Run())
+}
+
+// engine executes orders as an engine does: repeated IDs have no further effect,
+// and old tokens are refused if it checks them.
+type engine struct {
+	checks  bool
+	models  []string
+	role    backend.Role
+	highest uint64
+	stale   int // orders executed after one with a higher token
+	seen    map[string]bool
+}
+
+func (e *engine) execute(o placement.Order) {
+	if o.FencingToken < e.highest {
+		if e.checks {
+			return
+		}
+		e.stale++
+	}
+	e.highest = max(e.highest, o.FencingToken)
+	if e.seen[o.ID] {
+		return
+	}
+	e.seen[o.ID] = true
+	switch o.Kind {
+	case placement.LoadModel:
+		e.models = lo.Uniq(append(e.models, o.Model))
+	case placement.UnloadModel:
+		e.models = lo.Without(e.models, o.Model)
+	case placement.ChangeRole:
+		e.role = o.Role
+	}
+}
+
+// world delivers orders to engines with delay and loss.
+type world struct {
+	now              clock.Millis
+	random           *rand.Rand
+	loss             int
+	delay, slowDelay clock.Millis // longest, to engines that ignore and check tokens
+	engines          map[string]*engine
+	todo             []delivery
+	sent             []placement.Order
+	sentAt           []clock.Millis
+}
+
+type delivery struct {
+	at    clock.Millis
+	order placement.Order
+}
+
+func (w *world) Send(o placement.Order) {
+	w.sent, w.sentAt = append(w.sent, o), append(w.sentAt, w.now)
+	if w.random.IntN(100) < w.loss {
+		return
+	}
+	delay := w.delay
+	if w.engines[o.Server].checks {
+		delay = w.slowDelay
+	}
+	w.todo = append(w.todo, delivery{at: w.now + clock.Millis(w.random.Int64N(int64(delay)+1)), order: o})
+}
+
+// deliver executes what has arrived.
+func (w *world) deliver() {
+	w.todo = lo.Filter(w.todo, func(d delivery, _ int) bool {
+		if d.at <= w.now {
+			w.engines[d.order.Server].execute(d.order)
+		}
+		return d.at > w.now
+	})
+}
+
+func (w *world) names() []string {
+	names := lo.Keys(w.engines)
+	slices.Sort(names)
+	return names
+}
+
+func (w *world) servers() []backend.Server {
+	var all []backend.Server
+	for _, name := range w.names() {
+		e := w.engines[name]
+		a := backend.NewAnnouncement(name, 1, 1, "10.0.0.7:9000").WithModels(e.models...).
+			WithRole(e.role).WithSlots(8).WithChecksFencing(e.checks)
+		all = append(all, backend.Server{Announcement: a, Usable: true})
+	}
+	return all
+}
+
+func newWorld(seed uint64, engines int, checks func(int) bool) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 2)), delay: 1000, slowDelay: 1000, engines: map[string]*engine{}}
+	for i := range engines {
+		w.engines[fmt.Sprint("engine-", i)] = &engine{checks: checks(i), role: backend.Generate, seen: map[string]bool{}}
+	}
+	return w
+}
+
+// Guards against stale orders: the former leader plans until its own lease ends,
+// on a clock that runs up to 1% slow, and the new one from the moment it is
+// elected. Engines that ignore the token must never execute an old order after a
+// new one, and engines that check it must not either, however late it arrives.
+func TestNoStaleOrders(t *testing.T) {
+	const lease = 900
+	total := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 4, func(i int) bool { return i%2 == 0 })
+		w.loss, w.slowDelay = rapid.IntRange(0, 60).Draw(t, "loss"), 8000
+		elected := clock.Millis(rapid.IntRange(3000, 9000).Draw(t, "elected"))
+		// The new leader may be elected before the former one's lease has ended on
+		// the former one's clock, if that runs slow or was frozen for a moment.
+		formerEnds := elected + clock.Millis(rapid.IntRange(-1500, lease*101/100).Draw(t, "former ends"))
+		options := placement.Options{LoadInterval: 300, Resend: 200, ModelsPerServer: 2}
+		former, next := placement.New(options), placement.New(options)
+		models := []string{"a", "b", "c", "d"}
+		for ; w.now < 20_000; w.now += 50 {
+			w.deliver()
+			demand := []placement.Demand{{Model: models[w.random.IntN(4)], Tier: 1, Waiting: 100}}
+			former.Plan(w.now, placement.Leadership{Term: 1, LeaseRemaining: formerEnds - w.now}, demand, w.servers(), w)
+			if w.now >= elected {
+				next.Plan(w.now, placement.Leadership{Term: 2, LeaseRemaining: lease}, demand, w.servers(), w)
+			}
+			for _, name := range w.names() {
+				e := w.engines[name]
+				if e.stale > 0 {
+					t.Fatalf("%s executed an old order at %d after a new one", name, w.now)
+				}
+				if e.highest == 2 && w.random.IntN(20) == 0 {
+					e.models = nil // keeps orders coming
+				}
+				if e.highest == 2 && !e.checks {
+					total++
+				}
+			}
+		}
+	})
+	if total == 0 {
+		t.Error("no engine that ignores tokens executed an order of the new leader")
+	}
+}
+
+// Guards against loads beyond the weight store's limit, a lower tier before a
+// higher one, changed IDs on resends, and orders that are lost for good.
+func TestLoads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 6, func(int) bool { return true })
+		w.loss, w.slowDelay = rapid.IntRange(0, 70).Draw(t, "loss"), 6000
+		p := placement.New(placement.Options{LoadInterval: 1000, LoadsAtOnce: 2, Resend: 300})
+		tiers := rapid.Permutation([]class.Tier{1, 2, 3, 4}).Draw(t, "tiers")
+		var demands []placement.Demand
+		for i, tier := range tiers {
+			demands = append(demands, placement.Demand{Model: fmt.Sprint("m", tier), Tier: tier, Waiting: 1 + i})
+		}
+		for ; w.now < 60_000; w.now += 100 {
+			w.deliver()
+			p.Plan(w.now, placement.Leadership{Term: 1, LeaseRemaining: 900}, demands, w.servers(), w)
+			if got := len(p.Pending()); got > 2 {
+				t.Fatalf("pending loads: got %d, want at most 2", got)
+			}
+		}
+		checkLoads(t, w)
+	})
+}
+
+func checkLoads(t *rapid.T, w *world) {
+	first := map[string]clock.Millis{}
+	var models []string
+	byID := map[string]placement.Order{}
+	last := clock.Millis(-1 << 40)
+	for i, o := range w.sent {
+		if known, ok := byID[o.ID]; ok && known != o {
+			t.Fatalf("order %s: got %v, want %v", o.ID, o, known)
+		}
+		if _, ok := byID[o.ID]; ok {
+			continue
+		}
+		byID[o.ID], first[o.ID] = o, w.sentAt[i]
+		models = append(models, o.Model)
+		if w.sentAt[i]-last < 1000 {
+			t.Fatalf("loads started at %d and %d, want 1000 between them", last, w.sentAt[i])
+		}
+		last = w.sentAt[i]
+	}
+	if want := []string{"m1", "m2", "m3", "m4"}; !slices.Equal(models, want) {
+		t.Fatalf("loads: got %v, want %v", models, want)
+	}
+	for _, m := range models {
+		if !lo.SomeBy(lo.Values(w.engines), func(e *engine) bool { return slices.Contains(e.models, m) }) {
+			t.Fatalf("%s was never loaded", m)
+		}
+	}
+}
+
+// Guards against orders that are not needed, not allowed, or of the wrong kind.
+func TestPlan(t *testing.T) {
+	idle := backend.NewAnnouncement("idle", 1, 1, "10.0.0.7:9000").WithSlots(8).WithChecksFencing(true)
+	ignores := idle.WithChecksFencing(false)
+	prefill := idle.WithModels("m").WithRole(backend.Prefill)
+	busy := idle.WithModels("m")
+	other := backend.NewAnnouncement("other", 1, 1, "10.0.0.7:9000").WithSlots(8).WithModels("x")
+	tests := []struct {
+		name    string
+		servers []backend.Announcement
+		waiting int
+		lease   clock.Millis
+		at      clock.Millis
+		want    []placement.Kind
+	}{
+		{name: "no server", servers: []backend.Announcement{idle}, waiting: 1, lease: 900, at: 9000, want: []placement.Kind{"load_model"}},
+		{name: "no demand", servers: []backend.Announcement{idle}, lease: 900, at: 9000},
+		{name: "no lease", servers: []backend.Announcement{idle}, waiting: 1, at: 9000},
+		{name: "new term's rate limit", servers: []backend.Announcement{idle}, waiting: 1, lease: 900, at: 100},
+		{name: "role first", servers: []backend.Announcement{prefill, other}, waiting: 1, lease: 900, at: 100, want: []placement.Kind{"change_role"}},
+		{name: "ignores token, early", servers: []backend.Announcement{ignores.WithModels("m").WithRole(backend.Prefill)}, waiting: 1, lease: 900, at: 1900},
+		{name: "ignores token, late", servers: []backend.Announcement{ignores}, waiting: 1, lease: 900, at: 9000, want: []placement.Kind{"load_model"}},
+		{name: "enough servers", servers: []backend.Announcement{busy}, waiting: 4, lease: 900, at: 9000},
+		{name: "outgrown, no room", servers: []backend.Announcement{busy, other}, waiting: 5, lease: 900, at: 9000},
+		{name: "makes room", servers: []backend.Announcement{idle.WithModels("x"), other}, waiting: 1, lease: 900, at: 9000, want: []placement.Kind{"unload_model"}},
+		{name: "keeps the last server", servers: []backend.Announcement{other}, waiting: 1, lease: 900, at: 9000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(1, 0, nil)
+			w.engines = map[string]*engine{"idle": {}, "other": {}}
+			servers := lo.Map(tt.servers, func(a backend.Announcement, _ int) backend.Server {
+				return backend.Server{Announcement: a, Usable: true}
+			})
+			p := placement.New(placement.Options{})
+			for _, now := range []clock.Millis{0, tt.at} {
+				p.Plan(now, placement.Leadership{Term: 3, LeaseRemaining: tt.lease}, []placement.Demand{{Model: "m", Tier: 2, Waiting: tt.waiting}}, servers, w)
+			}
+			got := lo.Map(p.Pending(), func(o placement.Order, _ int) placement.Kind { return o.Kind })
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against repeating an order under a term whose token was refused.
+func TestRefused(t *testing.T) {
+	w := newWorld(1, 1, func(int) bool { return true })
+	p := placement.New(placement.Options{LoadInterval: 100})
+	plan := func(now clock.Millis, term uint64) int {
+		p.Plan(now, placement.Leadership{Term: term, LeaseRemaining: 900}, []placement.Demand{{Model: "m", Tier: 1, Waiting: 1}}, w.servers(), w)
+		return len(p.Pending())
+	}
+	plan(0, 1)
+	plan(1000, 1)
+	p.Refused(p.Pending()[0].ID)
+	if got := plan(9000, 1); got != 0 {
+		t.Errorf("same term: got %d orders, want 0", got)
+	}
+	plan(10_000, 2)
+	if got := plan(11_000, 2); got != 1 {
+		t.Errorf("next term: got %d orders, want 1", got)
+	}
+}
