routing: prove free slots, load correction and stragglers

Cause: the choice of a server rests on lagging reports, and four entries that share one must not send their work to the same servers. Change: a property that compares free slots and choices with a scan, a herd test, and a simulation of engines that batch continuously, used by the straggler test and by the experiment; benchmarks for a decision and for memory.

--- /dev/null
+++ b/routing/bench_test.go
@@ -0,0 +1,109 @@
+package routing_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/routing"
+)
+
+// BenchmarkDecision measures one decision with its Sent and Finished, by the
+// number of servers.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 12_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			_, r := newRouter("entry", n, 16)
+			request := routing.Request{ID: "x", Pool: pool, Class: "c", Tier: 2, PromptTokens: 1000, Prefix: []uint64{1, 2, 3, 4}}
+			b.ReportAllocs()
+			for b.Loop() {
+				c, ok := r.Choose(10, request)
+				if !ok {
+					b.Fatal("no server")
+				}
+				r.Sent(10, request, c.Server.Server())
+				r.Finished(10, request.ID, routing.Cancelled)
+			}
+		})
+	}
+}
+
+// BenchmarkMemory measures the memory for each server, in the registry alone and
+// with the router.
+func BenchmarkMemory(b *testing.B) {
+	const n = 12_000
+	for b.Loop() {
+		before := heapBytes()
+		registry := backend.New(backend.Options{Entry: "e"})
+		for i := range n {
+			data, err := backend.EncodeAnnouncement(backend.NewAnnouncement(serverName(i), 1, 1, "10.0.0.7:9000").
+				WithModels("m").WithSlots(16).WithAvailabilityZone("az-1"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			a, err := backend.DecodeAnnouncement(data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			registry.Accept(0, a, 0)
+		}
+		alone := heapBytes()
+		r := routing.New(routing.Options{Entry: "e", Registry: registry})
+		for i := range 100_000 {
+			request := routing.Request{ID: fmt.Sprint(i), Pool: pool}
+			r.Sent(clock.Millis(i/50), request, serverName(i%n))
+			r.Finished(clock.Millis(i/50), request.ID, routing.Cancelled)
+		}
+		both := heapBytes()
+		b.ReportMetric(float64(alone-before)/n, "registry-B/server")
+		b.ReportMetric(float64(both-alone)/n, "router-B/server")
+		runtime.KeepAlive(registry)
+		runtime.KeepAlive(r)
+	}
+}
+
+func heapBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkExperiment compares routers in the simulation: 20 engines, four
+// entries, 60 s after 20 s of warm-up. One engine is slower by the factor slow.
+func BenchmarkExperiment(b *testing.B) {
+	router := func(o routing.Options) chooser { return routing.New(o) }
+	naive := func(o routing.Options) chooser { return routing.NewNaive(o) }
+	routers := []struct {
+		name     string
+		make     func(routing.Options) chooser
+		affinity bool
+	}{{"round-robin", naive, false}, {"router-no-affinity", router, false}, {"router", router, true}}
+	for _, rate := range []float64{25, 35, 45} {
+		for _, load := range []struct {
+			age  clock.Millis
+			slow float64
+		}{{400, 1}, {5000, 1}, {400, 5}} {
+			for _, r := range routers {
+				b.Run(fmt.Sprintf("rate=%v/age=%d/slow=%v/%s", rate, load.age, load.slow, r.name), func(b *testing.B) {
+					for b.Loop() {
+						s := newSimulation(simOptions{
+							engines: 20, rate: rate, reportAge: load.age, prefixes: 40,
+							make: r.make, affinity: r.affinity, warmUp: 20_000,
+						})
+						s.engines[0].slow = load.slow
+						s.run(80_000)
+						s.countWaiting()
+						b.ReportMetric(percentile(s.first, 0.5), "first-p50-ms")
+						b.ReportMetric(percentile(s.first, 0.95), "first-p95-ms")
+						b.ReportMetric(percentile(s.first, 0.99), "first-p99-ms")
+						b.ReportMetric(percentile(s.between, 0.95), "between-p95-ms")
+						b.ReportMetric(100*float64(s.cached)/float64(s.prompt), "cached-%")
+					}
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/routing/property_test.go
@@ -0,0 +1,264 @@
+package routing_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/routing"
+)
+
+// TestMain fixes rapid's seed, so that a run can be repeated.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "4711")
+	}
+	os.Exit(m.Run())
+}
+
+// naiveLoad recomputes the free slots of a server from everything that ever
+// happened to it.
+type naiveLoad struct {
+	slots, reported int
+	reportedAt      clock.Millis
+	known           []int // own and peers' running requests
+	knownAt         []clock.Millis
+	own, peer       int
+}
+
+func (l *naiveLoad) record(now clock.Millis) {
+	l.known, l.knownAt = append(l.known, l.own+l.peer), append(l.knownAt, now)
+}
+
+func (l *naiveLoad) free() int {
+	before := 0
+	for i, at := range l.knownAt {
+		if at <= l.reportedAt {
+			before = l.known[i]
+		}
+	}
+	return max(0, l.slots-l.own-l.peer-max(0, l.reported-before))
+}
+
+// Guards against a set of free servers, a count of free slots or a choice that
+// differs from a scan, after any sequence of reports, requests and peers' loads.
+func TestFreeSlotsEqualScan(t *testing.T) {
+	const servers = 4
+	rapid.Check(t, func(t *rapid.T) {
+		registry := backend.New(backend.Options{Entry: "e"})
+		r := routing.New(routing.Options{Entry: "e", Registry: registry})
+		loads := map[string]*naiveLoad{}
+		running := map[string]string{}
+		now, sequence, peerAt := clock.Millis(10_000), uint64(0), clock.Millis(0)
+		var lastPeer map[string]int
+		setPeer := func(inFlight map[string]int) {
+			lastPeer = inFlight
+			for name, l := range loads {
+				l.peer = inFlight[name]
+				l.record(now)
+			}
+		}
+		expire := func() {
+			if now-peerAt >= routing.PeerSilence {
+				setPeer(nil)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(t *rapid.T) {
+				name, age := serverName(rapid.IntRange(0, servers-1).Draw(t, "server")), clock.Millis(rapid.IntRange(0, 3000).Draw(t, "age"))
+				l, ok := loads[name]
+				if !ok {
+					l = &naiveLoad{reportedAt: -1, peer: lastPeer[name]}
+					l.record(now)
+					loads[name] = l
+				}
+				l.slots = rapid.IntRange(1, 5).Draw(t, "slots")
+				sequence++
+				report := backend.Load{Age: age, Running: rapid.IntRange(0, 6).Draw(t, "running")}
+				announce(registry, now, name, sequence, l.slots, report)
+				if now-age > l.reportedAt {
+					l.reported, l.reportedAt = report.Running, now-age
+				}
+			},
+			"send": func(t *rapid.T) {
+				exclude := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"engine-0", "engine-1", "engine-2"}), 0, 2, rapid.ID).Draw(t, "exclude")
+				request := routing.Request{ID: fmt.Sprint(now), Pool: pool, Exclude: exclude}
+				expire()
+				c, ok := r.Choose(now, request)
+				want := 0
+				for _, s := range registry.Pool(now, pool) {
+					if !slices.Contains(exclude, s.Server()) {
+						want += loads[s.Server()].free()
+					}
+				}
+				if ok != (want > 0) {
+					t.Fatalf("choice: got %v with %d slots free", ok, want)
+				}
+				if !ok {
+					return
+				}
+				name := c.Server.Server()
+				if loads[name].free() == 0 || slices.Contains(exclude, name) {
+					t.Fatalf("chose %s, which is full or excluded", name)
+				}
+				r.Sent(now, request, name)
+				running[request.ID] = name
+				loads[name].own++
+				loads[name].record(now)
+			},
+			"finish": func(t *rapid.T) {
+				if len(running) == 0 {
+					return
+				}
+				ids := []string{}
+				for id := range running {
+					ids = append(ids, id)
+				}
+				slices.Sort(ids)
+				id := rapid.SampledFrom(ids).Draw(t, "id")
+				r.Finished(now, id, routing.Completed)
+				loads[running[id]].own--
+				loads[running[id]].record(now)
+				delete(running, id)
+			},
+			"peer": func(t *rapid.T) {
+				inFlight := map[string]int{}
+				for name := range loads {
+					inFlight[name] = len(name) % 3
+				}
+				inFlight["engine-1"] = rapid.IntRange(0, 3).Draw(t, "in flight")
+				r.PeerLoad(now, "p", inFlight, 0)
+				peerAt = now
+				setPeer(inFlight)
+			},
+			"": func(t *rapid.T) {
+				expire()
+				want := 0
+				for _, s := range registry.Pool(now, pool) {
+					want += loads[s.Server()].free()
+				}
+				if got := r.FreeSlots(now, pool); got != want {
+					t.Fatalf("free slots at %d: got %d, want %d", now, got, want)
+				}
+				now += clock.Millis(rapid.IntRange(250, 900).Draw(t, "wait"))
+			},
+		})
+	})
+}
+
+// herd lets four entries send 60 requests each with the same report, 5 s old, and
+// returns the standard deviation and the maximum of the true load.
+func herd(digests bool, choose func(now clock.Millis, entry int, r *routing.Router, registry *backend.Registry) string) (float64, int) {
+	const servers, entries, each = 40, 4, 60
+	load := make([]int, servers)
+	registries, routers := make([]*backend.Registry, entries), make([]*routing.Router, entries)
+	inFlight := make([]map[string]int, entries)
+	for e := range entries {
+		registries[e] = backend.New(backend.Options{Entry: fmt.Sprint("entry-", e)})
+		for i := range servers {
+			load[i] = i % 8
+			announce(registries[e], 5000, serverName(i), 1, 32, backend.Load{Age: 5000, Running: load[i]})
+		}
+		routers[e] = routing.New(routing.Options{Entry: fmt.Sprint("entry-", e), Registry: registries[e]})
+		inFlight[e] = map[string]int{}
+	}
+	for n := range each {
+		now := 5000 + clock.Millis(n*1000/each)
+		for e, r := range routers {
+			name := choose(now, e, r, registries[e])
+			r.Sent(now, routing.Request{ID: fmt.Sprint(n), Pool: pool, PromptTokens: 10}, name)
+			inFlight[e][name]++
+			i := 0
+			_, _ = fmt.Sscanf(name, "engine-%d", &i)
+			load[i]++
+		}
+		if digests && n%30 == 29 {
+			for e, r := range routers {
+				for p := range entries {
+					if p != e {
+						r.PeerLoad(now, fmt.Sprint("entry-", p), inFlight[p], 0)
+					}
+				}
+			}
+		}
+	}
+	sum, squares := 0, 0
+	for _, l := range load {
+		sum, squares = sum+l, squares+l*l
+	}
+	mean := float64(sum) / servers
+	return math.Sqrt(float64(squares)/servers - mean*mean), slices.Max(load)
+}
+
+func chooseReal(now clock.Millis, _ int, r *routing.Router, _ *backend.Registry) string {
+	c, _ := r.Choose(now, routing.Request{ID: "x", Pool: pool, PromptTokens: 10})
+	return c.Server.Server()
+}
+
+// chooseLeastReported trusts the report, as a router without correction does.
+func chooseLeastReported(now clock.Millis, _ int, _ *routing.Router, registry *backend.Registry) string {
+	servers := registry.Pool(now, pool)
+	return slices.MinFunc(servers, func(a, b backend.Server) int { return a.Load().Running - b.Load().Running }).Server()
+}
+
+// Guards against a herd: four entries that see the same old report must not send
+// their work to the same servers.
+func TestNoHerd(t *testing.T) {
+	for _, digests := range []bool{false, true} {
+		realDeviation, realMost := herd(digests, chooseReal)
+		naiveDeviation, naiveMost := herd(digests, chooseLeastReported)
+		t.Logf("digests %v: deviation %.2f, most %d; least reported load: %.2f, %d", digests, realDeviation, realMost, naiveDeviation, naiveMost)
+		if realDeviation > 2 || realMost > 14 { // the mean is 9.5
+			t.Errorf("got deviation %.2f, most %d, want at most 2 and 14", realDeviation, realMost)
+		}
+	}
+}
+
+// Guards against an engine that runs five times slower keeping its share, and
+// against one that has recovered getting no work.
+func TestStraggler(t *testing.T) {
+	s := newSimulation(simOptions{
+		engines: 10, rate: 16, reportAge: 400, prefixes: 40,
+		make: func(o routing.Options) chooser { return routing.New(o) },
+	})
+	share := func(until clock.Millis) float64 {
+		before := make([]int, len(s.engines))
+		for i, e := range s.engines {
+			before[i] = e.sent
+		}
+		s.run(until)
+		own, total := 0, 0
+		for i, e := range s.engines {
+			total += e.sent - before[i]
+			if i == 0 {
+				own = e.sent - before[i]
+			}
+		}
+		return float64(own) / float64(total) * float64(len(s.engines))
+	}
+	normal := share(20_000)
+	s.engines[0].slow = 5
+	s.run(30_000)
+	slow := share(90_000)
+	s.engines[0].slow = 1
+	s.run(110_000)
+	recovered := share(150_000)
+	t.Logf("share of the slowed engine, in fair shares: before %.2f, slow %.2f, recovered %.2f", normal, slow, recovered)
+	if slow > 0.3*normal {
+		t.Errorf("slow: got %.2f of a fair share, want at most 0.3", slow)
+	}
+	if slow == 0 {
+		t.Error("slow: the engine is not probed")
+	}
+	if recovered < 0.7*normal {
+		t.Errorf("recovered: got %.2f of a fair share, want at least 0.7", recovered)
+	}
+}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -58,3 +58,116 @@
 		})
 	}
 }
+
+// Guards against cache events that are trusted after a gap, applied twice, or
+// kept after an eviction or a restart.
+func TestCacheEvents(t *testing.T) {
+	stored := func(sequence, hash uint64) backend.CacheEvent {
+		return backend.CacheEvent{Sequence: sequence, Kind: backend.Stored, Hash: hash}
+	}
+	tests := []struct {
+		name   string
+		events []backend.CacheEvent
+		cached bool
+	}{
+		{name: "stored", events: []backend.CacheEvent{stored(5, 1), stored(6, 2)}, cached: true},
+		{name: "gap", events: []backend.CacheEvent{stored(5, 2), stored(7, 9)}},
+		{name: "stored after gap", events: []backend.CacheEvent{stored(5, 9), stored(7, 2)}, cached: true},
+		{name: "evicted", events: []backend.CacheEvent{stored(5, 2), {Sequence: 6, Kind: backend.Evicted, Hash: 2}}},
+		{name: "old event again", events: []backend.CacheEvent{stored(5, 2), {Sequence: 6, Kind: backend.Evicted, Hash: 2}, stored(5, 2)}},
+		{name: "cleared", events: []backend.CacheEvent{stored(5, 2), {Sequence: 6, Kind: backend.Cleared}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, r := newRouter("e", 40, 4)
+			r.CacheEvents("engine-7", tt.events)
+			found := 0
+			for i := range 20 {
+				c, _ := r.Choose(10, routing.Request{ID: "x", Pool: pool, PromptTokens: 1000 + i, Prefix: []uint64{1, 2}})
+				if c.Server.Server() == "engine-7" {
+					found++
+				}
+			}
+			if got := found == 20; got != tt.cached {
+				t.Errorf("holder chosen %d times of 20, want cached %v", found, tt.cached)
+			}
+		})
+	}
+}
+
+// Guards against a crashed server attracting work because it looks idle, and
+// against one that never gets work again.
+func TestFailuresBlock(t *testing.T) {
+	registry, r := newRouter("e", 1, 4)
+	fail := func(now clock.Millis) {
+		r.Sent(now, routing.Request{ID: "x", Pool: pool}, "engine-0")
+		r.Finished(now, "x", routing.Failed)
+	}
+	fail(10)
+	tests := []struct {
+		now  clock.Millis
+		want int
+	}{{now: 20, want: 0}, {now: 509, want: 0}, {now: 510, want: 4}}
+	for _, tt := range tests {
+		if got := r.FreeSlots(tt.now, pool); got != tt.want {
+			t.Errorf("free slots at %d: got %d, want %d", tt.now, got, tt.want)
+		}
+	}
+	fail(600)
+	announce(registry, 1500, "engine-0", 2, 4, backend.Load{})
+	if got := r.FreeSlots(1599, pool); got != 0 {
+		t.Errorf("free slots after a second failure: got %d, want 0", got)
+	}
+	if got := r.FreeSlots(1600, pool); got != 4 {
+		t.Errorf("free slots after the second block: got %d, want 4", got)
+	}
+}
+
+// Guards against a late or silent peer's load being counted.
+func TestPeerLoad(t *testing.T) {
+	_, r := newRouter("e", 1, 8)
+	r.PeerLoad(1000, "p", map[string]int{"engine-0": 3}, 100)
+	r.PeerLoad(1010, "p", map[string]int{"engine-0": 7}, 200)
+	if got, want := r.FreeSlots(1020, pool), 5; got != want {
+		t.Errorf("after an older digest: got %d, want %d", got, want)
+	}
+	r.PeerLoad(1030, "q", map[string]int{"engine-0": 1}, 0)
+	if got, want := r.FreeSlots(1040, pool), 4; got != want {
+		t.Errorf("with two peers: got %d, want %d", got, want)
+	}
+	r.PeerLoad(2500, "q", map[string]int{"engine-0": 2}, 0)
+	if got, want := r.FreeSlots(2999, pool), 3; got != want {
+		t.Errorf("before silence: got %d, want %d", got, want)
+	}
+}
+
+// Guards against an expected length below what was produced, and against
+// averaging with answers that are already longer or shorter than this one.
+func TestExpectedTokens(t *testing.T) {
+	_, r := newRouter("e", 1, 8)
+	finish := func(id string, tokens int) {
+		r.Sent(0, routing.Request{ID: id, Pool: pool, Class: "c"}, "engine-0")
+		r.Progress(10, id, tokens)
+		r.Finished(20, id, routing.Completed)
+	}
+	for i := range 10 {
+		finish(fmt.Sprint("short", i), 20)
+		finish(fmt.Sprint("long", i), 500)
+	}
+	tests := []struct {
+		class    string
+		produced int
+		want     float64
+	}{
+		{class: "c", produced: 0, want: 260},
+		{class: "c", produced: 20, want: 500},
+		{class: "c", produced: 499, want: 500},
+		{class: "c", produced: 1000, want: 1500},
+		{class: "unknown", produced: 0, want: 256},
+	}
+	for _, tt := range tests {
+		if got := r.ExpectedTokens(tt.class, tt.produced); got != tt.want {
+			t.Errorf("%s after %d: got %v, want %v", tt.class, tt.produced, got, tt.want)
+		}
+	}
+}
