routing: test the slots of stragglers and the length condition

Cause: with the straggler's reduced slots, or its return, removed in a scratch copy all tests still passed. Change: a test that measures a slow and a recovered server by its free slots; the expected length looks at all buckets, because the start bucket was a shortcut that no test could tell apart. Result: the tests now fail with either rule removed, and with the length condition removed.

--- a/routing/length.go
+++ b/routing/length.go
@@ -44,13 +44,9 @@
 // the longest known answer it assumes half as much again.
 func (l *lengths) expected(produced int) float64 {
 	count, sum := 0.0, 0.0
-	for b := lengthBucket(produced); b < lengthBuckets; b++ {
-		if l.counts[b] == 0 {
-			continue
-		}
-		mean := l.sums[b] / l.counts[b]
-		if mean > float64(produced) {
-			count += l.counts[b]
+	for b, n := range l.counts {
+		if n > 0 && l.sums[b]/n > float64(produced) {
+			count += n
 			sum += l.sums[b]
 		}
 	}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -171,3 +171,34 @@
 		}
 	}
 }
+
+// Guards against a straggler that may still fill all its slots, and against one
+// that does not get them back although it is as fast as the others again.
+func TestStragglerSlots(t *testing.T) {
+	registry, r := newRouter("e", 4, 16)
+	now := clock.Millis(0)
+	decode := func(name string, millis clock.Millis) {
+		now++
+		announce(registry, now, name, uint64(now), 16, backend.Load{})
+		request := routing.Request{ID: "x", Pool: pool, Class: "c"}
+		r.Sent(now, request, name)
+		for i := range 60 {
+			r.Progress(now+clock.Millis(i)*millis, "x", i+1)
+		}
+		r.Finished(now, "x", routing.Completed)
+	}
+	steps := []struct {
+		name   string
+		millis clock.Millis
+		want   int
+	}{{"as fast as the others", 30, 64}, {"five times slower", 150, 49}, {"almost recovered", 36, 64}}
+	for _, s := range steps {
+		for i := range 3 {
+			decode(serverName(i+1), 30)
+		}
+		decode("engine-0", s.millis)
+		if got := r.FreeSlots(now, pool); got != s.want {
+			t.Errorf("%s: got %d free slots, want %d", s.name, got, s.want)
+		}
+	}
+}
