--- a/control/control.go
+++ b/control/control.go
@@ -49,7 +49,7 @@
 type Control struct {
 	options  Options
 	address  string
-	listener net.Listener
+	listener *listener
 	machine  *Machine
 	app      *fiber.App
 	peers    *peers
@@ -68,10 +68,11 @@
 	if err := options.validate(); err != nil {
 		return nil, nil, err
 	}
-	listener, err := net.Listen("tcp", options.Listen)
+	bound, err := net.Listen("tcp", options.Listen)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listening on %s", options.Listen)
 	}
+	listener := newListener(bound)
 	c := &Control{
 		options:  options,
 		address:  listener.Addr().String(),
@@ -90,7 +91,7 @@
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
 	if err := c.openLog(); err != nil {
-		_ = listener.Close()
+		listener.closeAll()
 		return nil, nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -142,12 +143,11 @@
 func (c *Control) release() {
 	c.stopping.Store(true)
 	c.cancel()
-	// A context that has ended closes the connections in use as well.
+	// A context that has ended does not wait for connections in use.
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = c.app.ShutdownWithContext(ended)
-	// The server may not have started to accept when it is shut down.
-	_ = c.listener.Close()
+	c.listener.closeAll()
 	c.tasks.Wait()
 	c.log.Load().release()
 	c.peers.client.CloseIdleConnections()
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -321,7 +321,8 @@
 	g.start("c1")
 	current, reply := g.client.Configuration(t.Context())
 	if got, want := current.Revision(), uint64(changes); got != want {
-		t.Errorf("revision: got %d (%+v), want %d", got, reply, want)
+		_, state := request(t, "GET", "http://"+g.options["c1"].Listen+"/debug/state", "", "")
+		t.Errorf("revision: got %d (%+v), want %d; state %s", got, reply, want, state)
 	}
 	for _, i := range []int{0, changes - 1} {
 		again := g.client.Change(t.Context(), uint64(i), classOf(i), fmt.Sprint(i))
