--- a/claim/codec.go
+++ b/claim/codec.go
@@ -3,12 +3,10 @@
 import (
 	"cmp"
 	"encoding/json"
-	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
 
-	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/outcome"
 )
 
@@ -38,22 +36,6 @@
 	Reason outcome.Reason `json:"reason"`
 }
 
-type wireRecord struct {
-	Key         string      `json:"key"`
-	BodyHash    string      `json:"body_hash"`
-	Entry       string      `json:"entry"`
-	Incarnation uint64      `json:"incarnation"`
-	Attempt     string      `json:"attempt"`
-	Earlier     []string    `json:"earlier,omitempty"`
-	State       State       `json:"state"`
-	Answer      *wireAnswer `json:"answer,omitempty"`
-}
-
-type wireMachine struct {
-	Now    clock.Millis `json:"now_ms"`
-	Claims []wireRecord `json:"claims"`
-}
-
 // The kinds of commands on the wire.
 const (
 	kindAcquire   = "acquire"
@@ -128,37 +110,6 @@
 	return Result{State: w.State, Owned: w.Owned, Answer: w.Answer.answer(), Reason: w.Reason}, nil
 }
 
-// Snapshot returns the whole state as JSON, equal at every member.
-func (m *Machine) Snapshot() ([]byte, error) {
-	w := wireMachine{Now: m.now, Claims: make([]wireRecord, 0, len(m.records))}
-	for _, r := range m.records {
-		w.Claims = append(w.Claims, toWireRecord(r))
-	}
-	slices.SortFunc(w.Claims, func(a, b wireRecord) int { return strings.Compare(a.Key, b.Key) })
-	data, err := json.Marshal(w)
-	return data, errors.WithStack(err)
-}
-
-// Restore replaces the state by a snapshot. The state is unchanged when the
-// snapshot is invalid.
-func (m *Machine) Restore(snapshot []byte) error {
-	var w wireMachine
-	if err := json.Unmarshal(snapshot, &w); err != nil {
-		return errors.Wrap(err, "decoding the claims")
-	}
-	restored := NewMachine()
-	restored.now = w.Now
-	for _, c := range w.Claims {
-		created, ok := KeyTime(c.Key)
-		if _, double := restored.records[c.Key]; !ok || double || !c.State.Valid() {
-			return errors.Errorf("invalid claim %q in state %q", c.Key, c.State)
-		}
-		restored.insert(c.record(created))
-	}
-	*m = *restored
-	return nil
-}
-
 func toWireCommand(kind, key string, a Attempt) wireCommand {
 	return wireCommand{Kind: kind, Key: key, Entry: a.Entry, Incarnation: a.Incarnation, Attempt: a.ID}
 }
@@ -177,22 +128,6 @@
 	return Answer{Status: w.Status, Headers: w.Headers, Body: w.Body}
 }
 
-func toWireRecord(r *record) wireRecord {
-	return wireRecord{
-		Key: r.key, BodyHash: r.bodyHash, State: r.state,
-		Entry: r.attempt.Entry, Incarnation: r.attempt.Incarnation, Attempt: r.attempt.ID,
-		Earlier: r.earlier, Answer: toWireAnswer(r.answer),
-	}
-}
-
-func (w wireRecord) record(created clock.Millis) *record {
-	return &record{
-		key: w.Key, created: created, bodyHash: w.BodyHash, state: w.State,
-		attempt: Attempt{Owner: Owner{Entry: w.Entry, Incarnation: w.Incarnation}, ID: w.Attempt},
-		earlier: w.Earlier, answer: w.Answer.answer(),
-	}
-}
-
 func compareOwners(a, b Owner) int {
 	return cmp.Or(strings.Compare(a.Entry, b.Entry), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -157,16 +157,13 @@
 }
 
 func restarted(t *rapid.T, machine *claim.Machine) *claim.Machine {
-	snapshot, err := machine.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
+	snapshot := machine.Snapshot()
 	restored := claim.NewMachine()
 	if err := restored.Restore(snapshot); err != nil {
 		t.Fatal(err)
 	}
-	if again, err := restored.Snapshot(); err != nil || string(again) != string(snapshot) || restored.Bytes() != machine.Bytes() {
-		t.Fatalf("after restore: got %s, %d bytes (%v), want %s, %d bytes", again, restored.Bytes(), err, snapshot, machine.Bytes())
+	if again := restored.Snapshot(); string(again) != string(snapshot) || restored.Bytes() != machine.Bytes() {
+		t.Fatalf("after restore: got %q, %d bytes, want %q, %d bytes", again, restored.Bytes(), snapshot, machine.Bytes())
 	}
 	return restored
 }
@@ -234,7 +231,15 @@
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"kind":"settle","key":"k","entry":"e","incarnation":1,"attempt":"a","state":"answered","answer":{"status":200,"body_base64":"AA=="}}`))
 	f.Add([]byte(`{"state":"sent","owned":true,"reason":""}`))
-	f.Add([]byte(`{"now_ms":1,"claims":[{"key":"` + keyAt(noon, 1) + `","entry":"e","attempt":"a","state":"sent"}]}`))
+	full := claim.NewMachine()
+	for i := range byte(3) {
+		a := attempt("e1", 1, "a")
+		full.Apply(noon, claim.Acquire{Key: keyAt(noon, i), BodyHash: "h", Attempt: a})
+		full.Apply(noon, claim.Send{Key: keyAt(noon, i), Attempt: a})
+	}
+	answer := claim.Answer{Status: 200, Headers: map[string][]string{"A": {"b", ""}}, Body: []byte{0}}
+	full.Apply(noon, claim.Settle{Key: keyAt(noon, 0), Attempt: attempt("e1", 1, "a"), State: claim.Answered, Answer: answer})
+	f.Add(full.Snapshot())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if r, err := claim.DecodeResult(data); err == nil {
 			if _, err := claim.EncodeResult(r); err != nil {
@@ -243,8 +248,9 @@
 		}
 		machine := claim.NewMachine()
 		if machine.Restore(data) == nil {
-			if _, err := machine.Snapshot(); err != nil {
-				t.Error(err)
+			again := claim.NewMachine()
+			if err := again.Restore(machine.Snapshot()); err != nil || again.Len() != machine.Len() {
+				t.Errorf("got %d claims (%v), want %d", again.Len(), err, machine.Len())
 			}
 		}
 		if c, err := claim.DecodeCommand(data); err == nil {
--- /dev/null
+++ b/control/benchmark_test.go
@@ -0,0 +1,167 @@
+package control_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/claim"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/lease"
+)
+
+// cpu returns the processor time that this process, with all members and
+// clients, has used.
+func cpu(b *testing.B) clock.Millis {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return clock.Millis(usage.Utime.Sec+usage.Stime.Sec)*clock.Second + clock.Millis(usage.Utime.Usec+usage.Stime.Usec)/1000
+}
+
+func leadingClient(b *testing.B, members int) *control.Client {
+	b.Helper()
+	g := newGroup(b, members)
+	return g.newClient([]string{g.options[g.leader()].Listen})
+}
+
+// BenchmarkClaims runs at-most-once calls through their three commits: claimed,
+// sent and answered. One operation is one call.
+func BenchmarkClaims(b *testing.B) {
+	for _, members := range []int{1, 3} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			client := leadingClient(b, members)
+			var serial atomic.Uint64
+			before := cpu(b)
+			b.SetParallelism(16)
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					key := control.NewKey()
+					a := claim.Attempt{Owner: claim.Owner{Entry: "e1", Incarnation: 1}, ID: fmt.Sprint(serial.Add(1))}
+					client.Acquire(b.Context(), key, "hash", a)
+					client.Send(b.Context(), key, a)
+					if got := client.Settle(b.Context(), key, a, claim.Answered, claim.Answer{Status: 200}); got.Result.State != claim.Answered {
+						b.Errorf("got %+v", got)
+					}
+				}
+			})
+			b.ReportMetric(3*float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+			b.ReportMetric(1000*float64(cpu(b)-before)/float64(3*b.N), "cpu-us/commit")
+		})
+	}
+}
+
+// BenchmarkChange makes configuration changes one after the other.
+func BenchmarkChange(b *testing.B) {
+	for _, members := range []int{1, 3} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			client := leadingClient(b, members)
+			revision := uint64(0)
+			for b.Loop() {
+				got := client.Change(b.Context(), revision, classOf(1), control.NewKey())
+				if got.Answer.Revision != revision+1 {
+					b.Fatalf("got %+v", got)
+				}
+				revision++
+			}
+		})
+	}
+}
+
+// BenchmarkRenewHTTP renews over HTTP. The processor time includes the client.
+func BenchmarkRenewHTTP(b *testing.B) {
+	g := newGroup(b, 1)
+	var bytes atomic.Int64
+	client := g.newClient([]string{countingProxy(b, g.options["c1"].Listen, &bytes)})
+	renewal := lease.Renewal{Entry: "entry-1", Incarnation: 1, Address: "10.0.0.1:8080", AvailabilityZone: "az-1"}
+	client.Renew(b.Context(), renewal)
+	before := cpu(b)
+	bytes.Store(0)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if grant, reply := client.Renew(b.Context(), renewal); !grant.Granted {
+				b.Errorf("got %+v", reply)
+			}
+		}
+	})
+	used := cpu(b) - before
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/renewal")
+	b.ReportMetric(1000*float64(used)/float64(b.N), "cpu-us/renewal")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "renewals/s")
+}
+
+// countingProxy passes connections on and counts the bytes of both directions.
+func countingProxy(b *testing.B, target string, bytes *atomic.Int64) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = l.Close() })
+	pass := func(to, from net.Conn) {
+		_, _ = io.Copy(to, io.TeeReader(from, counter{bytes}))
+		_ = to.Close()
+	}
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			go pass(near, far)
+			go pass(far, near)
+		}
+	}()
+	return l.Addr().String()
+}
+
+type counter struct{ bytes *atomic.Int64 }
+
+func (c counter) Write(data []byte) (int, error) {
+	c.bytes.Add(int64(len(data)))
+	return len(data), nil
+}
+
+// BenchmarkSnapshot takes and restores a snapshot of answered claims, during
+// which the machine applies nothing.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, claims := range []int{1000, 100_000} {
+		m := control.NewMachine()
+		for i := range claims {
+			key, a := control.NewKey(), claim.Attempt{Owner: claim.Owner{Entry: "e1", Incarnation: 1}, ID: fmt.Sprint(i)}
+			answer := claim.Answer{Status: 200, Headers: map[string][]string{"Content-Type": {"application/json"}}, Body: make([]byte, 200)}
+			for _, c := range []claim.Command{claim.Acquire{Key: key, BodyHash: key, Attempt: a}, claim.Send{Key: key, Attempt: a}, claim.Settle{Key: key, Attempt: a, State: claim.Answered, Answer: answer}} {
+				data, err := claim.EncodeCommand(c)
+				if err != nil {
+					b.Fatal(err)
+				}
+				m.Apply(1, fmt.Appendf(nil, `{"at_ms":%d,"claim":%s}`, clock.New().Wall(), data))
+			}
+		}
+		b.Run(fmt.Sprintf("take/claims=%d", claims), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(float64(len(m.Snapshot())), "bytes")
+			}
+		})
+		snapshot := m.Snapshot()
+		b.Run(fmt.Sprintf("restore/claims=%d", claims), func(b *testing.B) {
+			for b.Loop() {
+				if err := control.NewMachine().Restore(snapshot); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/control/codec.go
+++ b/control/codec.go
@@ -29,11 +29,6 @@
 	Claim  json.RawMessage `json:"claim,omitempty"`
 }
 
-type wireSnapshot struct {
-	Configuration json.RawMessage `json:"configuration"`
-	Claims        json.RawMessage `json:"claims"`
-}
-
 type wireChangeRequest struct {
 	Base   uint64          `json:"base_revision"`
 	Change json.RawMessage `json:"change"`
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -27,7 +27,7 @@
 
 // group runs members in this process over loopback HTTP with real disks.
 type group struct {
-	t       *testing.T
+	t       testing.TB
 	clock   clock.Clock
 	options map[string]control.Options
 	running map[string]*control.Control
@@ -36,19 +36,19 @@
 }
 
 // newGroup starts members c1, c2, ... of which the first three vote.
-func newGroup(t *testing.T, size int) *group {
-	t.Helper()
+func newGroup(tb testing.TB, size int) *group {
+	tb.Helper()
 	g := &group{
-		t: t, clock: clock.New(), options: map[string]control.Options{},
+		t: tb, clock: clock.New(), options: map[string]control.Options{},
 		running: map[string]*control.Control{}, release: map[string]func(){},
 	}
-	members, addresses := make([]control.Member, size), freeAddresses(t, size)
+	members, addresses := make([]control.Member, size), freeAddresses(tb, size)
 	for i := range members {
 		members[i] = control.Member{Name: fmt.Sprintf("c%d", i+1), Address: addresses[i], AvailabilityZone: fmt.Sprintf("az-%d", i%3)}
 	}
 	for _, m := range members {
 		g.options[m.Name] = control.Options{
-			Name: m.Name, AvailabilityZone: m.AvailabilityZone, Listen: m.Address, Folder: t.TempDir(),
+			Name: m.Name, AvailabilityZone: m.AvailabilityZone, Listen: m.Address, Folder: tb.TempDir(),
 			Members: members, Clock: g.clock, Logger: event.Discard(),
 		}
 		g.start(m.Name)
@@ -58,13 +58,13 @@
 	return g
 }
 
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
+func freeAddresses(tb testing.TB, n int) []string {
+	tb.Helper()
 	addresses := make([]string, n)
 	for i := range addresses {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			t.Fatal(err)
+			tb.Fatal(err)
 		}
 		defer l.Close() //nolint:errcheck // Closed together, so that all differ.
 		addresses[i] = l.Addr().String()
--- a/control/machine.go
+++ b/control/machine.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"encoding/json"
+	"encoding/binary"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -55,29 +55,26 @@
 	if err != nil {
 		panic(err) // every state can be encoded
 	}
-	claims, err := m.claims.Snapshot()
-	if err != nil {
-		panic(err)
-	}
-	data, err := json.Marshal(wireSnapshot{Configuration: configurations, Claims: claims})
-	if err != nil {
-		panic(err)
-	}
-	return data
+	claims := m.claims.Snapshot()
+	// The length comes first; the rest is the snapshot of the claims.
+	data := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(configurations)+len(claims)), uint64(len(configurations)))
+	data = append(data, configurations...)
+	return append(data, claims...)
 }
 
 // Restore replaces the state by a snapshot. The state is unchanged when the
 // snapshot is invalid.
 func (m *Machine) Restore(snapshot []byte) error {
-	var w wireSnapshot
-	if err := json.Unmarshal(snapshot, &w); err != nil {
-		return errors.Wrap(err, "decoding a snapshot")
+	length, size := binary.Uvarint(snapshot)
+	if size <= 0 || length > uint64(len(snapshot)-size) {
+		return errors.Errorf("a snapshot of %d bytes is cut short", len(snapshot))
 	}
+	encoded := snapshot[size:]
 	configurations, claims := configuration.NewMachine(), claim.NewMachine()
-	if err := configurations.Restore(w.Configuration); err != nil {
+	if err := configurations.Restore(encoded[:length]); err != nil {
 		return err
 	}
-	if err := claims.Restore(w.Claims); err != nil {
+	if err := claims.Restore(encoded[length:]); err != nil {
 		return err
 	}
 	m.mu.Lock()
