entry: measure cancels and continuations

Cause: the pauses that callers see after faults were not measured.

Change: benchmarks of the time to a cancel and of the longest pause after a crash, a stalled connection and a silent engine.

--- a/entry/measure_test.go
+++ b/entry/measure_test.go
@@ -197,3 +197,56 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkCancel measures the time from the end of the caller's connection to
+// the end of its work at the engine.
+func BenchmarkCancel(b *testing.B) {
+	s := newSite(b, 1, 1, 0)
+	times := hdrhistogram.New(1, 1e7, 3)
+	for b.Loop() {
+		r := s.open(longPrompt(50_000))
+		var tr transcript
+		readStream(b, r.Body, &tr, func() bool { return tr.Position() >= 5 })
+		began := s.age()
+		_ = r.Body.Close()
+		s.eventually("nothing runs", func() bool { return s.engines[0].State().Running == 0 })
+		_ = times.RecordValue(int64(s.age() - began))
+	}
+	b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-ms")
+	b.ReportMetric(float64(times.Max()), "max-ms")
+}
+
+// BenchmarkContinuation measures the longest pause between two tokens that the
+// caller sees when the stream's engine fails. Without a fault it is about 4 ms.
+func BenchmarkContinuation(b *testing.B) {
+	for _, kind := range []standin.FaultKind{standin.Crash, standin.Stall, standin.Silent} {
+		b.Run(string(kind), func(b *testing.B) {
+			s := newSite(b, 1, 2, 0, func(o *entry.Options, _ *standin.EngineOptions) {
+				o.Timeouts.Silence, o.Timeouts.Resume = 5*clock.Second, clock.Second
+			})
+			pauses := hdrhistogram.New(1, 1e7, 3)
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprintf("r-%d", i)
+				r := s.open(longPrompt(100), with("X-Request-Id", id))
+				var tr transcript
+				readStream(b, r.Body, &tr, func() bool { return tr.Position() >= 20 })
+				e := s.runsOn(id)
+				e.Fault(standin.Fault{Kind: kind})
+				last, position, pause := s.age(), tr.Position(), clock.Millis(0)
+				readStream(b, r.Body, &tr, func() bool {
+					if tr.Position() > position {
+						now := s.age()
+						pause, last, position = max(pause, now-last), now, tr.Position()
+					}
+					return false
+				})
+				tr.expect(b, longPrompt(100))
+				_ = pauses.RecordValue(int64(pause))
+				e.Fault(standin.Fault{Kind: standin.Recover})
+				s.eventually("both engines are in use", func() bool { return s.usable(0) == 2 })
+			}
+			b.ReportMetric(float64(pauses.ValueAtQuantile(50)), "p50-ms")
+			b.ReportMetric(float64(pauses.Max()), "max-ms")
+		})
+	}
+}
