--- /dev/null
+++ b/attainment/meter.go
@@ -0,0 +1,145 @@
+package attainment
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+const (
+	// longest is the longest time that histograms tell apart.
+	longest = 1 * clock.Hour
+	// digits is the precision of histograms; two cost 25 KB each, three 200 KB.
+	digits = 2
+)
+
+// Meter counts samples. It is pure, and one goroutine owns it.
+type Meter struct {
+	classes map[string]*counter
+	tiers   map[class.Tier]*counter
+}
+
+// NewMeter returns a meter without counts.
+func NewMeter() *Meter {
+	return &Meter{classes: map[string]*counter{}, tiers: map[class.Tier]*counter{}}
+}
+
+// Record counts one sample.
+func (m *Meter) Record(s Sample) {
+	name, tier := s.Class.Name(), s.Class.Tier()
+	m.class(name).record(s)
+	m.class(name).counts.Tier = tier
+	m.tier(tier).record(s)
+}
+
+// State returns a copy of the counts.
+func (m *Meter) State() State {
+	state := State{Classes: []Counts{}, Tiers: []Counts{}}
+	for _, c := range m.classes {
+		state.Classes = append(state.Classes, c.state())
+	}
+	for _, c := range m.tiers {
+		state.Tiers = append(state.Tiers, c.state())
+	}
+	slices.SortFunc(state.Classes, func(a, b Counts) int { return cmp.Compare(a.Class, b.Class) })
+	slices.SortFunc(state.Tiers, func(a, b Counts) int { return cmp.Compare(a.Tier, b.Tier) })
+	return state
+}
+
+func (m *Meter) class(name string) *counter {
+	c, ok := m.classes[name]
+	if !ok {
+		c = newCounter(Counts{Class: name})
+		m.classes[name] = c
+	}
+	return c
+}
+
+func (m *Meter) tier(tier class.Tier) *counter {
+	c, ok := m.tiers[tier]
+	if !ok {
+		c = newCounter(Counts{Tier: tier})
+		m.tiers[tier] = c
+	}
+	return c
+}
+
+// counter holds the counts of a class or tier while they grow.
+type counter struct {
+	counts                            Counts
+	queueWait, firstToken, completion *hdrhistogram.Histogram
+}
+
+func newCounter(counts Counts) *counter {
+	counts.Outcomes = map[outcome.Kind]uint64{}
+	counts.Reasons = map[outcome.Reason]uint64{}
+	return &counter{counts: counts, queueWait: newHistogram(), firstToken: newHistogram(), completion: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(longest), digits)
+}
+
+func (c *counter) record(s Sample) {
+	c.counts.Requests++
+	c.counts.Counted += one(s.Counted())
+	c.counts.Met += one(s.Met())
+	c.counts.Shed += one(s.Shed())
+	c.counts.Retries += uint64(s.Retries)
+	c.counts.Delivered += uint64(s.Delivered)
+	c.counts.Wasted += uint64(s.Wasted)
+	if s.Met() {
+		c.counts.Good += uint64(s.Delivered)
+	}
+	c.counts.Outcomes[s.Outcome]++
+	if s.Reason != outcome.ReasonNone {
+		c.counts.Reasons[s.Reason]++
+	}
+	if s.Outcome == outcome.Answered {
+		c.recordTimes(s)
+	}
+}
+
+func (c *counter) recordTimes(s Sample) {
+	record(c.queueWait, s.QueueWait)
+	record(c.completion, s.Completion)
+	if s.Class.Measure() == class.FirstToken {
+		record(c.firstToken, s.FirstToken)
+	}
+}
+
+func one(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// record counts times out of range as the limit of the range.
+func record(h *hdrhistogram.Histogram, t clock.Millis) {
+	_ = h.RecordValue(int64(min(max(t, 0), longest)))
+}
+
+func (c *counter) state() Counts {
+	counts := c.counts
+	counts.Outcomes = maps.Clone(c.counts.Outcomes)
+	counts.Reasons = maps.Clone(c.counts.Reasons)
+	counts.QueueWait = newLatency(c.queueWait)
+	counts.FirstToken = newLatency(c.firstToken)
+	counts.Completion = newLatency(c.completion)
+	return counts
+}
+
+func newLatency(h *hdrhistogram.Histogram) Latency {
+	at := func(percent float64) clock.Millis { return clock.Millis(h.ValueAtQuantile(percent)) }
+	return Latency{
+		Count: h.TotalCount(), Mean: h.Mean(),
+		P50: at(50), P95: at(95), P99: at(99), P999: at(99.9), Max: clock.Millis(h.Max()),
+	}
+}
--- /dev/null
+++ b/attainment/sample.go
@@ -0,0 +1,64 @@
+package attainment
+
+import (
+	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+// Sample is one request that has ended. It is immutable.
+type Sample struct {
+	Class   class.Class
+	Outcome outcome.Kind
+	Reason  outcome.Reason
+	// QueueWait is the time from arrival to the last dispatch.
+	QueueWait clock.Millis
+	// FirstToken and Completion are measured from arrival.
+	FirstToken, Completion clock.Millis
+	// Delivered counts tokens that reached the caller.
+	Delivered int
+	// Wasted counts tokens generated and never delivered, or generated twice.
+	Wasted int
+	// Retries counts how often the request was sent again.
+	Retries int
+}
+
+// excluded holds the reasons that say nothing about the service: errors of the
+// caller and answers that the caller did not wait for.
+var excluded = map[outcome.Reason]bool{
+	outcome.ReasonInvalid:         true,
+	outcome.ReasonUnauthorized:    true,
+	outcome.ReasonUnknownClass:    true,
+	outcome.ReasonUnknownModel:    true,
+	outcome.ReasonUnknownService:  true,
+	outcome.ReasonTooLarge:        true,
+	outcome.ReasonCallerGone:      true,
+	outcome.ReasonKeyMissing:      true,
+	outcome.ReasonKeyInvalid:      true,
+	outcome.ReasonKeyReused:       true,
+	outcome.ReasonKeyExpired:      true,
+	outcome.ReasonCallInProgress:  true,
+	outcome.ReasonRequestNotFound: true,
+}
+
+// Counted reports whether the request is part of attainment.
+func (s Sample) Counted() bool {
+	return !excluded[s.Reason]
+}
+
+// Met reports whether the request met the target of its class.
+func (s Sample) Met() bool {
+	if s.Outcome != outcome.Answered || !s.Counted() {
+		return false
+	}
+	if s.Class.Measure() == class.FirstToken {
+		return s.FirstToken <= s.Class.Target()
+	}
+	return s.Completion <= s.Class.Target()
+}
+
+// Shed reports whether the request was removed from a full queue or refused by
+// one.
+func (s Sample) Shed() bool {
+	return s.Reason == outcome.ReasonShed
+}
