entry: use the retry budget and the account of ended requests

Cause: the packages retry and attainment were not there yet, and the entry counted outcomes itself.

Change: retries come from retry.Budget; each request hands one sample to attainment's collector, with queue wait, first token, delivered and wasted tokens. Cancels in the background add what an engine generated after the request had left it.

--- a/entry/account.go
+++ b/entry/account.go
@@ -1,53 +1,46 @@
 package entry
 
 import (
-	"context"
+	"sync/atomic"
 
+	"github.com/galenaslip/galenaslip/attainment"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/outcome"
 )
 
-// accountSize is the capacity of the channel of samples. When it is full, the
-// sample is dropped and counted; the request is not delayed.
-const accountSize = 4096
-
-// sample is the only outcome of one request.
-type sample struct {
-	work   *work
-	kind   outcome.Kind
-	reason outcome.Reason
-	ended  clock.Millis
-}
-
-// accountant counts outcomes on a goroutine of its own.
-type accountant struct {
-	samples chan sample
-	metrics *metrics
+// ledger collects what the account of one request needs.
+type ledger struct {
+	dispatched clock.Millis // the last one
+	sends      int
+	delivered  int
+	// wasted is added to by cancels in the background, which learn how far an
+	// engine came after this request had left it.
+	wasted atomic.Int64
 }
 
-func newAccountant(m *metrics) *accountant {
-	return &accountant{samples: make(chan sample, accountSize), metrics: m}
+// sent records a dispatch.
+func (l *ledger) sent(now clock.Millis) {
+	l.dispatched = now
+	l.sends++
 }
 
-func (a *accountant) run(ctx context.Context) {
-	for {
-		select {
-		case s := <-a.samples:
-			a.add(s)
-		case <-ctx.Done():
-			return
-		}
+// account reports the request's only outcome to the collector, which drops and
+// counts it when it is full.
+func (e *Entry) account(w *work, l *ledger, kind outcome.Kind, reason outcome.Reason) {
+	s := attainment.Sample{
+		Class:      w.class,
+		Outcome:    kind,
+		Reason:     reason,
+		Completion: e.options.Clock.Now() - w.arrived,
+		Delivered:  l.delivered,
+		Wasted:     int(l.wasted.Load()),
+		Retries:    max(l.sends-1, 0),
 	}
-}
-
-func (a *accountant) add(s sample) {
-	a.metrics.requests.WithLabelValues(s.work.class.Name(), string(s.kind), string(s.reason)).Inc()
-}
-
-func (e *Entry) account(s sample) {
-	select {
-	case e.accountant.samples <- s:
-	default:
-		e.metrics.samples.Inc()
+	if l.sends > 0 {
+		s.QueueWait = l.dispatched - w.arrived
+	}
+	if first := clock.Millis(w.firstToken.Load()); first > 0 {
+		s.FirstToken = first - w.arrived
 	}
+	e.collector.Record(s)
 }
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -4,16 +4,17 @@
 	"sync"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/retry"
 )
 
-// The second and later retries of a request wait, so that eight attempts last
-// longer than an engine's announcements remain valid after its crash.
+// The second and later continuations of a request wait, so that eight attempts
+// last longer than an engine's announcements remain valid after its crash.
 const (
 	firstBackoff = 50 * clock.Millisecond
 	maxBackoff   = 2 * clock.Second
 )
 
-// backoff returns the wait after a number of failed attempts.
+// backoff returns the wait of a continuation after a number of failed attempts.
 func backoff(attempts int) clock.Millis {
 	if attempts <= 1 {
 		return 0
@@ -21,38 +22,27 @@
 	return min(firstBackoff<<(attempts-2), maxBackoff)
 }
 
-// Retry budget: retries may be a share of requests, with a small reserve so
-// that the first failures after a quiet time are retried.
-const (
-	defaultRetryPercentage = 10
-	retryReserve           = 10
-)
-
-// budget bounds retries to a share of requests.
+// budget shares the retry budget between the goroutines of the requests.
 type budget struct {
-	mu    sync.Mutex
-	share float64
-	left  float64
+	mu     sync.Mutex
+	budget *retry.Budget
 }
 
-func newBudget(percentage int) *budget {
-	return &budget{share: float64(orDefault(percentage, defaultRetryPercentage)) / 100, left: retryReserve}
+func newBudget(percentage int, seed uint64) *budget {
+	return &budget{budget: retry.New(retry.Options{Percent: percentage, Attempts: maxAttempts, Seed: seed})}
 }
 
 // add counts a request.
 func (b *budget) add() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.left = min(b.left+b.share, retryReserve)
+	b.budget.Request()
 }
 
-// take reports whether one more retry is allowed, and counts it.
-func (b *budget) take() bool {
+// take decides on failed work. A granted retry waits for the delay.
+func (b *budget) take(work retry.Work) (clock.Millis, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.left < 1 {
-		return false
-	}
-	b.left--
-	return true
+	d := b.budget.Retry(work)
+	return d.Delay, d.Verdict == retry.Granted
 }
--- a/entry/cancel.go
+++ b/entry/cancel.go
@@ -25,11 +25,18 @@
 )
 
 // cancelAt cancels a request at an engine in the background, as long as wanted
-// reports true.
-func (e *Entry) cancelAt(address, id string, wanted func() bool) {
+// reports true. In the end it calls ended with the engine's final position, or
+// zero when that is not known.
+func (e *Entry) cancelAt(address, id string, wanted func() bool, ended func(position int)) {
 	e.tasks.Go(func() {
+		position := 0
+		defer func() { ended(position) }()
 		for range cancelTries {
-			if !wanted() || e.cancelOnce(e.ctx, address, id) || !e.options.Clock.Sleep(e.ctx, cancelPause) {
+			if !wanted() {
+				return
+			}
+			p, ok := e.cancelOnce(e.ctx, address, id)
+			if position = p; ok || !e.options.Clock.Sleep(e.ctx, cancelPause) {
 				return
 			}
 		}
@@ -37,12 +44,12 @@
 	})
 }
 
-// cancelOnce reports whether the engine has answered.
-func (e *Entry) cancelOnce(ctx context.Context, address, id string) bool {
+// cancelOnce returns the engine's final position and whether it has answered.
+func (e *Entry) cancelOnce(ctx context.Context, address, id string) (int, bool) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout.Duration())
 	defer cancel()
-	_, err := e.client.Cancel(ctx, address, id)
-	return err == nil || engine.KindOf(err) == engine.Refused
+	position, err := e.client.Cancel(ctx, address, id)
+	return position, err == nil || engine.KindOf(err) == engine.Refused
 }
 
 // interrupt ends an attempt. The engine is asked to cancel first and the stream
--- a/entry/debug.go
+++ b/entry/debug.go
@@ -1,31 +1,35 @@
 package entry
 
 import (
+	"context"
+	"encoding/json"
 	"sort"
 	"strings"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/attainment"
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/outcome"
 )
 
 type stateWire struct {
-	Name     string        `json:"name"`
-	Address  string        `json:"address"`
-	Policy   Policy        `json:"policy"`
-	Ready    bool          `json:"ready"`
-	Stopping bool          `json:"stopping"`
-	LeaseMS  int64         `json:"lease_ms"`
-	Term     uint64        `json:"term"`
-	Revision uint64        `json:"revision"`
-	Inbox    int           `json:"inbox"`
-	Servers  []serverWire  `json:"servers"`
-	Pools    []poolWire    `json:"pools"`
-	Requests []requestWire `json:"requests"`
-	Peers    []peerWire    `json:"peers"`
+	Name       string          `json:"name"`
+	Address    string          `json:"address"`
+	Policy     Policy          `json:"policy"`
+	Ready      bool            `json:"ready"`
+	Stopping   bool            `json:"stopping"`
+	LeaseMS    int64           `json:"lease_ms"`
+	Term       uint64          `json:"term"`
+	Revision   uint64          `json:"revision"`
+	Inbox      int             `json:"inbox"`
+	Servers    []serverWire    `json:"servers"`
+	Pools      []poolWire      `json:"pools"`
+	Requests   []requestWire   `json:"requests"`
+	Peers      []peerWire      `json:"peers"`
+	Attainment json.RawMessage `json:"attainment,omitempty"`
 }
 
 type serverWire struct {
@@ -62,8 +66,11 @@
 	Streams int    `json:"streams"`
 }
 
-// maxStateRequests bounds the requests that one state answer lists.
-const maxStateRequests = 1000
+const (
+	// maxStateRequests bounds the requests that one state answer lists.
+	maxStateRequests = 1000
+	stateTimeout     = 1 * clock.Second
+)
 
 // debugState serves GET /debug/state.
 func (e *Entry) debugState(c fiber.Ctx) error {
@@ -76,9 +83,25 @@
 	w.Ready, w.Stopping = e.ready() == nil, e.stopping.Load()
 	w.LeaseMS = int64(e.leases.remaining())
 	w.Term, w.Revision = view.term, view.configuration.Revision()
+	w.Attainment = e.describeAttainment()
 	return c.JSON(w)
 }
 
+// describeAttainment returns nil when the collector does not answer in time.
+func (e *Entry) describeAttainment() json.RawMessage {
+	ctx, cancel := context.WithTimeout(e.ctx, stateTimeout.Duration())
+	defer cancel()
+	state, err := e.collector.State(ctx)
+	if err != nil {
+		return nil
+	}
+	encoded, err := attainment.Encode(state)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
 func (d *dispatcher) describe(now clock.Millis) stateWire {
 	w := stateWire{Inbox: len(d.inbox)}
 	w.Servers = lo.Map(d.registry.Servers(now), func(s backend.Server, _ int) serverWire {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -287,7 +287,7 @@
 	p := d.pool(item.Pool)
 	delete(p.waiting, item.ID)
 	p.running[item.ID] = j
-	j.work.assigned <- assignment{server: server, address: choice.Server.Address(), priority: choice.Priority}
+	j.work.assigned <- assignment{server: server, address: choice.Server.Address(), priority: choice.Priority, at: now}
 	return true
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/galenaslip/galenaslip/attainment"
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/engine"
@@ -21,27 +22,28 @@
 
 // Entry is the process on the data path.
 type Entry struct {
-	options     Options
-	listener    net.Listener
-	advertised  string
-	incarnation uint64
-	app         *fiber.App
-	client      *engine.Client
-	closeClient func()
-	dispatcher  *dispatcher
-	leases      *leaseKeeper
-	challenger  *backend.Challenger
-	accountant  *accountant
-	budget      *budget
-	metrics     *metrics
-	stopping    atomic.Bool // readiness fails
-	refusing    atomic.Bool // new work is refused
-	stopped     chan struct{}
-	searches    chan struct{} // running searches
-	once        sync.Once
-	ctx         context.Context
-	cancel      context.CancelFunc
-	tasks       taskGroup
+	options        Options
+	listener       net.Listener
+	advertised     string
+	incarnation    uint64
+	app            *fiber.App
+	client         *engine.Client
+	closeClient    func()
+	dispatcher     *dispatcher
+	leases         *leaseKeeper
+	challenger     *backend.Challenger
+	collector      *attainment.Collector
+	closeCollector func()
+	budget         *budget
+	metrics        *metrics
+	stopping       atomic.Bool // readiness fails
+	refusing       atomic.Bool // new work is refused
+	stopped        chan struct{}
+	searches       chan struct{} // running searches
+	once           sync.Once
+	ctx            context.Context
+	cancel         context.CancelFunc
+	tasks          taskGroup
 }
 
 // taskGroup runs goroutines and waits for them. It takes no new ones once
@@ -80,13 +82,17 @@
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listen on %s", options.Listen)
 	}
-	e := assemble(options, l)
+	e, err := assemble(options, l)
+	if err != nil {
+		_ = l.Close()
+		return nil, nil, err
+	}
 	e.start()
 	options.Logger.Log(event.ProcessStarted, zap.String("address", e.Address()))
 	return e, e.release, nil
 }
 
-func assemble(options Options, l net.Listener) *Entry {
+func assemble(options Options, l net.Listener) (*Entry, error) {
 	incarnation := uint64(options.Clock.Wall())
 	client, closeClient := engine.New(engine.Options{Clock: options.Clock, Silence: options.Timeouts.Silence})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -98,7 +104,7 @@
 		client:      client,
 		closeClient: closeClient,
 		challenger:  backend.NewChallenger(options.Name, incarnation),
-		budget:      newBudget(options.RetryPercentage),
+		budget:      newBudget(options.RetryPercentage, incarnation),
 		stopped:     make(chan struct{}),
 		searches:    make(chan struct{}, maxSearches),
 		ctx:         ctx,
@@ -111,15 +117,15 @@
 	e.dispatcher = newDispatcher(options, e.leases, incarnation)
 	e.leases.demand = func() []lease.Demand { return *e.dispatcher.demand.Load() }
 	e.metrics = newMetrics(e)
-	e.accountant = newAccountant(e.metrics)
 	e.app = e.routes()
-	return e
+	var err error
+	e.collector, e.closeCollector, err = attainment.New(attainment.Options{Registerer: e.metrics.registry})
+	return e, err
 }
 
 func (e *Entry) start() {
 	timeouts := e.options.Timeouts
 	e.tasks.Go(func() { e.dispatcher.run(e.ctx) })
-	e.tasks.Go(func() { e.accountant.run(e.ctx) })
 	e.tasks.Go(func() { e.leases.run(e.ctx) })
 	e.tasks.Go(func() { e.options.Clock.Every(e.ctx, timeouts.Digest, func() { e.pullAll(e.ctx) }) })
 	e.tasks.Go(func() { e.options.Clock.Every(e.ctx, tickInterval, e.watchStop) })
@@ -223,6 +229,7 @@
 		_ = e.app.ShutdownWithContext(ended)
 		e.tasks.Wait()
 		e.closeClient()
+		e.closeCollector()
 		close(e.stopped)
 	})
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -10,24 +10,20 @@
 // metrics are the entry's counters and gauges.
 type metrics struct {
 	registry   *prometheus.Registry
-	requests   *prometheus.CounterVec
 	rejections *prometheus.CounterVec
 	continued  prometheus.Counter
 	strangers  prometheus.Counter
 	pulls      prometheus.Counter
-	samples    prometheus.Counter
 	dropped    prometheus.Counter
 	refused    prometheus.Counter
 }
 
 func newMetrics(e *Entry) *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
-	m.requests = m.vector("requests_total", "Ended requests by class, outcome and reason.", "class", "outcome", "reason")
 	m.rejections = m.vector("rejections_total", "Requests that were refused before they were queued, by reason.", "reason")
 	m.continued = m.counter("continued_total", "Attempts after a lost or refusing backend server.")
 	m.strangers = m.counter("unauthorized_total", "Calls refused for a missing or wrong token.")
 	m.pulls = m.counter("pull_failures_total", "Pulls from other entries that failed.")
-	m.samples = m.counter("dropped_samples_total", "Outcomes that were not counted because the channel was full.")
 	m.dropped = m.counter("dropped_announcements_total", "Announcements dropped because the dispatcher's inbox was full.")
 	m.refused = m.counter("refused_inbox_full_total", "Requests refused because the dispatcher's inbox was full.")
 	m.gauge("inbox", "Messages in the dispatcher's inbox.", func() float64 { return float64(len(e.dispatcher.inbox)) })
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -269,7 +269,7 @@
 		return false
 	}
 	if !f.stream.handed.Load() {
-		f.entry.cancelAt(f.at.engine, f.id, func() bool { return true })
+		f.entry.cancelAt(f.at.engine, f.id, func() bool { return true }, func(int) {})
 	}
 	return true
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,6 +12,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/engine"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/retry"
 	"github.com/galenaslip/galenaslip/routing"
 )
 
@@ -30,6 +31,7 @@
 	cancel   context.CancelFunc
 	out      chan result
 	attempts int
+	ledger   ledger
 	sent     bool
 }
 
@@ -173,7 +175,7 @@
 	if r.problem != nil {
 		kind, reason = r.problem.outcome, r.problem.reason
 	}
-	s.entry.account(sample{work: s.work, kind: kind, reason: reason, ended: s.entry.options.Clock.Now()})
+	s.entry.account(s.work, &s.ledger, kind, reason)
 }
 
 // compete queues the call and tries servers until one answers.
@@ -215,14 +217,15 @@
 // again.
 func (s *call) attempt(a assignment) (result, bool) {
 	s.attempts++
+	s.ledger.sent(a.at)
 	answer, err := s.send(a)
 	if err == nil {
 		s.finished(routing.Completed)
 		return result{answer: answer}, false
 	}
 	p := s.describe(err)
-	if s.mayRetry(err) {
-		s.entry.options.Clock.Sleep(s.ctx, backoff(s.attempts))
+	if pause, granted := s.mayRetry(err); granted {
+		s.entry.options.Clock.Sleep(s.ctx, pause)
 		s.tell(func(d *dispatcher, now clock.Millis) { d.again(now, s.work, routing.Failed) })
 		return result{}, true
 	}
@@ -295,13 +298,13 @@
 
 // mayRetry allows another server for a call that has provably not run, and for
 // an idempotent one within the retry budget.
-func (s *call) mayRetry(err error) bool {
+func (s *call) mayRetry(err error) (clock.Millis, bool) {
 	var f *engine.Failure
-	if s.attempts >= maxAttempts || s.ctx.Err() != nil || !errors.As(err, &f) {
-		return false
+	if s.attempts >= maxAttempts || s.ctx.Err() != nil || !errors.As(err, &f) || errors.Is(err, errNoLease) {
+		return 0, false
 	}
-	if s.once != nil {
-		return f.Kind == engine.NotSent && !s.once.marked
+	if f.Kind == engine.NotSent {
+		return backoff(s.attempts), s.once == nil || !s.once.marked
 	}
-	return !errors.Is(err, errNoLease) && s.entry.budget.take()
+	return s.entry.budget.take(retry.Work{Attempts: s.attempts, OnceOnly: s.once != nil})
 }
--- a/entry/soak_once_test.go
+++ b/entry/soak_once_test.go
@@ -72,4 +72,5 @@
 		}
 	}
 	t.Logf("seed %d: outcomes %v", seed, outcomes)
+	s.eventually("every call is accounted for once", func() bool { return s.accounted() == keys*repeats })
 }
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -67,6 +67,7 @@
 		delivered += results[i].Position()
 	}
 	t.Logf("seed %d: %d of %d whole, %d tokens delivered, %d generated", seed, whole, streams, delivered, s.generated())
+	s.eventually("every request is accounted for once", func() bool { return s.accounted() == streams })
 	s.eventually("nothing runs", func() bool {
 		left := 0
 		for _, e := range s.engines {
@@ -75,3 +76,18 @@
 		return left == 0 && s.state(0).waiting()+s.state(1).waiting() == 0
 	})
 }
+
+// accounted returns the number of outcomes that the entries have counted.
+func (s *site) accounted() int {
+	sum := 0
+	for _, e := range s.entries {
+		var w struct {
+			Attainment struct{ Classes []struct{ Requests int } }
+		}
+		get(s.t, e, "/debug/state", &w)
+		for _, c := range w.Attainment.Classes {
+			sum += c.Requests
+		}
+	}
+	return sum
+}
--- a/entry/work.go
+++ b/entry/work.go
@@ -37,6 +37,7 @@
 	server   string
 	address  string
 	priority int
+	at       clock.Millis
 	refused  *problem
 }
 
