commands: wait for the new identity in the test of lost data folders

Cause: the test took any identity other than the name for a new one, and killed the leader before the lost member voted again, which leaves one voter of three. Change: it compares with the identity before the loss.

--- a/commands/failure_test.go
+++ b/commands/failure_test.go
@@ -209,10 +209,12 @@
 				s.runOK(t, "class", "set", fmt.Sprintf("c%d", i), "--tier", "1", "--target-ms", "7")
 			}
 			lost := (s.leader(t) + 1) % len(s.controls)
+			name := fmt.Sprintf("control-%d", lost+1)
+			former := s.identity(t, name)
 			kill(t, s.controls[lost], syscall.SIGKILL)
 			tt.damage(t, s.dataFolder(lost))
 			s.restartControl(t, lost)
-			s.awaitReplaced(t, fmt.Sprintf("control-%d", lost+1))
+			s.awaitReplaced(t, name, former)
 			kill(t, s.controls[s.leader(t)], syscall.SIGKILL)
 			s.runOK(t, "class", "set", "after", "--tier", "1", "--target-ms", "9")
 			if got, want := len(s.targets(t)), 6; got != want {
@@ -222,9 +224,21 @@
 	}
 }
 
-// awaitReplaced waits until the member votes again under a new identity. The first
-// identity of a member is its name.
-func (s *site) awaitReplaced(t *testing.T, name string) {
+// identity returns the identity of the member with the given name.
+func (s *site) identity(t testing.TB, name string) string {
+	t.Helper()
+	state, ok := s.controlState(t, s.leader(t))
+	for _, m := range state.Group.Members {
+		if ok && m.Name == name {
+			return m.Identity
+		}
+	}
+	t.Fatalf("no member %s in %+v", name, state)
+	return ""
+}
+
+// awaitReplaced waits until the member votes again under a new identity.
+func (s *site) awaitReplaced(t testing.TB, name, former string) {
 	t.Helper()
 	eventually(t, name+" votes under a new identity", func() bool {
 		state, ok := s.controlState(t, s.leader(t))
@@ -232,7 +246,7 @@
 			return false
 		}
 		for _, m := range state.Group.Members {
-			if m.Name == name && m.Identity != name && m.Voter && m.Behind == 0 {
+			if m.Name == name && m.Identity != former && m.Voter && m.Behind == 0 {
 				return true
 			}
 		}
