load: add the experiment tool and scenarios for both sites

Change: load.ParseScenario reads strict YAML with file, line and reason in its errors; Plan derives all arrivals from the seed; Run sends them over the caller API, resumes streams, sends again with the same key, applies faults and compares outcomes, bytes and the stand-ins' state; Report has a table, JSON and a page with inline plots. Result: against a fake site all requests of a correct router pass although connections break, and each of seven broken modes is reported as its own kind of breach. No run against the real entry yet.

--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,281 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/load"
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+const scenario = `
+name: test
+seed: 7
+duration_ms: 1000
+targets: ["127.0.0.1:1"]
+stand_ins: [{name: engine-1, address: "127.0.0.1:1"}]
+workspaces: [{name: large, share: 3}, {name: small, share: 1}]
+classes:
+  - {name: query, tier: 1, target_ms: 60000, measure: first_token, arrival: {process: poisson, per_second: 60},
+     model: {name: m-small, stream_percent: 70, prompt_tokens: {median: 20, p95: 80, max: 200}, output_tokens: {median: 5, p95: 9, max: 12}}}
+  - {name: tagging, tier: 3, target_ms: 60000, measure: completion, arrival: {process: burst, per_second: 200, start_ms: 100, length_ms: 100, every_ms: 500},
+     model: {name: shed, stream_percent: 50, prompt_tokens: {median: 20, p95: 80, max: 200}, output_tokens: {median: 5, p95: 9, max: 12}}}
+  - {name: posting, tier: 1, target_ms: 60000, measure: completion, arrival: {process: poisson, per_second: 30},
+     call: {service: ledger, method: POST, path: /postings, idempotency_key: true}}
+  - {name: status, tier: 2, target_ms: 60000, measure: completion, arrival: {process: poisson, per_second: 30},
+     call: {service: ledger, method: GET, path: /status}}
+faults:
+  - {at_ms: 300, kind: slow, stand_ins: [engine-1], factor: 5}
+  - {at_ms: 600, kind: drop_callers, percent: 100}
+`
+
+// fakeSite is an entry, an engine and a service in one server. Its mode says
+// which promise it breaks.
+type fakeSite struct {
+	mode    string
+	mu      sync.Mutex
+	seen    map[string]int // attempts by request id
+	tokens  map[string]int
+	calls   map[string]int
+	answers map[string]string // streams by request id
+	faults  []string
+	holds   atomic.Bool // a request that only a dropped connection ends
+}
+
+func (f *fakeSite) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id, key := r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")
+	w.Header().Set("X-Request-Id", id)
+	body, _ := io.ReadAll(r.Body)
+	f.seen[id]++
+	switch path := r.URL.Path; {
+	case path == "/stand-in/fault":
+		f.faults = append(f.faults, string(body))
+	case path == "/stand-in/state":
+		sum := 0
+		for _, n := range f.tokens {
+			sum += n
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"tokens_generated": sum, "tokens_by_request": f.tokens, "calls_by_key": f.calls})
+	case strings.HasPrefix(path, "/v1/streams/"):
+		from, _ := strconv.Atoi(r.URL.Query().Get("position"))
+		f.stream(w, strings.TrimPrefix(path, "/v1/streams/"), from, -1)
+	case path == "/v1/chat/completions":
+		f.chat(w, id, body)
+	case key != "":
+		if f.mode != "run no call" && (f.calls[key] == 0 || f.mode == "run twice") {
+			f.calls[key]++
+		}
+		// The answer to each other call is lost once, after the call ran.
+		f.drop(f.seen[id] == 1 && len(f.calls)%2 == 0)
+		replyf(w, "posted")
+	case f.mode == "hold" && f.holds.CompareAndSwap(false, true):
+		f.mu.Unlock()
+		<-r.Context().Done()
+		f.mu.Lock()
+	default:
+		replyf(w, "status")
+	}
+}
+
+func (f *fakeSite) drop(now bool) {
+	if now {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (f *fakeSite) chat(w http.ResponseWriter, id string, body []byte) {
+	var chat struct {
+		Model     string `json:"model"`
+		Stream    bool   `json:"stream"`
+		MaxTokens int    `json:"max_tokens"`
+	}
+	_ = json.Unmarshal(body, &chat)
+	if chat.Model == "shed" {
+		w.WriteHeader(http.StatusTooManyRequests)
+		replyf(w, `{"error":{"message":"shed","code":"shed","outcome":"not_run"}}`)
+		if f.mode == "run shed work" {
+			f.tokens[id] = 1
+		}
+		return
+	}
+	f.tokens[id] = chat.MaxTokens
+	f.answers[id] = answer(chat.MaxTokens)
+	if f.mode == "wrong bytes" {
+		f.answers[id] = strings.Replace(f.answers[id], "t", "T", 1)
+	}
+	if chat.Stream {
+		// Each other stream breaks once in the middle.
+		f.stream(w, id, 0, []int{-1, 2}[len(f.answers)%2])
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"choices": []any{map[string]any{"message": map[string]any{"content": f.answers[id]}, "finish_reason": "stop"}},
+		"usage":   map[string]any{"completion_tokens": chat.MaxTokens},
+	})
+}
+
+func (f *fakeSite) stream(w http.ResponseWriter, id string, from, breakAt int) {
+	tokens := strings.SplitAfter(f.answers[id], " ")
+	for i := from; i < len(tokens); i++ {
+		f.drop(i == breakAt || f.mode == "never end" && i > 0)
+		if f.mode == "end early" && i == len(tokens)-1 {
+			break
+		}
+		replyf(w, ": comment\n\ndata: {\"position\":%d,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", i+1, tokens[i])
+		w.(http.Flusher).Flush()
+	}
+	if f.mode == "fail" {
+		replyf(w, "event: error\ndata: {\"error\":{\"code\":\"answer_incomplete\",\"outcome\":\"unknown\"}}\n\n")
+		return
+	}
+	replyf(w, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+	if f.mode == "end twice" {
+		replyf(w, "data: [DONE]\n\n")
+	}
+}
+
+func replyf(w io.Writer, format string, arguments ...any) {
+	_, _ = fmt.Fprintf(w, format, arguments...)
+}
+
+func answer(tokens int) string {
+	words := make([]string, tokens)
+	for i := range words {
+		words[i] = fmt.Sprintf("t%d", i)
+	}
+	return strings.Join(words, " ")
+}
+
+func expected(r load.Request) (string, bool) {
+	if r.Workload.IsModel() {
+		return answer(r.MaxTokens), true
+	}
+	return map[string]string{"POST": "posted", "GET": "status"}[r.Workload.Call.Method], true
+}
+
+// run plays the scenario against a fake site. The manual clock runs ten times as
+// fast as the machine's, whose time decides nothing.
+func run(t *testing.T, mode string) (load.Report, *fakeSite) {
+	t.Helper()
+	site := &fakeSite{mode: mode, seen: map[string]int{}, tokens: map[string]int{}, calls: map[string]int{}, answers: map[string]string{}}
+	server := httptest.NewServer(site)
+	server.Config.ErrorLog = nil
+	defer server.Close()
+	s, err := load.ParseScenario("test.yaml", []byte(scenario))
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := server.Listener.Addr().String()
+	s = s.WithTargets([]string{address}).WithStandIns([]load.StandIn{{Name: "engine-1", Address: address}})
+	const year2100 = 4_102_444_800_000 // read deadlines never pass
+	c, manual := clock.NewManual(year2100)
+	ctx, cancel := context.WithCancel(context.Background())
+	go clock.New().Every(ctx, 1, func() {
+		// Time stops before the connections are dropped until one is held.
+		if mode != "hold" || c.Now() < 500 || site.holds.Load() {
+			manual.Advance(10)
+		}
+	})
+	defer cancel()
+	report, err := load.Run(ctx, load.Options{Scenario: s, Clock: c, Answer: expected})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report, site
+}
+
+// Guards against a caller that loses, doubles or misjudges outcomes of a correct
+// router although connections break and answers get lost.
+func TestRunCorrectSite(t *testing.T) {
+	report, site := run(t, "")
+	var table, page, encoded bytes.Buffer
+	for writer, write := range map[*bytes.Buffer]func(io.Writer) error{&table: report.WriteTable, &page: report.WriteHTML, &encoded: report.WriteJSON} {
+		if err := write(writer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(report.Breaches) > 0 || report.Note != "" || report.Reconnects == 0 || report.NotSent > 0 {
+		t.Errorf("report:\n%s", table.String())
+	}
+	for _, c := range report.Classes {
+		name, counts := c.Class.Name(), c.Counts
+		if name == "tagging" {
+			if counts.Shed != counts.Requests || counts.Outcomes[outcome.NotRun] != counts.Requests {
+				t.Errorf("tagging: got %+v", counts)
+			}
+		} else if counts.Attainment() != 1 || c.Measured.Count != int64(counts.Requests) {
+			t.Errorf("%s: got attainment %v of %d, %d latencies", name, counts.Attainment(), counts.Requests, c.Measured.Count)
+		}
+	}
+	if report.Generated == 0 || report.Wasted() != 0 {
+		t.Errorf("tokens: got %d generated, %d wasted, want all delivered", report.Generated, report.Wasted())
+	}
+	if want := `{"kind":"slow","factor":5}`; len(site.faults) != 1 || site.faults[0] != want || len(report.Faults) != 2 {
+		t.Errorf("faults: got %q and %v, want %s", site.faults, report.Faults, want)
+	}
+	for _, want := range []string{"seed 7", "query", "breaches 0", "engine-1"} {
+		if !strings.Contains(table.String(), want) {
+			t.Errorf("table: got no %q in\n%s", want, table.String())
+		}
+	}
+	if got := page.String(); !strings.Contains(got, "<polyline") || strings.Contains(got, "http") {
+		t.Error("page: want plots and no reference to another file")
+	}
+	if !json.Valid(encoded.Bytes()) {
+		t.Error("JSON: got an invalid document")
+	}
+}
+
+// Guards against a fault that drops no connection of a caller, and against a
+// caller that does not send again after it.
+func TestRunDropsCallers(t *testing.T) {
+	report, _ := run(t, "hold")
+	if got := report.Faults[1].Result; strings.HasPrefix(got, "0 ") || len(report.Breaches) > 0 {
+		t.Errorf("fault: got %q and breaches %v, want a dropped connection and none", got, report.Breaches)
+	}
+}
+
+// Guards against an experiment that does not notice a broken promise.
+func TestRunBrokenSite(t *testing.T) {
+	tests := []struct {
+		mode string
+		want load.BreachKind
+	}{
+		{"never end", load.Lost},
+		{"end twice", load.Protocol},
+		{"end early", load.WrongBytes},
+		{"wrong bytes", load.WrongBytes},
+		{"run twice", load.Duplicate},
+		{"run shed work", load.Misreported},
+		{"run no call", load.Misreported},
+	}
+	for _, tt := range tests {
+		t.Run(tt.mode, func(t *testing.T) {
+			t.Parallel()
+			report, _ := run(t, tt.mode)
+			if got := report.BreachCounts; got[tt.want] == 0 || len(got) != 1 {
+				t.Errorf("breaches: got %v, want only %q", got, tt.want)
+			}
+		})
+	}
+	t.Run("fail", func(t *testing.T) {
+		t.Parallel()
+		report, _ := run(t, "fail")
+		if got := report.Classes[0].Counts.Outcomes[outcome.Unknown]; got == 0 || len(report.Breaches) > 0 {
+			t.Errorf("unknown: got %d and breaches %v, want some and none", got, report.Breaches)
+		}
+	})
+}
--- /dev/null
+++ b/load/report_table.go
@@ -0,0 +1,73 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+// WriteTable writes the report as text for a terminal.
+func (r Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	p := printer{writer: t}
+	p.printf("scenario %s, seed %d, run %s, %d ms planned, %d ms elapsed\n", r.Scenario, r.Seed, r.Run, r.Duration, r.Elapsed)
+	p.printf("sent %d, not sent %d, reconnects %d, answers compared %d\n\n", r.Sent, r.NotSent, r.Reconnects, r.Checked)
+	p.printf("class\ttier\ttarget ms\trequests\tattainment\tshed\tanswered\tnot run\tunknown\tp50 ms\tp95 ms\tp99 ms\tmax ms\ttokens\t\n")
+	for _, c := range r.Classes {
+		p.class(c)
+	}
+	p.printf("\ntier\trequests\tattainment\tshed\t\n")
+	for _, c := range r.Tiers {
+		p.printf("%d\t%d\t%.4f\t%d\t\n", c.Tier, c.Requests, c.Attainment(), c.Shed)
+	}
+	p.printf("\ngoodput %.1f requests/s, %.1f tokens/s\n", r.GoodRequests(), r.GoodTokens())
+	p.printf("tokens generated %d, delivered %d, wasted %d (%.2f%%)\n", r.Generated, r.Delivered, r.Wasted(), 100*r.WasteShare())
+	p.rest(r)
+	if p.err != nil {
+		return p.err
+	}
+	return errors.Wrap(t.Flush(), "writing the report")
+}
+
+// printer keeps the first error.
+type printer struct {
+	writer io.Writer
+	err    error
+}
+
+func (p *printer) printf(format string, arguments ...any) {
+	if p.err != nil {
+		return
+	}
+	_, err := fmt.Fprintf(p.writer, format, arguments...)
+	p.err = errors.Wrap(err, "writing the report")
+}
+
+func (p *printer) class(c ClassReport) {
+	m, n := c.Measured, c.Counts
+	p.printf("%s\t%d\t%d\t%d\t%.4f\t%d\t", c.Class.Name(), c.Class.Tier(), c.Class.Target(), n.Requests, n.Attainment(), n.Shed)
+	p.printf("%d\t%d\t%d\t", n.Outcomes[outcome.Answered], n.Outcomes[outcome.NotRun], n.Outcomes[outcome.Unknown])
+	p.printf("%d\t%d\t%d\t%d\t%d\t\n", m.P50, m.P95, m.P99, m.Max, n.Delivered)
+}
+
+func (p *printer) rest(r Report) {
+	for _, f := range r.Faults {
+		p.printf("fault at %d ms: %s %v: %s\n", f.At, f.Fault.Kind, f.Fault.StandIns, f.Result)
+	}
+	if r.Note != "" {
+		p.printf("note: %s\n", r.Note)
+	}
+	total := 0
+	for _, kind := range []BreachKind{Lost, Protocol, WrongBytes, Duplicate, Misreported} {
+		total += r.BreachCounts[kind]
+		p.printf("%s %d, ", kind, r.BreachCounts[kind])
+	}
+	p.printf("breaches %d\n", total)
+	for _, b := range r.Breaches {
+		p.printf("%s %s: %s\n", b.Kind, b.Request, b.Detail)
+	}
+}
--- /dev/null
+++ b/load/wire.go
@@ -0,0 +1,140 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/outcome"
+)
+
+type wireChat struct {
+	Model     string        `json:"model"`
+	Messages  []wireMessage `json:"messages"`
+	Stream    bool          `json:"stream"`
+	MaxTokens int           `json:"max_tokens"`
+}
+
+type wireMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type wireChunk struct {
+	Position int          `json:"position"`
+	Choices  []wireChoice `json:"choices"`
+	Usage    wireUsage    `json:"usage"`
+	Error    *wireError   `json:"error"`
+}
+
+type wireChoice struct {
+	Delta        wireMessage `json:"delta"`
+	Message      wireMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+type wireUsage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type wireError struct {
+	Message string         `json:"message"`
+	Code    outcome.Reason `json:"code"`
+	Outcome outcome.Kind   `json:"outcome"`
+}
+
+type wireStandInFault struct {
+	Kind   string  `json:"kind"`
+	Factor float64 `json:"factor,omitempty"`
+}
+
+// wireState is what the tool reads of a stand-in's state.
+type wireState struct {
+	TokensGenerated int64          `json:"tokens_generated"`
+	TokensByRequest map[string]int `json:"tokens_by_request"`
+	CallsByKey      map[string]int `json:"calls_by_key"`
+}
+
+func encodeChat(r Request) ([]byte, error) {
+	body, err := json.Marshal(wireChat{
+		Model: r.Workload.Model.Name, Stream: r.Stream, MaxTokens: r.MaxTokens,
+		Messages: []wireMessage{{Role: "user", Content: r.Prompt}},
+	})
+	return body, errors.Wrap(err, "encoding the request")
+}
+
+// chunk is one event of a streamed answer.
+type chunk struct {
+	text     string
+	position int
+	finished bool // it has a finish reason
+	done     bool // it is the end marker
+	failure  *wireError
+}
+
+// readChunk reads the next event that is not a comment.
+func readChunk(reader *bufio.Reader) (chunk, error) {
+	data := ""
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return chunk{}, errors.Wrap(err, "reading the stream")
+		}
+		line = strings.TrimRight(line, "\r\n")
+		if value, ok := strings.CutPrefix(line, "data:"); ok {
+			data += strings.TrimPrefix(value, " ")
+		}
+		if line == "" && data != "" {
+			return decodeChunk(data)
+		}
+	}
+}
+
+// errMalformed marks an event that arrived whole but cannot be decoded.
+var errMalformed = errors.New("malformed event")
+
+func decodeChunk(data string) (chunk, error) {
+	if data == "[DONE]" {
+		return chunk{done: true}, nil
+	}
+	var wire wireChunk
+	if err := json.Unmarshal([]byte(data), &wire); err != nil {
+		return chunk{}, errors.Wrapf(errMalformed, "%v in %q", err, data)
+	}
+	c := chunk{position: wire.Position, failure: wire.Error}
+	for _, choice := range wire.Choices {
+		c.text += choice.Delta.Content
+		c.finished = c.finished || choice.FinishReason != ""
+	}
+	return c, nil
+}
+
+// decodeWhole returns the text and the token count of an answer in one piece.
+func decodeWhole(body []byte) (string, int, error) {
+	var wire wireChunk
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return "", 0, errors.Wrap(err, "decoding the answer")
+	}
+	text := ""
+	for _, choice := range wire.Choices {
+		text += choice.Message.Content
+	}
+	return text, wire.Usage.CompletionTokens, nil
+}
+
+// decodeError returns the error object of an answer, or nil when there is none.
+func decodeError(body []byte) *wireError {
+	var wire wireChunk
+	if json.Unmarshal(body, &wire) != nil {
+		return nil
+	}
+	return wire.Error
+}
+
+func readAll(reader io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(reader)
+	return body, errors.Wrap(err, "reading the body")
+}
