--- a/commands/commands.go
+++ b/commands/commands.go
@@ -45,6 +45,7 @@
 		newDemo(),
 		newServe(),
 		newStandin(),
+		newLoad(),
 		newClass(),
 		newStop(),
 		newConfig(),
--- /dev/null
+++ b/commands/load.go
@@ -0,0 +1,120 @@
+package commands
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/entry"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/load"
+	"github.com/galenaslip/galenaslip/site"
+)
+
+// loadFlags are the flags of the load command.
+type loadFlags struct {
+	policies []string
+	rounds   int
+	folder   string
+}
+
+func newLoad() *cobra.Command {
+	var f loadFlags
+	c := &cobra.Command{
+		Use:   "load SCENARIO",
+		Short: "Run an experiment and report attainment, goodput and wasted work",
+		Long: `Send the requests of a scenario to entries and report what their callers saw. By
+default the entries and stand-ins that the scenario names must be running. With
+--policy the command runs the whole site itself, once for each policy, and
+repeats that --rounds times, so that policies are compared in one run.
+
+The exit code is 1 if a request was lost, answered wrongly, run twice or
+misreported.`,
+		Example: "  galenaslip load scenarios/site-a-burst.yaml --policy naive,real --report-folder /tmp/report",
+		Args:    cobra.ExactArgs(1),
+		RunE:    func(c *cobra.Command, args []string) error { return f.run(c, args[0]) },
+	}
+	c.Flags().StringSliceVar(&f.policies, "policy", nil, `run the site in this process with these policies: "real", "naive"`)
+	c.Flags().IntVar(&f.rounds, "rounds", 1, "repetitions, with --policy")
+	c.Flags().StringVar(&f.folder, "report-folder", "", "folder for the reports as JSON and HTML")
+	return c
+}
+
+func (f loadFlags) run(c *cobra.Command, path string) error {
+	scenario, err := load.ReadScenario(path)
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	if len(f.policies) == 0 {
+		return f.measure(c, scenario, scenario.Name)
+	}
+	var broken error
+	for round := range f.rounds {
+		for _, policy := range f.policies {
+			name := fmt.Sprintf("%s-%s-%d", scenario.Name, policy, round+1)
+			if err := f.measureSite(c, scenario, entry.Policy(policy), name); err != nil {
+				broken = err
+			}
+		}
+	}
+	return broken
+}
+
+func (f loadFlags) measureSite(c *cobra.Command, s load.Scenario, policy entry.Policy, name string) error {
+	if policy != entry.PolicyReal && policy != entry.PolicyNaive {
+		return failf(ExitUsage, "policy %q is unknown: want %q or %q", policy, entry.PolicyReal, entry.PolicyNaive)
+	}
+	_, release, err := site.New(c.Context(), load.SiteOptions(s, policy, clock.New(), event.Discard()))
+	if err != nil {
+		return fail(ExitFailed, err)
+	}
+	defer release()
+	return f.measure(c, s, name)
+}
+
+func (f loadFlags) measure(c *cobra.Command, s load.Scenario, name string) error {
+	report, err := load.Run(c.Context(), load.Options{Scenario: s, Clock: clock.New(), Answer: load.StandInAnswer})
+	if err != nil {
+		return fail(ExitFailed, err)
+	}
+	fmt.Fprintf(c.OutOrStdout(), "== %s\n", name)
+	if err := report.WriteTable(c.OutOrStdout()); err != nil {
+		return err
+	}
+	if f.folder != "" {
+		if err := f.writeFiles(report, name); err != nil {
+			return fail(ExitFailed, err)
+		}
+	}
+	if len(report.Breaches) > 0 {
+		return failf(ExitFailed, "%s: %d broken promises", name, len(report.Breaches))
+	}
+	return nil
+}
+
+func (f loadFlags) writeFiles(report load.Report, name string) error {
+	if err := os.MkdirAll(f.folder, 0o755); err != nil {
+		return errors.Wrap(err, "cannot make the report folder")
+	}
+	if err := writeFile(filepath.Join(f.folder, name+".json"), report.WriteJSON); err != nil {
+		return err
+	}
+	return writeFile(filepath.Join(f.folder, name+".html"), report.WriteHTML)
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "cannot create the report")
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return errors.Wrap(file.Close(), "cannot write the report")
+}
--- a/load/codec.go
+++ b/load/codec.go
@@ -242,7 +242,7 @@
 func (v *validator) fault(wire wireFault, i int, s Scenario) Fault {
 	path := fmt.Sprintf("faults[%d]", i)
 	kind := FaultKind(wire.Kind)
-	known := lo.Contains([]FaultKind{Slow, Crash, Silent, Recover, LateReports, DropCallers}, kind)
+	known := lo.Contains([]FaultKind{Slow, Crash, Silent, Stall, Recover, LateReports, DropCallers}, kind)
 	v.requiref(known, path+".kind", "invalid kind %q", kind)
 	v.requiref(wire.AtMS >= 0 && clock.Millis(wire.AtMS) < s.Duration, path+".at_ms", "invalid time %d: want one within the duration", wire.AtMS)
 	for _, name := range wire.StandIns {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -72,7 +72,7 @@
 		for _, n := range f.tokens {
 			sum += n
 		}
-		_ = json.NewEncoder(w).Encode(map[string]any{"tokens_generated": sum, "tokens_by_request": f.tokens, "calls_by_key": f.calls})
+		_ = json.NewEncoder(w).Encode(map[string]any{"generated": sum, "by_request": f.tokens, "runs": f.calls})
 	case strings.HasPrefix(path, "/v1/streams/"):
 		from, _ := strconv.Atoi(r.URL.Query().Get("position"))
 		f.stream(w, strings.TrimPrefix(path, "/v1/streams/"), from, -1)
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -102,6 +102,8 @@
 	Crash   FaultKind = "crash"
 	Silent  FaultKind = "silent"
 	Recover FaultKind = "recover"
+	// Stall silences only the connections that are open at the time.
+	Stall FaultKind = "stall"
 	// LateReports makes load reports older by Factor.
 	LateReports FaultKind = "late_reports"
 	// DropCallers closes a share of the callers' open connections.
--- a/load/wire.go
+++ b/load/wire.go
@@ -53,9 +53,9 @@
 
 // wireState is what the tool reads of a stand-in's state.
 type wireState struct {
-	TokensGenerated int64          `json:"tokens_generated"`
-	TokensByRequest map[string]int `json:"tokens_by_request"`
-	CallsByKey      map[string]int `json:"calls_by_key"`
+	TokensGenerated int64          `json:"generated"`
+	TokensByRequest map[string]int `json:"by_request"`
+	CallsByKey      map[string]int `json:"runs"`
 }
 
 func encodeChat(r Request) ([]byte, error) {
--- a/site/site.go
+++ b/site/site.go
@@ -36,8 +36,10 @@
 	Services []Server
 	// Engine holds the engines' speed and sizes; name, addresses, clock and logger
 	// are filled in.
-	Engine  standin.EngineOptions
-	Policy  entry.Policy
+	Engine standin.EngineOptions
+	// Entry holds the entries' policy and limits; names, addresses, control, clock
+	// and logger are filled in.
+	Entry   entry.Options
 	Classes []class.Class
 	Clock   clock.Clock
 	Logger  event.Logger
@@ -183,10 +185,10 @@
 			return errors.Wrap(err, "cannot make a control client")
 		}
 		s.onRelease(release)
-		e, release, err := entry.New(entry.Options{
-			Name: fmt.Sprintf("entry-%d", i+1), AvailabilityZone: zoneName(i), Listen: address,
-			Control: client, Policy: s.options.Policy, Clock: s.options.Clock, Logger: s.options.Logger,
-		})
+		o := s.options.Entry
+		o.Name, o.AvailabilityZone, o.Listen, o.Control = fmt.Sprintf("entry-%d", i+1), zoneName(i), address, client
+		o.Clock, o.Logger = s.options.Clock, s.options.Logger
+		e, release, err := entry.New(o)
 		if err != nil {
 			return errors.Wrap(err, "cannot start an entry")
 		}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -83,8 +83,11 @@
 	case Crash:
 		e.server.cut(nil)
 		e.batch.reset()
+	case LateReports:
+		e.reports.setFactor(max(f.Factor, 1))
 	case Recover:
 		e.setFactor(1)
+		e.reports.setFactor(1)
 	}
 }
 
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -15,6 +15,8 @@
 	Silent FaultKind = "silent"
 	// Stall keeps only the connections silent that are open now.
 	Stall FaultKind = "stall"
+	// LateReports multiplies the age of load reports by the factor.
+	LateReports FaultKind = "late_reports"
 	// Recover ends every fault.
 	Recover FaultKind = "recover"
 )
--- a/standin/report.go
+++ b/standin/report.go
@@ -11,6 +11,7 @@
 // reports keeps recent loads, so that announcements can carry an old one.
 type reports struct {
 	lag       clock.Millis
+	factor    float64 // multiplies lag
 	mu        sync.Mutex
 	kept      []report
 	generated int
@@ -22,7 +23,7 @@
 }
 
 func newReports(lag clock.Millis) *reports {
-	return &reports{lag: lag}
+	return &reports{lag: lag, factor: 1}
 }
 
 func (r *reports) add(now clock.Millis, load loadWire, generated int) {
@@ -31,11 +32,18 @@
 	load.TokensPerSecond = float64(generated-r.generated) * float64(clock.Second) / float64(reportInterval)
 	r.generated = generated
 	r.kept = append(r.kept, report{at: now, load: load})
-	for len(r.kept) > 1 && r.kept[1].at <= now-r.lag {
+	lag := clock.Millis(float64(r.lag) * r.factor)
+	for len(r.kept) > 1 && r.kept[1].at <= now-lag {
 		r.kept = r.kept[1:]
 	}
 }
 
+func (r *reports) setFactor(factor float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.factor = factor
+}
+
 // lagged returns the newest load that is at least as old as the lag.
 func (r *reports) lagged(now clock.Millis) loadWire {
 	r.mu.Lock()
