entry: leave a caller whose connection broke time to resume

Cause: 16 test processes at once failed TestResumeElsewhere in 5 of 16 runs. With tokens flowing, an entry notices a broken connection within milliseconds and cancelled the stream before its caller could resume. A resume during the last moment of an attempt was also forgotten. Other failures under load: the time in which an entry learns its servers counted from the start of the clock; the stand-in service kept the fault of the next call after recover; two tests had timing bounds (a caller's read time of 300 ms, and a renewed lease within 10 ms).

Change: a broken stream is cancelled after 700 ms, which with the check each second stays within 2 s. A detached attempt ends as handed over whatever else happened.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -28,10 +28,10 @@
 	switch {
 	case v == complete:
 		return complete
-	case r.ctx.Err() != nil:
-		return gone
 	case reason == detached:
 		return handed
+	case r.ctx.Err() != nil:
+		return gone
 	case reason != notInterrupted:
 		return moved
 	}
--- a/entry/cancel.go
+++ b/entry/cancel.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// cancelTimeout bounds one cancel call. With the check of the caller's
+	// resumeGrace is the time between the loss of a caller's connection and the
+	// cancel of its stream, in which the caller can resume. With the check of the
 	// connection each second, work is cancelled within 2 s after the caller went.
+	resumeGrace = 700 * clock.Millisecond
+	// cancelTimeout bounds one cancel call.
 	cancelTimeout = 500 * clock.Millisecond
 	// cancelPause is the wait before an unanswered cancel is sent again.
 	cancelPause = 1 * clock.Second
@@ -24,6 +27,21 @@
 	drainTime = 1 * clock.Second
 )
 
+// awaitResume gives a caller whose connection broke the time to resume, and
+// reports whether another connection has taken the stream over.
+func (r *relay) awaitResume() bool {
+	taken := make(chan struct{})
+	r.work.stop.arm(func(interruption) { close(taken) })
+	due, release := r.entry.options.Clock.After(resumeGrace)
+	defer release()
+	select {
+	case <-taken:
+	case <-due:
+	case <-r.entry.ctx.Done():
+	}
+	return r.work.stop.disarm() == detached
+}
+
 // cancelAt cancels a request at an engine in the background, as long as wanted
 // reports true. In the end it calls ended with the engine's final position, or
 // zero when that is not known.
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -28,6 +28,7 @@
 type dispatcher struct {
 	options   Options
 	leases    *leaseKeeper
+	began     clock.Millis
 	inbox     chan func(now clock.Millis)
 	registry  *backend.Registry
 	queue     queue
@@ -69,6 +70,7 @@
 	d := &dispatcher{
 		options:   options,
 		leases:    leases,
+		began:     options.Clock.Now(),
 		inbox:     make(chan func(clock.Millis), inboxSize),
 		registry:  registry,
 		jobs:      map[string]*job{},
@@ -154,7 +156,10 @@
 	if d.known(now, w.pool) {
 		return nil
 	}
-	return unknownPool(now, w.pool)
+	if now-d.began < learnTime {
+		return notRun(outcome.ReasonNoServer, "the entry has just started and does not know the servers yet")
+	}
+	return unknownPool(w.pool)
 }
 
 func refusedOffer(offer admission.Offer) *problem {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -41,10 +41,7 @@
 	return true
 }
 
-func unknownPool(now clock.Millis, pool string) *problem {
-	if now < learnTime {
-		return notRun(outcome.ReasonNoServer, "the entry has just started and does not know the servers yet")
-	}
+func unknownPool(pool string) *problem {
 	if model, ok := strings.CutPrefix(pool, backend.ModelPool("")); ok {
 		return notFound(outcome.ReasonUnknownModel, "model", "unknown model "+model)
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -122,8 +122,13 @@
 		r.account(outcome.Answered, outcome.ReasonNone)
 		return true
 	case gone:
+		taken := r.work.streamed && r.awaitResume()
 		r.finished(routing.Cancelled)
-		r.leave(a.address)
+		if taken {
+			r.account(outcome.Unknown, outcome.ReasonCallerGone)
+		} else {
+			r.leave(a.address)
+		}
 		return true
 	case handed:
 		r.finished(routing.Cancelled)
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -263,11 +263,15 @@
 	return f.emit(message{data: stream.AppendEvent(nil, "", e.Data)}), false
 }
 
-// gone reports whether the caller has gone, and cancels its work then.
+// gone reports whether the caller has gone, and cancels its work then unless the
+// caller resumes once more.
 func (f *follower) gone() bool {
 	if f.ctx.Err() == nil {
 		return false
 	}
+	if !f.stream.handed.Load() {
+		f.entry.options.Clock.Sleep(f.entry.ctx, resumeGrace)
+	}
 	if !f.stream.handed.Load() {
 		f.entry.cancelAt(f.at.engine, f.id, func() bool { return true }, func(int) {})
 	}
--- a/standin/service.go
+++ b/standin/service.go
@@ -89,9 +89,9 @@
 	s.fault.set(f.Kind)
 	switch f.Kind {
 	case CloseBefore, CloseAfter, NotRun:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.next = f.Kind
+		s.setNext(f.Kind)
+	case Recover:
+		s.setNext("")
 	case Crash:
 		s.server.cut(nil)
 	}
@@ -106,6 +106,12 @@
 	return app
 }
 
+func (s *Service) setNext(kind FaultKind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = kind
+}
+
 func (s *Service) takeFault() FaultKind {
 	s.mu.Lock()
 	defer s.mu.Unlock()
