entry: move streams only where another server is left; count jobs by tier

Cause: near the deadline of a planned stop a stream was interrupted even when no other server could take it.

Change: a stream without another server runs on; preemption is considered only when a waiting tier is above a running one. Tests of idempotent calls whose server fails.

--- a/entry/debug.go
+++ b/entry/debug.go
@@ -112,7 +112,7 @@
 	})
 	for name, p := range d.pools {
 		w.Pools = append(w.Pools, poolWire{
-			Pool: name, Waiting: len(p.waiting), Running: len(p.running), Free: d.router.FreeSlots(now, name),
+			Pool: name, Waiting: p.waiting.len(), Running: p.running.len(), Free: d.router.FreeSlots(now, name),
 		})
 	}
 	sort.Slice(w.Pools, func(i, j int) bool { return w.Pools[i].Pool < w.Pools[j].Pool })
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -59,8 +59,8 @@
 
 // poolState holds the jobs of a pool.
 type poolState struct {
-	waiting map[string]*job
-	running map[string]*job
+	waiting *jobSet
+	running *jobSet
 	served  bool         // had a usable server at some time
 	since   clock.Millis // start of the present time without a usable server
 }
@@ -145,7 +145,7 @@
 	}
 	j := &job{work: w}
 	d.jobs[w.id] = j
-	d.pool(w.pool).waiting[w.id] = j
+	d.pool(w.pool).waiting.add(j)
 	d.pump(now, w.pool)
 }
 
@@ -186,8 +186,8 @@
 func (d *dispatcher) forget(j *job) {
 	delete(d.jobs, j.work.id)
 	p := d.pool(j.work.pool)
-	delete(p.waiting, j.work.id)
-	delete(p.running, j.work.id)
+	p.waiting.remove(j)
+	p.running.remove(j)
 }
 
 // withdraw drops work whose caller has gone. It may be queued or just assigned.
@@ -239,8 +239,8 @@
 	}
 	j.running, j.leaving, j.begun = false, false, true
 	p := d.pool(w.pool)
-	delete(p.running, w.id)
-	p.waiting[w.id] = j
+	p.running.remove(j)
+	p.waiting.add(j)
 	d.queue.Requeue(now, w.item())
 	d.pump(now, w.pool)
 }
@@ -248,11 +248,11 @@
 // pump hands out free slots of a pool.
 func (d *dispatcher) pump(now clock.Millis, name string) {
 	p := d.pool(name)
-	if len(p.waiting) == 0 {
+	if p.waiting.len() == 0 {
 		return
 	}
 	peers := d.demands(now)
-	for len(p.waiting) > 0 {
+	for p.waiting.len() > 0 {
 		free := d.router.FreeSlots(now, name)
 		if free == 0 {
 			d.preempt(now, name)
@@ -290,8 +290,8 @@
 	d.router.Sent(now, request, server)
 	j.running, j.server, j.started, j.starved = true, server, now, item.Starved
 	p := d.pool(item.Pool)
-	delete(p.waiting, item.ID)
-	p.running[item.ID] = j
+	p.waiting.remove(j)
+	p.running.add(j)
 	j.work.assigned <- assignment{server: server, address: choice.Server.Address(), priority: choice.Priority, at: now}
 	return true
 }
@@ -309,8 +309,12 @@
 
 // preempt takes a slot back for waiting work of a higher tier.
 func (d *dispatcher) preempt(now clock.Millis, name string) {
-	running := make([]admission.Running, 0, len(d.pool(name).running))
-	for _, j := range d.pool(name).running {
+	p := d.pool(name)
+	if !p.waiting.outranks(p.running) {
+		return
+	}
+	running := make([]admission.Running, 0, p.running.len())
+	for _, j := range p.running.jobs {
 		running = append(running, j.admitted())
 	}
 	id, ok := d.queue.Preempt(now, name, running)
--- /dev/null
+++ b/entry/jobset.go
@@ -0,0 +1,46 @@
+package entry
+
+import "github.com/galenaslip/galenaslip/class"
+
+// jobSet holds jobs by identifier and counts them by tier, so that a pool with
+// one tier is not searched for work to preempt.
+type jobSet struct {
+	jobs  map[string]*job
+	tiers [class.LowestTier + 1]int
+}
+
+func newJobSet() *jobSet {
+	return &jobSet{jobs: map[string]*job{}}
+}
+
+func (s *jobSet) add(j *job) {
+	if _, ok := s.jobs[j.work.id]; !ok {
+		s.tiers[j.work.class.Tier()]++
+	}
+	s.jobs[j.work.id] = j
+}
+
+func (s *jobSet) remove(j *job) {
+	if _, ok := s.jobs[j.work.id]; ok {
+		s.tiers[j.work.class.Tier()]--
+		delete(s.jobs, j.work.id)
+	}
+}
+
+func (s *jobSet) len() int { return len(s.jobs) }
+
+// outranks reports whether a job here has a higher tier than one of the others.
+func (s *jobSet) outranks(others *jobSet) bool {
+	for tier := class.HighestTier; tier <= class.LowestTier; tier++ {
+		if s.tiers[tier] == 0 {
+			continue
+		}
+		for lower := tier + 1; lower <= class.LowestTier; lower++ {
+			if others.tiers[lower] > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	return false
+}
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -146,3 +146,37 @@
 		})
 	}
 }
+
+// Guards against an idempotent call that is lost with its server although
+// another one could answer it, and against its answer being changed on the way.
+func TestIdempotentCalls(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		method string
+		fault  standin.FaultKind
+		status int
+	}{
+		{method: http.MethodGet, status: http.StatusOK},
+		{method: http.MethodGet, fault: standin.CloseBefore, status: http.StatusOK},
+		{method: http.MethodGet, fault: standin.NotRun, status: http.StatusOK},
+		{method: http.MethodGet, fault: standin.Crash, status: http.StatusOK},
+		{method: http.MethodPut, fault: standin.CloseAfter, status: http.StatusCreated},
+		{method: http.MethodHead, fault: standin.CloseBefore, status: http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.method+" "+string(tt.fault), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 0, 2)
+			s.services[0].Fault(standin.Fault{Kind: tt.fault})
+			for range 3 {
+				got := do(t, tt.method, s.url(0, "/v1/services/ledger/treaties/7"), []byte("x"))
+				if got.status != tt.status {
+					t.Errorf("got %d %s, want %d", got.status, got.body, tt.status)
+				}
+				if tt.method == http.MethodGet && !bytes.Contains(got.body, []byte(`"/treaties/7"`)) {
+					t.Errorf("got %s, want the path in the answer", got.body)
+				}
+			}
+		})
+	}
+}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -22,7 +22,7 @@
 func (d *dispatcher) pool(name string) *poolState {
 	p, ok := d.pools[name]
 	if !ok {
-		p = &poolState{waiting: map[string]*job{}, running: map[string]*job{}}
+		p = &poolState{waiting: newJobSet(), running: newJobSet()}
 		d.pools[name] = p
 	}
 	return p
@@ -54,7 +54,7 @@
 	d.dropPeers(now)
 	d.applyStops(now)
 	for name, p := range d.pools {
-		for id, j := range p.running {
+		for id, j := range p.running.jobs {
 			d.router.Progress(now, id, int(j.work.produced.Load()))
 		}
 		d.giveUp(now, name, p)
@@ -68,11 +68,11 @@
 	demand := []lease.Demand{}
 	waiting, running := 0, 0
 	for name, p := range d.pools {
-		waiting += len(p.waiting)
-		running += len(p.running)
+		waiting += p.waiting.len()
+		running += p.running.len()
 		if model, ok := strings.CutPrefix(name, backend.ModelPool("")); ok {
 			demand = append(demand, lease.Demand{
-				Model: model, Waiting: len(p.waiting), Servers: d.registry.PoolSize(now, name),
+				Model: model, Waiting: p.waiting.len(), Servers: d.registry.PoolSize(now, name),
 			})
 		}
 	}
@@ -91,7 +91,7 @@
 	if now-p.since < d.options.Timeouts.NoServer {
 		return
 	}
-	for id, j := range p.waiting {
+	for id, j := range p.waiting.jobs {
 		d.queue.Remove(id)
 		d.forget(j)
 		j.work.assigned <- assignment{refused: notRun(outcome.ReasonNoServer, "no backend server is available")}
@@ -102,24 +102,30 @@
 // streams when the grace period is nearly over.
 func (d *dispatcher) applyStops(now clock.Millis) {
 	var names []string
+	seen := map[string]clock.Millis{}
 	for _, s := range d.leases.configuration().Stops() {
 		if s.Kind() != configuration.StopServer {
 			continue
 		}
 		names = append(names, s.Name())
-		if _, ok := d.stops[s.ID()]; !ok {
-			d.stops[s.ID()] = now
+		since, ok := d.stops[s.ID()]
+		if !ok {
+			since = now
 		}
-		if s.Grace() > 0 && now >= d.stops[s.ID()]+s.Grace()-handoffMargin {
-			d.moveFrom(s.Name())
+		seen[s.ID()] = since
+		if s.Grace() > 0 && now >= since+s.Grace()-handoffMargin {
+			d.moveFrom(now, s.Name())
 		}
 	}
+	d.stops = seen
 	d.registry.SetStops(now, names)
 }
 
-func (d *dispatcher) moveFrom(server string) {
+// moveFrom moves streams to other servers. Where there is none, a stream runs on
+// as long as its server does.
+func (d *dispatcher) moveFrom(now clock.Millis, server string) {
 	for _, j := range d.jobs {
-		if j.running && j.server == server && !j.work.onceOnly {
+		if j.running && j.server == server && !j.work.onceOnly && d.registry.PoolSize(now, j.work.pool) > 0 {
 			d.interrupt(j, serverStops)
 		}
 	}
