backend, routing: test prefill engines and the prediction

Cause: with either rule removed in a scratch copy all tests passed: engines in the prefill role are in no pool, and the prediction follows observations and the server's slowness. The first test then found that WithRole kept the old pools. Change: the derived pools are reset, tests for both rules, and benchmarks for the share of time a server is out of use and for the error of the prediction. Result: the tests pass, and fail with the role check, the learning or the slowness removed.

--- a/backend/announcement.go
+++ b/backend/announcement.go
@@ -114,7 +114,7 @@
 // seal computes the derived fields. An engine in the prefill role is in no pool,
 // because it does not answer requests.
 func (s static) seal() *static {
-	s.check = s.checksum()
+	s.check, s.pools = s.checksum(), nil
 	if s.role == Prefill {
 		return &s
 	}
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// Guards against requests sent to an engine that only computes prompts.
+func TestPrefillIsInNoPool(t *testing.T) {
+	r := backend.New(backend.Options{Entry: "e"})
+	r.Accept(0, engine("s", 1).WithRole(backend.Prefill), 0)
+	if got := r.PoolSize(0, "model:m-small"); got != 0 {
+		t.Errorf("got %d servers, want 0", got)
+	}
+}
+
 // Guards against a refresh that is applied to another static part than it was
 // made for: the peer missed a change and the change back.
 func TestRefreshNeedsSameStaticPart(t *testing.T) {
--- a/backend/bench_test.go
+++ b/backend/bench_test.go
@@ -164,3 +164,28 @@
 		reader.Merge(0, d, 2)
 	}
 }
+
+// BenchmarkUsable measures the share of time for which an entry does not use a
+// server that announces itself, over 10 minutes.
+func BenchmarkUsable(b *testing.B) {
+	for _, loss := range []int{0, 1, 5} {
+		b.Run(fmt.Sprintf("loss=%d%%", loss), func(b *testing.B) {
+			for b.Loop() {
+				c := newCell(b, link{loss: loss, maxDelay: 3}, 4711, 4, 20)
+				c.run(10_000, func() {})
+				unused, total, last := 0, 0, clock.Millis(0)
+				c.run(610_000, func() {
+					if c.now == last {
+						return
+					}
+					last = c.now
+					for _, e := range c.entries {
+						unused += 20 - e.registry.PoolSize(e.now(c), "model:m-small") - e.registry.PoolSize(e.now(c), "model:m-large")
+						total += 20
+					}
+				})
+				b.ReportMetric(100*float64(unused)/float64(total), "unused-%")
+			}
+		})
+	}
+}
--- a/backend/cell_test.go
+++ b/backend/cell_test.go
@@ -26,7 +26,7 @@
 // cell is four entries with clocks of their own and some servers, connected by
 // links that lose, delay, double and reorder messages.
 type cell struct {
-	t       *rapid.T
+	t       failer
 	now     clock.Millis // true time, which no process sees
 	random  *rand.Rand
 	link    link
@@ -35,6 +35,9 @@
 	servers []*server
 }
 
+// failer is what the cell needs of a test.
+type failer interface{ Fatal(args ...any) }
+
 type link struct {
 	loss, double int // percent
 	maxDelay     clock.Millis
@@ -57,7 +60,7 @@
 	models    map[uint64]string
 }
 
-func newCell(t *rapid.T, l link, seed uint64, entries, servers int) *cell {
+func newCell(t failer, l link, seed uint64, entries, servers int) *cell {
 	c := &cell{t: t, link: l, random: rand.New(rand.NewPCG(seed, 1))}
 	for i := range entries {
 		name := fmt.Sprintf("entry-%d", i)
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -112,6 +112,7 @@
 					b.ReportMetric(percentile(s.first, 0.95), "first-p95-ms")
 					b.ReportMetric(percentile(s.first, 0.99), "first-p99-ms")
 					b.ReportMetric(percentile(s.between, 0.95), "between-p95-ms")
+					b.ReportMetric(percentile(s.wrong, 0.5), "predict-error-p50-ms")
 					b.ReportMetric(100*float64(s.cached)/float64(s.prompt), "cached-%")
 				}
 			})
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -202,3 +202,41 @@
 		}
 	}
 }
+
+// Guards against a prediction that does not follow what was observed, or that is
+// the same for a server that runs five times slower.
+func TestPrediction(t *testing.T) {
+	_, r := newRouter("e", 4, 16)
+	request := routing.Request{ID: "x", Pool: pool, Class: "c", PromptTokens: 1000}
+	now := clock.Millis(0)
+	for i := range 400 {
+		name, slow := serverName(i%4), clock.Millis(1)
+		if i%4 == 0 {
+			slow = 5
+		}
+		now += 5
+		r.Sent(now, request, name)
+		for k := range 9 {
+			r.Progress(now+400*slow+clock.Millis(k)*30*slow, "x", k+1)
+		}
+		r.Finished(now+3500, "x", routing.Completed)
+	}
+	tests := []struct {
+		name, server string
+		want         clock.Millis
+	}{{"normal", "engine-1", 400}, {"slow", "engine-0", 2000}}
+	for _, tt := range tests {
+		var exclude []string
+		for i := range 4 {
+			if serverName(i) != tt.server {
+				exclude = append(exclude, serverName(i))
+			}
+		}
+		asked := request
+		asked.Exclude = exclude
+		c, ok := r.Choose(now, asked)
+		if !ok || c.FirstToken < tt.want*7/10 || c.FirstToken > tt.want*13/10 {
+			t.Errorf("%s: got first token in %d, %v, want about %d", tt.name, c.FirstToken, ok, tt.want)
+		}
+	}
+}
--- a/routing/sim_test.go
+++ b/routing/sim_test.go
@@ -34,6 +34,7 @@
 	requests int
 	first    []float64 // times to first token
 	between  []float64 // mean times between tokens
+	wrong    []float64 // absolute errors of the predicted time to first token
 	cached   int       // prompt tokens found in a cache
 	prompt   int
 }
@@ -69,6 +70,7 @@
 	entry   *simEntry
 	arrived clock.Millis
 	firstAt clock.Millis
+	due     clock.Millis // predicted time of the first token
 	length  int
 	tokens  int
 }
@@ -180,6 +182,7 @@
 		}
 		e.queue = e.queue[1:]
 		name := c.Server.Server()
+		j.due = s.now + c.FirstToken
 		e.router.Sent(s.now, j.request, name)
 		e.inFlight[name]++
 		i := slices.IndexFunc(s.engines, func(e *simEngine) bool { return e.name == name })
@@ -230,6 +233,7 @@
 func (s *simulation) started(j *job) {
 	if j.arrived >= s.options.warmUp {
 		s.first = append(s.first, float64(s.now-j.arrived))
+		s.wrong = append(s.wrong, math.Abs(float64(s.now-j.due)))
 	}
 }
 
