routing: count the failures of one crash once

Cause: a crash that ends 16 streams counted as 16 failures in a row, so the next single failure blocked the server for the longest time (4 s) at once. Change: a failure counts only when it starts a new block. Peers are kept in a slice, so that a decision does not sort their names. Result: the test with three failures at once fails with the old count.

--- a/routing/router.go
+++ b/routing/router.go
@@ -63,6 +63,7 @@
 	pools    map[string]*pool
 	running  map[string]*running
 	peers    map[string]*peer
+	byIndex  []*peer // the peers in the order in which they were first heard of
 	blocked  []*server
 	prefixes *prefixIndex
 	lengths  map[string]*lengths
@@ -109,8 +110,7 @@
 func (r *Router) advance(now clock.Millis) {
 	r.options.Registry.Advance(now)
 	r.unblock(now)
-	for _, name := range sortedKeys(r.peers) {
-		p := r.peers[name]
+	for _, p := range r.byIndex {
 		if now-p.at >= PeerSilence && len(p.inFlight) > 0 {
 			r.setPeer(p, now, nil)
 		}
@@ -280,6 +280,7 @@
 	if !ok {
 		p = &peer{index: len(r.peers), at: now - age}
 		r.peers[name] = p
+		r.byIndex = append(r.byIndex, p)
 	}
 	if now-age < p.at {
 		return
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -100,8 +100,12 @@
 func TestFailuresBlock(t *testing.T) {
 	registry, r := newRouter("e", 1, 4)
 	fail := func(now clock.Millis) {
-		r.Sent(now, routing.Request{ID: "x", Pool: pool}, "engine-0")
-		r.Finished(now, "x", routing.Failed)
+		for _, id := range []string{"x", "y", "z"} { // a crash ends all of them
+			r.Sent(now, routing.Request{ID: id, Pool: pool}, "engine-0")
+		}
+		for _, id := range []string{"x", "y", "z"} {
+			r.Finished(now, id, routing.Failed)
+		}
 	}
 	fail(10)
 	tests := []struct {
--- a/routing/server.go
+++ b/routing/server.go
@@ -128,7 +128,8 @@
 	s.free = free
 }
 
-// recordResult blocks a server that failed, for longer each time in a row.
+// recordResult blocks a server that failed, for longer each time in a row. The
+// requests that a crash ends together count as one failure.
 func (r *Router) recordResult(now clock.Millis, s *server, result Result) {
 	if result == Completed {
 		s.failures = 0
@@ -139,8 +140,8 @@
 	if now >= s.blockedUntil {
 		r.blocked = append(r.blocked, s)
 		s.blockedUntil = now + min(maxBlock, firstBlock<<min(s.failures, 10))
+		s.failures++
 	}
-	s.failures++
 }
 
 func (r *Router) unblock(now clock.Millis) {
