--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/stream"
+)
+
+// bytesPerToken estimates prompt tokens, which the router cannot count.
+const bytesPerToken = 4
+
+// maxModelName bounds the names that the entry keeps and logs.
+const maxModelName = 128
+
+// chat is a validated chat request. Fields that the router does not know are
+// passed on as they are.
+type chat struct {
+	fields map[string]json.RawMessage
+	model  string
+	stream bool
+	prompt string
+	// opaque is set when the answer may hold more than the text of one choice.
+	// Such an answer is not continued elsewhere.
+	opaque bool
+}
+
+// opaqueFields ask for output that a transcript of the text does not hold.
+var opaqueFields = []string{"tools", "functions", "logprobs", "modalities", "audio"}
+
+type continueWire struct {
+	Position int    `json:"position"`
+	Text     string `json:"text"`
+}
+
+func parseChat(body []byte) (*chat, *problem) {
+	c := &chat{}
+	if err := json.Unmarshal(body, &c.fields); err != nil || c.fields == nil {
+		return nil, invalid(outcome.ReasonInvalid, "", "the body is not a JSON object")
+	}
+	if err := json.Unmarshal(c.fields["model"], &c.model); err != nil || c.model == "" || len(c.model) > maxModelName {
+		return nil, invalid(outcome.ReasonInvalid, "model", "model must be a name")
+	}
+	if raw, ok := c.fields["stream"]; ok {
+		if err := json.Unmarshal(raw, &c.stream); err != nil {
+			return nil, invalid(outcome.ReasonInvalid, "stream", "stream must be true or false")
+		}
+	}
+	if p := c.checkNumbers(); p != nil {
+		return nil, p
+	}
+	c.opaque = c.opaque || lo.SomeBy(opaqueFields, func(name string) bool { return len(c.fields[name]) > 0 })
+	return c, c.readPrompt()
+}
+
+// checkNumbers refuses counts that engines would refuse, before anything is
+// queued.
+func (c *chat) checkNumbers() *problem {
+	for _, name := range []string{"max_tokens", "max_completion_tokens", "n"} {
+		raw, ok := c.fields[name]
+		if !ok || string(raw) == "null" {
+			continue
+		}
+		var n int
+		if err := json.Unmarshal(raw, &n); err != nil || n < 1 {
+			return invalid(outcome.ReasonInvalid, name, name+" must be a positive number")
+		}
+		c.opaque = c.opaque || name == "n" && n > 1
+	}
+	return nil
+}
+
+func (c *chat) readPrompt() *problem {
+	var messages []struct {
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(c.fields["messages"], &messages); err != nil || len(messages) == 0 {
+		return invalid(outcome.ReasonInvalid, "messages", "messages must be a list with at least one message")
+	}
+	parts := make([]string, len(messages))
+	for i, m := range messages {
+		parts[i] = contentText(m.Content)
+	}
+	c.prompt = strings.Join(parts, "\n")
+	return nil
+}
+
+// contentText returns the text of a message's content. Anything but plain text
+// counts with its JSON form, which still tells equal prefixes.
+func contentText(raw json.RawMessage) string {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return string(raw)
+	}
+	return text
+}
+
+// encode returns the body for an engine. The answer is streamed, because only a
+// stream can be continued, unless it is opaque and the caller wants it whole.
+func (c *chat) encode(priority int, t *stream.Transcript) ([]byte, error) {
+	fields := make(map[string]json.RawMessage, len(c.fields)+3)
+	for name, raw := range c.fields {
+		fields[name] = raw
+	}
+	delete(fields, "continue_from")
+	fields["stream"] = json.RawMessage(strconv.FormatBool(c.stream || !c.opaque))
+	fields["priority"] = json.RawMessage(strconv.Itoa(priority))
+	if t.Position() > 0 {
+		from, err := json.Marshal(continueWire{Position: t.Position(), Text: t.Text()})
+		if err != nil {
+			return nil, err
+		}
+		fields["continue_from"] = from
+	}
+	return json.Marshal(fields)
+}
+
+type completionWire struct {
+	ID       string           `json:"id"`
+	Object   string           `json:"object"`
+	Created  int64            `json:"created"`
+	Model    string           `json:"model"`
+	Choices  []completionPart `json:"choices"`
+	Usage    completionUsage  `json:"usage"`
+	Position int              `json:"position"`
+}
+
+type completionPart struct {
+	Index   int               `json:"index"`
+	Message completionMessage `json:"message"`
+	Finish  string            `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// completion builds the whole answer from a complete transcript.
+func completion(id, model string, created int64, t *stream.Transcript) ([]byte, error) {
+	return json.Marshal(completionWire{
+		ID:      id,
+		Object:  "chat.completion",
+		Created: created,
+		Model:   model,
+		Choices: []completionPart{{
+			Message: completionMessage{Role: "assistant", Content: t.Text()},
+			Finish:  t.Finish(),
+		}},
+		Usage: completionUsage{
+			PromptTokens:     t.Usage().PromptTokens,
+			CompletionTokens: t.Position(),
+			TotalTokens:      t.Usage().PromptTokens + t.Position(),
+		},
+		Position: t.Position(),
+	})
+}
