--- a/control/outcome_test.go
+++ b/control/outcome_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
+	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/replica"
 )
 
@@ -13,6 +19,7 @@
 type fakeLog struct {
 	status           replica.Status
 	proposal, barred replica.Result
+	transferred      string
 }
 
 func (l *fakeLog) Propose(context.Context, []byte) replica.Result { return l.proposal }
@@ -24,7 +31,8 @@
 	return l.proposal
 }
 
-func (l *fakeLog) TransferLeadership(context.Context, string) replica.Result {
+func (l *fakeLog) TransferLeadership(_ context.Context, to string) replica.Result {
+	l.transferred = to
 	return l.proposal
 }
 
@@ -47,17 +55,17 @@
 		status  int
 		want    string
 	}{
-		{"change not confirmed", fakeLog{leads, unknown, committed}, change, 503, `"outcome":"unknown"`},
-		{"change at a former leader", fakeLog{leads, notLeader, committed}, change, 503, `"outcome":"not_run"`},
-		{"new leader cannot be reached", fakeLog{leads, unreachable, committed}, change, 503, `"outcome":"not_run"`},
-		{"claim not confirmed", fakeLog{leads, unknown, committed}, claim, 503, `"outcome":"unknown"`},
-		{"answer cannot be decoded", fakeLog{leads, committed, committed}, change, 503, `"outcome":"unknown"`},
-		{"read not confirmed", fakeLog{leads, committed, unknown}, "GET /v1/configuration ", 503, `"outcome":"not_run"`},
-		{"read at a former leader", fakeLog{leads, committed, notLeader}, "GET /v1/configuration ", 503, `"outcome":"not_run"`},
-		{"lookup at a former leader", fakeLog{leads, committed, notLeader}, strings.Replace(claim, "send", "lookup", 1), 503, `"outcome":"not_run"`},
-		{"renewal", fakeLog{leads, committed, committed}, renew, 200, `"granted":true`},
-		{"renewal without leader lease", fakeLog{lapsed, committed, committed}, renew, 200, `"granted":false`},
-		{"renewal at a follower", fakeLog{replica.Status{Term: 1, Founded: true}, committed, committed}, renew, 503, `"outcome":"not_run"`},
+		{"change not confirmed", fakeLog{status: leads, proposal: unknown, barred: committed}, change, 503, `"outcome":"unknown"`},
+		{"change at a former leader", fakeLog{status: leads, proposal: notLeader, barred: committed}, change, 503, `"outcome":"not_run"`},
+		{"new leader cannot be reached", fakeLog{status: leads, proposal: unreachable, barred: committed}, change, 503, `"outcome":"not_run"`},
+		{"claim not confirmed", fakeLog{status: leads, proposal: unknown, barred: committed}, claim, 503, `"outcome":"unknown"`},
+		{"answer cannot be decoded", fakeLog{status: leads, proposal: committed, barred: committed}, change, 503, `"outcome":"unknown"`},
+		{"read not confirmed", fakeLog{status: leads, proposal: committed, barred: unknown}, "GET /v1/configuration ", 503, `"outcome":"not_run"`},
+		{"read at a former leader", fakeLog{status: leads, proposal: committed, barred: notLeader}, "GET /v1/configuration ", 503, `"outcome":"not_run"`},
+		{"lookup at a former leader", fakeLog{status: leads, proposal: committed, barred: notLeader}, strings.Replace(claim, "send", "lookup", 1), 503, `"outcome":"not_run"`},
+		{"renewal", fakeLog{status: leads, proposal: committed, barred: committed}, renew, 200, `"granted":true`},
+		{"renewal without leader lease", fakeLog{status: lapsed, proposal: committed, barred: committed}, renew, 200, `"granted":false`},
+		{"renewal at a follower", fakeLog{status: replica.Status{Term: 1, Founded: true}, proposal: committed, barred: committed}, renew, 503, `"outcome":"not_run"`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -73,3 +81,93 @@
 		})
 	}
 }
+
+// Guards against a stop that leaves leadership to an election, or hands it to a
+// learner or to a voter that is behind.
+func TestStopHandsOver(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		role replica.Role
+		want string
+	}{{"leader", replica.Leader, "c"}, {"follower", replica.Follower, ""}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := &fakeLog{status: replica.Status{
+				Identity: "a", Role: tt.role,
+				Members:  []replica.Member{{Identity: "a", Voter: true}, {Identity: "b", Voter: true}, {Identity: "c", Voter: true}, {Identity: "d"}},
+				Progress: map[string]replica.Progress{"b": {Match: 5}, "c": {Match: 7}, "d": {Match: 9}},
+			}}
+			member := startMember(t, control.Options{Name: "a", Listen: "127.0.0.1:0", OpenLog: func(replica.Options) (control.Log, func(), error) {
+				return l, func() {}, nil
+			}})
+			if err := member.Stop(t.Context()); err != nil {
+				t.Error(err)
+			}
+			if got := l.transferred; got != tt.want {
+				t.Errorf("handed over to %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a client that forgets that an earlier try may have taken effect,
+// gives up at a member that cannot answer, or repeats a request that was refused.
+func TestClientOutcomes(t *testing.T) {
+	t.Parallel()
+	const notRun, unknown, lost = "not_run", "unknown", "" // lost closes the connection without an answer
+	tests := []struct {
+		name    string
+		answers []string // of each try; the last one repeats
+		want    outcome.Kind
+	}{
+		{"answered", []string{"answered"}, outcome.Answered},
+		{"answered later", []string{notRun, lost, unknown, "answered"}, outcome.Answered},
+		{"never taken", []string{notRun}, outcome.NotRun},
+		{"lost, then not taken", []string{lost, notRun}, outcome.Unknown},
+		{"unknown, then not taken", []string{unknown, notRun}, outcome.Unknown},
+		{"refused", []string{"refused"}, outcome.NotRun},
+		{"lost, then refused", []string{lost, "refused"}, outcome.Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var tries atomic.Int64
+			keys := sync.Map{}
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				try := int(tries.Add(1))
+				keys.Store(r.Header.Get("Idempotency-Key"), true)
+				switch answer := tt.answers[min(try, len(tt.answers))-1]; answer {
+				case lost:
+					panic(http.ErrAbortHandler)
+				case "answered":
+					_, _ = w.Write([]byte(`{"accepted":true,"kind":"accepted","revision":1}`))
+				case "refused":
+					w.WriteHeader(http.StatusBadRequest)
+					_, _ = w.Write([]byte(`{"error":{"outcome":"not_run"}}`))
+				default:
+					w.WriteHeader(http.StatusServiceUnavailable)
+					_, _ = w.Write([]byte(`{"error":{"outcome":"` + answer + `"}}`))
+				}
+			}))
+			defer server.Close()
+			client, release, err := control.NewClient(control.ClientOptions{
+				Addresses: []string{server.Listener.Addr().String()}, Clock: clock.New(), Budget: clock.Second,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer release()
+			if got := client.Change(t.Context(), 0, classOf(1), "k"); got.Kind != tt.want {
+				t.Errorf("got %+v, want %q", got.Reply, tt.want)
+			}
+			if _, other := keys.LoadAndDelete("k"); !other {
+				t.Errorf("the key was not sent")
+			}
+			keys.Range(func(key, _ any) bool { t.Errorf("another key was sent: %v", key); return true })
+			if got := int(tries.Load()); strings.Contains(tt.name, "refused") && got > len(tt.answers) {
+				t.Errorf("got %d tries of a refused request, want %d", got, len(tt.answers))
+			}
+		})
+	}
+}
