--- a/control/start.go
+++ b/control/start.go
@@ -89,20 +89,20 @@
 			c.beginLife()
 		case !s.Founded: // the log waits for the other founders by itself
 		case !belongs || now-heard >= leaderless:
-			c.askToJoin(s.Identity)
+			c.askToJoin(ctx, s.Identity)
 		}
 	})
 }
 
 // askToJoin asks the other members in turn. Asking for an identity that belongs
 // to the group changes nothing; one that was removed is refused for good.
-func (c *Control) askToJoin(identity string) {
+func (c *Control) askToJoin(ctx context.Context, identity string) {
 	self := wireMember{
 		Identity: identity, Name: c.options.Name, Address: c.options.Advertise,
 		AvailabilityZone: c.options.AvailabilityZone,
 	}
 	for _, m := range c.options.Members {
-		if m.Name == c.options.Name {
+		if m.Name == c.options.Name || ctx.Err() != nil {
 			continue
 		}
 		switch status, _ := c.peers.join(m.Address, self); status {
