standin: compute prompts in chunks

Cause: one prompt of 8,000 tokens stopped every answer of an engine for a second, which no engine with chunked prefill does. Change: a step computes at most 256 prompt tokens, most urgent sequences first.

--- a/standin/batch.go
+++ b/standin/batch.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"sort"
 	"sync"
 
@@ -11,9 +12,12 @@
 // its reader has gone.
 const bufferTime = 10 * clock.Second
 
-// batch simulates continuous batching. In each step every running sequence gets
-// one token; the step takes longer the more sequences run and the more prompt
-// tokens had to be computed.
+// prefillChunk is how many prompt tokens one step computes at most.
+const prefillChunk = 256
+
+// batch simulates continuous batching with chunked prefill. In each step every
+// running sequence whose prompt is computed gets one token; the step takes longer
+// the more sequences run and the more prompt tokens are computed in it.
 type batch struct {
 	options   EngineOptions
 	mu        sync.Mutex
@@ -77,45 +81,61 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	uncached := b.admit()
+	b.admit()
 	if len(b.running) == 0 {
 		return 0
 	}
 	step := float64(b.options.TokenTime) * (1 + b.options.BatchGrowth*float64(len(b.running)-1))
-	step += float64(uncached) / b.options.PrefillRate * float64(clock.Second)
+	step += float64(b.prefill()) / b.options.PrefillRate * float64(clock.Second)
 	return step * b.factor
 }
 
-// admit moves waiting sequences into the batch, most urgent first, and returns
-// the number of prompt tokens to compute.
-func (b *batch) admit() int {
-	sort.SliceStable(b.waiting, func(i, j int) bool {
-		x, y := b.waiting[i], b.waiting[j]
+// prefill spends the step's share of prompt tokens on the running sequences, most
+// urgent first, and returns how many are computed. Without the limit one long
+// prompt would stop every answer of the batch for a second.
+func (b *batch) prefill() int {
+	budget := prefillChunk
+	for _, s := range b.byPriority(b.running) {
+		n := min(s.pending, budget)
+		s.pending -= n
+		budget -= n
+	}
+	return prefillChunk - budget
+}
+
+func (b *batch) byPriority(sequences []*sequence) []*sequence {
+	sorted := slices.Clone(sequences)
+	sort.SliceStable(sorted, func(i, j int) bool {
+		x, y := sorted[i], sorted[j]
 		if x.priority != y.priority {
 			return x.priority < y.priority
 		}
 		return x.arrived < y.arrived
 	})
-	uncached := 0
+	return sorted
+}
+
+// admit moves waiting sequences into the batch, most urgent first.
+func (b *batch) admit() {
+	b.waiting = b.byPriority(b.waiting)
 	for len(b.waiting) > 0 && len(b.running) < b.options.Slots {
 		s := b.waiting[0]
 		if !b.reserve(s.contextTokens()) {
-			break
+			return
 		}
 		b.waiting = b.waiting[1:]
-		uncached += b.start(s)
+		b.start(s)
 	}
-	return uncached
 }
 
-func (b *batch) start(s *sequence) int {
+func (b *batch) start(s *sequence) {
 	cached := min(b.cache.match(s.prefix), s.contextTokens())
 	s.state = stateRunning
 	s.held = s.contextTokens()
+	s.pending = s.held - cached
 	b.running = append(b.running, s)
 	b.stats.cached += cached
-	b.stats.prefilled += s.held - cached
-	return s.held - cached
+	b.stats.prefilled += s.pending
 }
 
 // reserve makes room for more tokens by evicting cached blocks.
@@ -136,14 +156,16 @@
 	return held
 }
 
-// advance gives every running sequence one token.
+// advance gives one token to every running sequence whose prompt is computed.
 func (b *batch) advance(now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.relieve()
 	still := b.running[:0]
 	for _, s := range b.running {
-		b.grow(s)
+		if s.pending == 0 {
+			b.grow(s)
+		}
 		if s.state == stateRunning {
 			still = append(still, s)
 			continue
--- a/standin/sequence.go
+++ b/standin/sequence.go
@@ -35,6 +35,7 @@
 	readers  int
 	left     clock.Millis // when the last reader went
 	held     int          // tokens in KV memory
+	pending  int          // prompt tokens that are not computed yet
 	changed  chan struct{}
 }
 
