--- a/replica/core.go
+++ b/replica/core.go
@@ -267,8 +267,7 @@
 		c.onHelloReply(m)
 		return
 	case MessageOutside:
-		c.outside = c.outside || m.Epoch >= c.vote.Epoch
-		c.leaveOffice(now)
+		c.onOutside(now, m.Epoch)
 		return
 	}
 	if !c.founded {
@@ -290,6 +289,17 @@
 	c.contacts[m.From] = Member{Identity: m.From, Name: m.Name, Address: m.Address}
 }
 
+// onOutside takes note that the group goes on without this member. A member that
+// hears a leader, or is one, knows better: a recovery at the wrong member must
+// not end a group that works.
+func (c *core) onOutside(now clock.Millis, epoch uint64) {
+	if epoch < c.vote.Epoch || c.hearsLeader(now) {
+		return
+	}
+	c.outside = true
+	c.leaveOffice(now)
+}
+
 // leaveOffice gives up any role when the member is outside the group.
 func (c *core) leaveOffice(now clock.Millis) {
 	if c.outside {
@@ -304,8 +314,7 @@
 		c.dirtyVote = true
 	}
 	if m.Epoch > c.vote.Epoch && m.fromLeader() {
-		c.outside = true
-		c.leaveOffice(now)
+		c.onOutside(now, m.Epoch)
 	}
 	if m.Epoch < c.vote.Epoch || c.committed().value.isRemoved(m.From) {
 		c.send(m.From, Message{Kind: MessageOutside})
--- a/replica/election.go
+++ b/replica/election.go
@@ -47,7 +47,12 @@
 	c.askVotes(Message{Kind: MessagePreVote, Term: c.vote.Term + 1})
 }
 
+// campaign votes for this member. Its own vote keeps the same promise to a
+// leader as a vote for another member.
 func (c *core) campaign(now clock.Millis, transfer bool) {
+	if !transfer && c.hearsLeader(now) {
+		return
+	}
 	c.role, c.leader = Candidate, Member{}
 	c.vote.Term++
 	c.vote.Voted = c.identity()
--- a/replica/export_test.go
+++ b/replica/export_test.go
@@ -31,6 +31,11 @@
 	return &Core{core: c}, j, state, release, err
 }
 
+// EncodeFounders returns the stored form of the founding members.
+func EncodeFounders(members []Member) []byte {
+	return encodeMembership(membership{epoch: 1, members: members})
+}
+
 // Persist writes a batch.
 var Persist = persist
 
@@ -44,6 +49,14 @@
 // Step calls the core.
 func (c *Core) Step(now clock.Millis, m Message) { c.core.step(now, m) }
 
+// Campaign starts an election now, as if its timeout had ended and the others
+// had granted a pre-vote. The guarantees must not depend on either.
+func (c *Core) Campaign(now clock.Millis) {
+	if c.core.role != Leader && c.core.mayVote() && c.core.mayLead() {
+		c.core.campaign(now, false)
+	}
+}
+
 // Propose calls the core with one command.
 func (c *Core) Propose(now clock.Millis, command []byte) bool {
 	_, ok := c.core.propose(now, [][]byte{command})
@@ -127,3 +140,16 @@
 
 // Commit returns the commit index.
 func (c *Core) Commit() uint64 { return c.core.commit }
+
+// CheckMembership decodes a membership, encodes it and decodes it again.
+func CheckMembership(data []byte) error {
+	m, err := decodeMembership(data)
+	if err != nil {
+		return err
+	}
+	_, err = decodeMembership(encodeMembership(m))
+	if err != nil {
+		panic(err)
+	}
+	return nil
+}
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -102,20 +102,34 @@
 	return m.quorum(func(identity string) uint64 { return lo.Ternary(granted[identity], uint64(1), 0) }) == 1
 }
 
+// inEffect reports whether the change has been made before, so that it can be
+// asked for again when an answer was lost.
+func (m membership) inEffect(change MemberChange) bool {
+	current, known := m.find(change.Member.Identity)
+	switch change.Kind {
+	case AddLearner:
+		return known
+	case Promote:
+		return known && current.Voter
+	case Remove:
+		return m.isRemoved(change.Member.Identity)
+	case Replace:
+		return known && current.Voter && m.isRemoved(change.Replaces)
+	default:
+		return false
+	}
+}
+
 // withChange returns the membership after the change, or a reason against it.
 func (m membership) withChange(change MemberChange) (membership, string) {
 	current, known := m.find(change.Member.Identity)
 	switch {
 	case change.Member.Identity == "":
 		return m, "the identity is empty"
-	case change.Kind == AddLearner && known:
-		return m, "the identity is already a member"
 	case change.Kind == AddLearner && m.isRemoved(change.Member.Identity):
 		return m, ReasonRemoved
 	case change.Kind != AddLearner && !known:
 		return m, "the identity is not a member"
-	case (change.Kind == Promote || change.Kind == Replace) && current.Voter:
-		return m, "the member is already a voter"
 	}
 	next := membership{epoch: m.epoch, members: slices.Clone(m.members), removed: m.removed, lives: m.lives}
 	switch change.Kind {
@@ -129,8 +143,9 @@
 	case Remove:
 		return m.withoutMember(next, current)
 	case Replace:
-		if former, ok := m.find(change.Replaces); !ok || !former.Voter {
-			return m, "the replaced identity is not a voter"
+		former, ok := m.find(change.Replaces)
+		if !ok || !former.Voter || current.Voter {
+			return m, "a voter can only be replaced by a learner"
 		}
 		return m.withVoters(next, change.Member.Identity, change.Replaces), ""
 	default:
--- /dev/null
+++ b/replica/recover.go
@@ -0,0 +1,95 @@
+package replica
+
+import (
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/journal"
+)
+
+// Guard is what the operator must know to recover a group. It keeps the command
+// from being run at the wrong member or twice.
+type Guard struct {
+	Identity string // of the surviving member
+	Epoch    uint64 // of the membership that is given up
+}
+
+// Recover makes the stopped member in options.Folder the only voter of a new
+// membership epoch, for a group that has lost its quorum for good. Entries that
+// were committed only by lost members are lost; entries here that were not
+// committed become committed. Members of earlier epochs are refused from then on
+// and have to join again. A recovery that was interrupted can be repeated with
+// the same guard.
+func Recover(options Options, guard Guard) error {
+	options = withDefaults(options)
+	j, state, release, err := journal.Open(journalOptions(options))
+	if err != nil {
+		return err
+	}
+	defer release()
+	c, err := newCore(options.Clock.Now(), coreOptionsOf(options), state)
+	if err != nil {
+		return err
+	}
+	if err := checkGuard(c, state, guard); err != nil {
+		return err
+	}
+	if err := c.recover(j, options, guard.Epoch+1); err != nil {
+		return err
+	}
+	options.Log(event.MemberRecovered, zap.String("identity", guard.Identity), zap.Uint64("epoch", guard.Epoch+1))
+	return nil
+}
+
+func checkGuard(c *core, state journal.State, guard Guard) error {
+	if state.Fresh {
+		return errors.New("replica: the folder is empty; there is nothing to recover")
+	}
+	if guard.Identity != c.identity() {
+		return errors.Errorf("replica: the folder belongs to identity %q, not to %q", c.identity(), guard.Identity)
+	}
+	// Of an interrupted recovery, only the membership entry was written.
+	epochs := c.memberships
+	for i := len(epochs) - 1; i >= 0; i-- {
+		if epochs[i].value.epoch == guard.Epoch {
+			return c.checkSurvivor(epochs[i].value)
+		}
+		if epochs[i].value.epoch != guard.Epoch+1 || c.vote.Epoch != guard.Epoch {
+			break
+		}
+	}
+	return errors.Errorf("replica: the membership is in epoch %d, not %d", c.current().value.epoch, guard.Epoch)
+}
+
+// checkSurvivor refuses a member that may miss committed entries as a rule.
+func (c *core) checkSurvivor(m membership) error {
+	if !m.votes(c.identity()) {
+		return errors.Errorf("replica: identity %q is not a voter", c.identity())
+	}
+	if !c.founded {
+		return errors.New("replica: the group was never founded; start all founding members")
+	}
+	return nil
+}
+
+// recover writes the new membership as an entry of a new term. The vote with the
+// new epoch comes last; New refuses a folder where only the entry was written.
+func (c *core) recover(j *journal.Journal, o Options, epoch uint64) error {
+	current := c.current().value
+	if current.epoch != epoch {
+		self, _ := current.find(c.identity())
+		self.Identity, self.Name, self.Address, self.Voter = c.identity(), o.Name, o.Address, true
+		next := membership{epoch: epoch, members: []Member{self}, lives: current.lives}
+		entry := journal.Entry{
+			Index: c.log.last() + 1, Term: c.vote.Term + 1,
+			Kind: entryMembership, Data: encodeMembership(next),
+		}
+		if err := j.Append([]journal.Entry{entry}); err != nil {
+			return err
+		}
+	}
+	vote := c.vote
+	vote.Term, vote.Voted, vote.Epoch = vote.Term+1, c.identity(), epoch
+	return j.SaveVote(vote)
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -277,6 +277,7 @@
 
 // checkEpoch notices a recovery that was interrupted between its two writes.
 func checkEpoch(state journal.State) error {
+	// A folder that joined and heard of no membership yet has epoch 0 there.
 	probe, err := newCore(0, coreOptions{election: 1}, state)
 	if err != nil {
 		return err
@@ -311,7 +312,8 @@
 }
 
 // ChangeMember changes the membership and waits until the change is committed.
-// One change is possible at a time.
+// One change is possible at a time. A change that is already in effect is
+// Committed again.
 func (r *Replica) ChangeMember(ctx context.Context, change MemberChange) Result {
 	return r.ask(ctx, request{kind: askChange, change: change})
 }
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -354,6 +354,8 @@
 	switch {
 	case current.value.joint() || current.index > c.commit || c.commit < c.leadership.first:
 		return 0, "another membership change is in progress"
+	case current.value.inEffect(change):
+		return current.index, ""
 	case change.Kind == Promote || change.Kind == Replace:
 		if reason := c.checkLearner(now, change.Member.Identity); reason != "" {
 			return 0, reason
