--- a/replica/doc.go
+++ b/replica/doc.go
@@ -17,7 +17,9 @@
 // reached, and the identities are bound to the folders found then: a founding
 // member that comes back with an empty folder is refused by the others and has
 // Status.Outside set. A member that finds damage in its folder sets the files
-// aside and starts under a new random identity. A new, replaced or returning
+// aside and starts under a new random identity; a founding member whose folder is
+// set aside before the group is founded makes it necessary to start all folders
+// again. A new, replaced or returning
 // member has to be added with ChangeMember by the identity in its Status; a
 // member that is outside has to call Abandon before New to get a new identity.
 //
--- a/replica/runtime.go
+++ b/replica/runtime.go
@@ -105,7 +105,8 @@
 	proposalTerm uint64             // of the newest proposal
 	requests     []request
 	snapshotAt   uint64 // index at which the next snapshot is due
-	role         Role
+	role         Role   // as logged
+	outside      bool   // as logged
 }
 
 // start runs the member's goroutines and returns a function that waits for them.
@@ -427,6 +428,16 @@
 		}
 	}
 	l.replica.published.Store(p)
+	l.logChanges(p.status)
+}
+
+// logChanges logs what changed since the last status.
+func (l *loop) logChanges(s Status) {
+	c := l.core
+	if s.Outside && !l.outside {
+		l.outside = true
+		l.replica.options.Log(event.MemberOutside, zap.String("identity", s.Identity))
+	}
 	if c.role != l.role {
 		l.role = c.role
 		l.replica.options.Log(event.RoleChanged, zap.String("role", c.role.String()), zap.Uint64("term", c.vote.Term))
