replica: give members with equal seeds different election jitter

Cause: members that are configured with the same seed, such as zero, would campaign at the same time again and again. Change: the identity is part of the seed of the jitter.

--- a/replica/core.go
+++ b/replica/core.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -137,8 +138,9 @@
 
 func newCore(now clock.Millis, options coreOptions, state journal.State) (*core, error) {
 	c := &core{
-		options:  options,
-		random:   rand.New(rand.NewPCG(options.seed, 0)),
+		options: options,
+		// Members that were given equal seeds must not campaign in step.
+		random:   rand.New(rand.NewPCG(options.seed, xxhash.Sum64String(state.Vote.Identity))),
 		vote:     state.Vote,
 		snapshot: state.Snapshot,
 		contacts: map[string]Member{},
