--- a/replica/core.go
+++ b/replica/core.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -137,8 +138,9 @@
 
 func newCore(now clock.Millis, options coreOptions, state journal.State) (*core, error) {
 	c := &core{
-		options:  options,
-		random:   rand.New(rand.NewPCG(options.seed, 0)),
+		options: options,
+		// Members that were given equal seeds must not campaign in step.
+		random:   rand.New(rand.NewPCG(options.seed, xxhash.Sum64String(state.Vote.Identity))),
 		vote:     state.Vote,
 		snapshot: state.Snapshot,
 		contacts: map[string]Member{},
@@ -267,8 +269,7 @@
 		c.onHelloReply(m)
 		return
 	case MessageOutside:
-		c.outside = c.outside || m.Epoch >= c.vote.Epoch
-		c.leaveOffice(now)
+		c.onOutside(now, m.Epoch)
 		return
 	}
 	if !c.founded {
@@ -290,6 +291,17 @@
 	c.contacts[m.From] = Member{Identity: m.From, Name: m.Name, Address: m.Address}
 }
 
+// onOutside takes note that the group goes on without this member. A member that
+// hears a leader, or is one, knows better: a recovery at the wrong member must
+// not end a group that works.
+func (c *core) onOutside(now clock.Millis, epoch uint64) {
+	if epoch < c.vote.Epoch || c.hearsLeader(now) {
+		return
+	}
+	c.outside = true
+	c.leaveOffice(now)
+}
+
 // leaveOffice gives up any role when the member is outside the group.
 func (c *core) leaveOffice(now clock.Millis) {
 	if c.outside {
@@ -304,8 +316,7 @@
 		c.dirtyVote = true
 	}
 	if m.Epoch > c.vote.Epoch && m.fromLeader() {
-		c.outside = true
-		c.leaveOffice(now)
+		c.onOutside(now, m.Epoch)
 	}
 	if m.Epoch < c.vote.Epoch || c.committed().value.isRemoved(m.From) {
 		c.send(m.From, Message{Kind: MessageOutside})
