load: make prompts as long as the scenario says

Cause: a word of a prompt had about 10 bytes and one of the shared prefix about 30, which the stand-in engines count as 4 bytes a token, so prompts were 2.5 to 7 times as long as the scenarios say and one query of 2,000 tokens could not meet its target on an idle engine. Found by tracing each first token of tier 1 in the engines (trial): misses were long prefills and waits for a slot. Change: prompts have 4 bytes for each token.

--- a/load/plan.go
+++ b/load/plan.go
@@ -34,6 +34,9 @@
 // and class have in common, so that prefix caches have something to keep.
 const sharedPrefix = 32
 
+// tokenBytes is the length of a token in a prompt.
+const tokenBytes = 4
+
 // wordCount is the number of different words that prompts draw from.
 const wordCount = 10_000
 
@@ -116,24 +119,21 @@
 	return min(max(int(drawn), 1), l.Max)
 }
 
-// prompt starts with a part that the workspace's requests of the class share.
+// prompt starts with a part that the workspace's requests of the class share. It
+// has tokenBytes bytes for each token, as the stand-in engines count them.
 func (p *planner) prompt(workspace string, number, tokens int) string {
-	prefix := workspace + "-" + p.workload.Class.Name() + "-"
+	prefix := workspace + "-" + p.workload.Class.Name() + " "
 	own := "w" + strconv.Itoa(number) + "-"
 	text := strings.Builder{}
-	for i := range tokens {
-		if i > 0 {
-			text.WriteByte(' ')
-		}
-		if i < min(sharedPrefix, tokens-1) {
-			text.WriteString(prefix)
-			text.WriteString(strconv.Itoa(i))
-			continue
-		}
+	for text.Len() < tokenBytes*min(sharedPrefix, tokens-1) {
+		text.WriteString(prefix)
+	}
+	for text.Len() < tokenBytes*tokens {
 		text.WriteString(own)
 		text.WriteString(strconv.Itoa(p.random.IntN(wordCount)))
+		text.WriteByte(' ')
 	}
-	return text.String()
+	return text.String()[:tokenBytes*tokens]
 }
 
 func (p *planner) body(number int) string {
