entry: report refused keyed calls as unknown until their claim is known

Ruled out: a full inbox, a missing server and shedding. They are met after the claim is owned, where not run is right. A control group that refuses a new key because it is full has read the state of the key, so not run is right there too. Change: these refusals keep their reason and become unknown with status 502. Invalid requests and calls without a key stay not run.

--- a/entry/once.go
+++ b/entry/once.go
@@ -56,6 +56,15 @@
 	}, nil
 }
 
+// beforeClaim returns the refusal of a call whose key was not looked up. An earlier
+// attempt with the key may have run, unless the call itself is invalid.
+func beforeClaim(c fiber.Ctx, p *problem) *problem {
+	if idempotent(c.Method()) || c.Get(headerKey) == "" || p.status != fiber.StatusServiceUnavailable {
+		return p
+	}
+	return p.asUnknown(p.reason)
+}
+
 // hashCall covers all that makes two calls the same.
 func hashCall(s *call) string {
 	h := sha256.New()
@@ -85,7 +94,7 @@
 }
 
 // acquire claims the key. It returns the caller's answer when the call must not
-// be made.
+// be made. Without an answer from control, an earlier attempt may have run.
 func (o *onceCall) acquire() (result, bool) {
 	ctx, cancel := o.context()
 	defer cancel()
@@ -95,7 +104,7 @@
 		o.settleLater(claim.NotRun, claim.Answer{})
 	}
 	if reply.Kind != outcome.Answered {
-		return result{problem: notRun(outcome.ReasonControlUnknown, "the key could not be claimed: "+reply.Message)}, false
+		return result{problem: unknown(outcome.ReasonControlUnknown, "the key could not be claimed: "+reply.Message)}, false
 	}
 	if reply.Result.Owned && reply.Result.State == claim.Claimed {
 		return result{}, true
@@ -142,7 +151,9 @@
 	case reply.Kind != outcome.Answered:
 		return notRun(outcome.ReasonControlUnknown, "the call could not be marked as sent: "+reply.Message)
 	case !reply.Result.Owned || reply.Result.State != claim.Sent:
-		return o.former(reply.Result).problemOr(notRun(outcome.ReasonControlUnknown, "the claim was lost"))
+		// Whoever took the claim over may have run the call.
+		lost := unknown(outcome.ReasonControlUnknown, "the claim was lost")
+		return o.former(reply.Result).problemOr(lost).asUnknown(outcome.ReasonControlUnknown)
 	case !o.entry.leases.valid():
 		return noLease()
 	}
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -56,6 +56,17 @@
 	return &changed
 }
 
+// asUnknown reports not run as unknown, for work of which an earlier try may have
+// run.
+func (p *problem) asUnknown(reason outcome.Reason) *problem {
+	if p.outcome != outcome.NotRun {
+		return p
+	}
+	changed := *p
+	changed.status, changed.outcome, changed.reason = fiber.StatusBadGateway, outcome.Unknown, reason
+	return &changed
+}
+
 type errorWire struct {
 	Error errorBodyWire `json:"error"`
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -186,10 +186,8 @@
 // fail ends the request with an error. Once a server may have run a part, the
 // outcome is unknown whatever the last reason was.
 func (r *relay) fail(p *problem) {
-	if r.sent && p.outcome == outcome.NotRun {
-		changed := *p
-		changed.status, changed.outcome, changed.reason = 502, outcome.Unknown, outcome.ReasonIncomplete
-		p = &changed
+	if r.sent {
+		p = p.asUnknown(outcome.ReasonIncomplete)
 	}
 	if r.transcript.Position() > 0 {
 		r.entry.options.Logger.Log(event.RequestIncomplete, zap.String("request", r.work.id), zap.Error(p))
--- a/entry/service.go
+++ b/entry/service.go
@@ -54,7 +54,7 @@
 func (e *Entry) serviceCall(c fiber.Ctx) error {
 	h, p := e.readHeader(c)
 	if p != nil {
-		return e.reject(c, p)
+		return e.reject(c, beforeClaim(c, p))
 	}
 	s, p := e.newCall(c, h)
 	if p != nil {
@@ -202,8 +202,8 @@
 
 // honest turns not run into unknown when an earlier try may have run.
 func (s *call) honest(p *problem) *problem {
-	if s.sent && p.outcome == outcome.NotRun {
-		return unknown(outcome.ReasonBackendLost, p.message)
+	if s.sent {
+		return p.asUnknown(outcome.ReasonBackendLost)
 	}
 	return p
 }
