entry: keep work from a server whose connection failed until it announces again

Cause: package routing blocks a failed server for 500 ms at first and longer after each failure in a row. Between the blocks a crashed server gets attempts again while its last announcement is younger than 3 s, because its slots look free. Change: the dispatcher treats a server as leaving after a failed connection, for as long as the registry holds the announcement that it held then.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/engine"
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/stream"
@@ -78,6 +79,7 @@
 	if err == nil {
 		return s
 	}
+	r.avoid(ctx, a, err)
 	if k := engine.KindOf(err); k != engine.Refused && k != engine.NotSent {
 		r.abandon(a.address)
 	}
@@ -114,7 +116,7 @@
 	}
 	r.whole, err = r.entry.client.Whole(ctx, a.address, r.work.id, body, r.entry.options.Timeouts.Answer, r.checkLease)
 	if err != nil {
-		return r.judge(a, err)
+		return r.judge(ctx, a, err)
 	}
 	return complete
 }
@@ -131,7 +133,7 @@
 		r.sent = true
 		return s, ""
 	}
-	return nil, r.judge(a, err)
+	return nil, r.judge(ctx, a, err)
 }
 
 // checkLease runs directly before the first byte is written. Work that was sent
@@ -144,7 +146,8 @@
 }
 
 // judge decides what follows from a failure before the answer began.
-func (r *relay) judge(a assignment, err error) verdict {
+func (r *relay) judge(ctx context.Context, a assignment, err error) verdict {
+	r.avoid(ctx, a, err)
 	var f *engine.Failure
 	if !errors.As(err, &f) {
 		f = &engine.Failure{Kind: engine.Lost, Address: a.address, Cause: err}
@@ -165,6 +168,13 @@
 	return lost
 }
 
+// avoid keeps new work from a server whose connection failed.
+func (r *relay) avoid(ctx context.Context, a assignment, err error) {
+	if connectionFailed(ctx, err) {
+		r.tell(func(d *dispatcher, now clock.Millis) { d.avoid(now, a.server) })
+	}
+}
+
 // judgeStatus passes errors of the caller on and tries other servers for the
 // rest. An engine that answers with an error status has generated nothing.
 func (r *relay) judgeStatus(f *engine.Failure) verdict {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -39,6 +39,7 @@
 	adopted   map[string]*adopted
 	estimates *estimates
 	stops     map[string]clock.Millis
+	unreached map[string]announced
 	// demand is what waits for models, for the lease renewal.
 	demand       atomic.Pointer[[]lease.Demand]
 	waitingCount atomic.Int64
@@ -79,6 +80,7 @@
 		adopted:   map[string]*adopted{},
 		estimates: newEstimates(),
 		stops:     map[string]clock.Millis{},
+		unreached: map[string]announced{},
 	}
 	d.queue, d.router = newPolicy(options, registry, d.estimates)
 	d.demand.Store(&[]lease.Demand{})
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -73,6 +74,43 @@
 	}
 }
 
+// Guards against a server that refuses connections and attracts work, because its
+// slots look free, until its last announcement is 3 s old.
+func TestUnreachableServerGetsNoWork(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 2, 0)
+	s.engines[0].Fault(standin.Fault{Kind: standin.Crash})
+	began := s.age()
+	for i := 0; s.age() < began+2500*clock.Millisecond; i++ {
+		got := do(t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatBody(fmt.Sprintf("x %d [tokens=2]", i), false))
+		if got.status != http.StatusOK {
+			t.Fatalf("got %d %s, want 200", got.status, got.code())
+		}
+	}
+	if got := s.continued(); got > 1 {
+		t.Errorf("attempts at the crashed engine: got %d, want at most 1", got)
+	}
+	s.engines[0].Fault(standin.Fault{Kind: standin.Recover})
+	s.eventually("the engine is in use again", func() bool { return s.usable() == 2 })
+}
+
+// continued returns the attempts that failed and were repeated.
+func (s *site) continued() int {
+	s.t.Helper()
+	r := do(s.t, http.MethodGet, s.url(0, "/metrics"), nil)
+	for line := range strings.Lines(string(r.body)) {
+		if name, value, ok := strings.Cut(strings.TrimSpace(line), " "); ok && strings.HasSuffix(name, "continued_total") {
+			n, err := strconv.Atoi(value)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			return n
+		}
+	}
+	s.t.Fatal("the metrics hold no count of repeated attempts")
+	return 0
+}
+
 // stopServer announces a planned stop of an engine.
 func (s *site) stopServer(e *standin.Engine, grace clock.Millis) {
 	for i, other := range s.engines {
@@ -255,7 +293,7 @@
 		leaving := s.runsOn("r-1")
 		stopped := make(chan error, 1)
 		go func() { stopped <- leaving.Stop(t.Context()) }()
-		s.eventually("the server is out of use", func() bool { return s.usable(0) == 1 })
+		s.eventually("the server is out of use", func() bool { return s.usable() == 1 })
 		for range 10 {
 			do(t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatBody("x [tokens=2]", false))
 		}
@@ -290,9 +328,9 @@
 	return r.StatusCode == http.StatusOK
 }
 
-func (s *site) usable(e int) int {
+func (s *site) usable() int {
 	var w struct{ Servers []struct{ Usable bool } }
-	get(s.t, s.entries[e], "/debug/state", &w)
+	get(s.t, s.entries[0], "/debug/state", &w)
 	n := 0
 	for _, v := range w.Servers {
 		if v.Usable {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
@@ -101,13 +103,13 @@
 // applyStops treats servers with a planned stop as leaving, and moves their
 // streams when the grace period is nearly over.
 func (d *dispatcher) applyStops(now clock.Millis) {
-	var names []string
+	stops := lo.Filter(d.leases.configuration().Stops(), func(s configuration.Stop, _ int) bool {
+		return s.Kind() == configuration.StopServer
+	})
+	names := lo.Map(stops, func(s configuration.Stop, _ int) string { return s.Name() })
+	d.registry.SetStops(now, append(names, d.stillUnreached(now)...))
 	seen := map[string]clock.Millis{}
-	for _, s := range d.leases.configuration().Stops() {
-		if s.Kind() != configuration.StopServer {
-			continue
-		}
-		names = append(names, s.Name())
+	for _, s := range stops {
 		since, ok := d.stops[s.ID()]
 		if !ok {
 			since = now
@@ -118,7 +120,6 @@
 		}
 	}
 	d.stops = seen
-	d.registry.SetStops(now, names)
 }
 
 // moveFrom moves streams to other servers. Where there is none, a stream runs on
--- a/entry/service.go
+++ b/entry/service.go
@@ -224,6 +224,10 @@
 		return result{answer: answer}, false
 	}
 	p := s.describe(err)
+	// A call that took too long may be slow by itself.
+	if p.status != fiber.StatusGatewayTimeout && connectionFailed(s.ctx, err) {
+		s.tell(func(d *dispatcher, now clock.Millis) { d.avoid(now, a.server) })
+	}
 	if pause, granted := s.mayRetry(err); granted {
 		s.entry.options.Clock.Sleep(s.ctx, pause)
 		s.tell(func(d *dispatcher, now clock.Millis) { d.again(now, s.work, routing.Failed) })
