admission: measure package slot in the fake of four entries

Cause: the figures of slot leases came from an ideal owner. Change: the fake runs package slot with messages of 1 ms.

--- a/admission/entries_test.go
+++ b/admission/entries_test.go
@@ -86,6 +86,7 @@
 }
 
 type site struct {
+	slotSite
 	way      way
 	interval clock.Millis // of digests
 	slots    int          // of each engine
@@ -123,6 +124,9 @@
 		s.entries = append(s.entries, &fakeEntry{queue: admission.New(admission.Options{Limit: lo.Ternary(w == oneQueue, entries, 1) * 200}),
 			loads: map[*fakeServer]int{}, digest: make([]peerDigest, entries), phase: clock.Millis(i) * interval / entries})
 	}
+	if w.usesSlots() {
+		s.addTables()
+	}
 	return s
 }
 
@@ -205,6 +209,7 @@
 		for _, other := range s.entries {
 			other.digest[entry] = peerDigest{}
 		}
+		s.setLive()
 	})
 }
 
@@ -221,6 +226,10 @@
 		if e.dead {
 			continue
 		}
+		if s.way.usesSlots() {
+			s.dispatchSlots(i)
+			continue
+		}
 		if s.now%s.interval == e.phase {
 			s.pull(i)
 		}
@@ -267,6 +276,7 @@
 	s.preempted++
 	s.after(wire, func() {
 		s.entries[j.entry].loads[j.server]--
+		s.endSlot(j)
 		s.entries[j.entry].queue.Requeue(s.now, j.item)
 	})
 }
@@ -428,9 +438,10 @@
 
 func (s *site) finish(j *job) {
 	s.completed++
-	delay := wire + s.hop(j.entry, j.server.owner)
+	delay := wire + lo.Ternary(s.way.usesSlots(), 0, s.hop(j.entry, j.server.owner))
 	s.after(delay, func() {
 		s.entries[j.entry].loads[j.server]--
+		s.endSlot(j)
 		j.server.granted--
 	})
 }
