entry: ask the owners of servers for slots (SlotLeases, off by default)

Cause: tier 1 at one entry waits for slots that tier 4 at the others takes. Streams taken over from other entries count as used.

--- a/admission/item.go
+++ b/admission/item.go
@@ -45,6 +45,10 @@
 	Waiting int
 	// Oldest is the earliest arrival on the local clock.
 	Oldest clock.Millis
+	// Deadline is the earliest one, UrgentAt the earliest time from which
+	// running work may be preempted for the requests, and StarveAt the earliest
+	// time at which a class exceeds its starvation bound. Only a queue sets them.
+	Deadline, UrgentAt, StarveAt clock.Millis
 }
 
 // Offer is the answer to an offered item.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -119,16 +119,31 @@
 func (p *pool) demands(name string) []Demand {
 	demands := map[class.Tier]Demand{}
 	for _, g := range p.groups {
-		tier, oldest := g.class.Tier(), g.arrivals.first().Arrived
-		d, ok := demands[tier]
-		if ok {
-			oldest = min(oldest, d.Oldest)
-		}
-		demands[tier] = Demand{Pool: name, Tier: tier, Waiting: d.Waiting + g.len(), Oldest: oldest}
+		d, ok := demands[g.class.Tier()]
+		demands[g.class.Tier()] = g.demand(name).join(d, ok)
 	}
 	return lo.Values(demands)
 }
 
+func (g *group) demand(pool string) Demand {
+	oldest, deadline := g.arrivals.first().Arrived, g.deadlines.first().Deadline
+	return Demand{
+		Pool: pool, Tier: g.class.Tier(), Waiting: g.len(), Oldest: oldest, Deadline: deadline,
+		UrgentAt: deadline - g.class.Target()/urgentShare, StarveAt: oldest + g.class.StarvationBound(),
+	}
+}
+
+// join adds the demand of another class of the tier, if there is any.
+func (d Demand) join(other Demand, ok bool) Demand {
+	if !ok {
+		return d
+	}
+	d.Waiting += other.Waiting
+	d.Oldest, d.Deadline = min(d.Oldest, other.Oldest), min(d.Deadline, other.Deadline)
+	d.UrgentAt, d.StarveAt = min(d.UrgentAt, other.UrgentAt), min(d.StarveAt, other.StarveAt)
+	return d
+}
+
 func (q *Queue) pool(name string) *pool {
 	p, ok := q.pools[name]
 	if !ok {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -164,7 +164,10 @@
 		q.Requeue(6, newItem(id, c, 3))
 	}
 	q.Requeue(6, newItem("d", d, 4))
-	want := []admission.Demand{{Pool: pool, Tier: 2, Waiting: 3, Oldest: 3}, {Pool: pool, Tier: 3, Waiting: 1, Oldest: 4}}
+	want := []admission.Demand{
+		{Pool: pool, Tier: 2, Waiting: 3, Oldest: 3, Deadline: 103, UrgentAt: 53, StarveAt: 5003},
+		{Pool: pool, Tier: 3, Waiting: 1, Oldest: 4, Deadline: 104, UrgentAt: 54, StarveAt: 5004},
+	}
 	if got := q.Waiting(); !slices.Equal(got, want) {
 		t.Errorf("waiting: got %v, want %v", got, want)
 	}
--- a/entry/debug.go
+++ b/entry/debug.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/slot"
 )
 
 type stateWire struct {
@@ -29,6 +30,7 @@
 	Pools      []poolWire      `json:"pools"`
 	Requests   []requestWire   `json:"requests"`
 	Peers      []peerWire      `json:"peers"`
+	Slots      []slotWire      `json:"slots,omitempty"`
 	Attainment json.RawMessage `json:"attainment,omitempty"`
 }
 
@@ -42,6 +44,15 @@
 	Slots   int    `json:"slots"`
 }
 
+type slotWire struct {
+	Server string    `json:"server"`
+	Owner  string    `json:"owner"`
+	Mode   slot.Mode `json:"mode"`
+	Used   int       `json:"used"`
+	Held   int       `json:"held"`
+	Free   int       `json:"free"`
+}
+
 type poolWire struct {
 	Pool    string `json:"pool"`
 	Waiting int    `json:"waiting"`
@@ -103,7 +114,7 @@
 }
 
 func (d *dispatcher) describe(now clock.Millis) stateWire {
-	w := stateWire{Inbox: len(d.inbox)}
+	w := stateWire{Inbox: len(d.inbox), Slots: d.slots.describe(now)}
 	w.Servers = lo.Map(d.registry.Servers(now), func(s backend.Server, _ int) serverWire {
 		return serverWire{
 			Server: s.Server(), Address: s.Address(), Usable: s.Usable, State: string(s.State()),
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -33,6 +33,7 @@
 	registry  *backend.Registry
 	queue     queue
 	router    router
+	slots     *slotKeeper // nil shares slots by counts only
 	jobs      map[string]*job
 	pools     map[string]*poolState
 	peers     map[string]*peerState
@@ -81,6 +82,7 @@
 		stops:     map[string]clock.Millis{},
 	}
 	d.queue, d.router = newPolicy(options, registry, d.estimates)
+	d.slots = newSlotKeeper(d, epoch)
 	d.demand.Store(&[]lease.Demand{})
 	return d
 }
@@ -214,6 +216,7 @@
 }
 
 func (d *dispatcher) finish(now clock.Millis, j *job, result routing.Result) {
+	d.slots.ended(now, j.work.id)
 	if j.running {
 		d.router.Progress(now, j.work.id, int(j.work.produced.Load()))
 		d.router.Finished(now, j.work.id, result)
@@ -234,6 +237,7 @@
 	}
 	d.router.Progress(now, w.id, int(w.produced.Load()))
 	d.router.Finished(now, w.id, result)
+	d.slots.ended(now, w.id)
 	if result == routing.Failed {
 		j.excluded = append(j.excluded, j.server)
 	}
@@ -247,6 +251,15 @@
 
 // pump hands out free slots of a pool.
 func (d *dispatcher) pump(now clock.Millis, name string) {
+	if d.slots != nil {
+		d.slots.pump(now)
+		return
+	}
+	d.pumpShared(now, name)
+}
+
+// pumpShared hands out the slots that are free by shared counts.
+func (d *dispatcher) pumpShared(now clock.Millis, name string) {
 	p := d.pool(name)
 	if p.waiting.len() == 0 {
 		return
@@ -263,14 +276,15 @@
 		if !ok {
 			return
 		}
-		if !d.dispatch(now, item) {
+		if !d.dispatch(now, item, nil) {
 			return
 		}
 	}
 }
 
-// dispatch passes an item on. It returns false when no server takes it.
-func (d *dispatcher) dispatch(now clock.Millis, item admission.Item) bool {
+// dispatch passes an item on, to one of the servers that offer a slot if there
+// are any. It returns false when no server takes it.
+func (d *dispatcher) dispatch(now clock.Millis, item admission.Item, offers []string) bool {
 	j, ok := d.jobs[item.ID]
 	if !ok {
 		return true
@@ -281,7 +295,7 @@
 		return true
 	}
 	request := j.work.request(j.excluded)
-	choice, ok := d.choose(now, j, request)
+	choice, ok := d.choose(now, j, request, offers)
 	if !ok {
 		d.queue.Requeue(now, item)
 		return false
@@ -289,6 +303,7 @@
 	server := choice.Server.Server()
 	d.router.Sent(now, request, server)
 	j.running, j.server, j.started, j.starved = true, server, now, item.Starved
+	d.slots.started(now, j)
 	p := d.pool(item.Pool)
 	p.waiting.remove(j)
 	p.running.add(j)
@@ -297,14 +312,20 @@
 }
 
 // choose falls back to the servers that failed before when there are no others.
-func (d *dispatcher) choose(now clock.Millis, j *job, request routing.Request) (routing.Choice, bool) {
-	choice, ok := d.router.Choose(now, request)
+func (d *dispatcher) choose(now clock.Millis, j *job, request routing.Request, offers []string) (routing.Choice, bool) {
+	choose := d.router.Choose
+	if d.slots != nil {
+		choose = func(now clock.Millis, r routing.Request) (routing.Choice, bool) {
+			return d.slots.choose(now, r, offers)
+		}
+	}
+	choice, ok := choose(now, request)
 	if ok || len(request.Exclude) == 0 {
 		return choice, ok
 	}
 	j.excluded = nil
 	request.Exclude = nil
-	return d.router.Choose(now, request)
+	return choose(now, request)
 }
 
 // preempt takes a slot back for waiting work of a higher tier.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,6 +115,9 @@
 	}
 	e.leases = newLeaseKeeper(options, incarnation, e.advertised)
 	e.dispatcher = newDispatcher(options, e.leases, incarnation)
+	if e.dispatcher.slots != nil {
+		e.dispatcher.slots.post = e.postSlots
+	}
 	e.leases.demand = func() []lease.Demand { return *e.dispatcher.demand.Load() }
 	e.metrics = newMetrics(e)
 	e.app = e.routes()
@@ -150,6 +153,7 @@
 	app.All(servicesPrefix+"*", e.serviceCall)
 	app.Post("/v1/announcements", e.guard(e.options.Tokens.Server), e.announcements)
 	app.Post(digestPath, e.guard(e.options.Tokens.Peer), e.digest)
+	app.Post(slotsPath, e.guard(e.options.Tokens.Peer), e.slotMessage)
 	app.Post(releasePath+":id", e.guard(e.options.Tokens.Peer), e.released)
 	app.Get("/debug/state", e.guard(e.options.Tokens.Operator), e.debugState)
 	app.Get("/metrics", adaptor.HTTPHandler(e.metrics.handler()))
--- a/entry/options.go
+++ b/entry/options.go
@@ -80,12 +80,15 @@
 	Control          Control
 	Peers            []string // addresses known before the first lease answer
 	Policy           Policy
-	Tokens           Tokens
-	Limits           Limits
-	Timeouts         Timeouts
-	RetryPercentage  int // retries as a share of requests; zero selects the default
-	Clock            clock.Clock
-	Logger           event.Logger
+	// SlotLeases lets one entry for each server hand out its slots. Every entry
+	// of a site must have the same value.
+	SlotLeases      bool
+	Tokens          Tokens
+	Limits          Limits
+	Timeouts        Timeouts
+	RetryPercentage int // retries as a share of requests; zero selects the default
+	Clock           clock.Clock
+	Logger          event.Logger
 }
 
 func (o Options) validate() error {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -53,6 +53,7 @@
 	d.registry.Advance(now)
 	d.dropPeers(now)
 	d.applyStops(now)
+	d.slots.advance(now)
 	for name, p := range d.pools {
 		for id, j := range p.running.jobs {
 			d.router.Progress(now, id, int(j.work.produced.Load()))
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -199,10 +199,14 @@
 func (f *follower) run() {
 	defer f.cancel()
 	d := f.entry.dispatcher
-	d.send(f.entry.ctx, func(clock.Millis) { d.adopted[f.id] = f.stream })
-	defer d.send(f.entry.ctx, func(clock.Millis) {
+	d.send(f.entry.ctx, func(clock.Millis) {
+		d.adopted[f.id] = f.stream
+		d.slots.adopted(f.id, f.at.server)
+	})
+	defer d.send(f.entry.ctx, func(now clock.Millis) {
 		if d.adopted[f.id] == f.stream {
 			delete(d.adopted, f.id)
+			d.slots.ended(now, adoptedRun(f.id))
 		}
 	})
 	if p := f.relay(); p != nil {
--- /dev/null
+++ b/routing/among.go
@@ -0,0 +1,37 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// Startable reports whether a server is usable and not blocked after a failure.
+func (r *Router) Startable(now clock.Millis, name string) bool {
+	r.advance(now)
+	s, ok := r.servers[name]
+	return ok && s.usable && now >= s.blockedUntil
+}
+
+// ChooseAmong returns the best of the given servers for a request. The caller
+// knows that each has a free slot, so the counted load, which may lag, does not
+// exclude any.
+func (r *Router) ChooseAmong(now clock.Millis, request Request, names []string) (Choice, bool) {
+	r.advance(now)
+	p, ok := r.pools[request.Pool]
+	if !ok {
+		return Choice{}, false
+	}
+	var best Choice
+	found := false
+	for _, name := range names {
+		s, ok := r.servers[name]
+		if !ok || !s.usable || now < s.blockedUntil || slices.Contains(request.Exclude, name) || p.placeOf(s) == nil {
+			continue
+		}
+		if c := r.choice(now, p, s, request); !found || r.better(c, best) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
--- a/slot/peer.go
+++ b/slot/peer.go
@@ -158,18 +158,24 @@
 
 // Due returns the messages that should be sent now.
 func (t *Table) Due(now clock.Millis) []Message {
+	return t.DueExcept(now, nil)
+}
+
+// DueExcept returns the messages that should be sent now to other entries than
+// the busy ones.
+func (t *Table) DueExcept(now clock.Millis, busy map[string]bool) []Message {
 	t.Advance(now)
 	told := coarse(t.netDemands())
 	var messages []Message
 	for _, name := range sortedNames(t.peers) {
 		p := t.peers[name]
-		if !slices.Contains(t.entries, name) && !p.known {
+		switch {
+		case !slices.Contains(t.entries, name) && !p.known:
 			delete(t.peers, name)
-			continue
-		}
-		if p.dirty || p.unsent() || now-p.sentAt >= t.interval() || !slices.Equal(p.told, told) {
+		case busy[name]:
+		case p.dirty || p.unsent() || now-p.sentAt >= t.interval() || !slices.Equal(p.told, told):
 			messages = append(messages, t.message(now, p, false))
-		} else if p.owes {
+		case p.owes:
 			messages = append(messages, t.message(now, p, true))
 		}
 	}
@@ -182,13 +188,6 @@
 	return t.message(now, t.peer(name), true)
 }
 
-// Unsent records that a message could not be sent.
-func (t *Table) Unsent(m Message) {
-	if p, ok := t.peers[m.To]; ok {
-		p.dirty = true
-	}
-}
-
 func (t *Table) interval() clock.Millis {
 	if len(t.demands) > 0 {
 		return DemandInterval
--- a/slot/table.go
+++ b/slot/table.go
@@ -199,18 +199,30 @@
 	if i < 0 && t.Mode(now, r.Server) == Granted {
 		return false
 	}
-	t.starts++
-	started := &run{Run: r, order: t.starts}
-	t.runs[r.ID] = started
+	grantor := ""
 	if i >= 0 {
-		started.grantor = t.held[i].owner
+		grantor = t.held[i].owner
 		t.useUp(i)
 	}
+	t.record(r, grantor)
+	return true
+}
+
+// Adopt records a request that runs on a server already, without an offer.
+func (t *Table) Adopt(r Run) {
+	if _, ok := t.runs[r.ID]; !ok {
+		t.record(r, "")
+	}
+}
+
+func (t *Table) record(r Run, grantor string) {
+	t.starts++
+	started := &run{Run: r, grantor: grantor, order: t.starts}
+	t.runs[r.ID] = started
 	if s, ok := t.servers[r.Server]; ok {
 		s.used++
 	}
 	t.tell(started)
-	return true
 }
 
 func (t *Table) useUp(i int) {
