--- a/routing/among.go
+++ b/routing/among.go
@@ -22,16 +22,19 @@
 	if !ok {
 		return Choice{}, false
 	}
-	var best Choice
-	found := false
+	var best *server
+	least := clock.Millis(0)
 	for _, name := range names {
 		s, ok := r.servers[name]
 		if !ok || !s.usable || now < s.blockedUntil || slices.Contains(request.Exclude, name) || p.placeOf(s) == nil {
 			continue
 		}
-		if c := r.choice(now, p, s, request); !found || r.better(c, best) {
-			best, found = c, true
+		if first := r.predict(p, s, request); best == nil || first < least {
+			best, least = s, first
 		}
 	}
-	return best, found
+	if best == nil {
+		return Choice{}, false
+	}
+	return r.choice(now, p, best, request), true
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -100,8 +100,12 @@
 func TestFailuresBlock(t *testing.T) {
 	registry, r := newRouter("e", 1, 4)
 	fail := func(now clock.Millis) {
-		r.Sent(now, routing.Request{ID: "x", Pool: pool}, "engine-0")
-		r.Finished(now, "x", routing.Failed)
+		for _, id := range []string{"x", "y", "z"} { // a crash ends all of them
+			r.Sent(now, routing.Request{ID: id, Pool: pool}, "engine-0")
+		}
+		for _, id := range []string{"x", "y", "z"} {
+			r.Finished(now, id, routing.Failed)
+		}
 	}
 	fail(10)
 	tests := []struct {
@@ -202,3 +206,41 @@
 		}
 	}
 }
+
+// Guards against a prediction that does not follow what was observed, or that is
+// the same for a server that runs five times slower.
+func TestPrediction(t *testing.T) {
+	_, r := newRouter("e", 4, 16)
+	request := routing.Request{ID: "x", Pool: pool, Class: "c", PromptTokens: 1000}
+	now := clock.Millis(0)
+	for i := range 400 {
+		name, slow := serverName(i%4), clock.Millis(1)
+		if i%4 == 0 {
+			slow = 5
+		}
+		now += 5
+		r.Sent(now, request, name)
+		for k := range 9 {
+			r.Progress(now+400*slow+clock.Millis(k)*30*slow, "x", k+1)
+		}
+		r.Finished(now+3500, "x", routing.Completed)
+	}
+	tests := []struct {
+		name, server string
+		want         clock.Millis
+	}{{"normal", "engine-1", 400}, {"slow", "engine-0", 2000}}
+	for _, tt := range tests {
+		var exclude []string
+		for i := range 4 {
+			if serverName(i) != tt.server {
+				exclude = append(exclude, serverName(i))
+			}
+		}
+		asked := request
+		asked.Exclude = exclude
+		c, ok := r.Choose(now, asked)
+		if !ok || c.FirstToken < tt.want*7/10 || c.FirstToken > tt.want*13/10 {
+			t.Errorf("%s: got first token in %d, %v, want about %d", tt.name, c.FirstToken, ok, tt.want)
+		}
+	}
+}
