--- a/admission/slots_test.go
+++ b/admission/slots_test.go
@@ -49,7 +49,7 @@
 	}
 	s.demand(i)
 	for _, server := range s.tables[i].Offers(s.now, pool) {
-		if !s.startAt(i, server) {
+		if !s.startAt(i, server, nil) {
 			break
 		}
 	}
@@ -90,8 +90,8 @@
 	}))
 }
 
-func (s *site) startAt(i int, server string) bool {
-	item, ok := s.entries[i].queue.Next(s.now, pool, nil)
+func (s *site) startAt(i int, server string, peers []admission.Demand) bool {
+	item, ok := s.entries[i].queue.Next(s.now, pool, peers)
 	if !ok {
 		return false
 	}
@@ -109,6 +109,12 @@
 // startShared starts work at the emptiest server that no owner answers for.
 func (s *site) startShared(i int) bool {
 	e, best, most := s.entries[i], "", 0
+	peers := []admission.Demand{}
+	for _, d := range e.digest {
+		if s.now-d.at <= freshness {
+			peers = append(peers, d.waiting...)
+		}
+	}
 	offset := s.ties.IntN(servers)
 	for k := range s.servers {
 		k = (k + offset) % servers
@@ -120,7 +126,7 @@
 			best, most = serverName(k), free
 		}
 	}
-	return best != "" && s.startAt(i, best)
+	return best != "" && s.startAt(i, best, peers)
 }
 
 func (s *site) endSlot(j *job) {
