--- a/commands/load.go
+++ b/commands/load.go
@@ -21,6 +21,7 @@
 	policies []string
 	rounds   int
 	folder   string
+	leases   bool
 }
 
 func newLoad() *cobra.Command {
@@ -41,6 +42,7 @@
 	}
 	c.Flags().StringSliceVar(&f.policies, "policy", nil, `run the site in this process with these policies: "real", "naive"`)
 	c.Flags().IntVar(&f.rounds, "rounds", 1, "repetitions, with --policy")
+	c.Flags().BoolVar(&f.leases, "slot-leases", false, "let one entry for each server hand out its slots, with --policy")
 	c.Flags().StringVar(&f.folder, "report-folder", "", "folder for the reports as JSON and HTML")
 	return c
 }
@@ -69,7 +71,9 @@
 	if policy != entry.PolicyReal && policy != entry.PolicyNaive {
 		return failf(ExitUsage, "policy %q is unknown: want %q or %q", policy, entry.PolicyReal, entry.PolicyNaive)
 	}
-	_, release, err := site.New(c.Context(), load.SiteOptions(s, policy, clock.New(), event.Discard()))
+	options := load.SiteOptions(s, policy, clock.New(), event.Discard())
+	options.Entry.SlotLeases = f.leases
+	_, release, err := site.New(c.Context(), options)
 	if err != nil {
 		return fail(ExitFailed, err)
 	}
