--- a/engine/client.go
+++ b/engine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 
@@ -43,22 +44,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.ConnectTimeout = orDefault(o.ConnectTimeout, DefaultConnectTimeout)
-	o.Silence = orDefault(o.Silence, DefaultSilence)
-	o.PoolIdle = orDefault(o.PoolIdle, DefaultPoolIdle)
-	o.PoolSize = orDefault(o.PoolSize, DefaultPoolSize)
-	o.MaxBody = orDefault(o.MaxBody, DefaultMaxBody)
-	o.MaxEvent = orDefault(o.MaxEvent, DefaultMaxEvent)
+	o.ConnectTimeout = cmp.Or(o.ConnectTimeout, DefaultConnectTimeout)
+	o.Silence = cmp.Or(o.Silence, DefaultSilence)
+	o.PoolIdle = cmp.Or(o.PoolIdle, DefaultPoolIdle)
+	o.PoolSize = cmp.Or(o.PoolSize, DefaultPoolSize)
+	o.MaxBody = cmp.Or(o.MaxBody, DefaultMaxBody)
+	o.MaxEvent = cmp.Or(o.MaxEvent, DefaultMaxEvent)
 	return o
 }
 
-func orDefault[T int | clock.Millis](value, standard T) T {
-	if value == 0 {
-		return standard
-	}
-	return value
-}
-
 // Client calls engines and services. It is safe for concurrent use.
 type Client struct {
 	options Options
@@ -119,7 +113,7 @@
 }
 
 func (c *Client) send(conn *connection, r Request) (*fasthttp.Response, error) {
-	silence := orDefault(r.Silence, c.options.Silence)
+	silence := cmp.Or(r.Silence, c.options.Silence)
 	if err := conn.prepare(silence); err != nil {
 		return nil, err
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -171,7 +171,7 @@
 // avoid keeps new work from a server whose connection failed.
 func (r *relay) avoid(ctx context.Context, a assignment, err error) {
 	if connectionFailed(ctx, err) {
-		r.tell(func(d *dispatcher, now clock.Millis) { d.avoid(now, a.server) })
+		r.entry.tell(func(d *dispatcher, now clock.Millis) { d.avoid(now, a.server) })
 	}
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -122,6 +122,11 @@
 	}
 }
 
+// tell passes a message about accepted work to the dispatcher.
+func (e *Entry) tell(f func(d *dispatcher, now clock.Millis)) {
+	e.dispatcher.send(e.ctx, func(now clock.Millis) { f(e.dispatcher, now) })
+}
+
 // submit queues new work. The decision arrives at w.assigned.
 func (e *Entry) submit(w *work) *problem {
 	d := e.dispatcher
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -131,6 +131,23 @@
 	})
 }
 
+// Guards against a stream that is interrupted for the server that it runs on, when
+// that server is the only one and stops soon.
+func TestStopOfTheOnlyServer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 1, 0)
+	prompt := longPrompt(600)
+	r := s.open(prompt)
+	var tr transcript
+	readStream(t, r.Body, &tr, func() bool { return tr.Position() >= 5 })
+	s.stopServer(s.engines[0], clock.Second)
+	readStream(t, r.Body, &tr, never)
+	tr.expect(t, prompt)
+	if got := s.engines[0].State().Starts; len(got) != 1 || s.usable() != 0 {
+		t.Errorf("got starts %v and %d usable servers, want one start and none", got, s.usable())
+	}
+}
+
 // Guards against an incomplete answer that looks complete, and against a work
 // that is reported as not run although tokens were delivered.
 func TestNoEngineLeft(t *testing.T) {
--- a/entry/options.go
+++ b/entry/options.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/class"
@@ -110,32 +112,25 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	l.BodyBytes = orDefault(l.BodyBytes, DefaultBodyBytes)
-	l.HeaderBytes = orDefault(l.HeaderBytes, DefaultHeaderBytes)
-	l.Queue = orDefault(l.Queue, DefaultQueue)
-	l.Streams = orDefault(l.Streams, DefaultStreams)
-	l.Connections = orDefault(l.Connections, DefaultConnections)
+	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, DefaultHeaderBytes)
+	l.Queue = cmp.Or(l.Queue, DefaultQueue)
+	l.Streams = cmp.Or(l.Streams, DefaultStreams)
+	l.Connections = cmp.Or(l.Connections, DefaultConnections)
 	return l
 }
 
 func (t Timeouts) withDefaults() Timeouts {
-	t.Silence = orDefault(t.Silence, DefaultSilence)
-	t.Resume = orDefault(t.Resume, DefaultResume)
-	t.Call = orDefault(t.Call, DefaultCall)
-	t.Answer = orDefault(t.Answer, DefaultAnswer)
-	t.Claim = orDefault(t.Claim, DefaultClaim)
-	t.Renewal = orDefault(t.Renewal, DefaultRenewal)
-	t.CallerRead = orDefault(t.CallerRead, DefaultCallerRead)
-	t.CallerIdle = orDefault(t.CallerIdle, DefaultCallerIdle)
-	t.StopWait = orDefault(t.StopWait, DefaultStopWait)
-	t.NoServer = orDefault(t.NoServer, DefaultNoServer)
-	t.Digest = orDefault(t.Digest, DefaultDigest)
+	t.Silence = cmp.Or(t.Silence, DefaultSilence)
+	t.Resume = cmp.Or(t.Resume, DefaultResume)
+	t.Call = cmp.Or(t.Call, DefaultCall)
+	t.Answer = cmp.Or(t.Answer, DefaultAnswer)
+	t.Claim = cmp.Or(t.Claim, DefaultClaim)
+	t.Renewal = cmp.Or(t.Renewal, DefaultRenewal)
+	t.CallerRead = cmp.Or(t.CallerRead, DefaultCallerRead)
+	t.CallerIdle = cmp.Or(t.CallerIdle, DefaultCallerIdle)
+	t.StopWait = cmp.Or(t.StopWait, DefaultStopWait)
+	t.NoServer = cmp.Or(t.NoServer, DefaultNoServer)
+	t.Digest = cmp.Or(t.Digest, DefaultDigest)
 	return t
 }
-
-func orDefault[T int | clock.Millis](value, standard T) T {
-	if value == 0 {
-		return standard
-	}
-	return value
-}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -100,19 +100,13 @@
 				return
 			}
 		case <-r.ctx.Done():
-			r.tell(func(d *dispatcher, now clock.Millis) { d.withdraw(now, r.work) })
+			r.entry.tell(func(d *dispatcher, now clock.Millis) { d.withdraw(now, r.work) })
 			r.account(outcome.Unknown, outcome.ReasonCallerGone)
 			return
 		}
 	}
 }
 
-// tell passes a message about this request to the dispatcher.
-func (r *relay) tell(f func(d *dispatcher, now clock.Millis)) {
-	d := r.entry.dispatcher
-	d.send(r.entry.ctx, func(now clock.Millis) { f(d, now) })
-}
-
 // settle acts on the end of an attempt and reports whether the request has ended.
 func (r *relay) settle(a assignment, v verdict) bool {
 	switch v {
@@ -140,7 +134,7 @@
 		r.fail(r.problem)
 		return true
 	case moved:
-		r.tell(func(d *dispatcher, now clock.Millis) { d.again(now, r.work, routing.Cancelled) })
+		r.entry.tell(func(d *dispatcher, now clock.Millis) { d.again(now, r.work, routing.Cancelled) })
 		return false
 	}
 	return r.retry(a, v)
@@ -161,7 +155,7 @@
 		zap.String("server", a.server), zap.Int("position", r.transcript.Position()), zap.Error(r.problem))
 	// After a pause that the caller does not survive, run notices its absence.
 	r.entry.options.Clock.Sleep(r.ctx, pause)
-	r.tell(func(d *dispatcher, now clock.Millis) { d.again(now, r.work, routing.Failed) })
+	r.entry.tell(func(d *dispatcher, now clock.Millis) { d.again(now, r.work, routing.Failed) })
 	return false
 }
 
@@ -180,7 +174,7 @@
 }
 
 func (r *relay) finished(result routing.Result) {
-	r.tell(func(d *dispatcher, now clock.Millis) { d.finished(now, r.work, result) })
+	r.entry.tell(func(d *dispatcher, now clock.Millis) { d.finished(now, r.work, result) })
 }
 
 // fail ends the request with an error. Once a server may have run a part, the
--- a/entry/service.go
+++ b/entry/service.go
@@ -194,7 +194,7 @@
 				return r
 			}
 		case <-s.ctx.Done():
-			s.tell(func(d *dispatcher, now clock.Millis) { d.withdraw(now, s.work) })
+			s.entry.tell(func(d *dispatcher, now clock.Millis) { d.withdraw(now, s.work) })
 			return result{problem: s.honest(notRun(outcome.ReasonCallerGone, "the caller has gone"))}
 		}
 	}
@@ -208,11 +208,6 @@
 	return p
 }
 
-func (s *call) tell(f func(d *dispatcher, now clock.Millis)) {
-	d := s.entry.dispatcher
-	d.send(s.entry.ctx, func(now clock.Millis) { f(d, now) })
-}
-
 // attempt makes the call at one server. It reports true when the call is queued
 // again.
 func (s *call) attempt(a assignment) (result, bool) {
@@ -226,11 +221,11 @@
 	p := s.describe(err)
 	// A call that took too long may be slow by itself.
 	if p.status != fiber.StatusGatewayTimeout && connectionFailed(s.ctx, err) {
-		s.tell(func(d *dispatcher, now clock.Millis) { d.avoid(now, a.server) })
+		s.entry.tell(func(d *dispatcher, now clock.Millis) { d.avoid(now, a.server) })
 	}
 	if pause, granted := s.mayRetry(err); granted {
 		s.entry.options.Clock.Sleep(s.ctx, pause)
-		s.tell(func(d *dispatcher, now clock.Millis) { d.again(now, s.work, routing.Failed) })
+		s.entry.tell(func(d *dispatcher, now clock.Millis) { d.again(now, s.work, routing.Failed) })
 		return result{}, true
 	}
 	s.finished(routing.Failed)
@@ -238,7 +233,7 @@
 }
 
 func (s *call) finished(r routing.Result) {
-	s.tell(func(d *dispatcher, now clock.Millis) { d.finished(now, s.work, r) })
+	s.entry.tell(func(d *dispatcher, now clock.Millis) { d.finished(now, s.work, r) })
 }
 
 func (s *call) send(a assignment) (engine.Answer, error) {
--- a/standin/options.go
+++ b/standin/options.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"cmp"
+
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
 )
@@ -48,29 +50,22 @@
 }
 
 func (o EngineOptions) withDefaults() EngineOptions {
-	o.TokenTime = orDefault(o.TokenTime, DefaultTokenTime)
-	o.BatchGrowth = orDefault(o.BatchGrowth, DefaultBatchGrowth)
-	o.PrefillRate = orDefault(o.PrefillRate, DefaultPrefillRate)
-	o.Slots = orDefault(o.Slots, DefaultSlots)
-	o.KVTokens = orDefault(o.KVTokens, DefaultKVTokens)
-	o.LoadLag = orDefault(o.LoadLag, DefaultLoadLag)
+	o.TokenTime = cmp.Or(o.TokenTime, DefaultTokenTime)
+	o.BatchGrowth = cmp.Or(o.BatchGrowth, DefaultBatchGrowth)
+	o.PrefillRate = cmp.Or(o.PrefillRate, DefaultPrefillRate)
+	o.Slots = cmp.Or(o.Slots, DefaultSlots)
+	o.KVTokens = cmp.Or(o.KVTokens, DefaultKVTokens)
+	o.LoadLag = cmp.Or(o.LoadLag, DefaultLoadLag)
 	o.Announce = o.Announce.withDefaults(o.Clock)
 	return o
 }
 
 func (a Announce) withDefaults(c clock.Clock) Announce {
-	a.Interval = orDefault(a.Interval, DefaultInterval)
-	a.Incarnation = orDefault(a.Incarnation, uint64(c.Wall()))
+	a.Interval = cmp.Or(a.Interval, DefaultInterval)
+	a.Incarnation = cmp.Or(a.Incarnation, uint64(c.Wall()))
 	return a
 }
 
-func orDefault[T int | uint64 | float64 | clock.Millis](value, standard T) T {
-	if value == 0 {
-		return standard
-	}
-	return value
-}
-
 // ServiceOptions configure a service. Zero values select the defaults.
 type ServiceOptions struct {
 	Name     string
@@ -84,7 +79,7 @@
 }
 
 func (o ServiceOptions) withDefaults() ServiceOptions {
-	o.Slots = orDefault(o.Slots, DefaultSlots)
+	o.Slots = cmp.Or(o.Slots, DefaultSlots)
 	o.Announce = o.Announce.withDefaults(o.Clock)
 	return o
 }
