control: place models on engines while leading

Cause: the planner in placement had no caller, so a model whose last engine was gone stayed without a server.

Change: the leader pulls the list of servers from one entry with a lease every 2 s, plans after each answer and sends orders with its term as fencing token. The leader lease is checked after the order is encoded and directly before the write. A refusal for a stale token starts a barrier at the quorum and holds the engine until a newer term. Lease renewals carry waiting requests by tier; a request that an entry refused for lack of a server counts for 30 s, once for each tier.

Ruled out: planning on an old list when no entry answers, which shows serving engines as gone; pooled connections for orders, which may be silent; a plain close after a timeout, after which the system would go on to deliver an order that the planner counts as lost; counting every refused request, because callers repeat them and a model would get several engines at once.

--- a/commands/provide.go
+++ b/commands/provide.go
@@ -86,11 +86,12 @@
 		Members: lo.Map(settings.Members, func(m setting.Member, _ int) control.Member {
 			return control.Member(m)
 		}),
-		Join:          settings.Join,
-		OperatorToken: tokens.Operator,
-		PeerToken:     tokens.Peer,
-		Clock:         do.MustInvoke[clock.Clock](i),
-		Logger:        do.MustInvoke[event.Logger](i),
+		Join:            settings.Join,
+		OperatorToken:   tokens.Operator,
+		PeerToken:       tokens.Peer,
+		OrdersPerMinute: settings.OrdersPerMinute,
+		Clock:           do.MustInvoke[clock.Clock](i),
+		Logger:          do.MustInvoke[event.Logger](i),
 	})
 	return member, err
 }
--- a/control/codec.go
+++ b/control/codec.go
@@ -4,11 +4,14 @@
 	"encoding/json"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/claim"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/placement"
 )
 
 // command is one entry of the replicated log: a change or a claim command. It
@@ -141,3 +144,37 @@
 	Headers map[string][]string `json:"headers,omitempty"`
 	Body    []byte              `json:"body_base64,omitempty"`
 }
+
+// wireOrder is an order on its way to an engine.
+type wireOrder struct {
+	OrderID      string         `json:"order_id"`
+	FencingToken uint64         `json:"fencing_token"`
+	Kind         placement.Kind `json:"kind"`
+	Model        string         `json:"model"`
+	Role         backend.Role   `json:"role,omitempty"`
+}
+
+func encodeOrder(o placement.Order) ([]byte, error) {
+	data, err := json.Marshal(wireOrder{OrderID: o.ID, FencingToken: o.FencingToken, Kind: o.Kind, Model: o.Model, Role: o.Role})
+	return data, errors.WithStack(err)
+}
+
+// wirePlacement is the part of /debug/state about placement.
+type wirePlacement struct {
+	Rounds  uint64        `json:"rounds"`
+	Pending []wirePending `json:"pending"`
+}
+
+type wirePending struct {
+	wireOrder
+	Server string `json:"server"`
+}
+
+func toWirePlacement(v placementView) wirePlacement {
+	return wirePlacement{Rounds: v.rounds, Pending: lo.Map(v.pending, func(o placement.Order, _ int) wirePending {
+		return wirePending{
+			wireOrder: wireOrder{OrderID: o.ID, FencingToken: o.FencingToken, Kind: o.Kind, Model: o.Model, Role: o.Role},
+			Server:    o.Server,
+		}
+	})}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -32,6 +32,7 @@
 	Join             bool     // join an existing group through Members
 	OperatorToken    string   // when empty, loopback addresses need no token
 	PeerToken        string
+	OrdersPerMinute  int // model loads that the weight store bears; DefaultOrdersPerMinute when 0
 	Clock            clock.Clock
 	Logger           event.Logger
 	// OpenLog replaces the replicated log in tests.
@@ -57,6 +58,7 @@
 	tokens   tokens
 	log      atomic.Pointer[life]
 	leader   *leader
+	placer   *placer
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
@@ -88,6 +90,7 @@
 	}
 	c.peers = newPeers(options.PeerToken)
 	c.leader = newLeader(c)
+	c.placer = newPlacer(c)
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
 	if err := c.openLog(); err != nil {
@@ -98,6 +101,7 @@
 	c.cancel = cancel
 	c.start(func() { _ = c.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
 	c.start(func() { c.leader.run(ctx) })
+	c.start(func() { c.placer.run(ctx) })
 	c.start(func() { c.watch(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
 	return c, c.release, nil
@@ -107,6 +111,9 @@
 	if !class.ValidName(o.Name) {
 		return errors.Errorf("invalid name %q of a control member", o.Name)
 	}
+	if o.OrdersPerMinute < 0 {
+		return errors.Errorf("invalid orders per minute %d: want 0 or more", o.OrdersPerMinute)
+	}
 	if o.Folder == "" {
 		return errors.New("a control member needs a data folder")
 	}
@@ -151,6 +158,7 @@
 	c.tasks.Wait()
 	c.log.Load().release()
 	c.peers.client.CloseIdleConnections()
+	c.placer.entries.client.CloseIdleConnections()
 }
 
 func (c *Control) start(task func()) {
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -265,20 +265,21 @@
 
 // wireState is the answer of /debug/state.
 type wireState struct {
-	Name     string       `json:"name"`
-	Identity string       `json:"identity"`
-	Address  string       `json:"address"`
-	Role     string       `json:"role"`
-	Commit   uint64       `json:"commit"`
-	Applied  uint64       `json:"applied"`
-	Lease    clock.Millis `json:"leader_lease_ms"`
-	Founded  bool         `json:"founded"`
-	Outside  bool         `json:"outside"`
-	Group    wireMembers  `json:"group"`
-	State    size         `json:"state"`
-	Entries  []wireLeased `json:"entries"`
-	Sent     uint64       `json:"messages_sent"`
-	Failed   uint64       `json:"messages_failed"`
+	Name      string        `json:"name"`
+	Identity  string        `json:"identity"`
+	Address   string        `json:"address"`
+	Role      string        `json:"role"`
+	Commit    uint64        `json:"commit"`
+	Applied   uint64        `json:"applied"`
+	Lease     clock.Millis  `json:"leader_lease_ms"`
+	Founded   bool          `json:"founded"`
+	Outside   bool          `json:"outside"`
+	Group     wireMembers   `json:"group"`
+	State     size          `json:"state"`
+	Entries   []wireLeased  `json:"entries"`
+	Sent      uint64        `json:"messages_sent"`
+	Failed    uint64        `json:"messages_failed"`
+	Placement wirePlacement `json:"placement"`
 }
 
 type wireLeased struct {
@@ -298,6 +299,7 @@
 		Lease: status.LeaseRemaining, Founded: status.Founded, Outside: status.Outside,
 		Group: c.members(), State: c.machine.size(),
 		Sent: c.peers.sent.Load(), Failed: c.peers.failed.Load(),
+		Placement: toWirePlacement(*c.placer.view.Load()),
 		Entries: lo.Map(c.leader.renewals(), func(r lease.Renewal, _ int) wireLeased {
 			return wireLeased{r.Entry, r.Incarnation, r.Address, r.Revision, r.Leaving, r.Claims}
 		}),
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -12,27 +12,37 @@
 
 // metrics are the process's counters and gauges.
 type metrics struct {
-	registry     *prometheus.Registry
-	requests     *prometheus.CounterVec
-	unauthorized prometheus.Counter
-	forwarded    prometheus.Counter
-	renewals     prometheus.Counter
+	registry      *prometheus.Registry
+	requests      *prometheus.CounterVec
+	unauthorized  prometheus.Counter
+	forwarded     prometheus.Counter
+	renewals      prometheus.Counter
+	ordersSent    *prometheus.CounterVec
+	ordersRefused *prometheus.CounterVec
+	ordersDone    *prometheus.CounterVec
 }
 
 func newMetrics(c *Control) *metrics {
 	counter := func(name, help string) prometheus.Counter {
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: "galenaslip_control_" + name, Help: help})
 	}
+	byKind := func(name, help string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenaslip_control_" + name, Help: help}, []string{"kind"})
+	}
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenaslip_control_requests_total", Help: "Requests by path.",
 		}, []string{"path"}),
-		unauthorized: counter("unauthorized_total", "Requests refused for a missing or wrong token."),
-		forwarded:    counter("forwarded_total", "Requests forwarded to the leader."),
-		renewals:     counter("renewals_total", "Lease renewals answered."),
+		unauthorized:  counter("unauthorized_total", "Requests refused for a missing or wrong token."),
+		forwarded:     counter("forwarded_total", "Requests forwarded to the leader."),
+		renewals:      counter("renewals_total", "Lease renewals answered."),
+		ordersSent:    byKind("orders_sent_total", "Orders written to an engine, repetitions included."),
+		ordersRefused: byKind("orders_refused_total", "Orders refused for a stale fencing token."),
+		ordersDone:    byKind("orders_done_total", "Orders whose effect a report has shown."),
 	}
 	m.registry.MustRegister(m.requests, m.unauthorized, m.forwarded, m.renewals)
+	m.registry.MustRegister(m.ordersSent, m.ordersRefused, m.ordersDone)
 	m.registerGauges(c)
 	return m
 }
--- a/control/peers.go
+++ b/control/peers.go
@@ -85,6 +85,12 @@
 }
 
 func (p *peers) call(method, address, path string, body []byte, timeout clock.Millis) (int, error) {
+	status, _, err := p.exchange(method, address, path, body, timeout)
+	return status, err
+}
+
+// exchange returns status and body of the answer.
+func (p *peers) exchange(method, address, path string, body []byte, timeout clock.Millis) (int, []byte, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -94,13 +100,13 @@
 	setToken(&request.Header, p.token)
 	request.SetBodyRaw(body)
 	if err := p.do(request, response, timeout.Duration()); err != nil {
-		return 0, errors.Wrapf(err, "calling %s%s", address, path)
+		return 0, nil, errors.Wrapf(err, "calling %s%s", address, path)
 	}
 	status := response.StatusCode()
 	if status >= fiber.StatusBadRequest {
-		return status, errors.Errorf("calling %s%s: status %d: %s", address, path, status, slices.Clone(response.Body()))
+		return status, nil, errors.Errorf("calling %s%s: status %d: %s", address, path, status, slices.Clone(response.Body()))
 	}
-	return status, nil
+	return status, slices.Clone(response.Body()), nil
 }
 
 // do sends a request. After a failure the other idle connections are closed,
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenaslip/galenaslip/admission"
 	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
@@ -63,6 +64,8 @@
 	running *jobSet
 	served  bool         // had a usable server at some time
 	since   clock.Millis // start of the present time without a usable server
+	// missed is when a request of a tier was last refused for lack of a server.
+	missed map[class.Tier]clock.Millis
 }
 
 func newDispatcher(options Options, leases *leaseKeeper, epoch uint64) *dispatcher {
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -32,6 +32,8 @@
 	machine       *claim.Machine
 	configuration configuration.Configuration
 	entries       map[string]lease.Entry
+	demand        []lease.Demand // of the newest renewal
+	renewals      int
 	down          bool
 	afterSend     func()
 	lostAnswers   map[string]int // answers that are lost, by call
@@ -62,6 +64,7 @@
 	if f.down {
 		return lease.Grant{}, control.Reply{Kind: outcome.NotRun}
 	}
+	f.demand, f.renewals = r.Models, f.renewals+1
 	f.entries[r.Entry] = lease.Entry{Name: r.Entry, Address: r.Address, AvailabilityZone: r.AvailabilityZone}
 	g := lease.Grant{Granted: true, Length: lease.Length, Term: 1, Revision: f.configuration.Revision()}
 	if r.Revision < g.Revision {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/lease"
@@ -17,6 +19,10 @@
 	// handoffMargin is the time before the deadline of a server's planned stop
 	// at which running streams move to another server.
 	handoffMargin = 2 * clock.Second
+	// missedAge is how long a request that was refused for lack of a server counts
+	// as demand. It is longer than the interval between two model loads, so that
+	// the model is still wanted when its turn comes.
+	missedAge = 30 * clock.Second
 )
 
 func (d *dispatcher) pool(name string) *poolState {
@@ -72,7 +78,7 @@
 		running += p.running.len()
 		if model, ok := strings.CutPrefix(name, backend.ModelPool("")); ok {
 			demand = append(demand, lease.Demand{
-				Model: model, Waiting: p.waiting.len(), Servers: d.registry.PoolSize(now, name),
+				Model: model, Waiting: p.waiting.len(), Servers: d.registry.PoolSize(now, name), Tiers: p.demand(now),
 			})
 		}
 	}
@@ -81,23 +87,44 @@
 	d.runningCount.Store(int64(running))
 }
 
+// demand returns the requests in need of a server by tier, the highest first. Any
+// number of refused requests of a tier counts as one, because callers repeat them.
+func (p *poolState) demand(now clock.Millis) []int {
+	tiers := slices.Clone(p.waiting.tiers[class.HighestTier:])
+	for tier, at := range p.missed {
+		if now-at < missedAge {
+			tiers[tier-class.HighestTier] = max(tiers[tier-class.HighestTier], 1)
+		}
+	}
+	return tiers
+}
+
 // giveUp refuses waiting work of a pool that has had no usable server for long.
 func (d *dispatcher) giveUp(now clock.Millis, name string, p *poolState) {
 	if d.registry.PoolSize(now, name) > 0 {
 		p.served = true
 		p.since = now
+		p.missed = nil
 		return
 	}
 	if now-p.since < d.options.Timeouts.NoServer {
 		return
 	}
 	for id, j := range p.waiting.jobs {
+		p.miss(now, j.work.class.Tier())
 		d.queue.Remove(id)
 		d.forget(j)
 		j.work.assigned <- assignment{refused: notRun(outcome.ReasonNoServer, "no backend server is available")}
 	}
 }
 
+func (p *poolState) miss(now clock.Millis, tier class.Tier) {
+	if p.missed == nil {
+		p.missed = map[class.Tier]clock.Millis{}
+	}
+	p.missed[tier] = now
+}
+
 // applyStops treats servers with a planned stop as leaving, and moves their
 // streams when the grace period is nearly over.
 func (d *dispatcher) applyStops(now clock.Millis) {
--- a/lease/codec.go
+++ b/lease/codec.go
@@ -18,6 +18,7 @@
 	Model   string `json:"model"`
 	Waiting int    `json:"waiting"`
 	Servers int    `json:"servers"`
+	Tiers   []int  `json:"tiers,omitempty"`
 }
 
 type wireRenewal struct {
@@ -75,11 +76,26 @@
 		Revision: w.Revision, Leaving: w.Leaving, Claims: w.Claims, EntriesVersion: w.EntriesVersion,
 	}
 	for _, d := range w.Models {
+		if err := d.validate(); err != nil {
+			return Renewal{}, err
+		}
 		r.Models = append(r.Models, Demand(d))
 	}
 	return r, nil
 }
 
+func (d wireDemand) validate() error {
+	if len(d.Tiers) > int(class.LowestTier) {
+		return errors.Errorf("%d tiers of model %q: want at most %d", len(d.Tiers), d.Model, class.LowestTier)
+	}
+	for _, waiting := range append([]int{d.Waiting}, d.Tiers...) {
+		if waiting < 0 {
+			return errors.Errorf("%d waiting requests of model %q: want 0 or more", waiting, d.Model)
+		}
+	}
+	return nil
+}
+
 // EncodeGrant returns the grant as JSON.
 func EncodeGrant(g Grant) ([]byte, error) {
 	w := wireGrant{
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -34,6 +34,10 @@
 	Model   string
 	Waiting int
 	Servers int
+	// Tiers holds the waiting requests by tier, the highest first. It may be
+	// shorter than the number of tiers, and is empty from an entry that does not
+	// report tiers.
+	Tiers []int
 }
 
 // Entry is an entry with a lease, as other entries see it.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -167,7 +167,7 @@
 	for server, o := range p.pending {
 		s, ok := f.byName[server]
 		switch {
-		case !ok || !s.Usable || s.Incarnation() != o.incarnation || o.order.shownBy(s):
+		case !ok || !s.Usable || s.Incarnation() != o.incarnation || o.order.ShownBy(s):
 			delete(p.pending, server)
 		case now-o.created >= p.options.Abandon:
 			p.failed[server] = now + p.options.Abandon
@@ -176,8 +176,8 @@
 	}
 }
 
-// shownBy reports whether a server's report shows the effect of the order.
-func (o Order) shownBy(s backend.Server) bool {
+// ShownBy reports whether a server's report shows the effect of the order.
+func (o Order) ShownBy(s backend.Server) bool {
 	switch o.Kind {
 	case LoadModel:
 		return slices.Contains(s.Models(), o.Model)
