--- a/commands/load.go
+++ b/commands/load.go
@@ -42,7 +42,7 @@
 	}
 	c.Flags().StringSliceVar(&f.policies, "policy", nil, `run the site in this process with these policies: "real", "naive"`)
 	c.Flags().IntVar(&f.rounds, "rounds", 1, "repetitions, with --policy")
-	c.Flags().BoolVar(&f.leases, "slot-leases", false, "let one entry for each server hand out its slots, with --policy")
+	c.Flags().BoolVar(&f.leases, "slot-leases", true, "let one entry for each server hand out its slots, with --policy")
 	c.Flags().StringVar(&f.folder, "report-folder", "", "folder for the reports as JSON and HTML")
 	return c
 }
--- a/commands/provide.go
+++ b/commands/provide.go
@@ -53,6 +53,7 @@
 		Control:          do.MustInvoke[*control.Client](i),
 		Peers:            settings.Peers,
 		Policy:           entry.Policy(settings.Policy),
+		SlotLeases:       settings.SlotLeases,
 		Tokens:           tokens,
 		Limits: entry.Limits{
 			BodyBytes:   settings.MaxBodyBytes,
--- a/setting/codec.go
+++ b/setting/codec.go
@@ -33,6 +33,7 @@
 	Control          []string    `yaml:"control"`
 	Peers            []string    `yaml:"peers"`
 	Policy           string      `yaml:"policy"`
+	SlotLeases       bool        `yaml:"slot_leases"`
 	QueueCapacity    int         `yaml:"queue_capacity"`
 	MaxBodyBytes     int         `yaml:"max_body_bytes"`
 	MaxHeaderBytes   int         `yaml:"max_header_bytes"`
@@ -144,6 +145,7 @@
 		Control:         w.Control,
 		Peers:           w.Peers,
 		Policy:          Policy(w.Policy),
+		SlotLeases:      w.SlotLeases,
 		QueueCapacity:   w.QueueCapacity,
 		MaxBodyBytes:    w.MaxBodyBytes,
 		MaxHeaderBytes:  w.MaxHeaderBytes,
@@ -170,6 +172,7 @@
 func defaultEntry() wireEntry {
 	return wireEntry{
 		Policy:           string(PolicyReal),
+		SlotLeases:       true,
 		QueueCapacity:    2000,
 		MaxBodyBytes:     4 << 20,
 		MaxHeaderBytes:   16 << 10,
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -48,8 +48,10 @@
 	// Control lists the addresses of the control members.
 	Control []string
 	// Peers lists entries that are known before the first lease answer.
-	Peers           []string
-	Policy          Policy
+	Peers  []string
+	Policy Policy
+	// SlotLeases lets one entry for each backend server hand out its slots.
+	SlotLeases      bool
 	QueueCapacity   int
 	MaxBodyBytes    int
 	MaxHeaderBytes  int
