control, membership: recover a group that has lost its quorum

Cause: two of three voters gone at once left the site without changes, and no command brought it back. Ruled out: recovery in the log itself, which existed; what lacked was the command, the epoch in the state dump, and a policy that fills the group up again. Change: galenaslip control recover, guarded by identity and epoch; a group with fewer than three voters promotes learners once enough of them are caught up.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -49,6 +49,7 @@
 		newClass(),
 		newStop(),
 		newConfig(),
+		newControl(),
 		newState(),
 		newKey(),
 		newVersion(),
--- a/commands/failure_test.go
+++ b/commands/failure_test.go
@@ -16,8 +16,10 @@
 )
 
 type controlState struct {
-	Role  string `json:"role"`
-	Group struct {
+	Role     string `json:"role"`
+	Identity string `json:"identity"`
+	Epoch    uint64 `json:"epoch"`
+	Group    struct {
 		Members []struct {
 			Identity string `json:"identity"`
 			Name     string `json:"name"`
@@ -224,6 +226,55 @@
 	}
 }
 
+// Guards against a site that stays without changes for ever after two of three
+// voters are lost: the survivor is recovered by one command, keeps every accepted
+// change, and the others join it again.
+func TestRecover(t *testing.T) {
+	s := &site{}
+	s.startControl(t, t.TempDir())
+	s.runOK(t, "class", "set", "before", "--tier", "1", "--target-ms", "7")
+	survivor := s.leader(t)
+	state, ok := s.controlState(t, survivor)
+	if !ok {
+		t.Fatal("the survivor does not show its state")
+	}
+	for i, p := range s.controls {
+		kill(t, p, syscall.SIGKILL)
+		if i != survivor {
+			if err := os.RemoveAll(s.dataFolder(i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	recovery := []string{"control", "recover", "--settings", s.controlFiles[survivor], "--identity", state.Identity, "--epoch"}
+	if output, code := s.runPlain(append(recovery, fmt.Sprint(state.Epoch+1))...); code == 0 {
+		t.Errorf("recovery with a wrong epoch: got exit code 0 (%s), want a refusal", output)
+	}
+	if output, code := s.runPlain(append(recovery, fmt.Sprint(state.Epoch))...); code != 0 {
+		t.Fatalf("recovery: got exit code %d (%s), want 0", code, output)
+	}
+	s.restartControl(t, survivor)
+	s.runOK(t, "class", "set", "after", "--tier", "1", "--target-ms", "9")
+	for i := range s.controls {
+		if i != survivor {
+			s.restartControl(t, i)
+		}
+	}
+	eventually(t, "three voters", func() bool {
+		state, ok := s.controlState(t, s.leader(t))
+		voters := 0
+		for _, m := range state.Group.Members {
+			if m.Voter {
+				voters++
+			}
+		}
+		return ok && voters == 3
+	})
+	if got, want := len(s.targets(t)), 2; got != want {
+		t.Errorf("classes: got %d, want %d", got, want)
+	}
+}
+
 // identity returns the identity of the member with the given name.
 func (s *site) identity(t testing.TB, name string) string {
 	t.Helper()
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -267,6 +267,7 @@
 type wireState struct {
 	Name      string        `json:"name"`
 	Identity  string        `json:"identity"`
+	Epoch     uint64        `json:"epoch"`
 	Address   string        `json:"address"`
 	Role      string        `json:"role"`
 	Commit    uint64        `json:"commit"`
@@ -294,7 +295,7 @@
 func (c *Control) debugState(f fiber.Ctx) error {
 	status := c.log.Load().Status()
 	return respondValue(f, wireState{
-		Name: c.options.Name, Identity: status.Identity, Address: c.options.Advertise,
+		Name: c.options.Name, Identity: status.Identity, Epoch: status.Epoch, Address: c.options.Advertise,
 		Role: status.Role.String(), Commit: status.Commit, Applied: status.Applied,
 		Lease: status.LeaseRemaining, Founded: status.Founded, Outside: status.Outside,
 		Group: c.members(), State: c.machine.size(),
--- a/control/leader.go
+++ b/control/leader.go
@@ -131,8 +131,11 @@
 }
 
 func changeOf(a membership.Action) replica.MemberChange {
-	if a.Promote == "" {
+	switch {
+	case a.Promote == "":
 		return replica.MemberChange{Kind: replica.Remove, Member: replica.Member{Identity: a.Remove}}
+	case a.Remove == "":
+		return replica.MemberChange{Kind: replica.Promote, Member: replica.Member{Identity: a.Promote}}
 	}
 	return replica.MemberChange{Kind: replica.Replace, Member: replica.Member{Identity: a.Promote}, Replaces: a.Remove}
 }
--- /dev/null
+++ b/control/recover.go
@@ -0,0 +1,26 @@
+package control
+
+import (
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/replica"
+)
+
+// Recover makes the stopped member with these options the only voter of a new
+// membership epoch. It is for a group that has lost its quorum for good: changes
+// and claims that only the lost members had committed are gone. Identity and epoch
+// must be those of the surviving member, so that the command cannot be run at the
+// wrong member or twice.
+func Recover(options Options, identity string, epoch uint64) error {
+	err := replica.Recover(replica.Options{
+		Name:    options.Name,
+		Address: options.Advertise,
+		Folder:  filepath.Join(options.Folder, logFolder),
+		Clock:   options.Clock,
+		Machine: NewMachine(),
+		Log:     options.Logger.Log,
+	}, replica.Guard{Identity: identity, Epoch: epoch})
+	return errors.Wrapf(err, "cannot recover from %s", options.Folder)
+}
--- a/control/start.go
+++ b/control/start.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/membership"
 	"github.com/galenaslip/galenaslip/replica"
 )
 
@@ -25,8 +26,6 @@
 	// leaderless is how long a member waits for a leader before it asks whether
 	// it still belongs to the group. Elections end earlier.
 	leaderless = 5 * clock.Second
-	// maxVoters is the size of the voting group: one in each of three zones.
-	maxVoters = 3
 )
 
 // life is one life of the data folder: a log with its identity.
@@ -66,7 +65,7 @@
 	}
 	distinct := lo.UniqBy(o.Members, func(m Member) string { return m.AvailabilityZone })
 	others := lo.Without(o.Members, distinct...)
-	wanted := min(maxVoters, len(o.Members)-(len(o.Members)+1)%2)
+	wanted := min(membership.Voters, len(o.Members)-(len(o.Members)+1)%2)
 	return lo.Map(append(distinct, others...)[:wanted], func(m Member, _ int) replica.Member {
 		return replica.Member{Name: m.Name, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Voter: true}
 	})
--- a/membership/policy.go
+++ b/membership/policy.go
@@ -9,6 +9,9 @@
 	"github.com/galenaslip/galenaslip/clock"
 )
 
+// Voters is the size of the voting group: one in each of three zones.
+const Voters = 3
+
 // Times and bounds of the policy.
 const (
 	// LostAfter is how long a voter is silent before it is replaced. A restart
@@ -36,8 +39,8 @@
 	Behind           uint64       // committed entries that it lacks
 }
 
-// Action is one membership change: Remove leaves, and Promote, unless empty,
-// becomes a voter in the same change.
+// Action is one membership change: Remove, unless empty, leaves, and Promote,
+// unless empty, becomes a voter in the same change.
 type Action struct {
 	Remove  string
 	Promote string
@@ -77,6 +80,9 @@
 	if action, ok := replaceLost(members, learners); ok {
 		return action, true
 	}
+	if action, ok := addVoter(members, learners); ok {
+		return action, true
+	}
 	return removeSuperseded(members)
 }
 
@@ -105,6 +111,16 @@
 	return Action{}, false
 }
 
+// addVoter fills the group up to its voters after a recovery left it with one. Two
+// voters survive no loss, so the first is added only when the second is at hand.
+func addVoter(members, learners []Member) (Action, bool) {
+	voters := lo.CountBy(members, func(m Member) bool { return m.Voter })
+	if voters >= Voters || len(learners) < Voters-voters {
+		return Action{}, false
+	}
+	return Action{Promote: choose(Member{}, members, learners).Identity}, true
+}
+
 // removeSuperseded removes a lost learner whose VM has returned under a new
 // identity.
 func removeSuperseded(members []Member) (Action, bool) {
