--- a/commands/path_test.go
+++ b/commands/path_test.go
@@ -31,6 +31,8 @@
 		t.Errorf("whole answer: got %q (%v), want %q", got, err, want)
 	}
 	s.checkPosting(t, c)
+	s.checkRefusal(t, c)
+	s.checkMetrics(t)
 	for _, p := range append(s.entryProcess, s.controls...) {
 		if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
 			t.Fatal(err)
@@ -64,6 +66,17 @@
 	}
 }
 
+// checkRefusal sends a request with an unknown class.
+func (s *site) checkRefusal(t *testing.T, c *caller.Caller) {
+	t.Helper()
+	r := posting(s.entries[0], "")
+	r.Class = "unknown"
+	got, err := c.Call(r)
+	if err != nil || got.Outcome != outcome.NotRun || !strings.Contains(got.Text, "unknown") {
+		t.Errorf("unknown class: got %+v (%v), want not_run with the class in the message", got, err)
+	}
+}
+
 // runs returns how often the ledger ran each key.
 func (s *site) runs(t *testing.T) map[string]int {
 	t.Helper()
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/placement"
 	"github.com/galenaslip/galenaslip/replica"
 )
 
@@ -27,7 +28,12 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: "galenaslip_control_" + name, Help: help})
 	}
 	byKind := func(name, help string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenaslip_control_" + name, Help: help}, []string{"kind"})
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenaslip_control_" + name, Help: help}, []string{"kind"})
+		// A counter that shows only after its first event cannot be told from one
+		// that does not exist.
+		v.WithLabelValues(string(placement.LoadModel))
+		v.WithLabelValues(string(placement.ChangeRole))
+		return v
 	}
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
