token, commands: share the token check and the list commands

Cause: the token check stood in control and entry, and three list commands repeated the same steps. Change: package token; newList builds the commands that print a table.

--- a/commands/class.go
+++ b/commands/class.go
@@ -11,7 +11,6 @@
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
-	"github.com/galenaslip/galenaslip/control"
 )
 
 func newClass() *cobra.Command {
@@ -25,22 +24,7 @@
 }
 
 func newClassList() *cobra.Command {
-	c := &cobra.Command{
-		Use:   "list",
-		Short: "List the classes with their targets and tiers",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			return withClient(c, func(client *control.Client) error {
-				current, reply := client.Configuration(c.Context())
-				if err := replyFailure(reply); err != nil {
-					return err
-				}
-				return classTable(current).print(c)
-			})
-		},
-	}
-	addOutputFlag(c)
-	return c
+	return newList("list", "List the classes with their targets and tiers", tableOf(classTable))
 }
 
 type classView struct {
--- a/commands/client.go
+++ b/commands/client.go
@@ -1,10 +1,13 @@
 package commands
 
 import (
+	"context"
+
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/setting"
@@ -62,3 +65,32 @@
 	}
 	return string(r.Reason)
 }
+
+// newList returns a command that prints a table of what the control group
+// answers.
+func newList(use, short string, read func(context.Context, *control.Client) (table, control.Reply)) *cobra.Command {
+	c := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return withClient(c, func(client *control.Client) error {
+				t, reply := read(c.Context(), client)
+				if err := replyFailure(reply); err != nil {
+					return err
+				}
+				return t.print(c)
+			})
+		},
+	}
+	addOutputFlag(c)
+	return c
+}
+
+// tableOf makes a reader of the configuration from a function that shows it.
+func tableOf(show func(configuration.Configuration) table) func(context.Context, *control.Client) (table, control.Reply) {
+	return func(ctx context.Context, client *control.Client) (table, control.Reply) {
+		current, reply := client.Configuration(ctx)
+		return show(current), reply
+	}
+}
--- a/commands/config.go
+++ b/commands/config.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 
@@ -76,22 +77,11 @@
 }
 
 func newConfigHistory() *cobra.Command {
-	c := &cobra.Command{
-		Use:   "history",
-		Short: "List the accepted changes, oldest first",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			return withClient(c, func(client *control.Client) error {
-				records, reply := client.History(c.Context())
-				if err := replyFailure(reply); err != nil {
-					return err
-				}
-				return historyTable(records).print(c)
-			})
-		},
-	}
-	addOutputFlag(c)
-	return c
+	return newList("history", "List the accepted changes, oldest first",
+		func(ctx context.Context, client *control.Client) (table, control.Reply) {
+			records, reply := client.History(ctx)
+			return historyTable(records), reply
+		})
 }
 
 func historyTable(records []configuration.Record) table {
--- a/commands/stop.go
+++ b/commands/stop.go
@@ -10,7 +10,6 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
-	"github.com/galenaslip/galenaslip/control"
 )
 
 func newStop() *cobra.Command {
@@ -51,22 +50,7 @@
 }
 
 func newStopList() *cobra.Command {
-	c := &cobra.Command{
-		Use:   "list",
-		Short: "List the planned stops in force",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			return withClient(c, func(client *control.Client) error {
-				current, reply := client.Configuration(c.Context())
-				if err := replyFailure(reply); err != nil {
-					return err
-				}
-				return stopTable(current).print(c)
-			})
-		},
-	}
-	addOutputFlag(c)
-	return c
+	return newList("list", "List the planned stops in force", tableOf(stopTable))
 }
 
 type stopView struct {
--- a/control/token.go
+++ b/control/token.go
@@ -1,12 +1,9 @@
 package control
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"net"
-	"strings"
-
 	"github.com/gofiber/fiber/v3"
+
+	"github.com/galenaslip/galenaslip/token"
 )
 
 // tokens guards the API. Without a token its part of the API is served on
@@ -28,25 +25,10 @@
 func (t tokens) allow(c fiber.Ctx, r role) bool {
 	switch r {
 	case operators:
-		return matches(c, t.operator)
+		return token.Matches(c, t.operator)
 	case peersOnly:
-		return matches(c, t.peer)
+		return token.Matches(c, t.peer)
 	default:
-		return matches(c, t.operator) || matches(c, t.peer)
-	}
-}
-
-func matches(c fiber.Ctx, token string) bool {
-	if token == "" {
-		ip := net.ParseIP(c.IP())
-		return ip != nil && ip.IsLoopback()
-	}
-	given, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
-	if !ok {
-		return false
+		return token.Matches(c, t.operator) || token.Matches(c, t.peer)
 	}
-	// Hashes have equal lengths, so the comparison takes the same time for
-	// every given token.
-	want, got := sha256.Sum256([]byte(token)), sha256.Sum256([]byte(given))
-	return subtle.ConstantTimeCompare(want[:], got[:]) == 1
 }
--- a/entry/token.go
+++ b/entry/token.go
@@ -1,23 +1,19 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"net"
-	"strings"
-
 	"github.com/gofiber/fiber/v3"
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/token"
 )
 
 // guard refuses calls without the token. An empty token admits loopback
 // addresses only.
-func (e *Entry) guard(token string) fiber.Handler {
+func (e *Entry) guard(want string) fiber.Handler {
 	return func(c fiber.Ctx) error {
-		if admitted(c, token) {
+		if token.Matches(c, want) {
 			return c.Next()
 		}
 		e.metrics.strangers.Inc()
@@ -26,17 +22,3 @@
 		return p.withStatus(fiber.StatusUnauthorized).write(c)
 	}
 }
-
-func admitted(c fiber.Ctx, token string) bool {
-	if token == "" {
-		ip := net.ParseIP(c.IP())
-		return ip != nil && ip.IsLoopback()
-	}
-	given, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
-	if !ok {
-		return false
-	}
-	// Hashes of equal length hide the token's length from timing.
-	want, got := sha256.Sum256([]byte(token)), sha256.Sum256([]byte(given))
-	return subtle.ConstantTimeCompare(want[:], got[:]) == 1
-}
--- /dev/null
+++ b/token/token.go
@@ -0,0 +1,28 @@
+// Package token checks the bearer tokens of calls between processes.
+package token
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+)
+
+// Matches reports whether a call carries the wanted bearer token. When none is
+// wanted, only calls from loopback addresses match.
+func Matches(c fiber.Ctx, want string) bool {
+	if want == "" {
+		ip := net.ParseIP(c.IP())
+		return ip != nil && ip.IsLoopback()
+	}
+	given, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if !ok {
+		return false
+	}
+	// Hashes have equal lengths, so the comparison takes the same time for every
+	// given token.
+	wanted, got := sha256.Sum256([]byte(want)), sha256.Sum256([]byte(given))
+	return subtle.ConstantTimeCompare(wanted[:], got[:]) == 1
+}
