admission: serve work that has missed its target last

Ruled out: the size of the queue alone; any queue longer than the target has it. Change: a workspace's items whose deadline has passed go behind the others; work that was taken before keeps its place, because it holds tokens. The starvation rule still serves the oldest.

--- a/admission/group.go
+++ b/admission/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/galenaslip/galenaslip/class"
+	"github.com/galenaslip/galenaslip/clock"
 )
 
 // queued is an item in the queue with its position in each order.
@@ -15,6 +16,9 @@
 	line      *line
 	workspace *workspace
 
+	// late marks work in the workspace's late order.
+	late bool
+
 	byDeadline, byTurn, byArrival, byNewest int
 }
 
@@ -36,9 +40,46 @@
 type workspace struct {
 	name string
 	// turn orders the workspaces of a group: each is served once per round.
-	turn     uint64
-	items    ordered[*queued]
-	position int
+	turn uint64
+	// timely and late hold the items in order of their deadlines. Late items have
+	// missed theirs and go last: under overload, serving them first would make
+	// every later item late as well.
+	timely, late ordered[*queued]
+	position     int
+}
+
+func newWorkspace(name string, turn uint64) *workspace {
+	items := ordered[*queued]{
+		before:   (*queued).sooner,
+		position: func(e *queued) *int { return &e.byTurn },
+	}
+	return &workspace{name: name, turn: turn, timely: items, late: items}
+}
+
+func (w *workspace) len() int { return w.timely.Len() + w.late.Len() }
+
+func (w *workspace) remove(e *queued) {
+	if e.late {
+		w.late.remove(e)
+		return
+	}
+	w.timely.remove(e)
+}
+
+// next returns the item with the soonest deadline that has not passed, or the
+// soonest of all when every deadline has. Work that was taken before counts as
+// timely: it holds tokens that would be wasted.
+func (w *workspace) next(now clock.Millis) *queued {
+	for w.timely.Len() > 0 {
+		e := w.timely.first()
+		if e.pinned || e.Deadline >= now {
+			return e
+		}
+		w.timely.remove(e)
+		e.late = true
+		w.late.add(e)
+	}
+	return w.late.first()
 }
 
 // group holds the waiting items of one class in one pool.
@@ -81,17 +122,14 @@
 	}
 	e.group = g
 	e.workspace = w
-	w.items.add(e)
+	w.timely.add(e)
 }
 
 // join adds a workspace behind those that wait already, so that one that comes
 // and goes is still served at most once per round.
 func (g *group) join(name string) *workspace {
 	g.rounds++
-	w := &workspace{name: name, turn: g.rounds, items: ordered[*queued]{
-		before:   (*queued).sooner,
-		position: func(e *queued) *int { return &e.byTurn },
-	}}
+	w := newWorkspace(name, g.rounds)
 	g.workspaces[name] = w
 	g.turns.add(w)
 	return w
@@ -101,22 +139,22 @@
 	g.deadlines.remove(e)
 	g.arrivals.remove(e)
 	w := e.workspace
-	w.items.remove(e)
-	if w.items.Len() > 0 {
+	w.remove(e)
+	if w.len() > 0 {
 		return
 	}
 	g.turns.remove(w)
 	delete(g.workspaces, w.name)
 }
 
-// next returns the soonest item of the workspace whose turn it is.
-func (g *group) next() *queued {
-	return g.turns.first().items.first()
+// next returns the next item of the workspace whose turn it is.
+func (g *group) next(now clock.Millis) *queued {
+	return g.turns.first().next(now)
 }
 
 // served moves a workspace that still waits to the end of the round.
 func (g *group) served(w *workspace) {
-	if w.items.Len() == 0 {
+	if w.len() == 0 {
 		return
 	}
 	g.rounds++
--- a/admission/lateness.go
+++ b/admission/lateness.go
@@ -60,11 +60,11 @@
 func (g *group) aheadOf(name string) int {
 	own := 0
 	if w, ok := g.workspaces[name]; ok {
-		own = w.items.Len()
+		own = w.len()
 	}
 	n := 0
 	for _, w := range g.workspaces {
-		n += min(w.items.Len(), own+1)
+		n += min(w.len(), own+1)
 	}
 	return n
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -93,7 +93,7 @@
 		p.pass(now)
 		return Item{}, false
 	}
-	return q.take(now, p, best.next(), false), true
+	return q.take(now, p, best.next(now), false), true
 }
 
 // Waiting sums up the queue by pool and tier, in that order.
