--- a/claim/once_test.go
+++ b/claim/once_test.go
@@ -62,7 +62,7 @@
 // the holder's lease; a lease that it finds expired may belong to a frozen entry.
 func (w *world) deliver(t *rapid.T) {
 	if len(w.network) == 0 {
-		t.Skip("no command on its way")
+		return
 	}
 	i := rapid.IntRange(0, len(w.network)-1).Draw(t, "delivery")
 	d := w.network[i]
@@ -105,31 +105,45 @@
 	w.send(c, claim.Settle{Key: c.key, Attempt: c.attempt, State: claim.NotRun})
 }
 
-func (w *world) pick(t *rapid.T, steps ...string) *call {
+// pick returns one of the calls at these steps, if there are any.
+func (w *world) pick(t *rapid.T, steps ...string) (*call, bool) {
 	ready := slices.DeleteFunc(slices.Clone(w.calls), func(c *call) bool { return !slices.Contains(steps, c.step) })
 	if len(ready) == 0 {
-		t.Skip("no call at this step")
+		return nil, false
 	}
-	return rapid.SampledFrom(ready).Draw(t, "call")
+	return rapid.SampledFrom(ready).Draw(t, "call"), true
 }
 
 func (w *world) markSent(t *rapid.T) {
-	c := w.pick(t, "claimed")
+	c, ok := w.pick(t, "claimed")
+	if !ok {
+		return
+	}
 	c.step = "sending"
 	w.send(c, claim.Send{Key: c.key, Attempt: c.attempt})
 }
 
 func (w *world) resend(t *rapid.T) {
-	c := w.pick(t, "sending")
+	c, ok := w.pick(t, "sending")
+	if !ok {
+		return
+	}
 	w.send(c, claim.Send{Key: c.key, Attempt: c.attempt})
 }
 
-func (w *world) giveUp(t *rapid.T) { w.pick(t, "claiming", "claimed", "sending").refuse(w) }
+func (w *world) giveUp(t *rapid.T) {
+	if c, ok := w.pick(t, "claiming", "claimed", "sending"); ok {
+		c.refuse(w)
+	}
+}
 
 // write sends the first byte. The service may refuse by protocol, run the call
 // and answer, or run it while the answer is lost.
 func (w *world) write(t *rapid.T) {
-	c := w.pick(t, "sent")
+	c, ok := w.pick(t, "sent")
+	if !ok {
+		return
+	}
 	if rapid.IntRange(0, 3).Draw(t, "service") == 0 {
 		c.refuse(w)
 		return
@@ -140,7 +154,10 @@
 }
 
 func (w *world) settle(t *rapid.T) {
-	c := w.pick(t, "written")
+	c, ok := w.pick(t, "written")
+	if !ok {
+		return
+	}
 	c.step = "done"
 	state := rapid.SampledFrom([]claim.State{claim.Answered, claim.Unknown}).Draw(t, "state")
 	w.send(c, claim.Settle{Key: c.key, Attempt: c.attempt, State: state, Answer: claim.Answer{Status: 200, Body: []byte(c.key)}})
@@ -161,7 +178,7 @@
 func (w *world) expire(t *rapid.T) {
 	owners := w.machine.Owners()
 	if len(owners) == 0 {
-		t.Skip("no sent claim")
+		return
 	}
 	w.network = append(w.network, delivery{command: claim.OwnerGone{Owner: rapid.SampledFrom(owners).Draw(t, "owner")}})
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -89,7 +89,7 @@
 func (w *world) elect(t *rapid.T) {
 	former := w.leader()
 	if w.at < former.leaseUntil {
-		t.Skip("the leader lease lasts")
+		return
 	}
 	m := &member{process: drawProcess(t), grantor: lease.NewGrantor(), applied: former.applied, term: former.term + 1}
 	m.grantor.Lead(m.clock(w.at), m.term)
@@ -118,7 +118,7 @@
 // deliver lets any message arrive, at any member that ever led.
 func (w *world) deliver(t *rapid.T) {
 	if len(w.network) == 0 {
-		t.Skip("no message on its way")
+		return
 	}
 	i := rapid.IntRange(0, len(w.network)-1).Draw(t, "message")
 	m := w.network[i]
