usage, load: report what processes use during a run

Cause: the load tool could not tell the processor time of entries that run as processes of their own, and the code that reads it stood in a test.

--- a/commands/load.go
+++ b/commands/load.go
@@ -14,6 +14,7 @@
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/load"
 	"github.com/galenaslip/galenaslip/site"
+	"github.com/galenaslip/galenaslip/usage"
 )
 
 // loadFlags are the flags of the load command.
@@ -22,6 +23,7 @@
 	rounds   int
 	folder   string
 	leases   bool
+	pids     []int
 }
 
 func newLoad() *cobra.Command {
@@ -43,6 +45,7 @@
 	c.Flags().StringSliceVar(&f.policies, "policy", nil, `run the site in this process with these policies: "real", "naive"`)
 	c.Flags().IntVar(&f.rounds, "rounds", 1, "repetitions, with --policy")
 	c.Flags().BoolVar(&f.leases, "slot-leases", true, "let one entry for each server hand out its slots, with --policy")
+	c.Flags().IntSliceVar(&f.pids, "pid", nil, "processes whose processor time, bytes and memory are reported")
 	c.Flags().StringVar(&f.folder, "report-folder", "", "folder for the reports as JSON and HTML")
 	return c
 }
@@ -82,14 +85,24 @@
 }
 
 func (f loadFlags) measure(c *cobra.Command, s load.Scenario, name string) error {
-	report, err := load.Run(c.Context(), load.Options{Scenario: s, Clock: clock.New(), Answer: load.StandInAnswer})
+	now := clock.New()
+	before, err := readUsage(f.pids, now)
+	if err != nil {
+		return err
+	}
+	report, err := load.Run(c.Context(), load.Options{Scenario: s, Clock: now, Answer: load.StandInAnswer})
 	if err != nil {
 		return fail(ExitFailed, err)
 	}
+	after, err := readUsage(f.pids, now)
+	if err != nil {
+		return err
+	}
 	fmt.Fprintf(c.OutOrStdout(), "== %s\n", name)
 	if err := report.WriteTable(c.OutOrStdout()); err != nil {
 		return err
 	}
+	printUsage(c.OutOrStdout(), f.pids, before, after)
 	if f.folder != "" {
 		if err := f.writeFiles(report, name); err != nil {
 			return fail(ExitFailed, err)
@@ -101,6 +114,27 @@
 	return nil
 }
 
+func readUsage(pids []int, c clock.Clock) ([]usage.Usage, error) {
+	read := make([]usage.Usage, 0, len(pids))
+	for _, pid := range pids {
+		u, err := usage.Read(pid, c.Now())
+		if err != nil {
+			return nil, fail(ExitUsage, errors.Wrapf(err, "process %d", pid))
+		}
+		read = append(read, u)
+	}
+	return read, nil
+}
+
+// printUsage prints what each process used during the run.
+func printUsage(w io.Writer, pids []int, before, after []usage.Usage) {
+	for i, pid := range pids {
+		rate := after[i].Since(before[i])
+		fmt.Fprintf(w, "process %d: %.1f%% of a core, %.1f KB/s, %.1f MB\n",
+			pid, rate.CorePercent, rate.BytesPerSecond/1000, float64(rate.ResidentBytes)/1e6)
+	}
+}
+
 func (f loadFlags) writeFiles(report load.Report, name string) error {
 	if err := os.MkdirAll(f.folder, 0o755); err != nil {
 		return errors.Wrap(err, "cannot make the report folder")
