commands: share the start of processes and of stand-ins

Cause: serve entry and serve control, and the two stand-in commands, repeated the same steps from settings to stop. Change: serve and announceFlags.run hold these steps; messages are unchanged.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -65,19 +65,11 @@
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
-	injector, release, err := newInjector(settings.Process)
-	if err != nil {
-		return err
-	}
-	defer release()
-	do.ProvideValue(injector, settings)
-	do.Provide(injector, provideControlClient)
-	do.Provide(injector, provideEntry)
-	e, err := do.Invoke[*entry.Entry](injector)
-	if err != nil {
-		return fail(ExitFailed, errors.Wrap(err, "cannot start the entry"))
-	}
-	return runProcess(c.Context(), e, e.Stopped())
+	return serve(c, settings.Process, "the entry", (*entry.Entry).Stopped, func(i do.Injector) {
+		do.ProvideValue(i, settings)
+		do.Provide(i, provideControlClient)
+		do.Provide(i, provideEntry)
+	})
 }
 
 func serveControl(c *cobra.Command, path string) error {
@@ -85,18 +77,28 @@
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
-	injector, release, err := newInjector(settings.Process)
+	neverByItself := func(*control.Control) <-chan struct{} { return nil }
+	return serve(c, settings.Process, "the control process", neverByItself, func(i do.Injector) {
+		do.ProvideValue(i, settings)
+		do.Provide(i, provideControl)
+	})
+}
+
+// serve builds the process that register provides and runs it until it stops.
+func serve[P process](
+	c *cobra.Command, settings setting.Process, name string, stopped func(P) <-chan struct{}, register func(do.Injector),
+) error {
+	injector, release, err := newInjector(settings)
 	if err != nil {
 		return err
 	}
 	defer release()
-	do.ProvideValue(injector, settings)
-	do.Provide(injector, provideControl)
-	member, err := do.Invoke[*control.Control](injector)
+	register(injector)
+	p, err := do.Invoke[P](injector)
 	if err != nil {
-		return fail(ExitFailed, errors.Wrap(err, "cannot start the control process"))
+		return fail(ExitFailed, errors.Wrap(err, "cannot start "+name))
 	}
-	return runProcess(c.Context(), member, nil)
+	return runProcess(c.Context(), p, stopped(p))
 }
 
 // newInjector returns a container with the clock and the logger that every
--- a/commands/standin.go
+++ b/commands/standin.go
@@ -57,20 +57,11 @@
 		Example: "  galenaslip standin engine --name engine-1 --models m-small --announce-to 127.0.0.1:8080",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			announce, err := f.options()
-			if err != nil {
-				return err
-			}
-			logger, flush := event.New(f.name, event.Info)
-			defer flush()
-			o.Name, o.Listen, o.Announce = f.name, f.listen, announce
-			o.Clock, o.Logger, o.TokenTime = clock.New(), logger, clock.Millis(tokenTime)
-			engine, release, err := standin.NewEngine(o)
-			if err != nil {
-				return fail(ExitFailed, errors.Wrap(err, "cannot start the stand-in engine"))
-			}
-			defer release()
-			return runStandin(c.Context(), logger, engine)
+			return f.run(c, "the stand-in engine", func(announce standin.Announce, logger event.Logger) (standinServer, func(), error) {
+				o.Name, o.Listen, o.Announce = f.name, f.listen, announce
+				o.Clock, o.Logger, o.TokenTime = clock.New(), logger, clock.Millis(tokenTime)
+				return standin.NewEngine(o)
+			})
 		},
 	}
 	f.add(c.Flags(), "engine-1")
@@ -93,21 +84,12 @@
 		Example: "  galenaslip standin ledger --name ledger-1 --services ledger --announce-to 127.0.0.1:8080",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			announce, err := f.options()
-			if err != nil {
-				return err
-			}
-			logger, flush := event.New(f.name, event.Info)
-			defer flush()
-			service, release, err := standin.NewService(standin.ServiceOptions{
-				Name: f.name, Listen: f.listen, Services: services, Announce: announce,
-				Clock: clock.New(), Logger: logger, Latency: clock.Millis(latency),
+			return f.run(c, "the stand-in service", func(announce standin.Announce, logger event.Logger) (standinServer, func(), error) {
+				return standin.NewService(standin.ServiceOptions{
+					Name: f.name, Listen: f.listen, Services: services, Announce: announce,
+					Clock: clock.New(), Logger: logger, Latency: clock.Millis(latency),
+				})
 			})
-			if err != nil {
-				return fail(ExitFailed, errors.Wrap(err, "cannot start the stand-in service"))
-			}
-			defer release()
-			return runStandin(c.Context(), logger, service)
 		},
 	}
 	f.add(c.Flags(), "ledger-1")
@@ -155,9 +137,23 @@
 	Address() string
 }
 
-func runStandin(ctx context.Context, logger event.Logger, s standinServer) error {
+// run starts a stand-in and runs it until it is stopped.
+func (f *announceFlags) run(
+	c *cobra.Command, name string, start func(standin.Announce, event.Logger) (standinServer, func(), error),
+) error {
+	announce, err := f.options()
+	if err != nil {
+		return err
+	}
+	logger, flush := event.New(f.name, event.Info)
+	defer flush()
+	s, release, err := start(announce, logger)
+	if err != nil {
+		return fail(ExitFailed, errors.Wrap(err, "cannot start "+name))
+	}
+	defer release()
 	logger.Log(event.ProcessStarted, zap.String("address", s.Address()))
-	err := runProcess(ctx, s, nil)
+	err = runProcess(c.Context(), s, nil)
 	logger.Log(event.ProcessStopped)
 	return err
 }
