--- a/clock/clock.go
+++ b/clock/clock.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point in time or a duration in milliseconds. Points in time come
@@ -43,7 +45,7 @@
 
 // New returns a clock that reads the machine's time.
 func New() Clock {
-	return Clock{source: &systemSource{start: time.Now()}}
+	return Clock{source: &systemSource{start: sinceBoot()}}
 }
 
 // Now returns the monotonic time since the clock was made.
@@ -84,12 +86,23 @@
 	}
 }
 
+// systemSource reads the clock that goes on while the VM is suspended. A lease
+// that is measured without that time would outlive its grant.
 type systemSource struct {
-	start time.Time
+	start time.Duration
 }
 
 func (s *systemSource) now() Millis {
-	return FromDuration(time.Since(s.start))
+	return FromDuration(sinceBoot() - s.start)
+}
+
+// sinceBoot returns the time since the VM started, suspended time included.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // every supported kernel has this clock
+	}
+	return time.Duration(t.Nano())
 }
 
 func (s *systemSource) wall() Millis {
--- a/control/start.go
+++ b/control/start.go
@@ -12,9 +12,9 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
-	"github.com/galenaslip/galenaslip/journal"
 	"github.com/galenaslip/galenaslip/membership"
 	"github.com/galenaslip/galenaslip/replica"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // logFolder is the folder of the replicated log under the data folder.
@@ -120,7 +120,7 @@
 	former := c.log.Load()
 	c.options.Logger.Log(event.MemberJoining, zap.String("former", former.Status().Identity))
 	former.release()
-	err := replica.Abandon(journal.Disk{}, filepath.Join(c.options.Folder, logFolder))
+	err := replica.Abandon(storage.Disk{}, filepath.Join(c.options.Folder, logFolder))
 	if err == nil {
 		c.machine.reset()
 		err = c.openLog()
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -11,8 +11,8 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
-	"github.com/galenaslip/galenaslip/journal"
 	"github.com/galenaslip/galenaslip/replica"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // command is about as long as a claim.
@@ -140,28 +140,28 @@
 // tenths of them.
 func fillFolder(b *testing.B, folder string, records uint64, snapshot bool) {
 	b.Helper()
-	j, _, release, err := journal.Open(journal.Options{Folder: folder, Owner: "a"})
+	j, _, release, err := storage.Open(storage.Options{Folder: folder, Owner: "a"})
 	if err != nil {
 		b.Fatal(err)
 	}
 	defer release()
 	founders := replica.EncodeFounders([]replica.Member{{Identity: "a", Name: "a", Address: "a", Voter: true}, {Identity: "b", Name: "b", Address: "b", Voter: true}})
-	vote := journal.Vote{Term: 1, Identity: "a", Epoch: 1, Life: "a", Founders: founders, Lives: map[string]string{"a": "a", "b": "b"}}
+	vote := storage.Vote{Term: 1, Identity: "a", Epoch: 1, Life: "a", Founders: founders, Lives: map[string]string{"a": "a", "b": "b"}}
 	if err := j.SaveVote(vote); err != nil {
 		b.Fatal(err)
 	}
 	machine := &list{}
 	for i := uint64(1); i <= records; i += 10 {
-		var batch []journal.Entry
+		var batch []storage.Entry
 		for k := i; k < i+10; k++ {
 			machine.Apply(k, command)
-			batch = append(batch, journal.Entry{Index: k, Term: 1, Data: command})
+			batch = append(batch, storage.Entry{Index: k, Term: 1, Data: command})
 		}
 		if err := j.Append(batch); err != nil {
 			b.Fatal(err)
 		}
 		if snapshot && i == records/10*9+1 {
-			s := journal.Snapshot{Index: i + 9, Term: 1, Members: founders, Data: machine.Snapshot()}
+			s := storage.Snapshot{Index: i + 9, Term: 1, Members: founders, Data: machine.Snapshot()}
 			if err := j.SaveSnapshot(s, false); err != nil {
 				b.Fatal(err)
 			}
--- a/replica/codec.go
+++ b/replica/codec.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 var kindNames = map[MessageKind]string{
@@ -96,7 +96,7 @@
 		if e.Index != w.Index+uint64(i)+1 {
 			return Message{}, errors.Errorf("replica: entry %d does not follow entry %d", e.Index, w.Index+uint64(i))
 		}
-		m.Entries = append(m.Entries, journal.Entry(e))
+		m.Entries = append(m.Entries, storage.Entry(e))
 	}
 	return m, nil
 }
--- a/replica/core.go
+++ b/replica/core.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // Role is what a member does in the current term.
@@ -76,9 +76,9 @@
 
 // batch is what must be durable before its messages may be sent.
 type batch struct {
-	vote     *journal.Vote
-	entries  []journal.Entry
-	snapshot *journal.Snapshot
+	vote     *storage.Vote
+	entries  []storage.Entry
+	snapshot *storage.Snapshot
 	reset    bool // the snapshot replaces the log and comes before the entries
 	messages []envelope
 }
@@ -89,8 +89,8 @@
 
 // task is work for the state machine: a snapshot to restore or entries to apply.
 type task struct {
-	restore *journal.Snapshot
-	entries []journal.Entry
+	restore *storage.Snapshot
+	entries []storage.Entry
 }
 
 // placedMembership is a membership with the index of its entry.
@@ -104,9 +104,9 @@
 	options coreOptions
 	random  *rand.Rand
 
-	vote        journal.Vote // term, vote, identity and epoch
+	vote        storage.Vote // term, vote, identity and epoch
 	log         entryLog
-	snapshot    journal.Snapshot
+	snapshot    storage.Snapshot
 	memberships []placedMembership // of the log's entries, oldest first; never empty
 	founded     bool               // the founding members' folders are known
 	outside     bool               // another member says that this one is not in the group
@@ -115,7 +115,7 @@
 	leader      Member
 	commit      uint64
 	handed      uint64 // entries handed to the state machine
-	restore     *journal.Snapshot
+	restore     *storage.Snapshot
 	lastHeard   clock.Millis // from a leader, or start
 	electionDue clock.Millis
 	granted     map[string]bool
@@ -127,7 +127,7 @@
 
 	dirtyVote   bool
 	unsaved     uint64 // first entry that was not handed to the disk
-	newSnapshot *journal.Snapshot
+	newSnapshot *storage.Snapshot
 	resetLog    bool
 	queued      []envelope // sent after the next batch
 	ready       []envelope // may be sent at once
@@ -136,7 +136,7 @@
 	stable      uint64 // entries that are durable here
 }
 
-func newCore(now clock.Millis, options coreOptions, state journal.State) (*core, error) {
+func newCore(now clock.Millis, options coreOptions, state storage.State) (*core, error) {
 	c := &core{
 		options: options,
 		// Members that were given equal seeds must not campaign in step.
@@ -185,7 +185,7 @@
 }
 
 // noteMembership puts a membership entry in force, committed or not.
-func (c *core) noteMembership(e journal.Entry) error {
+func (c *core) noteMembership(e storage.Entry) error {
 	if e.Kind != entryMembership {
 		return nil
 	}
@@ -484,7 +484,7 @@
 }
 
 // persist writes a batch. One sync covers all entries.
-func persist(j *journal.Journal, b batch) error {
+func persist(j *storage.Journal, b batch) error {
 	if b.vote != nil {
 		if err := j.SaveVote(*b.vote); err != nil {
 			return err
@@ -505,7 +505,7 @@
 }
 
 // appendEntries adds entries at the end of the log.
-func (c *core) appendEntries(entries []journal.Entry) {
+func (c *core) appendEntries(entries []storage.Entry) {
 	for _, e := range entries {
 		c.log.entries = append(c.log.entries, e)
 		if err := c.noteMembership(e); err != nil {
--- a/replica/export_test.go
+++ b/replica/export_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/galenaslip/galenaslip/clock"
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // Core gives the simulation access to the protocol without its goroutines.
@@ -19,7 +19,7 @@
 }
 
 // OpenCore opens a folder and returns the core and journal of a member.
-func OpenCore(now clock.Millis, o CoreOptions) (*Core, *journal.Journal, journal.State, func(), error) {
+func OpenCore(now clock.Millis, o CoreOptions) (*Core, *storage.Journal, storage.State, func(), error) {
 	options := withDefaults(o.Options)
 	j, state, release, err := openJournal(options)
 	if err != nil {
@@ -95,7 +95,7 @@
 }
 
 // Task returns the next work for the state machine.
-func (c *Core) Task() (*journal.Snapshot, []journal.Entry, bool) {
+func (c *Core) Task() (*storage.Snapshot, []storage.Entry, bool) {
 	t, ok := c.core.takeTask()
 	return t.restore, t.entries, ok
 }
@@ -136,7 +136,7 @@
 }
 
 // Log returns the entries in memory and the index before the first.
-func (c *Core) Log() (uint64, []journal.Entry) { return c.core.log.base, c.core.log.entries }
+func (c *Core) Log() (uint64, []storage.Entry) { return c.core.log.base, c.core.log.entries }
 
 // Commit returns the commit index.
 func (c *Core) Commit() uint64 { return c.core.commit }
--- a/replica/guarantee_test.go
+++ b/replica/guarantee_test.go
@@ -6,9 +6,9 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/galenaslip/galenaslip/journal"
-	"github.com/galenaslip/galenaslip/journal/journaltest"
 	"github.com/galenaslip/galenaslip/replica"
+	"github.com/galenaslip/galenaslip/storage"
+	"github.com/galenaslip/galenaslip/storage/storagetest"
 )
 
 // Guards against two leaders in a term or under a lease, logs that differ, lost
@@ -42,7 +42,7 @@
 	for step := 1; step < 120; step++ {
 		for _, name := range []int{0, 1} {
 			s := newSim(t, 5, 0, 3)
-			s.nodes[name].disk.Arm(step, journaltest.ErrCrashed)
+			s.nodes[name].disk.Arm(step, storagetest.ErrCrashed)
 			for range 150 {
 				s.advance()
 			}
@@ -57,9 +57,9 @@
 	s := emptySim(t, 1, 0, 2)
 	s.appendBytes = 1
 	// a and c each led once and appended an entry that reached no one.
-	s.store("a", 4, journal.Entry{Index: 1, Term: 1}, journal.Entry{Index: 2, Term: 2, Data: []byte("x")})
-	s.store("b", 1, journal.Entry{Index: 1, Term: 1})
-	s.store("c", 3, journal.Entry{Index: 1, Term: 1}, journal.Entry{Index: 2, Term: 3, Data: []byte("y")})
+	s.store("a", 4, storage.Entry{Index: 1, Term: 1}, storage.Entry{Index: 2, Term: 2, Data: []byte("x")})
+	s.store("b", 1, storage.Entry{Index: 1, Term: 1})
+	s.store("c", 3, storage.Entry{Index: 1, Term: 1}, storage.Entry{Index: 2, Term: 3, Data: []byte("y")})
 	a, b, c := s.nodes[0], s.nodes[1], s.nodes[2]
 	s.until(func() bool { return s.clock(b) > b.offset+simElection })
 	s.cuts["a>c"] = s.now + 100*simElection
@@ -89,7 +89,7 @@
 func TestVoteIsDurable(t *testing.T) {
 	s := emptySim(t, 1, 0, 2)
 	for _, name := range []string{"a", "b", "c"} {
-		s.store(name, 1, journal.Entry{Index: 1, Term: 1})
+		s.store(name, 1, storage.Entry{Index: 1, Term: 1})
 	}
 	a, b, c := s.nodes[0], s.nodes[1], s.nodes[2]
 	s.until(func() bool { return s.clock(b) > b.offset+simElection })
--- a/replica/log.go
+++ b/replica/log.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // Kinds of log entries.
@@ -16,7 +16,7 @@
 type entryLog struct {
 	base     uint64
 	baseTerm uint64
-	entries  []journal.Entry
+	entries  []storage.Entry
 }
 
 func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
@@ -45,7 +45,7 @@
 
 // slice returns the entries from first on, at least one if there is one, up to
 // the limit in bytes. The result must not be changed.
-func (l *entryLog) slice(first uint64, limit int) []journal.Entry {
+func (l *entryLog) slice(first uint64, limit int) []storage.Entry {
 	if first > l.last() {
 		return nil
 	}
@@ -75,7 +75,7 @@
 	}
 	term, _ := l.term(index)
 	rest := l.entries[index-l.base:]
-	l.entries = append(make([]journal.Entry, 0, len(rest)), rest...)
+	l.entries = append(make([]storage.Entry, 0, len(rest)), rest...)
 	l.base, l.baseTerm = index, term
 }
 
--- a/replica/message.go
+++ b/replica/message.go
@@ -1,6 +1,6 @@
 package replica
 
-import "github.com/galenaslip/galenaslip/journal"
+import "github.com/galenaslip/galenaslip/storage"
 
 // MessageKind is the kind of a message between members.
 type MessageKind uint8
@@ -57,7 +57,7 @@
 	Done     bool // last part of a snapshot
 	Members  []byte
 	Data     []byte
-	Entries  []journal.Entry
+	Entries  []storage.Entry
 	Life     string
 	Lives    map[string]string
 }
--- a/replica/recover.go
+++ b/replica/recover.go
@@ -5,7 +5,7 @@
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/event"
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // Guard is what the operator must know to recover a group. It keeps the command
@@ -23,7 +23,7 @@
 // the same guard.
 func Recover(options Options, guard Guard) error {
 	options = withDefaults(options)
-	j, state, release, err := journal.Open(journalOptions(options))
+	j, state, release, err := storage.Open(journalOptions(options))
 	if err != nil {
 		return err
 	}
@@ -42,7 +42,7 @@
 	return nil
 }
 
-func checkGuard(c *core, state journal.State, guard Guard) error {
+func checkGuard(c *core, state storage.State, guard Guard) error {
 	if state.Fresh {
 		return errors.New("replica: the folder is empty; there is nothing to recover")
 	}
@@ -75,17 +75,17 @@
 
 // recover writes the new membership as an entry of a new term. The vote with the
 // new epoch comes last; New refuses a folder where only the entry was written.
-func (c *core) recover(j *journal.Journal, o Options, epoch uint64) error {
+func (c *core) recover(j *storage.Journal, o Options, epoch uint64) error {
 	current := c.current().value
 	if current.epoch != epoch {
 		self, _ := current.find(c.identity())
 		self.Identity, self.Name, self.Address, self.Voter = c.identity(), o.Name, o.Address, true
 		next := membership{epoch: epoch, members: []Member{self}, lives: current.lives}
-		entry := journal.Entry{
+		entry := storage.Entry{
 			Index: c.log.last() + 1, Term: c.vote.Term + 1,
 			Kind: entryMembership, Data: encodeMembership(next),
 		}
-		if err := j.Append([]journal.Entry{entry}); err != nil {
+		if err := j.Append([]storage.Entry{entry}); err != nil {
 			return err
 		}
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -12,7 +12,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // Machine is the replicated state machine. It must be deterministic. Its methods
@@ -46,7 +46,7 @@
 	Seed      uint64 // election jitter
 	// Heartbeat and Election default to 100 ms and 1,000 ms.
 	Heartbeat, Election clock.Millis
-	FileSystem          journal.FileSystem // nil means the machine's disk
+	FileSystem          storage.FileSystem // nil means the machine's disk
 	SnapshotEvery       int                // entries between snapshots; 0 means DefaultSnapshotEvery
 	Log                 func(e event.Event, fields ...zap.Field)
 }
@@ -183,7 +183,7 @@
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
 	if o.FileSystem == nil {
-		o.FileSystem = journal.Disk{}
+		o.FileSystem = storage.Disk{}
 	}
 	if o.Log == nil {
 		o.Log = func(event.Event, ...zap.Field) {}
@@ -201,19 +201,19 @@
 	}
 }
 
-func journalOptions(o Options) journal.Options {
-	return journal.Options{Folder: o.Folder, Owner: o.Name, FileSystem: o.FileSystem}
+func journalOptions(o Options) storage.Options {
+	return storage.Options{Folder: o.Folder, Owner: o.Name, FileSystem: o.FileSystem}
 }
 
 // openJournal opens the folder and starts a new life in an empty one.
-func openJournal(o Options) (*journal.Journal, journal.State, func(), error) {
-	j, state, release, err := journal.Open(journalOptions(o))
-	if err != nil && journal.OutcomeOf(err) == journal.Damaged {
+func openJournal(o Options) (*storage.Journal, storage.State, func(), error) {
+	j, state, release, err := storage.Open(journalOptions(o))
+	if err != nil && storage.OutcomeOf(err) == storage.Damaged {
 		o.Log(event.JournalDamaged, zap.Error(err))
 		if err := Abandon(o.FileSystem, o.Folder); err != nil {
 			return nil, state, nil, err
 		}
-		j, state, release, err = journal.Open(journalOptions(o))
+		j, state, release, err = storage.Open(journalOptions(o))
 	}
 	if err != nil {
 		return nil, state, nil, err
@@ -236,14 +236,14 @@
 
 // Abandon sets the files of a folder aside, so that New starts under a new
 // identity. It is for a member that is outside the group for good.
-func Abandon(fileSystem journal.FileSystem, folder string) error {
-	return journal.SetAside(fileSystem, folder, uuid.NewString())
+func Abandon(fileSystem storage.FileSystem, folder string) error {
+	return storage.SetAside(fileSystem, folder, uuid.NewString())
 }
 
 // firstState stores the identity and the founding members before anything else.
-func firstState(o Options, j *journal.Journal, state journal.State) (journal.State, error) {
+func firstState(o Options, j *storage.Journal, state storage.State) (storage.State, error) {
 	identity, founders := firstIdentity(o, state.Aside)
-	state.Vote = journal.Vote{Identity: identity, Life: uuid.NewString()}
+	state.Vote = storage.Vote{Identity: identity, Life: uuid.NewString()}
 	if len(founders) > 0 {
 		state.Vote.Epoch = 1
 		state.Vote.Founders = encodeMembership(membership{epoch: 1, members: founders})
@@ -276,7 +276,7 @@
 }
 
 // checkEpoch notices a recovery that was interrupted between its two writes.
-func checkEpoch(state journal.State) error {
+func checkEpoch(state storage.State) error {
 	// A folder that joined and heard of no membership yet has epoch 0 there.
 	probe, err := newCore(0, coreOptions{election: 1}, state)
 	if err != nil {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -11,9 +11,9 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
-	"github.com/galenaslip/galenaslip/journal"
-	"github.com/galenaslip/galenaslip/journal/journaltest"
 	"github.com/galenaslip/galenaslip/replica"
+	"github.com/galenaslip/galenaslip/storage"
+	"github.com/galenaslip/galenaslip/storage/storagetest"
 )
 
 // list is a state machine that keeps every command.
@@ -90,7 +90,7 @@
 	clock    clock.Clock
 	wire     *wire
 	founders []replica.Member
-	disks    map[string]*journaltest.Disk
+	disks    map[string]*storagetest.Disk
 	machines map[string]*list
 	stops    map[string]func()
 	pause    func() // between looks at the members
@@ -102,7 +102,7 @@
 	g := &group{
 		tb: tb, clock: c,
 		wire:  &wire{members: map[string]*replica.Replica{}, bytes: map[string]int{}},
-		disks: map[string]*journaltest.Disk{}, machines: map[string]*list{}, stops: map[string]func(){},
+		disks: map[string]*storagetest.Disk{}, machines: map[string]*list{}, stops: map[string]func(){},
 		pause: runtime.Gosched,
 	}
 	for _, name := range names {
@@ -143,7 +143,7 @@
 
 func (g *group) options(name string) replica.Options {
 	if g.disks[name] == nil {
-		g.disks[name] = journaltest.New(uint64(name[0]))
+		g.disks[name] = storagetest.New(uint64(name[0]))
 	}
 	g.machines[name] = &list{}
 	return replica.Options{
@@ -287,8 +287,8 @@
 		t.Errorf("got %v, want unknown or committed", result.Kind)
 	}
 	until(func() bool { return r.Status().Failure != nil })
-	if got := journal.OutcomeOf(r.Status().Failure); got != journal.Full {
-		t.Errorf("failure: got %v, want %v", got, journal.Full)
+	if got := storage.OutcomeOf(r.Status().Failure); got != storage.Full {
+		t.Errorf("failure: got %v, want %v", got, storage.Full)
 	}
 	if result := r.Propose(context.Background(), []byte("y")); result.Kind != replica.NotLeader {
 		t.Errorf("got %v, want not leader", result.Kind)
@@ -375,7 +375,7 @@
 	g := newGroup(t, "a")
 	g.commit("one")
 	g.stop("a")
-	g.disks["a"].Arm(step, journaltest.ErrCrashed)
+	g.disks["a"].Arm(step, storagetest.ErrCrashed)
 	guard := replica.Guard{Identity: "a", Epoch: 1}
 	err := replica.Recover(g.options("a"), guard)
 	g.disks["a"].Restart(true)
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/galenaslip/galenaslip/clock"
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // peer is what the leader knows about another member.
@@ -14,7 +14,7 @@
 	sentAt      clock.Millis
 	heardAt     clock.Millis
 	round       uint64            // newest heartbeat round that it answered
-	snapshot    *journal.Snapshot // in transfer
+	snapshot    *storage.Snapshot // in transfer
 	offset      uint64
 }
 
@@ -59,13 +59,13 @@
 	if len(repeated.lives) == 0 {
 		repeated.lives = c.vote.Lives
 	}
-	c.appendOwn(now, []journal.Entry{{Kind: entryMembership, Data: encodeMembership(repeated)}})
+	c.appendOwn(now, []storage.Entry{{Kind: entryMembership, Data: encodeMembership(repeated)}})
 	c.heartbeat(now)
 	c.sendAll(now)
 }
 
 // appendOwn numbers entries and adds them to the leader's log.
-func (c *core) appendOwn(now clock.Millis, entries []journal.Entry) uint64 {
+func (c *core) appendOwn(now clock.Millis, entries []storage.Entry) uint64 {
 	first := c.log.last() + 1
 	for i := range entries {
 		entries[i].Index = first + uint64(i)
@@ -108,9 +108,9 @@
 	if !c.accepts() {
 		return 0, false
 	}
-	entries := make([]journal.Entry, len(commands))
+	entries := make([]storage.Entry, len(commands))
 	for i, command := range commands {
-		entries[i] = journal.Entry{Kind: entryCommand, Data: command}
+		entries[i] = storage.Entry{Kind: entryCommand, Data: command}
 	}
 	first := c.appendOwn(now, entries)
 	c.sendAll(now)
@@ -241,7 +241,7 @@
 }
 
 // takeEntries adds the leader's entries and drops those that differ.
-func (c *core) takeEntries(entries []journal.Entry) {
+func (c *core) takeEntries(entries []storage.Entry) {
 	for i, e := range entries {
 		if c.log.matches(e.Index, e.Term) {
 			continue
@@ -385,7 +385,7 @@
 }
 
 func (c *core) appendMembership(now clock.Millis, m membership) uint64 {
-	index := c.appendOwn(now, []journal.Entry{{Kind: entryMembership, Data: encodeMembership(m)}})
+	index := c.appendOwn(now, []storage.Entry{{Kind: entryMembership, Data: encodeMembership(m)}})
 	c.sendAll(now)
 	return index
 }
--- a/replica/runtime.go
+++ b/replica/runtime.go
@@ -8,7 +8,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 const (
@@ -110,7 +110,7 @@
 }
 
 // start runs the member's goroutines and returns a function that waits for them.
-func start(ctx context.Context, r *Replica, c *core, j *journal.Journal) func() {
+func start(ctx context.Context, r *Replica, c *core, j *storage.Journal) func() {
 	l := &loop{
 		replica:    r,
 		core:       c,
@@ -130,7 +130,7 @@
 	return group.Wait
 }
 
-func runWriter(ctx context.Context, j *journal.Journal, in <-chan batch, out chan<- written) {
+func runWriter(ctx context.Context, j *storage.Journal, in <-chan batch, out chan<- written) {
 	for {
 		select {
 		case b := <-in:
--- a/replica/simulation_test.go
+++ b/replica/simulation_test.go
@@ -14,9 +14,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/galenaslip/galenaslip/clock"
-	"github.com/galenaslip/galenaslip/journal"
-	"github.com/galenaslip/galenaslip/journal/journaltest"
 	"github.com/galenaslip/galenaslip/replica"
+	"github.com/galenaslip/galenaslip/storage"
+	"github.com/galenaslip/galenaslip/storage/storagetest"
 )
 
 const (
@@ -55,11 +55,11 @@
 // simNode is one member with its disk and clock.
 type simNode struct {
 	name    string
-	disk    *journaltest.Disk
+	disk    *storagetest.Disk
 	rate    float64 // of the clock, within 0.5% of 1
 	offset  clock.Millis
 	core    *replica.Core // nil while the process is down
-	journal *journal.Journal
+	journal *storage.Journal
 	batch   *replica.Batch
 	syncAt  clock.Millis
 	digest  digest
@@ -103,7 +103,7 @@
 	syncDelay   int // longest time of a write
 
 	leaders   map[string]string        // "epoch/term" to identity
-	committed map[uint64]journal.Entry // by index, as first seen
+	committed map[uint64]storage.Entry // by index, as first seen
 	models    map[uint64]digest        // naive single copy, after each index
 	newest    uint64
 	proposals int
@@ -124,14 +124,14 @@
 	s := &sim{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), loss: loss, delay: delay,
 		cuts: map[string]clock.Millis{}, leaders: map[string]string{},
-		committed: map[uint64]journal.Entry{}, models: map[uint64]digest{0: {}},
+		committed: map[uint64]storage.Entry{}, models: map[uint64]digest{0: {}},
 	}
 	s.appendBytes = []int{1, 300, 1 << 20}[s.random.IntN(3)]
 	s.syncDelay = []int{4, 4, 60}[s.random.IntN(3)]
 	uuid.SetRand(rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8), byte(seed >> 16), byte(seed >> 24)}))
 	for i, name := range []string{"a", "b", "c", "d"} {
 		n := &simNode{
-			name: name, disk: journaltest.New(seed + uint64(i)),
+			name: name, disk: storagetest.New(seed + uint64(i)),
 			rate:   0.995 + 0.01*s.random.Float64(),
 			offset: clock.Millis(s.random.IntN(100_000)),
 		}
@@ -249,7 +249,7 @@
 }
 
 // note checks that a committed entry is the same for everyone.
-func (s *sim) note(n *simNode, e journal.Entry) {
+func (s *sim) note(n *simNode, e storage.Entry) {
 	known, ok := s.committed[e.Index]
 	if ok && (known.Term != e.Term || !bytes.Equal(known.Data, e.Data)) {
 		s.t.Fatalf("%d ms: %s commits entry %d of term %d %q, another member committed term %d %q",
@@ -547,7 +547,7 @@
 	case faultCrash, faultPower:
 		s.crash(n, kind == faultPower)
 	case faultStep:
-		n.disk.Arm(1+amount%40, journaltest.ErrCrashed)
+		n.disk.Arm(1+amount%40, storagetest.ErrCrashed)
 	case faultError:
 		n.disk.Arm(1+amount%40, []error{syscall.EIO, syscall.ENOSPC, syscall.EROFS}[amount%3])
 	case faultLost, faultDamage:
@@ -640,17 +640,17 @@
 }
 
 // store prepares the disk of a founding member and starts it.
-func (s *sim) store(name string, term uint64, entries ...journal.Entry) {
+func (s *sim) store(name string, term uint64, entries ...storage.Entry) {
 	s.t.Helper()
 	for _, n := range s.nodes {
 		if n.name != name {
 			continue
 		}
-		j, _, release, err := journal.Open(journal.Options{Folder: "/" + name, Owner: name, FileSystem: n.disk})
+		j, _, release, err := storage.Open(storage.Options{Folder: "/" + name, Owner: name, FileSystem: n.disk})
 		if err != nil {
 			s.t.Fatal(err)
 		}
-		vote := journal.Vote{
+		vote := storage.Vote{
 			Term: term, Voted: name, Identity: name, Epoch: 1, Life: name,
 			Founders: replica.EncodeFounders(s.founders()), Lives: map[string]string{"a": "a", "b": "b", "c": "c"},
 		}
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/galenaslip/galenaslip/clock"
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // incoming is a snapshot that arrives in parts.
@@ -53,12 +53,12 @@
 	if err != nil {
 		return
 	}
-	c.install(journal.Snapshot{Index: in.index, Term: in.term, Members: m.Members, Data: in.data}, members)
+	c.install(storage.Snapshot{Index: in.index, Term: in.term, Members: m.Members, Data: in.data}, members)
 	c.queue(m.From, Message{Kind: MessageAppendReply, Index: m.Index})
 }
 
 // install puts a snapshot from the leader in the place of the log's start.
-func (c *core) install(s journal.Snapshot, members membership) {
+func (c *core) install(s storage.Snapshot, members membership) {
 	reset := !c.log.matches(s.Index, s.Term)
 	if reset {
 		c.log.reset(s.Index, s.Term)
@@ -100,7 +100,7 @@
 			placed = m
 		}
 	}
-	s := journal.Snapshot{Index: index, Term: term, Members: encodeMembership(placed.value), Data: data}
+	s := storage.Snapshot{Index: index, Term: term, Members: encodeMembership(placed.value), Data: data}
 	c.snapshot, c.newSnapshot = s, &s
 	if kept := c.options.limits.kept; index > kept {
 		c.compact(index - kept)
--- a/journal/doc.go
+++ b/storage/doc.go
@@ -1,4 +1,4 @@
-// Package journal stores the state of one member of a replicated log: log
+// Package storage stores the state of one member of a replicated log: log
 // entries in segment files, the newest snapshot, and the vote.
 //
 // A batch of entries is one frame (marker, length, CRC, payload), written and
@@ -13,4 +13,4 @@
 //
 // After a failed write or sync the journal refuses all further work, because
 // the state of the file is unknown until it is read again.
-package journal
+package storage
--- a/journal/export_test.go
+++ b/storage/export_test.go
@@ -1,4 +1,4 @@
-package journal
+package storage
 
 // Decoders that read what a disk returns.
 var (
--- a/journal/fuzz_test.go
+++ b/storage/fuzz_test.go
@@ -1,19 +1,19 @@
-package journal_test
+package storage_test
 
 import (
 	"bytes"
 	"testing"
 
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // Guards against a frame decoder that panics, or accepts other bytes than the
 // encoder writes.
 func FuzzDecodeFrame(f *testing.F) {
-	f.Add(journal.EncodeFrame(7, 0, []byte("payload")))
+	f.Add(storage.EncodeFrame(7, 0, []byte("payload")))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		payload, ok := journal.DecodeFrame(7, data, 0)
-		if ok && !bytes.HasPrefix(data, journal.EncodeFrame(7, 0, payload)) {
+		payload, ok := storage.DecodeFrame(7, data, 0)
+		if ok && !bytes.HasPrefix(data, storage.EncodeFrame(7, 0, payload)) {
 			t.Errorf("%x is not what the encoder writes for %x", data, payload)
 		}
 	})
@@ -21,13 +21,13 @@
 
 // Guards against a record decoder that panics or changes entries.
 func FuzzDecodeRecord(f *testing.F) {
-	f.Add(journal.EncodeEntries(entries(1, 3, 2)))
+	f.Add(storage.EncodeEntries(entries(1, 3, 2)))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r, err := journal.DecodeRecord(data)
+		r, err := storage.DecodeRecord(data)
 		if err != nil || len(r.Entries()) == 0 {
 			return
 		}
-		again, err := journal.DecodeRecord(journal.EncodeEntries(r.Entries()))
+		again, err := storage.DecodeRecord(storage.EncodeEntries(r.Entries()))
 		if err != nil || len(again.Entries()) != len(r.Entries()) {
 			t.Errorf("got %d entries (%v), want %d", len(again.Entries()), err, len(r.Entries()))
 		}
@@ -39,13 +39,13 @@
 func FuzzDecodeVote(f *testing.F) {
 	f.Add([]byte(`{"term":3,"voted":"b","identity":"a","epoch":1,"life":"x","segment":1,"snapshot":0}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		v, marks, err := journal.DecodeVote(journal.EncodeFrame(journal.VoteSalt, 0, data))
+		v, marks, err := storage.DecodeVote(storage.EncodeFrame(storage.VoteSalt, 0, data))
 		if err != nil {
 			return
 		}
-		encoded, err := journal.EncodeVote(v, marks)
+		encoded, err := storage.EncodeVote(v, marks)
 		check(t, err)
-		again, _, err := journal.DecodeVote(encoded)
+		again, _, err := storage.DecodeVote(encoded)
 		if err != nil || again.Term != v.Term || again.Voted != v.Voted || again.Identity != v.Identity {
 			t.Errorf("got %+v (%v), want %+v", again, err, v)
 		}
@@ -54,13 +54,13 @@
 
 // Guards against a snapshot decoder that panics or changes a snapshot.
 func FuzzDecodeSnapshot(f *testing.F) {
-	f.Add(journal.EncodeSnapshot(journal.Snapshot{Index: 3, Term: 2, Data: []byte("d")})[12:])
+	f.Add(storage.EncodeSnapshot(storage.Snapshot{Index: 3, Term: 2, Data: []byte("d")})[12:])
 	f.Fuzz(func(t *testing.T, data []byte) {
-		s, err := journal.DecodeSnapshot(journal.EncodeFrame(journal.SnapshotSalt, 0, data))
+		s, err := storage.DecodeSnapshot(storage.EncodeFrame(storage.SnapshotSalt, 0, data))
 		if err != nil {
 			return
 		}
-		again, err := journal.DecodeSnapshot(journal.EncodeSnapshot(s))
+		again, err := storage.DecodeSnapshot(storage.EncodeSnapshot(s))
 		if err != nil || again.Index != s.Index || !bytes.Equal(again.Data, s.Data) {
 			t.Errorf("got %+v (%v), want %+v", again, err, s)
 		}
--- a/journal/journal.go
+++ b/storage/journal.go
@@ -1,4 +1,4 @@
-package journal
+package storage
 
 import (
 	"fmt"
@@ -205,7 +205,7 @@
 		return nil
 	}
 	if entries[0].Index > j.next {
-		return errors.Errorf("journal: entry %d leaves a gap after entry %d", entries[0].Index, j.next-1)
+		return errors.Errorf("storage: entry %d leaves a gap after entry %d", entries[0].Index, j.next-1)
 	}
 	if err := j.write(encodeEntries(entries)); err != nil {
 		return j.fail(err)
@@ -221,7 +221,7 @@
 
 func (j *Journal) write(payload []byte) error {
 	if j.current == nil {
-		return errors.New("journal: SaveVote must come before the first entry")
+		return errors.New("storage: SaveVote must come before the first entry")
 	}
 	frame := encodeFrame(j.number, uint64(j.size), payload)
 	if err := writeAndSync(j.current, j.segmentPath(j.number), frame); err != nil {
--- a/journal/journal_test.go
+++ b/storage/journal_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package storage_test
 
 import (
 	"bytes"
@@ -11,29 +11,29 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/galenaslip/galenaslip/journal"
-	"github.com/galenaslip/galenaslip/journal/journaltest"
+	"github.com/galenaslip/galenaslip/storage"
+	"github.com/galenaslip/galenaslip/storage/storagetest"
 )
 
 const folder = "/data"
 
-func options(disk journal.FileSystem) journal.Options {
-	return journal.Options{Folder: folder, Owner: "a", FileSystem: disk, SegmentBytes: 100}
+func options(disk storage.FileSystem) storage.Options {
+	return storage.Options{Folder: folder, Owner: "a", FileSystem: disk, SegmentBytes: 100}
 }
 
-func open(t rapid.TB, disk journal.FileSystem) (*journal.Journal, journal.State, func()) {
+func open(t rapid.TB, disk storage.FileSystem) (*storage.Journal, storage.State, func()) {
 	t.Helper()
-	j, state, release, err := journal.Open(options(disk))
+	j, state, release, err := storage.Open(options(disk))
 	if err != nil {
 		t.Fatalf("open: %v", err)
 	}
 	return j, state, release
 }
 
-func entries(from, to, term uint64) []journal.Entry {
-	var out []journal.Entry
+func entries(from, to, term uint64) []storage.Entry {
+	var out []storage.Entry
 	for i := from; i <= to; i++ {
-		out = append(out, journal.Entry{Index: i, Term: term, Data: fmt.Appendf(nil, "%d/%d", i, term)})
+		out = append(out, storage.Entry{Index: i, Term: term, Data: fmt.Appendf(nil, "%d/%d", i, term)})
 	}
 	return out
 }
@@ -46,21 +46,21 @@
 }
 
 // fill stores a vote, three segments of entries and a snapshot.
-func fill(t rapid.TB, disk journal.FileSystem) {
+func fill(t rapid.TB, disk storage.FileSystem) {
 	t.Helper()
 	j, _, release := open(t, disk)
 	defer release()
-	check(t, j.SaveVote(journal.Vote{Term: 3, Voted: "b", Identity: "a1", Epoch: 1, Life: "x"}))
+	check(t, j.SaveVote(storage.Vote{Term: 3, Voted: "b", Identity: "a1", Epoch: 1, Life: "x"}))
 	for i := uint64(1); i <= 30; i += 3 {
 		check(t, j.Append(entries(i, i+2, 3)))
 	}
-	check(t, j.SaveSnapshot(journal.Snapshot{Index: 15, Term: 3, Members: []byte("m"), Data: []byte("s")}, false))
+	check(t, j.SaveSnapshot(storage.Snapshot{Index: 15, Term: 3, Members: []byte("m"), Data: []byte("s")}, false))
 }
 
 // Guards against state that a restart does not bring back, and against segments
 // that stay after a snapshot covers them.
 func TestReopen(t *testing.T) {
-	disk := journaltest.New(1)
+	disk := storagetest.New(1)
 	fill(t, disk)
 	disk.Restart(true)
 	_, state, release := open(t, disk)
@@ -79,11 +79,11 @@
 
 // Guards against entries of another history after a snapshot from the leader.
 func TestResetAfterSnapshot(t *testing.T) {
-	disk := journaltest.New(1)
+	disk := storagetest.New(1)
 	fill(t, disk)
 	disk.Restart(false)
 	j, _, release := open(t, disk)
-	check(t, j.SaveSnapshot(journal.Snapshot{Index: 20, Term: 4}, true))
+	check(t, j.SaveSnapshot(storage.Snapshot{Index: 20, Term: 4}, true))
 	check(t, j.Append(entries(21, 22, 4)))
 	release()
 	_, state, release := open(t, disk)
@@ -96,7 +96,7 @@
 // Guards against damage that is not noticed, or is taken for a torn tail. The
 // last record cannot be told from a torn one, see the design page.
 func TestDamage(t *testing.T) {
-	probe := journaltest.New(1)
+	probe := storagetest.New(1)
 	fill(t, probe)
 	names, err := probe.List(folder)
 	check(t, err)
@@ -107,19 +107,19 @@
 		path := filepath.Join(folder, name)
 		newest := strings.HasPrefix(name, "segment") && name == slices.Max(segments(names))
 		for offset := -1; offset < probe.Size(path); offset++ {
-			disk := journaltest.New(1)
+			disk := storagetest.New(1)
 			fill(t, disk)
 			if offset < 0 {
 				disk.Drop(path)
 			} else {
 				disk.Damage(path, offset)
 			}
-			_, state, release, err := journal.Open(options(disk))
+			_, state, release, err := storage.Open(options(disk))
 			torn := newest && err == nil && state.Truncated > 0
 			if torn {
 				release()
 			}
-			if !torn && journal.OutcomeOf(err) != journal.Damaged {
+			if !torn && storage.OutcomeOf(err) != storage.Damaged {
 				t.Fatalf("%s, offset %d: got %v, want damaged", name, offset, err)
 			}
 		}
@@ -135,49 +135,49 @@
 func TestOutcomes(t *testing.T) {
 	tests := []struct {
 		name string
-		want journal.Outcome
-		run  func(disk *journaltest.Disk) error
+		want storage.Outcome
+		run  func(disk *storagetest.Disk) error
 	}{
-		{"foreign", journal.Foreign, func(disk *journaltest.Disk) error {
+		{"foreign", storage.Foreign, func(disk *storagetest.Disk) error {
 			o := options(disk)
 			o.Owner = "b"
-			_, _, _, err := journal.Open(o)
+			_, _, _, err := storage.Open(o)
 			return err
 		}},
-		{"locked", journal.Locked, func(disk *journaltest.Disk) error {
+		{"locked", storage.Locked, func(disk *storagetest.Disk) error {
 			_, _, release := open(t, disk)
 			defer release()
-			_, _, _, err := journal.Open(options(disk))
+			_, _, _, err := storage.Open(options(disk))
 			return err
 		}},
-		{"full", journal.Full, func(disk *journaltest.Disk) error {
+		{"full", storage.Full, func(disk *storagetest.Disk) error {
 			j, _, release := open(t, disk)
 			defer release()
 			disk.Arm(1, syscall.ENOSPC)
 			return j.Append(entries(31, 31, 3))
 		}},
-		{"read-only", journal.ReadOnly, func(disk *journaltest.Disk) error {
+		{"read-only", storage.ReadOnly, func(disk *storagetest.Disk) error {
 			disk.Arm(1, syscall.EROFS)
-			_, _, _, err := journal.Open(options(disk))
+			_, _, _, err := storage.Open(options(disk))
 			return err
 		}},
-		{"closed after a failed sync", journal.Closed, func(disk *journaltest.Disk) error {
+		{"closed after a failed sync", storage.Closed, func(disk *storagetest.Disk) error {
 			j, _, release := open(t, disk)
 			defer release()
 			disk.Arm(2, syscall.EIO)
-			if err := j.Append(entries(31, 31, 3)); journal.OutcomeOf(err) != journal.Failed {
+			if err := j.Append(entries(31, 31, 3)); storage.OutcomeOf(err) != storage.Failed {
 				return err
 			}
-			return j.SaveVote(journal.Vote{Term: 9})
+			return j.SaveVote(storage.Vote{Term: 9})
 		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			disk := journaltest.New(1)
+			disk := storagetest.New(1)
 			fill(t, disk)
 			disk.Restart(false)
 			err := tt.run(disk)
-			if got := journal.OutcomeOf(err); err == nil || got != tt.want {
+			if got := storage.OutcomeOf(err); err == nil || got != tt.want {
 				t.Errorf("got %v (%v), want %v", got, err, tt.want)
 			}
 		})
@@ -186,10 +186,10 @@
 
 // Guards against a folder that was set aside and still counts as a first start.
 func TestSetAside(t *testing.T) {
-	disk := journaltest.New(1)
+	disk := storagetest.New(1)
 	fill(t, disk)
 	disk.Restart(false)
-	check(t, journal.SetAside(disk, folder, "old"))
+	check(t, storage.SetAside(disk, folder, "old"))
 	_, state, release := open(t, disk)
 	defer release()
 	if !state.Fresh || !state.Aside {
@@ -199,23 +199,23 @@
 
 // model is what must survive: everything that was confirmed.
 type model struct {
-	vote     journal.Vote
+	vote     storage.Vote
 	snapshot uint64
-	entries  map[uint64]journal.Entry
+	entries  map[uint64]storage.Entry
 	last     uint64
 	pending  *model // the state if the operation in progress takes effect
 }
 
 func (m model) clone() model {
 	c := m
-	c.entries = map[uint64]journal.Entry{}
+	c.entries = map[uint64]storage.Entry{}
 	for i, e := range m.entries {
 		c.entries[i] = e
 	}
 	return c
 }
 
-func (m model) matches(s journal.State) bool {
+func (m model) matches(s storage.State) bool {
 	if s.Vote.Term != m.vote.Term || s.Vote.Voted != m.vote.Voted || s.Snapshot.Index != m.snapshot {
 		return false
 	}
@@ -230,23 +230,23 @@
 }
 
 // step draws an operation and returns the state after it.
-func (m model) step(t *rapid.T) (model, func(*journal.Journal) error) {
+func (m model) step(t *rapid.T) (model, func(*storage.Journal) error) {
 	next := m.clone()
 	switch rapid.IntRange(0, 9).Draw(t, "operation") {
 	case 0:
 		next.vote.Term++
 		next.vote.Voted = rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "voted")
-		return next, func(j *journal.Journal) error { return j.SaveVote(next.vote) }
+		return next, func(j *storage.Journal) error { return j.SaveVote(next.vote) }
 	case 1:
 		next.snapshot = rapid.Uint64Range(m.snapshot, max(m.last, m.snapshot)).Draw(t, "snapshot")
-		s := journal.Snapshot{Index: next.snapshot, Term: m.entries[next.snapshot].Term}
-		return next, func(j *journal.Journal) error { return j.SaveSnapshot(s, false) }
+		s := storage.Snapshot{Index: next.snapshot, Term: m.entries[next.snapshot].Term}
+		return next, func(j *storage.Journal) error { return j.SaveSnapshot(s, false) }
 	case 2:
 		next.snapshot = max(m.last, m.snapshot) + rapid.Uint64Range(1, 5).Draw(t, "ahead")
 		next.last = next.snapshot
-		s := journal.Snapshot{Index: next.snapshot, Term: m.vote.Term}
-		next.entries[s.Index] = journal.Entry{Index: s.Index, Term: s.Term}
-		return next, func(j *journal.Journal) error { return j.SaveSnapshot(s, true) }
+		s := storage.Snapshot{Index: next.snapshot, Term: m.vote.Term}
+		next.entries[s.Index] = storage.Entry{Index: s.Index, Term: s.Term}
+		return next, func(j *storage.Journal) error { return j.SaveSnapshot(s, true) }
 	}
 	end := max(m.last, m.snapshot) + 1
 	first := rapid.Uint64Range(max(m.snapshot+1, end-min(end, 3)), end).Draw(t, "first")
@@ -255,18 +255,18 @@
 		next.entries[e.Index] = e
 		next.last = e.Index
 	}
-	return next, func(j *journal.Journal) error { return j.Append(batch) }
+	return next, func(j *storage.Journal) error { return j.Append(batch) }
 }
 
 // Guards against losing confirmed data, against half an operation, and against
 // taking a crash for damage, for a crash or an error at any write and sync.
 func TestCrashes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		disk := journaltest.New(rapid.Uint64().Draw(t, "seed"))
-		now := model{entries: map[uint64]journal.Entry{}}
+		disk := storagetest.New(rapid.Uint64().Draw(t, "seed"))
+		now := model{entries: map[uint64]storage.Entry{}}
 		fresh := true
 		for range rapid.IntRange(1, 12).Draw(t, "lives") {
-			failure := rapid.SampledFrom([]error{journaltest.ErrCrashed, syscall.EIO, syscall.ENOSPC}).Draw(t, "failure")
+			failure := rapid.SampledFrom([]error{storagetest.ErrCrashed, syscall.EIO, syscall.ENOSPC}).Draw(t, "failure")
 			disk.Arm(rapid.IntRange(1, 60).Draw(t, "steps"), failure)
 			now, fresh = live(t, disk, now, fresh)
 			disk.Restart(rapid.Bool().Draw(t, "power lost"))
@@ -280,10 +280,10 @@
 }
 
 // live opens the journal and runs operations until one fails.
-func live(t *rapid.T, disk *journaltest.Disk, now model, fresh bool) (model, bool) {
-	j, state, release, err := journal.Open(options(disk))
+func live(t *rapid.T, disk *storagetest.Disk, now model, fresh bool) (model, bool) {
+	j, state, release, err := storage.Open(options(disk))
 	if err != nil {
-		if journal.OutcomeOf(err) == journal.Damaged {
+		if storage.OutcomeOf(err) == storage.Damaged {
 			t.Fatalf("a crash was taken for damage: %v", err)
 		}
 		return now, fresh
@@ -304,7 +304,7 @@
 		if state.Fresh {
 			next = now.clone()
 			next.vote.Term = 1
-			run = func(j *journal.Journal) error { return j.SaveVote(next.vote) }
+			run = func(j *storage.Journal) error { return j.SaveVote(next.vote) }
 		}
 		if err := run(j); err != nil {
 			now.pending = &next
--- a/journal/main_test.go
+++ b/storage/main_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package storage_test
 
 import (
 	"flag"
--- a/journal/open.go
+++ b/storage/open.go
@@ -1,4 +1,4 @@
-package journal
+package storage
 
 import (
 	"fmt"
--- a/journal/outcome.go
+++ b/storage/outcome.go
@@ -1,4 +1,4 @@
-package journal
+package storage
 
 import (
 	"fmt"
@@ -48,7 +48,7 @@
 
 // Error returns the message.
 func (e *Error) Error() string {
-	text := fmt.Sprintf("journal: %s: %s: %s", e.Outcome, e.Path, e.Reason)
+	text := fmt.Sprintf("storage: %s: %s: %s", e.Outcome, e.Path, e.Reason)
 	if e.Cause != nil {
 		text += ": " + e.Cause.Error()
 	}
--- a/journal/journaltest/disk.go
+++ b/storage/storagetest/disk.go
@@ -1,6 +1,6 @@
-// Package journaltest provides a file system in memory for tests, which loses
+// Package storagetest provides a file system in memory for tests, which loses
 // unsynced data, tears writes, fails at any step and crashes at any step.
-package journaltest
+package storagetest
 
 import (
 	"math/rand/v2"
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/galenaslip/galenaslip/journal"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // ErrCrashed is returned by every operation between a crash and Restart.
@@ -223,7 +223,7 @@
 }
 
 // Create opens an empty file for writing.
-func (d *Disk) Create(path string) (journal.File, error) {
+func (d *Disk) Create(path string) (storage.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.step(); err != nil {
@@ -235,7 +235,7 @@
 }
 
 // Append opens an existing file for writing at its end.
-func (d *Disk) Append(path string) (journal.File, error) {
+func (d *Disk) Append(path string) (storage.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.step(); err != nil {
