--- /dev/null
+++ b/catalog/machine.go
@@ -0,0 +1,65 @@
+package catalog
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Document is an encoded catalog with its revision. The body is kept as the
+// operator has sent it, so that it can be read back unchanged.
+type Document struct {
+	Revision uint64
+	Body     []byte
+}
+
+// Verdict says what became of a document.
+type Verdict string
+
+// The verdicts.
+const (
+	// Accepted means that the document is in force.
+	Accepted Verdict = "accepted"
+	// Superseded means that a document with the same or a higher revision was
+	// accepted before; nothing has changed.
+	Superseded Verdict = "superseded"
+)
+
+// Answer is the answer to a document, with the revision in force.
+type Answer struct {
+	Verdict  Verdict
+	Revision uint64
+}
+
+// Machine holds the accepted document with the highest revision.
+type Machine struct {
+	current Document
+}
+
+// Apply offers a document.
+func (m *Machine) Apply(d Document) Answer {
+	if d.Revision <= m.current.Revision {
+		return Answer{Verdict: Superseded, Revision: m.current.Revision}
+	}
+	m.current = Document{Revision: d.Revision, Body: slices.Clone(d.Body)}
+	return Answer{Verdict: Accepted, Revision: d.Revision}
+}
+
+// Current returns the accepted document with the highest revision.
+func (m *Machine) Current() Document { return m.current }
+
+// Snapshot returns the state.
+func (m *Machine) Snapshot() []byte {
+	return append(binary.AppendUvarint(nil, m.current.Revision), m.current.Body...)
+}
+
+// Restore replaces the state by a snapshot.
+func (m *Machine) Restore(snapshot []byte) error {
+	revision, size := binary.Uvarint(snapshot)
+	if size <= 0 {
+		return errors.Errorf("a catalog snapshot of %d bytes is cut short", len(snapshot))
+	}
+	m.current = Document{Revision: revision, Body: slices.Clone(snapshot[size:])}
+	return nil
+}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -59,6 +59,12 @@
 	return c.source.wall()
 }
 
+// Deadline returns the moment after a delay, for connections, which take a time
+// of day and turn it into a delay at once.
+func (c Clock) Deadline(delay Millis) time.Time {
+	return time.Now().Add(delay.Duration())
+}
+
 // After returns a channel that is closed once delay has passed, and a function
 // that releases the timer early.
 func (c Clock) After(delay Millis) (<-chan struct{}, func()) {
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -14,6 +14,7 @@
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/entry"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/platform"
 	"github.com/galenaslip/galenaslip/setting"
 )
 
@@ -25,6 +26,8 @@
 	c.AddCommand(
 		newServeRole("entry", "Run an entry: the data path between callers and backend servers", serveEntry),
 		newServeRole("control", "Run a control process: one member of the replicated state", serveControl),
+		newServeRole("relay", "Run a relay: the data path for HTTP routes on the users' infrastructure", serveRelay),
+		newServeRole("member", "Run a member of the control group on the users' infrastructure", serveMember),
 	)
 	return c
 }
@@ -55,11 +58,16 @@
 	return c
 }
 
-// process is what serve runs: an entry or a control process.
+// process is what serve runs.
 type process interface {
 	Stop(ctx context.Context) error
 }
 
+// reloader is a process that reads its settings again on SIGHUP.
+type reloader interface {
+	Reload()
+}
+
 func serveEntry(c *cobra.Command, path string) error {
 	settings, err := setting.LoadEntry(path)
 	if err != nil {
@@ -84,6 +92,38 @@
 	})
 }
 
+func serveRelay(c *cobra.Command, path string) error {
+	settings, err := setting.LoadRelay(path)
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	neverByItself := func(*platform.Entry) <-chan struct{} { return nil }
+	return serve(c, processOf(settings.Node), "the relay", neverByItself, func(i do.Injector) {
+		do.Provide(i, func(i do.Injector) (*platform.Entry, error) {
+			e, _, err := platform.NewEntry(path, settings, do.MustInvoke[clock.Clock](i), do.MustInvoke[event.Logger](i))
+			return e, err
+		})
+	})
+}
+
+func serveMember(c *cobra.Command, path string) error {
+	settings, err := setting.LoadGroupMember(path)
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	neverByItself := func(*platform.Member) <-chan struct{} { return nil }
+	return serve(c, processOf(settings.Node), "the member", neverByItself, func(i do.Injector) {
+		do.Provide(i, func(i do.Injector) (*platform.Member, error) {
+			m, _, err := platform.NewMember(path, settings, do.MustInvoke[clock.Clock](i), do.MustInvoke[event.Logger](i))
+			return m, err
+		})
+	})
+}
+
+func processOf(n setting.Node) setting.Process {
+	return setting.Process{Name: n.Name, LogLevel: n.LogLevel}
+}
+
 // serve builds the process that register provides and runs it until it stops.
 func serve[P process](
 	c *cobra.Command, settings setting.Process, name string, stopped func(P) <-chan struct{}, register func(do.Injector),
@@ -124,13 +164,29 @@
 func runProcess(ctx context.Context, p process, stopped <-chan struct{}) error {
 	signals, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer release()
-	select {
-	case <-signals.Done():
-	case <-stopped:
-	}
+	// Without a receiver, SIGHUP would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	waitForStop(signals, stopped, hangups, p)
 	release()
 	if err := p.Stop(ctx); err != nil {
 		return fail(ExitFailed, errors.Wrap(err, "graceful stop failed"))
 	}
 	return nil
 }
+
+func waitForStop(signals context.Context, stopped <-chan struct{}, hangups <-chan os.Signal, p process) {
+	for {
+		select {
+		case <-signals.Done():
+			return
+		case <-stopped:
+			return
+		case <-hangups:
+			if r, ok := p.(reloader); ok {
+				r.Reload()
+			}
+		}
+	}
+}
--- a/control/codec.go
+++ b/control/codec.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/claim"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
@@ -17,11 +18,12 @@
 // command is one entry of the replicated log: a change or a claim command. It
 // carries the leader's time of day.
 type command struct {
-	at     clock.Millis
-	change configuration.Change
-	base   uint64
-	key    string
-	claim  claim.Command
+	at       clock.Millis
+	change   configuration.Change
+	base     uint64
+	key      string
+	claim    claim.Command
+	document *catalog.Document
 }
 
 type wireCommand struct {
@@ -30,6 +32,8 @@
 	Base   uint64          `json:"base_revision,omitempty"`
 	Key    string          `json:"key,omitempty"`
 	Claim  json.RawMessage `json:"claim,omitempty"`
+
+	Document *wireDocument `json:"document,omitempty"`
 }
 
 type wireChangeRequest struct {
@@ -80,6 +84,9 @@
 			return nil, err
 		}
 	}
+	if c.document != nil {
+		w.Document = &wireDocument{Revision: c.document.Revision, Body: c.document.Body}
+	}
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -97,7 +104,10 @@
 	if err == nil && len(w.Claim) > 0 {
 		c.claim, err = claim.DecodeCommand(w.Claim)
 	}
-	if err == nil && c.change == nil && c.claim == nil {
+	if w.Document != nil {
+		c.document = &catalog.Document{Revision: w.Document.Revision, Body: w.Document.Body}
+	}
+	if err == nil && c.change == nil && c.claim == nil && c.document == nil {
 		err = errors.New("a command without content")
 	}
 	return c, err
--- a/control/control.go
+++ b/control/control.go
@@ -30,11 +30,24 @@
 	Folder           string
 	Members          []Member // every member at the first start; empty for a group of one
 	Join             bool     // join an existing group through Members
-	OperatorToken    string   // when empty, loopback addresses need no token
-	PeerToken        string
-	OrdersPerMinute  int // model loads that the weight store bears; DefaultOrdersPerMinute when 0
-	Clock            clock.Clock
-	Logger           event.Logger
+	// Seeds returns addresses of members to ask for admission, besides Members. It
+	// is asked again each time, as settings change.
+	Seeds func() []string
+	// Voters is the wanted number of voting members; membership.Voters when 0.
+	Voters int
+	// LostAfter is how long a voter is silent before a standby replaces it;
+	// membership.LostAfter when 0.
+	LostAfter clock.Millis
+	// ServerSilence is how long a backend server may miss its heartbeats before
+	// entries are told; DefaultServerSilence when 0.
+	ServerSilence clock.Millis
+	// PrivateNetwork serves peers on any address without a token.
+	PrivateNetwork  bool
+	OperatorToken   string // when empty, loopback addresses need no token
+	PeerToken       string
+	OrdersPerMinute int // model loads that the weight store bears; DefaultOrdersPerMinute when 0
+	Clock           clock.Clock
+	Logger          event.Logger
 	// OpenLog replaces the replicated log in tests.
 	OpenLog func(options replica.Options) (Log, func(), error)
 }
@@ -59,6 +72,9 @@
 	log      atomic.Pointer[life]
 	leader   *leader
 	placer   *placer
+	servers  *servers
+	watchers watchers
+	changed  *broadcast // a new catalog, server or leader
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
@@ -80,8 +96,11 @@
 		address:  listener.Addr().String(),
 		listener: listener,
 		machine:  NewMachine(),
-		tokens:   tokens{operator: options.OperatorToken, peer: options.PeerToken},
+		tokens:   tokens{operator: options.OperatorToken, peer: options.PeerToken, private: options.PrivateNetwork},
+		changed:  newBroadcast(),
 	}
+	c.machine.onCatalog = c.changed.notify
+	c.servers = newServers(c)
 	if c.options.OpenLog == nil {
 		c.options.OpenLog = openReplica
 	}
@@ -103,6 +122,7 @@
 	c.start(func() { c.leader.run(ctx) })
 	c.start(func() { c.placer.run(ctx) })
 	c.start(func() { c.watch(ctx) })
+	c.start(func() { c.servers.run(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
 	return c, c.release, nil
 }
@@ -117,7 +137,7 @@
 	if o.Folder == "" {
 		return errors.New("a control member needs a data folder")
 	}
-	if o.Join && len(o.Members) == 0 {
+	if o.Join && len(o.Members) == 0 && o.Seeds == nil {
 		return errors.New("joining a group needs the address of a member")
 	}
 	if !o.Join && len(o.Members) > 0 && !lo.ContainsBy(o.Members, func(m Member) bool { return m.Name == o.Name }) {
--- a/control/leader.go
+++ b/control/leader.go
@@ -32,7 +32,7 @@
 }
 
 func newLeader(c *Control) *leader {
-	return &leader{control: c, grantor: lease.NewGrantor(), policy: membership.New(c.options.Clock.Now())}
+	return &leader{control: c, grantor: lease.NewGrantor(), policy: membership.New(c.options.Clock.Now(), c.options.membership())}
 }
 
 // run does the leader's duty. It does nothing while another member leads.
@@ -66,7 +66,7 @@
 	case !leads || term != s.Term:
 		now := l.now()
 		l.grantor.Lead(now, s.Term)
-		l.policy = membership.New(now)
+		l.policy = membership.New(now, l.control.options.membership())
 		l.control.options.Logger.Log(event.ControlLeads, zap.Uint64("term", s.Term))
 	}
 	return true
@@ -130,6 +130,10 @@
 	}
 }
 
+func (o Options) membership() membership.Options {
+	return membership.Options{Voters: o.Voters, LostAfter: o.LostAfter}
+}
+
 func changeOf(a membership.Action) replica.MemberChange {
 	switch {
 	case a.Promote == "":
--- a/control/machine.go
+++ b/control/machine.go
@@ -6,33 +6,42 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/claim"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 )
 
-// Machine is the replicated state of the control group: configuration and
-// claims. Handlers read it while the log applies entries.
+// Machine is the replicated state of the control group: configuration, catalog
+// and claims. Handlers read it while the log applies entries.
 type Machine struct {
 	mu             sync.RWMutex
 	configurations *configuration.Machine
+	catalogs       *catalog.Machine
 	claims         *claim.Machine
+	onCatalog      func() // called after the catalog may have changed
 }
 
 // NewMachine returns an empty machine.
 func NewMachine() *Machine {
-	return &Machine{configurations: configuration.NewMachine(), claims: claim.NewMachine()}
+	return &Machine{
+		configurations: configuration.NewMachine(), catalogs: &catalog.Machine{}, claims: claim.NewMachine(),
+		onCatalog: func() {},
+	}
 }
 
 // Apply runs one committed command and returns the encoded answer, which is
 // empty for a command that cannot be decoded.
 func (m *Machine) Apply(_ uint64, data []byte) []byte {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	c, err := decodeCommand(data)
 	if err != nil {
 		return nil
 	}
+	if c.document != nil {
+		defer m.onCatalog()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	answer, err := m.run(c)
 	if err != nil {
 		panic(err) // every answer can be encoded
@@ -44,6 +53,9 @@
 	if c.change != nil {
 		return configuration.EncodeAnswer(m.configurations.Apply(c.at, c.change, c.base, c.key))
 	}
+	if c.document != nil {
+		return encodeCatalogAnswer(m.catalogs.Apply(*c.document))
+	}
 	return claim.EncodeResult(m.claims.Apply(c.at, c.claim))
 }
 
@@ -55,34 +67,52 @@
 	if err != nil {
 		panic(err) // every state can be encoded
 	}
-	claims := m.claims.Snapshot()
-	// The length comes first; the rest is the snapshot of the claims.
-	data := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(configurations)+len(claims)), uint64(len(configurations)))
-	data = append(data, configurations...)
-	return append(data, claims...)
+	var data []byte
+	for _, section := range [][]byte{configurations, m.catalogs.Snapshot(), m.claims.Snapshot()} {
+		data = binary.AppendUvarint(data, uint64(len(section)))
+		data = append(data, section...)
+	}
+	return data
 }
 
-// Restore replaces the state by a snapshot. The state is unchanged when the
-// snapshot is invalid.
-func (m *Machine) Restore(snapshot []byte) error {
+// nextSection splits the first section of a snapshot off.
+func nextSection(snapshot []byte) (section, rest []byte, err error) {
 	length, size := binary.Uvarint(snapshot)
 	if size <= 0 || length > uint64(len(snapshot)-size) {
-		return errors.Errorf("a snapshot of %d bytes is cut short", len(snapshot))
+		return nil, nil, errors.Errorf("a snapshot of %d bytes is cut short", len(snapshot))
 	}
-	encoded := snapshot[size:]
-	configurations, claims := configuration.NewMachine(), claim.NewMachine()
-	if err := configurations.Restore(encoded[:length]); err != nil {
-		return err
-	}
-	if err := claims.Restore(encoded[length:]); err != nil {
-		return err
+	snapshot = snapshot[size:]
+	return snapshot[:length], snapshot[length:], nil
+}
+
+// Restore replaces the state by a snapshot. The state is unchanged when the
+// snapshot is invalid.
+func (m *Machine) Restore(snapshot []byte) error {
+	configurations, catalogs, claims := configuration.NewMachine(), &catalog.Machine{}, claim.NewMachine()
+	for _, restore := range []func([]byte) error{configurations.Restore, catalogs.Restore, claims.Restore} {
+		section, rest, err := nextSection(snapshot)
+		if err != nil {
+			return err
+		}
+		if err := restore(section); err != nil {
+			return err
+		}
+		snapshot = rest
 	}
+	defer m.onCatalog()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.configurations, m.claims = configurations, claims
+	m.configurations, m.catalogs, m.claims = configurations, catalogs, claims
 	return nil
 }
 
+// Catalog returns the document with the highest accepted revision.
+func (m *Machine) Catalog() catalog.Document {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.catalogs.Current()
+}
+
 // Configuration returns the current configuration.
 func (m *Machine) Configuration() configuration.Configuration {
 	m.mu.RLock()
@@ -124,12 +154,13 @@
 func (m *Machine) reset() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.configurations, m.claims = configuration.NewMachine(), claim.NewMachine()
+	m.configurations, m.catalogs, m.claims = configuration.NewMachine(), &catalog.Machine{}, claim.NewMachine()
 }
 
 // size is what debug state and metrics report about the machine.
 type size struct {
 	Revision   uint64       `json:"revision"`
+	Catalog    uint64       `json:"catalog_revision"`
 	Classes    int          `json:"classes"`
 	Stops      int          `json:"stops"`
 	Claims     int          `json:"claims"`
@@ -142,7 +173,7 @@
 	defer m.mu.RUnlock()
 	c := m.configurations.Current()
 	return size{
-		Revision: c.Revision(), Classes: len(c.Classes()), Stops: len(c.Stops()),
+		Revision: c.Revision(), Catalog: m.catalogs.Current().Revision, Classes: len(c.Classes()), Stops: len(c.Stops()),
 		Claims: m.claims.Len(), ClaimBytes: m.claims.Bytes(), Time: m.claims.Now(),
 	}
 }
--- a/control/server.go
+++ b/control/server.go
@@ -27,6 +27,9 @@
 	pathMembers       = "/v1/members"
 	pathJoin          = "/v1/members/join"
 	pathRemove        = "/v1/members/remove"
+	pathCatalog       = "/v1/catalog"
+	pathServers       = "/v1/servers"
+	pathWatch         = "/v1/watch"
 )
 
 // headerForwarded marks a request that a member has forwarded to the leader. It
@@ -63,6 +66,11 @@
 	app.Get(pathMembers, c.guard(everyone, c.getMembers))
 	app.Post(pathJoin, c.guard(everyone, c.atLeader(c.postJoin)))
 	app.Post(pathRemove, c.guard(operators, c.atLeader(c.postRemove)))
+
+	app.Get(pathCatalog, c.guard(everyone, c.atLeader(c.getCatalog)))
+	app.Put(pathCatalog, c.guard(everyone, c.atLeader(c.putCatalog)))
+	app.Post(pathServers, c.guard(peersOnly, c.atLeader(c.postServers)))
+	app.Post(pathWatch, c.guard(peersOnly, c.postWatch))
 	return app
 }
 
--- a/control/start.go
+++ b/control/start.go
@@ -100,11 +100,11 @@
 		Identity: identity, Name: c.options.Name, Address: c.options.Advertise,
 		AvailabilityZone: c.options.AvailabilityZone,
 	}
-	for _, m := range c.options.Members {
-		if m.Name == c.options.Name || ctx.Err() != nil {
+	for _, address := range c.contacts() {
+		if address == c.options.Advertise || ctx.Err() != nil {
 			continue
 		}
-		switch status, _ := c.peers.join(m.Address, self); status {
+		switch status, _ := c.peers.join(address, self); status {
 		case fiber.StatusOK:
 			return
 		case fiber.StatusConflict:
@@ -114,6 +114,18 @@
 	}
 }
 
+// contacts returns the addresses of the members that this process knows of.
+func (c *Control) contacts() []string {
+	addresses := lo.Map(c.options.Members, func(m Member, _ int) string { return m.Address })
+	if c.options.Seeds != nil {
+		addresses = append(addresses, c.options.Seeds()...)
+	}
+	for _, m := range c.log.Load().Status().Members {
+		addresses = append(addresses, m.Address)
+	}
+	return lo.Uniq(addresses)
+}
+
 // beginLife sets the log aside and starts again under a new identity, as a
 // learner once it has joined.
 func (c *Control) beginLife() {
--- a/control/token.go
+++ b/control/token.go
@@ -11,6 +11,7 @@
 type tokens struct {
 	operator string
 	peer     string
+	private  bool // the network between processes is private
 }
 
 // role says who may make a call.
@@ -23,6 +24,9 @@
 )
 
 func (t tokens) allow(c fiber.Ctx, r role) bool {
+	if t.private {
+		return true
+	}
 	switch r {
 	case operators:
 		return token.Matches(c, t.operator)
--- /dev/null
+++ b/control/watch.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/catalog"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/replica"
+	"github.com/galenaslip/galenaslip/roster"
+)
+
+const (
+	// maxWatchWait bounds how long a watch is held without news.
+	maxWatchWait = 2 * clock.Second
+	// entryForgotten is how long an entry counts after its newest watch.
+	entryForgotten = 2 * clock.Second
+)
+
+// Watch is an entry's question for what has changed since its last answer.
+type Watch struct {
+	Entry    string
+	Revision uint64 // of the catalog that the entry has
+	Epoch    uint64 // of the list of servers that Position belongs to
+	Position uint64
+	Wait     clock.Millis // how long the answer may be held without news
+}
+
+// News is the answer to a watch. Only a granted answer says that the catalog is
+// the newest.
+type News struct {
+	Granted  bool
+	Leader   string // address, when another member leads
+	Term     uint64
+	Revision uint64
+	Document *catalog.Document // when newer than the entry's
+	Epoch    uint64
+	Position uint64
+	Servers  []roster.Record // changed since the entry's position
+	Entries  int             // entries that watch
+	Members  []string        // addresses of the control members
+}
+
+// watchers counts the entries that watch.
+type watchers struct {
+	mu   sync.Mutex
+	seen map[string]clock.Millis
+}
+
+func (w *watchers) count(now clock.Millis, entry string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.seen == nil {
+		w.seen = map[string]clock.Millis{}
+	}
+	w.seen[entry] = now
+	for name, at := range w.seen {
+		if now-at > entryForgotten {
+			delete(w.seen, name)
+		}
+	}
+	return len(w.seen)
+}
+
+// answerWatch waits for news and returns them.
+func (c *Control) answerWatch(w Watch) News {
+	timeout, release := c.options.Clock.After(min(w.Wait, maxWatchWait))
+	defer release()
+	for {
+		changed := c.changed.wait()
+		news := c.news(w)
+		if !news.Granted || news.Document != nil || len(news.Servers) > 0 || news.Epoch != w.Epoch {
+			return news
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return c.news(w)
+		}
+	}
+}
+
+// news reads the state first and checks the leader lease afterwards, so that a
+// granted answer was the newest when it was read.
+func (c *Control) news(w Watch) News {
+	document := c.machine.Catalog()
+	status := c.log.Load().Status()
+	news := News{Term: status.Term, Members: lo.Map(status.Members, func(m replica.Member, _ int) string { return m.Address })}
+	if status.Role != replica.Leader || status.LeaseRemaining <= 0 {
+		if status.Leader != c.options.Advertise {
+			news.Leader = status.Leader
+		}
+		return news
+	}
+	c.servers.take(status.Term, nil)
+	news.Granted, news.Revision = true, document.Revision
+	if document.Revision > w.Revision {
+		news.Document = &document
+	}
+	news.Servers, news.Epoch, news.Position = c.servers.since(w.Epoch, w.Position)
+	news.Entries = c.watchers.count(c.options.Clock.Now(), w.Entry)
+	return news
+}
+
+func (c *Control) postWatch(f fiber.Ctx) error {
+	w, err := decodeWatch(f.Body())
+	if err != nil {
+		return invalid(fiber.StatusBadRequest, err)
+	}
+	return respond(f)(encodeNews(c.answerWatch(w)))
+}
+
+type wireWatch struct {
+	Entry    string       `json:"entry"`
+	Revision uint64       `json:"revision"`
+	Epoch    uint64       `json:"epoch"`
+	Position uint64       `json:"position"`
+	Wait     clock.Millis `json:"wait_ms"`
+}
+
+type wireNews struct {
+	Granted  bool          `json:"granted"`
+	Leader   string        `json:"leader,omitempty"`
+	Term     uint64        `json:"term"`
+	Revision uint64        `json:"revision"`
+	Document *wireDocument `json:"document,omitempty"`
+	Epoch    uint64        `json:"epoch"`
+	Position uint64        `json:"position"`
+	Servers  []wireServer  `json:"servers,omitempty"`
+	Entries  int           `json:"entries"`
+	Members  []string      `json:"members"`
+}
+
+func encodeWatch(w Watch) ([]byte, error) {
+	data, err := json.Marshal(wireWatch(w))
+	return data, errors.WithStack(err)
+}
+
+func decodeWatch(data []byte) (Watch, error) {
+	var w wireWatch
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Watch{}, errors.Wrap(err, "decoding a watch")
+	}
+	return Watch(w), nil
+}
+
+func encodeNews(n News) ([]byte, error) {
+	w := wireNews{
+		Granted: n.Granted, Leader: n.Leader, Term: n.Term, Revision: n.Revision, Epoch: n.Epoch, Position: n.Position,
+		Entries: n.Entries, Members: n.Members,
+		Servers: lo.Map(n.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
+	}
+	if n.Document != nil {
+		w.Document = &wireDocument{Revision: n.Document.Revision, Body: n.Document.Body}
+	}
+	data, err := json.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+func decodeNews(data []byte) (News, error) {
+	var w wireNews
+	if err := json.Unmarshal(data, &w); err != nil {
+		return News{}, errors.Wrap(err, "decoding the answer to a watch")
+	}
+	n := News{
+		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
+		Entries: w.Entries, Members: w.Members,
+		Servers: lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.record() }),
+	}
+	if w.Document != nil {
+		n.Document = &catalog.Document{Revision: w.Document.Revision, Body: w.Document.Body}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/control/watcher.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/event"
+)
+
+// Times of a watcher.
+const (
+	// watchWait is how long the leader holds an answer without news. It sets how
+	// often a lease is renewed.
+	watchWait = 250 * clock.Millisecond
+	// watchSlack is how much later an answer may come.
+	watchSlack = 500 * clock.Millisecond
+	// watchPause keeps an entry from flooding a group without a leader.
+	watchPause = 50 * clock.Millisecond
+)
+
+// WatcherOptions are the settings of a Watcher.
+type WatcherOptions struct {
+	Entry  string
+	Token  string
+	Seeds  func() []string // addresses of control members from the settings
+	Clock  clock.Clock
+	Logger event.Logger
+	// Take gets each granted answer with the time at which its question was sent.
+	Take func(sent clock.Millis, news News)
+}
+
+// Watcher asks the leader of the control group for news, again and again.
+type Watcher struct {
+	options WatcherOptions
+	peers   *peers
+	members []string // from the newest answer
+	leader  string
+	turn    int
+	watch   Watch
+	lost    bool
+}
+
+// NewWatcher returns a watcher; Run does the work.
+func NewWatcher(options WatcherOptions) *Watcher {
+	return &Watcher{options: options, peers: newPeers(options.Token), watch: Watch{Entry: options.Entry, Wait: watchWait}}
+}
+
+// Run asks until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !w.ask() {
+			w.options.Clock.Sleep(ctx, watchPause)
+		}
+	}
+	w.peers.client.CloseIdleConnections()
+}
+
+// ask asks one member and reports whether the next question can follow at once.
+func (w *Watcher) ask() bool {
+	address := w.address()
+	if address == "" {
+		return false
+	}
+	sent := w.options.Clock.Now()
+	news, err := w.exchange(address)
+	switch {
+	case err != nil:
+		w.lose(address, err)
+		w.leader = ""
+		return false
+	case len(news.Members) > 0:
+		w.members = news.Members
+	}
+	if !news.Granted {
+		w.leader = news.Leader
+		return news.Leader != "" && news.Leader != address
+	}
+	w.regain(address, news)
+	w.leader = address
+	w.options.Take(sent, news)
+	w.watch.Epoch, w.watch.Position = news.Epoch, news.Position
+	w.watch.Revision = max(w.watch.Revision, news.Revision)
+	return true
+}
+
+// address returns the leader's address, or that of the next member in turn.
+func (w *Watcher) address() string {
+	if w.leader != "" {
+		return w.leader
+	}
+	known := lo.Uniq(append(w.options.Seeds(), w.members...))
+	if len(known) == 0 {
+		return ""
+	}
+	w.turn++
+	return known[w.turn%len(known)]
+}
+
+func (w *Watcher) exchange(address string) (News, error) {
+	data, err := encodeWatch(w.watch)
+	if err != nil {
+		return News{}, err
+	}
+	status, body, err := w.peers.exchange(fasthttp.MethodPost, address, pathWatch, data, w.watch.Wait+watchSlack)
+	if err != nil {
+		return News{}, err
+	}
+	if status != fiber.StatusOK {
+		return News{}, errors.Errorf("watching %s: status %d", address, status)
+	}
+	return decodeNews(body)
+}
+
+func (w *Watcher) lose(address string, err error) {
+	if w.lost || w.leader == "" {
+		return
+	}
+	w.lost = true
+	w.options.Logger.Log(event.LeaderLost, zap.String("address", address), zap.Error(err))
+}
+
+func (w *Watcher) regain(address string, news News) {
+	if w.leader == address && !w.lost {
+		return
+	}
+	w.lost = false
+	w.options.Logger.Log(event.LeaderFound, zap.String("address", address), zap.Uint64("term", news.Term),
+		zap.Uint64("revision", news.Revision), zap.Duration("wait", time.Duration(w.watch.Wait)*time.Millisecond))
+}
--- a/event/control.go
+++ b/event/control.go
@@ -12,4 +12,8 @@
 	ControlStartFailed   = define(307, "control_start_failed", Error, "The replicated log cannot be opened.")
 	ConfigurationChanged = define(308, "configuration_changed", Info, "A configuration change was answered.")
 	LeadershipHandedOver = define(309, "leadership_handed_over", Info, "A stopping leader asked another voter to lead.")
+	CatalogPut           = define(310, "catalog_put", Info, "A catalog document was committed.")
+	ServerChanged        = define(311, "server_changed", Info, "A backend server announced something new.")
+	LeaderLost           = define(312, "leader_lost", Warn, "The control leader does not answer; the other members are asked.")
+	LeaderFound          = define(313, "leader_found", Info, "The control leader answers again.")
 )
--- a/event/event.go
+++ b/event/event.go
@@ -3,6 +3,7 @@
 package event
 
 import (
+	"io"
 	"os"
 	"sort"
 
@@ -78,17 +79,33 @@
 
 // Logger writes events as JSON lines.
 type Logger struct {
-	zap *zap.Logger
+	zap    *zap.Logger
+	writer *writer
 }
 
-// New returns a logger that writes to standard error, with the process's name
-// in each line, and a function that flushes it.
+// New returns a logger that writes to standard output, with the process's name in
+// each line, and a function that flushes it. Writing never waits for the output:
+// lines that do not fit into a bounded ring are dropped and counted.
 func New(process string, minimum Level) (Logger, func()) {
+	return NewTo(os.Stdout, process, minimum)
+}
+
+// NewTo is New with another output.
+func NewTo(out io.Writer, process string, minimum Level) (Logger, func()) {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(os.Stderr), zapcore.Level(minimum))
+	w := newWriter(out)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), w, zapcore.Level(minimum))
 	l := zap.New(core).With(zap.String("process", process))
-	return Logger{zap: l}, func() { _ = l.Sync() }
+	return Logger{zap: l, writer: w}, func() { _ = l.Sync() }
+}
+
+// Dropped returns the number of lines that were dropped.
+func (l Logger) Dropped() uint64 {
+	if l.writer == nil {
+		return 0
+	}
+	return l.writer.dropped.Load()
 }
 
 // Discard returns a logger that writes nothing.
--- a/membership/policy.go
+++ b/membership/policy.go
@@ -9,14 +9,34 @@
 	"github.com/galenaslip/galenaslip/clock"
 )
 
-// Voters is the size of the voting group: one in each of three zones.
-const Voters = 3
-
-// Times and bounds of the policy.
+// Defaults of Options, and the smallest group that survives a loss.
 const (
+	// Voters is the size of the voting group: one in each of three zones.
+	Voters = 3
 	// LostAfter is how long a voter is silent before it is replaced. A restart
 	// takes less; a replacement is final for the member's identity.
 	LostAfter = 10 * clock.Second
+	minVoters = 3
+)
+
+// Options configure a policy. Zero fields have the defaults.
+type Options struct {
+	Voters    int
+	LostAfter clock.Millis
+}
+
+func (o Options) withDefaults() Options {
+	if o.Voters == 0 {
+		o.Voters = Voters
+	}
+	if o.LostAfter == 0 {
+		o.LostAfter = LostAfter
+	}
+	return o
+}
+
+// Times and bounds of the policy.
+const (
 	// fresh is the silence up to which a learner counts as reachable. Ten
 	// heartbeats of 100 ms may be lost.
 	fresh = 1 * clock.Second
@@ -48,13 +68,14 @@
 
 // Policy decides at the leader. It has one owner.
 type Policy struct {
+	options Options
 	since   clock.Millis // start of the observation
 	decided clock.Millis
 }
 
 // New returns a policy that has observed nothing.
-func New(now clock.Millis) *Policy {
-	return &Policy{since: now, decided: now}
+func New(now clock.Millis, options Options) *Policy {
+	return &Policy{options: options.withDefaults(), since: now, decided: now}
 }
 
 // silence returns for how long the member was silent while this policy watched.
@@ -77,13 +98,16 @@
 	if action, ok := successor(members, learners); ok {
 		return action, true
 	}
-	if action, ok := replaceLost(members, learners); ok {
+	if action, ok := p.replaceLost(members, learners); ok {
+		return action, true
+	}
+	if action, ok := p.addVoter(members, learners); ok {
 		return action, true
 	}
-	if action, ok := addVoter(members, learners); ok {
+	if action, ok := p.removeExtra(members); ok {
 		return action, true
 	}
-	return removeSuperseded(members)
+	return p.removeSuperseded(members)
 }
 
 // successor replaces a voter whose VM has already returned under a new identity:
@@ -99,12 +123,12 @@
 	return Action{}, false
 }
 
-func replaceLost(members, learners []Member) (Action, bool) {
+func (p *Policy) replaceLost(members, learners []Member) (Action, bool) {
 	if len(learners) == 0 {
 		return Action{}, false
 	}
 	for _, v := range members {
-		if v.Voter && !v.Leader && v.Silent >= LostAfter {
+		if v.Voter && !v.Leader && v.Silent >= p.options.LostAfter {
 			return Action{Remove: v.Identity, Promote: choose(v, members, learners).Identity}, true
 		}
 	}
@@ -113,19 +137,30 @@
 
 // addVoter fills the group up to its voters after a recovery left it with one. Two
 // voters survive no loss, so the first is added only when the second is at hand.
-func addVoter(members, learners []Member) (Action, bool) {
+func (p *Policy) addVoter(members, learners []Member) (Action, bool) {
 	voters := lo.CountBy(members, func(m Member) bool { return m.Voter })
-	if voters >= Voters || len(learners) < Voters-voters {
+	if voters >= p.options.Voters || len(learners) == 0 || voters+len(learners) < minVoters {
 		return Action{}, false
 	}
 	return Action{Promote: choose(Member{}, members, learners).Identity}, true
 }
 
+// removeExtra removes a lost voter from an even group: the smaller group needs
+// one vote less.
+func (p *Policy) removeExtra(members []Member) (Action, bool) {
+	voters := lo.Filter(members, func(m Member, _ int) bool { return m.Voter })
+	if len(voters) <= minVoters || len(voters)%2 != 0 {
+		return Action{}, false
+	}
+	lost, ok := lo.Find(voters, func(m Member) bool { return !m.Leader && m.Silent >= p.options.LostAfter })
+	return Action{Remove: lost.Identity}, ok
+}
+
 // removeSuperseded removes a lost learner whose VM has returned under a new
 // identity.
-func removeSuperseded(members []Member) (Action, bool) {
+func (p *Policy) removeSuperseded(members []Member) (Action, bool) {
 	for _, m := range members {
-		if m.Voter || m.Silent < LostAfter {
+		if m.Voter || m.Silent < p.options.LostAfter {
 			continue
 		}
 		returned := lo.ContainsBy(members, func(o Member) bool {
--- a/membership/policy_test.go
+++ b/membership/policy_test.go
@@ -46,7 +46,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			p := membership.New(0)
+			p := membership.New(0, membership.Options{})
 			for at := clock.Second; at < lost; at += clock.Second {
 				p.Decide(at, nil)
 			}
@@ -62,7 +62,7 @@
 // the loss of the others.
 func TestPauseProvesNothing(t *testing.T) {
 	members := []membership.Member{voter("c", "z3", 1<<40), learner("d", "d", "z1", 0, 0)}
-	p := membership.New(1 << 30)
+	p := membership.New(1<<30, membership.Options{})
 	start := clock.Millis(1 << 30)
 	decide := func(after clock.Millis) bool {
 		_, ok := p.Decide(start+after, members)
@@ -90,7 +90,7 @@
 func TestVotersStay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		members := []membership.Member{{Identity: "a", Name: "a", Voter: true, Leader: true}, voter("b", "", 0), voter("c", "", 0), learner("d", "d", "", 0, 0)}
-		p, at, removed, joined := membership.New(0), clock.Millis(0), map[string]bool{}, 0
+		p, at, removed, joined := membership.New(0, membership.Options{}), clock.Millis(0), map[string]bool{}, 0
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			at += 2 * clock.Second
 			for i := range members[1:] {
--- /dev/null
+++ b/relay/fleet.go
@@ -0,0 +1,331 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/catalog"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/roster"
+)
+
+const (
+	// darkAfter is how long a server may say nothing at all while requests wait
+	// for it, before work that may be repeated goes elsewhere.
+	darkAfter = 1200 * clock.Millisecond
+	// unlistedGrace is how long servers stay that a new leader does not list: it
+	// hears of them at their next heartbeats.
+	unlistedGrace = 4 * clock.Second
+	// silentUse is how long a server that misses heartbeats is used after its
+	// newest answer: it may be cut off from control alone.
+	silentUse = 3 * clock.Second
+	// partMemory is how long a prompt part is expected to stay at a server.
+	partMemory = 60 * clock.Second
+)
+
+// fleet holds the backend servers. Every method takes the lock.
+type fleet struct {
+	mu      sync.Mutex
+	zone    string
+	clock   clock.Clock
+	servers map[string]*server // by name
+	catalog catalog.Catalog
+	pools   map[string]*pool // by service
+	epoch   uint64
+	epochAt clock.Millis
+	entries int
+}
+
+// pool is what is known about a service as a whole.
+type pool struct {
+	demand demand
+}
+
+func newFleet(zone string, c clock.Clock) *fleet {
+	return &fleet{zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entries: assumedEntries}
+}
+
+func (f *fleet) configure(c catalog.Catalog) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catalog = c
+}
+
+func (f *fleet) pool(service string) *pool {
+	p, ok := f.pools[service]
+	if !ok {
+		p = &pool{}
+		f.pools[service] = p
+	}
+	return p
+}
+
+// take puts the leader's changes in force.
+func (f *fleet) take(now clock.Millis, news control.News) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = max(news.Entries, 1)
+	if news.Epoch != f.epoch {
+		f.epoch, f.epochAt = news.Epoch, now
+		for _, s := range f.servers {
+			s.confirmed = false
+		}
+	}
+	for _, r := range news.Servers {
+		f.takeRecord(now, r)
+	}
+}
+
+func (f *fleet) takeRecord(now clock.Millis, r roster.Record) {
+	known, ok := f.servers[r.Server]
+	if !ok {
+		if r.State == roster.Gone {
+			return
+		}
+		known = newServer(r)
+		f.servers[r.Server] = known
+	}
+	if r.State == roster.Gone && r.Started == 0 {
+		r.Announcement = known.record.WithState(roster.Gone)
+	}
+	former := known.record
+	if r.Started < former.Started || former.State == roster.Gone && r.Started == former.Started && r.State != roster.Gone {
+		return
+	}
+	if r.Started > former.Started || r.Address != former.Address {
+		f.restart(known)
+	}
+	known.record, known.confirmed, known.listedAt = r, true, now
+}
+
+// restart forgets what was known about an earlier start.
+func (f *fleet) restart(s *server) {
+	for _, c := range s.idle {
+		c.discard()
+	}
+	s.idle = nil
+	s.parts = map[string]clock.Millis{}
+	s.dark, s.stranger, s.blocked, s.backOff = false, false, 0, 0
+	s.failures, s.others, s.latency = 0, 0, 0
+}
+
+// sweep finds servers that say nothing, forgets the ones that have left and
+// closes idle connections.
+func (f *fleet) sweep(now clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, s := range f.servers {
+		f.findDark(now, s)
+		s.closeExpired(now)
+		if !s.confirmed && now-f.epochAt > unlistedGrace {
+			s.record.Silent = true
+		}
+		if s.record.State == roster.Gone && len(s.attempts) == 0 && now-s.listedAt > partMemory {
+			delete(f.servers, name)
+		}
+	}
+	for _, p := range f.pools {
+		p.demand.advance(now)
+	}
+}
+
+// findDark ends the attempts that may be repeated at a server that says nothing.
+func (f *fleet) findDark(now clock.Millis, s *server) {
+	oldest := now
+	for a := range s.attempts {
+		oldest = min(oldest, a.sentAt)
+	}
+	if now-max(oldest, s.lastByte) < darkAfter {
+		return
+	}
+	s.dark = true
+	for a := range s.attempts {
+		if a.repeatable {
+			a.interrupt()
+		}
+	}
+}
+
+// need is what a request asks of its server.
+type need struct {
+	service  string
+	prompt   bool
+	long     bool   // the prompt holds up the streams beside it
+	affinity string // the prompt part that requests share
+	tokens   int
+	excluded []string // servers that were tried
+}
+
+// pick chooses a server and begins an attempt there.
+func (f *fleet) pick(now clock.Millis, n need, a *attempt) *server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	candidates := f.usable(now, n)
+	if len(candidates) == 0 {
+		return nil
+	}
+	var s *server
+	if n.prompt {
+		s = f.pickEngine(now, n, candidates)
+	} else {
+		s = f.pickPlain(now, candidates)
+	}
+	a.sentAt = now
+	s.attempts[a] = struct{}{}
+	s.unread++
+	s.pending += a.uncached
+	if n.long {
+		s.long++
+	}
+	return s
+}
+
+// usable returns the servers of a service that may take a request, best first:
+// those that are silent or dark only when there is no other.
+func (f *fleet) usable(now clock.Millis, n need) []*server {
+	var good, doubtful []*server
+	for _, s := range f.servers {
+		if s.record.Service != n.service || s.record.State != roster.Serving || s.stranger || s.blocked > now ||
+			lo.Contains(n.excluded, s.record.Server) || !f.hasConnection(s) {
+			continue
+		}
+		if s.dark || s.record.Silent && now-s.lastByte > silentUse {
+			doubtful = append(doubtful, s)
+			continue
+		}
+		good = append(good, s)
+	}
+	if len(good) == 0 {
+		good = doubtful
+	}
+	slices.SortFunc(good, func(a, b *server) int { return lo.Ternary(a.hash < b.hash, -1, 1) })
+	return good
+}
+
+// hasConnection reports whether this entry's share of the server's connections
+// leaves one more.
+func (f *fleet) hasConnection(s *server) bool {
+	service, ok := f.catalog.Service(s.record.Service)
+	if !ok || service.MaxConnections == 0 || len(s.idle) > 0 {
+		return true
+	}
+	return s.open < max(service.MaxConnections/(f.entries+1), 1)
+}
+
+// pickPlain takes the server with the shortest expected wait, near ones first
+// among equals.
+func (f *fleet) pickPlain(now clock.Millis, candidates []*server) *server {
+	typical := medianLatency(now, candidates)
+	return lo.MinBy(candidates, func(a, b *server) bool {
+		return f.plainCost(now, a, typical) < f.plainCost(now, b, typical)
+	})
+}
+
+const (
+	// failureCost makes a server that always fails as bad as one this many times
+	// busier.
+	failureCost = 12
+	// zoneCost is the cost of another availability zone, in places.
+	zoneCost = 0.15
+	// costJitter spreads equal choices.
+	costJitter = 0.1
+)
+
+func (f *fleet) plainCost(now clock.Millis, s *server, typical float64) float64 {
+	slots := float64(max(s.record.Slots, 1))
+	cost := (s.load(now) + 1) / slots
+	if typical > 0 {
+		cost *= min(max((s.meanLatency(now)+typical)/(2*typical), 0.7), 8)
+	}
+	cost *= 1 + failureCost*s.failureShare(now)
+	if s.record.AvailabilityZone != f.zone {
+		cost += zoneCost / slots * 2
+	}
+	return cost + rand.Float64()*costJitter/slots
+}
+
+func medianLatency(now clock.Millis, servers []*server) float64 {
+	means := lo.FilterMap(servers, func(s *server, _ int) (float64, bool) {
+		m := s.meanLatency(now)
+		return m, m > 0
+	})
+	if len(means) == 0 {
+		return 0
+	}
+	slices.Sort(means)
+	return means[len(means)/2]
+}
+
+// firstByte notes that the server has begun to answer an attempt.
+func (f *fleet) firstByte(s *server, a *attempt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	s.lastByte, s.dark = now, false
+	if !a.begun {
+		a.begun = true
+		s.unread--
+		s.pending -= a.uncached
+	}
+}
+
+// heard notes bytes of a stream.
+func (f *fleet) heard(s *server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.lastByte, s.dark = f.clock.Now(), false
+}
+
+// answered takes the load that an answer reports.
+func (f *fleet) answered(s *server, answer Answer) {
+	if !answer.HasLoad {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.report(f.clock.Now(), answer.Load)
+}
+
+// end ends an attempt and records its result.
+func (f *fleet) end(s *server, a *attempt, n need) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	delete(s.attempts, a)
+	if !a.begun {
+		s.unread--
+		s.pending -= a.uncached
+	}
+	if n.long {
+		s.long--
+	}
+	switch a.result {
+	case resultUnreachable:
+		s.unreachable(now)
+	case resultStranger:
+		s.stranger = true
+	case resultFailed:
+		s.recordOutcome(now, true)
+	case resultAnswered:
+		s.recordOutcome(now, false)
+		if a.firstByteAt > 0 {
+			s.recordLatency(now, a.firstByteAt-a.sentAt)
+		}
+	}
+}
+
+// close closes all idle connections.
+func (f *fleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		for _, c := range s.idle {
+			c.discard()
+		}
+		s.idle = nil
+	}
+}
--- a/setting/check.go
+++ b/setting/check.go
@@ -54,9 +54,14 @@
 	if err != nil {
 		return "", err
 	}
-	if role == RoleEntry {
+	switch role {
+	case RoleEntry:
 		_, err = LoadEntry(path)
-	} else {
+	case RoleRelay:
+		_, err = LoadRelay(path)
+	case RoleMember:
+		_, err = LoadGroupMember(path)
+	default:
 		_, err = LoadControl(path)
 	}
 	return role, err
--- a/setting/codec.go
+++ b/setting/codec.go
@@ -95,8 +95,9 @@
 		return "", errors.Errorf("%s: %s", d.path, yaml.FormatError(err, false, false))
 	}
 	r := Role(head.Role)
-	if r != RoleEntry && r != RoleControl {
-		return "", d.errorAt("$.role", "role %q is unknown: want %q or %q", head.Role, RoleEntry, RoleControl)
+	if !lo.Contains([]Role{RoleEntry, RoleControl, RoleRelay, RoleMember}, r) {
+		return "", d.errorAt("$.role", "role %q is unknown: want %q, %q, %q or %q", head.Role,
+			RoleEntry, RoleControl, RoleRelay, RoleMember)
 	}
 	return r, nil
 }
--- /dev/null
+++ b/setting/site.go
@@ -0,0 +1,215 @@
+package setting
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// The roles of processes that a site's own infrastructure runs.
+const (
+	// RoleRelay is the data path for HTTP routes.
+	RoleRelay Role = "relay"
+	// RoleMember is a member of the control group that backend servers and
+	// operators call through an adapter.
+	RoleMember Role = "member"
+)
+
+// Node holds the settings that relays and members share.
+type Node struct {
+	Name             string
+	AvailabilityZone string
+	// Address is the VM's IP number.
+	Address string
+	// PeerPort is where members listen for other members and relays.
+	PeerPort int
+	// Seeds are addresses of some members as the infrastructure knows them. Only
+	// their IP numbers count, as members listen on PeerPort.
+	Seeds     []string
+	LogLevel  string
+	MemoryMB  int
+	StopTime  clock.Millis // that a planned stop may take
+	StateAt   string       // IP:port of metrics and state dump; none when empty
+	Heartbeat clock.Millis // interval of the servers' announcements
+}
+
+// PeerAddress returns the address at which this VM's member listens.
+func (n Node) PeerAddress() string { return n.Address + ":" + strconv.Itoa(n.PeerPort) }
+
+// PeerSeeds returns the addresses at which the seeds' members listen.
+func (n Node) PeerSeeds() []string {
+	return lo.FilterMap(n.Seeds, func(seed string, _ int) (string, bool) {
+		a, err := netip.ParseAddrPort(seed)
+		return a.Addr().String() + ":" + strconv.Itoa(n.PeerPort), err == nil
+	})
+}
+
+// Relay holds the settings of a relay.
+type Relay struct {
+	Node
+	Listen      string // for callers
+	ReadyListen string // for readiness checks
+	// Revoke is how long a key may go on working after it was taken away.
+	Revoke      clock.Millis
+	RetryRatio  float64
+	RetryWindow clock.Millis
+	RetrySlack  int
+}
+
+// GroupMember holds the settings of a member of the control group.
+type GroupMember struct {
+	Node
+	Listen     string // for backend servers and operators
+	DataFolder string
+	// Found is true when the whole system starts for the first time.
+	Found bool
+}
+
+type wireNode struct {
+	Role             string   `yaml:"role"`
+	Name             string   `yaml:"name"`
+	AvailabilityZone string   `yaml:"availability_zone"`
+	Address          string   `yaml:"address"`
+	PeerPort         int      `yaml:"peer_port"`
+	Seeds            []string `yaml:"seeds"`
+	LogLevel         string   `yaml:"log_level"`
+	MemoryMB         int      `yaml:"memory_mb"`
+	StopS            float64  `yaml:"stop_s"`
+	StateListen      string   `yaml:"state_listen"`
+	HeartbeatMS      int64    `yaml:"heartbeat_ms"`
+}
+
+type wireRelay struct {
+	Node         wireNode `yaml:",inline"`
+	Listen       string   `yaml:"listen"`
+	ReadyListen  string   `yaml:"ready_listen"`
+	RevokeMS     int64    `yaml:"revoke_ms"`
+	RetryRatio   float64  `yaml:"retry_ratio"`
+	RetryWindowS float64  `yaml:"retry_window_s"`
+	RetrySlack   int      `yaml:"retry_slack"`
+}
+
+type wireSiteMember struct {
+	Node       wireNode `yaml:",inline"`
+	Listen     string   `yaml:"listen"`
+	DataFolder string   `yaml:"data_folder"`
+	Found      bool     `yaml:"found"`
+}
+
+func defaultNode() wireNode {
+	return wireNode{LogLevel: "info", MemoryMB: 256, StopS: 8, HeartbeatMS: 1000}
+}
+
+func seconds(s float64) clock.Millis { return clock.Millis(s * float64(clock.Second)) }
+
+func (w wireNode) domain() Node {
+	return Node{
+		Name: w.Name, AvailabilityZone: w.AvailabilityZone, Address: w.Address, PeerPort: w.PeerPort, Seeds: w.Seeds,
+		LogLevel: w.LogLevel, MemoryMB: w.MemoryMB, StopTime: seconds(w.StopS), StateAt: w.StateListen,
+		Heartbeat: clock.Millis(w.HeartbeatMS),
+	}
+}
+
+// LoadRelay reads and checks the settings of a relay.
+func LoadRelay(path string) (Relay, error) {
+	d, err := readDocument(path)
+	if err != nil {
+		return Relay{}, err
+	}
+	w := wireRelay{Node: defaultNode(), RevokeMS: 5000, RetryRatio: 0.1, RetryWindowS: 10, RetrySlack: 20}
+	if err := d.decode(&w); err != nil {
+		return Relay{}, err
+	}
+	r := Relay{
+		Node: w.Node.domain(), Listen: w.Listen, ReadyListen: w.ReadyListen, Revoke: clock.Millis(w.RevokeMS),
+		RetryRatio: w.RetryRatio, RetryWindow: seconds(w.RetryWindowS), RetrySlack: w.RetrySlack,
+	}
+	return r, d.checkRelay(w)
+}
+
+// LoadGroupMember reads and checks the settings of a member.
+func LoadGroupMember(path string) (GroupMember, error) {
+	d, err := readDocument(path)
+	if err != nil {
+		return GroupMember{}, err
+	}
+	w := wireSiteMember{Node: defaultNode()}
+	if err := d.decode(&w); err != nil {
+		return GroupMember{}, err
+	}
+	m := GroupMember{Node: w.Node.domain(), Listen: w.Listen, DataFolder: w.DataFolder, Found: w.Found}
+	return m, d.checkMember(w)
+}
+
+func (d document) checkNode(w wireNode, role Role) error {
+	if Role(w.Role) != role {
+		return d.errorAt("$.role", "role is %q, want %q", w.Role, role)
+	}
+	if w.Name == "" || w.AvailabilityZone == "" {
+		return d.errorAt("$.name", "name %q and availability_zone %q must not be empty", w.Name, w.AvailabilityZone)
+	}
+	if _, err := netip.ParseAddr(w.Address); err != nil {
+		return d.errorAt("$.address", "address %q is not an IP number", w.Address)
+	}
+	for i, seed := range w.Seeds {
+		if err := CheckAddress(seed); err != nil {
+			return d.errorAt("$.seeds["+strconv.Itoa(i)+"]", "seeds %s", err)
+		}
+	}
+	if w.StateListen != "" {
+		if err := CheckAddress(w.StateListen); err != nil {
+			return d.errorAt("$.state_listen", "state_listen %s", err)
+		}
+	}
+	return d.checkRanges([]numberRange{
+		{"peer_port", int64(w.PeerPort), 1, 65535},
+		{"memory_mb", int64(w.MemoryMB), 32, 1 << 20},
+		{"stop_s", int64(w.StopS), 1, 3600},
+		{"heartbeat_ms", w.HeartbeatMS, 50, 60_000},
+	})
+}
+
+func (d document) checkListen(keys map[string]string) error {
+	for key, address := range keys {
+		if err := CheckAddress(address); err != nil {
+			return d.errorAt("$."+key, "%s %s", key, err)
+		}
+	}
+	return nil
+}
+
+func (d document) checkRelay(w wireRelay) error {
+	if err := d.checkNode(w.Node, RoleRelay); err != nil {
+		return err
+	}
+	if err := d.checkListen(map[string]string{"listen": w.Listen, "ready_listen": w.ReadyListen}); err != nil {
+		return err
+	}
+	if w.RetryRatio < 0 || w.RetryWindowS <= 0 {
+		return d.errorAt("$.retry_ratio", "retry_ratio %g or retry_window_s %g is out of range", w.RetryRatio, w.RetryWindowS)
+	}
+	return d.checkRanges([]numberRange{
+		{"revoke_ms", w.RevokeMS, int64(MinRevoke), 600_000},
+		{"retry_slack", int64(w.RetrySlack), 0, 1_000_000},
+	})
+}
+
+// MinRevoke is the shortest time in which a key can stop working everywhere: the
+// lease must outlast an election of the control group.
+const MinRevoke = 3 * clock.Second
+
+func (d document) checkMember(w wireSiteMember) error {
+	if err := d.checkNode(w.Node, RoleMember); err != nil {
+		return err
+	}
+	if w.DataFolder == "" {
+		return d.errorAt("$.data_folder", "data_folder is missing")
+	}
+	if w.Found && len(w.Node.Seeds) == 0 {
+		return d.errorAt("$.seeds", "a group cannot be founded without seeds")
+	}
+	return d.checkListen(map[string]string{"listen": w.Listen})
+}
