catalog: rank urgency by the workspace's tier before the route's

Ruled out: preemption by the relay; there is none. Change: the catalog ranks pairs of tiers; the relay sends the rank. Tests for catalog and roster.

--- a/catalog/build.go
+++ b/catalog/build.go
@@ -46,12 +46,33 @@
 			c.byKey[key] = w
 		}
 	}
+	c.urgencies = urgencies(p)
 	for _, routes := range c.routes {
 		slices.SortFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	return c, nil
 }
 
+// urgencies ranks the requests to engines, the only servers that tell requests
+// apart by their urgency.
+func urgencies(p Parts) []urgency {
+	var ranks []urgency
+	workspaces := p.Workspaces
+	if len(workspaces) == 0 {
+		workspaces = []Workspace{{}}
+	}
+	for _, r := range p.Routes {
+		if !r.Prompt {
+			continue
+		}
+		for _, w := range workspaces {
+			ranks = append(ranks, urgency{w.Tier, r.Tier})
+		}
+	}
+	slices.SortFunc(ranks, compareUrgency)
+	return slices.Compact(ranks)
+}
+
 func (c Catalog) addRoute(r Route) error {
 	if err := c.checkRoute(r); err != nil {
 		return err
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/samber/lo"
@@ -61,10 +63,9 @@
 
 // Workspace is a customer with its API keys.
 type Workspace struct {
-	Name    string
-	Keys    []string
-	Tier    int
-	HasTier bool // Tier goes before the route's
+	Name string
+	Keys []string
+	Tier int // goes before the route's
 }
 
 // Limits bound what a caller may send.
@@ -83,6 +84,13 @@
 	byKey      map[string]Workspace
 	workspaces int
 	limits     Limits
+	urgencies  []urgency // distinct ones, most urgent first
+}
+
+// urgency orders requests: by the workspace's tier, then by the route's.
+type urgency struct {
+	workspace int
+	route     int
 }
 
 // Revision returns the revision; 0 means that there is no configuration yet.
@@ -115,6 +123,17 @@
 	return lo.Find(c.routes[strings.ToLower(host)], func(r Route) bool { return strings.HasPrefix(path, r.Prefix) })
 }
 
+// Urgency returns the rank of a request among all that the catalog allows; 0 is
+// the most urgent.
+func (c Catalog) Urgency(w Workspace, r Route) int {
+	rank, _ := slices.BinarySearchFunc(c.urgencies, urgency{w.Tier, r.Tier}, compareUrgency)
+	return rank
+}
+
+func compareUrgency(a, b urgency) int {
+	return cmp.Or(cmp.Compare(a.workspace, b.workspace), cmp.Compare(a.route, b.route))
+}
+
 // Choose returns the service for a point between 0 and 1, so that each service
 // gets its weight's share of evenly spread points.
 func (r Route) Choose(point float64) string {
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,144 @@
+package catalog_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/catalog"
+)
+
+func route(host, prefix string, tier int, shares ...catalog.Share) catalog.Route {
+	return catalog.Route{
+		Name: host + prefix, Host: host, Prefix: prefix, Repeat: catalog.Idempotent, Timeout: 1000, Tier: tier,
+		Shares: shares, Attempts: 1, Prompt: true,
+	}
+}
+
+func parts() catalog.Parts {
+	one := catalog.Share{Service: "one", Weight: 1}
+	return catalog.Parts{
+		Revision: 3,
+		Services: []catalog.Service{{Name: "one"}, {Name: "two"}},
+		Routes:   []catalog.Route{route("a", "/", 0, one), route("a", "/x/", 2, one), route("b", "/x/", 1, one)},
+		Workspaces: []catalog.Workspace{
+			{Name: "large", Keys: []string{"k1", "k2"}, Tier: 1}, {Name: "small", Keys: []string{"k3"}},
+		},
+	}
+}
+
+// Guards against a request that goes to the route of a shorter prefix.
+func TestRoute(t *testing.T) {
+	c, err := catalog.Build(parts())
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		host, path, want string
+	}{
+		{"a", "/x/y", "a/x/"}, {"A", "/x/", "a/x/"}, {"a", "/x", "a/"}, {"b", "/x/y", "b/x/"}, {"b", "/", ""}, {"c", "/x/", ""},
+	}
+	for _, tt := range tests {
+		got, _ := c.Route(tt.host, tt.path)
+		if got.Name != tt.want {
+			t.Errorf("%s%s: got %q, want %q", tt.host, tt.path, got.Name, tt.want)
+		}
+	}
+}
+
+// Guards against an invalid catalog in force.
+func TestRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(p *catalog.Parts)
+	}{
+		{"unknown service", func(p *catalog.Parts) { p.Routes[0].Shares = []catalog.Share{{Service: "three", Weight: 1}} }},
+		{"same place", func(p *catalog.Parts) { p.Routes[1].Prefix = "/" }},
+		{"same place in other case", func(p *catalog.Parts) { p.Routes[2].Host, p.Routes[2].Prefix = "A", "/x/" }},
+		{"no weight", func(p *catalog.Parts) { p.Routes[0].Shares = []catalog.Share{{Service: "one"}} }},
+		{"negative weight", func(p *catalog.Parts) {
+			p.Routes[0].Shares = []catalog.Share{{Service: "one", Weight: 2}, {Service: "two", Weight: -1}}
+		}},
+		{"no timeout", func(p *catalog.Parts) { p.Routes[0].Timeout = 0 }},
+		{"no kind", func(p *catalog.Parts) { p.Routes[0].Repeat = 0 }},
+		{"bad prefix", func(p *catalog.Parts) { p.Routes[0].Prefix = "/x" }},
+		{"shared key", func(p *catalog.Parts) { p.Workspaces[1].Keys = []string{"k1"} }},
+		{"service twice", func(p *catalog.Parts) { p.Services[1].Name = "one" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := parts()
+			tt.change(&p)
+			if _, err := catalog.Build(p); err == nil {
+				t.Error("got no error, want a refusal")
+			}
+		})
+	}
+}
+
+// Guards against engines that preempt a request while a less urgent one runs on:
+// the workspace's tier goes before the route's.
+func TestUrgency(t *testing.T) {
+	c, err := catalog.Build(parts())
+	if err != nil {
+		t.Fatal(err)
+	}
+	large, _ := c.Workspace("k1")
+	small, _ := c.Workspace("k3")
+	previous := -1
+	for _, w := range []catalog.Workspace{small, large} {
+		for _, path := range []string{"/", "/x/"} {
+			r, _ := c.Route("a", path)
+			got := c.Urgency(w, r)
+			if got <= previous {
+				t.Errorf("workspace tier %d, route tier %d: got rank %d, want more than %d", w.Tier, r.Tier, got, previous)
+			}
+			previous = got
+		}
+	}
+}
+
+// Guards against shares that do not follow the weights.
+func TestChoose(t *testing.T) {
+	r := route("a", "/", 0, catalog.Share{Service: "one", Weight: 90}, catalog.Share{Service: "none"}, catalog.Share{Service: "two", Weight: 10})
+	counts := map[string]int{}
+	const points = 1000
+	for i := range points {
+		counts[r.Choose(float64(i)/points)]++
+	}
+	if got, want := counts["one"], 900; got != want {
+		t.Errorf("one: got %d, want %d", got, want)
+	}
+	if got, want := counts["two"], 100; got != want {
+		t.Errorf("two: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a configuration that goes back, and against other content under
+// a revision that is in force.
+func TestMachine(t *testing.T) {
+	m := &catalog.Machine{}
+	steps := []struct {
+		revision uint64
+		body     string
+		want     catalog.Verdict
+		held     string
+	}{
+		{5, "a", catalog.Accepted, "a"}, {5, "b", catalog.Superseded, "a"}, {3, "c", catalog.Superseded, "a"},
+		{9, "d", catalog.Accepted, "d"}, {9, "d", catalog.Superseded, "d"},
+	}
+	for _, s := range steps {
+		if got := m.Apply(catalog.Document{Revision: s.revision, Body: []byte(s.body)}); got.Verdict != s.want {
+			t.Errorf("revision %d: got %q, want %q", s.revision, got.Verdict, s.want)
+		}
+		if got := string(m.Current().Body); got != s.held {
+			t.Errorf("revision %d: got %q in force, want %q", s.revision, got, s.held)
+		}
+	}
+	var restored catalog.Machine
+	if err := restored.Restore(m.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := restored.Current(), m.Current(); got.Revision != want.Revision || !bytes.Equal(got.Body, want.Body) {
+		t.Errorf("restored: got %v, want %v", got, want)
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -85,17 +85,15 @@
 		return &refusal{status: statusNotFound, reason: "no_route"}
 	}
 	x.route = route
-	x.hop.Tier, x.hop.HasTier = route.Tier, route.Prompt
+	var workspace catalog.Workspace
 	if c.NeedsKeys() && !route.Public {
-		workspace, ok := c.Workspace(x.call.Key)
+		workspace, ok = c.Workspace(x.call.Key)
 		if !ok {
 			return &refusal{status: statusUnauthorized, reason: "no_workspace"}
 		}
 		x.hop.Workspace = workspace.Name
-		if workspace.HasTier {
-			x.hop.Tier = workspace.Tier
-		}
 	}
+	x.hop.Urgency, x.hop.HasUrgency = c.Urgency(workspace, route), route.Prompt
 	x.service = route.Choose(rand.Float64())
 	x.deadline = x.request.arrived + route.Timeout
 	if x.call.TimeLeft > 0 {
@@ -248,7 +246,7 @@
 
 // budgetShare keeps a part of the retry budget for the most urgent requests.
 func (x *exchange) budgetShare() float64 {
-	if x.hop.Tier == 0 {
+	if x.hop.Urgency == 0 {
 		return 1
 	}
 	return 0.8
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -42,9 +42,11 @@
 	Server    string // the server that is meant; another one refuses
 	Workspace string
 	TimeLeft  clock.Millis
-	Tier      int
-	HasTier   bool
-	LastEvent string
+	// Urgency is 0 for the most urgent requests. Servers that do not tell
+	// requests apart get none.
+	Urgency    int
+	HasUrgency bool
+	LastEvent  string
 }
 
 // Answer is what a backend server says in the head of its answer.
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,128 @@
+package roster_test
+
+import (
+	"testing"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/roster"
+)
+
+func server(id, address string, started int64, sequence uint64) roster.Announcement {
+	return roster.Announcement{
+		Server: id, Service: "s", Address: address, State: roster.Serving, Started: started, Sequence: sequence,
+	}
+}
+
+func states(r *roster.Registry) map[string]roster.State {
+	out := map[string]roster.State{}
+	for _, record := range r.Since(0) {
+		out[record.Server] = record.State
+	}
+	return out
+}
+
+// Guards against an old announcement that brings back a server, or hides the one
+// that has its address now.
+func TestOrder(t *testing.T) {
+	const silence = 4 * clock.Second
+	tests := []struct {
+		name  string
+		steps []roster.Announcement
+		want  []roster.Acceptance
+		state map[string]roster.State
+	}{
+		{
+			"late announcement",
+			[]roster.Announcement{server("a", "10.0.0.1:1", 7, 2), server("a", "10.0.0.1:1", 7, 1).WithState(roster.Leaving)},
+			[]roster.Acceptance{roster.Changed, roster.Stale},
+			map[string]roster.State{"a": roster.Serving},
+		},
+		{
+			"new start under the same name",
+			[]roster.Announcement{server("a", "10.0.0.1:1", 7, 90), server("a", "10.0.0.1:1", 8, 1)},
+			[]roster.Acceptance{roster.Changed, roster.Changed},
+			map[string]roster.State{"a": roster.Serving},
+		},
+		{
+			"another server at the address",
+			[]roster.Announcement{server("a", "10.0.0.1:1", 7, 1), server("b", "10.0.0.1:1", 9, 1), server("a", "10.0.0.1:1", 7, 2)},
+			[]roster.Acceptance{roster.Changed, roster.Changed, roster.Stale},
+			map[string]roster.State{"a": roster.Gone, "b": roster.Serving},
+		},
+		{
+			"delayed announcement of the former server",
+			[]roster.Announcement{server("b", "10.0.0.1:1", 9, 1), server("a", "10.0.0.1:1", 7, 5)},
+			[]roster.Acceptance{roster.Changed, roster.Stale},
+			map[string]roster.State{"b": roster.Serving},
+		},
+		{
+			"heartbeat without news",
+			[]roster.Announcement{server("a", "10.0.0.1:1", 7, 1), server("a", "10.0.0.1:1", 7, 2)},
+			[]roster.Acceptance{roster.Changed, roster.Refreshed},
+			map[string]roster.State{"a": roster.Serving},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := roster.New(silence)
+			for i, a := range tt.steps {
+				if got := r.Accept(clock.Millis(i), a); got != tt.want[i] {
+					t.Errorf("step %d: got %d, want %d", i, got, tt.want[i])
+				}
+			}
+			got := states(r)
+			for id, want := range tt.state {
+				if got[id] != want {
+					t.Errorf("%s: got %q, want %q", id, got[id], want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a server that has left and is used again after a late heartbeat.
+func TestLeave(t *testing.T) {
+	r := roster.New(4 * clock.Second)
+	r.Accept(0, server("a", "10.0.0.1:1", 7, 1))
+	if got, want := r.Leave(1, "a"), roster.Changed; got != want {
+		t.Errorf("leave: got %d, want %d", got, want)
+	}
+	if got, want := r.Accept(2, server("a", "10.0.0.1:1", 7, 2)), roster.Stale; got != want {
+		t.Errorf("late heartbeat: got %d, want %d", got, want)
+	}
+	if got, want := r.Accept(3, server("a", "10.0.0.1:1", 8, 1)), roster.Changed; got != want {
+		t.Errorf("new start: got %d, want %d", got, want)
+	}
+	// A new leader may hear of a server for the first time when it leaves.
+	if got, want := r.Leave(4, "unknown"), roster.Changed; got != want {
+		t.Errorf("unknown server: got %d, want %d", got, want)
+	}
+}
+
+// Guards against entries that never learn that a server is silent, and against
+// traffic for heartbeats that change nothing.
+func TestSilence(t *testing.T) {
+	r := roster.New(4 * clock.Second)
+	r.Accept(0, server("a", "10.0.0.1:1", 7, 1))
+	position := r.Position()
+	for i := range 5 {
+		r.Accept(clock.Millis(i+1)*clock.Second, server("a", "10.0.0.1:1", 7, uint64(i+2)))
+	}
+	if got := r.Since(position); len(got) != 0 {
+		t.Errorf("heartbeats: got %d changes, want none", len(got))
+	}
+	if r.Advance(8 * clock.Second) {
+		t.Error("before the bound: got a change, want none")
+	}
+	if !r.Advance(9 * clock.Second) {
+		t.Error("at the bound: got no change, want one")
+	}
+	changes := r.Since(position)
+	if len(changes) != 1 || !changes[0].Silent {
+		t.Errorf("got %v, want one silent server", changes)
+	}
+	r.Accept(10*clock.Second, server("a", "10.0.0.1:1", 7, 9))
+	if changes = r.Since(position); len(changes) != 1 || changes[0].Silent {
+		t.Errorf("after a heartbeat: got %v, want one server that is heard", changes)
+	}
+}
