control, relay: share what entries have under way; count output as work

Cause: each of four entries saw a quarter of the load, and the border between long prompts and short streams ignored how long requests hold a place in the batch. Ruled out: load headers of answers, which come once a second for each server. Change: watches carry loads to the leader and back; demand counts output tokens.

--- a/control/watch.go
+++ b/control/watch.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"sync"
-
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
@@ -28,6 +26,14 @@
 	Epoch    uint64 // of the list of servers that Position belongs to
 	Position uint64
 	Wait     clock.Millis // how long the answer may be held without news
+	Loads    []Load       // what the entry has under way, by server
+}
+
+// Load is what entries have under way at a backend server.
+type Load struct {
+	Server   string
+	Requests int
+	Pending  int // prompt tokens that the server has not read yet
 }
 
 // News is the answer to a watch. Only a granted answer says that the catalog is
@@ -43,31 +49,12 @@
 	Servers  []roster.Record // changed since the entry's position
 	Entries  int             // entries that watch
 	Members  []string        // addresses of the control members
-}
-
-// watchers counts the entries that watch.
-type watchers struct {
-	mu   sync.Mutex
-	seen map[string]clock.Millis
-}
-
-func (w *watchers) count(now clock.Millis, entry string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.seen == nil {
-		w.seen = map[string]clock.Millis{}
-	}
-	w.seen[entry] = now
-	for name, at := range w.seen {
-		if now-at > entryForgotten {
-			delete(w.seen, name)
-		}
-	}
-	return len(w.seen)
+	Loads    []Load          // of all other entries together
 }
 
 // answerWatch waits for news and returns them.
 func (c *Control) answerWatch(w Watch) News {
+	c.watchers.take(c.options.Clock.Now(), w)
 	timeout, release := c.options.Clock.After(min(w.Wait, maxWatchWait))
 	defer release()
 	for {
@@ -102,7 +89,7 @@
 		news.Document = &document
 	}
 	news.Servers, news.Epoch, news.Position = c.servers.since(w.Epoch, w.Position)
-	news.Entries = c.watchers.count(c.options.Clock.Now(), w.Entry)
+	news.Entries, news.Loads = c.watchers.others(c.options.Clock.Now(), w.Entry)
 	return news
 }
 
@@ -120,6 +107,22 @@
 	Epoch    uint64       `json:"epoch"`
 	Position uint64       `json:"position"`
 	Wait     clock.Millis `json:"wait_ms"`
+	Loads    []wireLoad   `json:"loads,omitempty"`
+}
+
+// wireLoad has short names, because it is sent several times a second.
+type wireLoad struct {
+	Server   string `json:"s"`
+	Requests int    `json:"r"`
+	Pending  int    `json:"p,omitempty"`
+}
+
+func toWireLoads(loads []Load) []wireLoad {
+	return lo.Map(loads, func(l Load, _ int) wireLoad { return wireLoad(l) })
+}
+
+func fromWireLoads(wire []wireLoad) []Load {
+	return lo.Map(wire, func(l wireLoad, _ int) Load { return Load(l) })
 }
 
 type wireNews struct {
@@ -133,10 +136,13 @@
 	Servers  []wireServer  `json:"servers,omitempty"`
 	Entries  int           `json:"entries"`
 	Members  []string      `json:"members"`
+	Loads    []wireLoad    `json:"loads,omitempty"`
 }
 
 func encodeWatch(w Watch) ([]byte, error) {
-	data, err := json.Marshal(wireWatch(w))
+	data, err := json.Marshal(wireWatch{
+		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, Wait: w.Wait, Loads: toWireLoads(w.Loads),
+	})
 	return data, errors.WithStack(err)
 }
 
@@ -145,13 +151,15 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return Watch{}, errors.Wrap(err, "decoding a watch")
 	}
-	return Watch(w), nil
+	return Watch{
+		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, Wait: w.Wait, Loads: fromWireLoads(w.Loads),
+	}, nil
 }
 
 func encodeNews(n News) ([]byte, error) {
 	w := wireNews{
 		Granted: n.Granted, Leader: n.Leader, Term: n.Term, Revision: n.Revision, Epoch: n.Epoch, Position: n.Position,
-		Entries: n.Entries, Members: n.Members,
+		Entries: n.Entries, Members: n.Members, Loads: toWireLoads(n.Loads),
 		Servers: lo.Map(n.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
 	}
 	if n.Document != nil {
@@ -168,7 +176,7 @@
 	}
 	n := News{
 		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
-		Entries: w.Entries, Members: w.Members,
+		Entries: w.Entries, Members: w.Members, Loads: fromWireLoads(w.Loads),
 		Servers: lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.record() }),
 	}
 	if w.Document != nil {
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -18,7 +18,7 @@
 const (
 	// watchWait is how long the leader holds an answer without news. It sets how
 	// often a lease is renewed.
-	watchWait = 250 * clock.Millisecond
+	watchWait = 200 * clock.Millisecond
 	// watchSlack is how much later an answer may come.
 	watchSlack = 500 * clock.Millisecond
 	// watchPause keeps an entry from flooding a group without a leader.
@@ -34,6 +34,8 @@
 	Logger event.Logger
 	// Take gets each granted answer with the time at which its question was sent.
 	Take func(sent clock.Millis, news News)
+	// Loads returns what the entry has under way.
+	Loads func() []Load
 }
 
 // Watcher asks the leader of the control group for news, again and again.
@@ -104,6 +106,7 @@
 }
 
 func (w *Watcher) exchange(address string) (News, error) {
+	w.watch.Loads = w.options.Loads()
 	data, err := encodeWatch(w.watch)
 	if err != nil {
 		return News{}, err
--- /dev/null
+++ b/control/watchers.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// watchers holds the entries that watch, with their newest loads, at the leader.
+type watchers struct {
+	mu      sync.Mutex
+	entries map[string]watching
+	totals  map[string]Load // by server
+}
+
+type watching struct {
+	at    clock.Millis
+	loads []Load
+}
+
+// take replaces what an entry has under way.
+func (w *watchers) take(now clock.Millis, watch Watch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.entries == nil {
+		w.entries, w.totals = map[string]watching{}, map[string]Load{}
+	}
+	for name, e := range w.entries {
+		if name == watch.Entry || now-e.at > entryForgotten {
+			w.add(e.loads, -1)
+			delete(w.entries, name)
+		}
+	}
+	w.entries[watch.Entry] = watching{at: now, loads: watch.Loads}
+	w.add(watch.Loads, 1)
+}
+
+func (w *watchers) add(loads []Load, sign int) {
+	for _, l := range loads {
+		total := w.totals[l.Server]
+		total.Server = l.Server
+		total.Requests += sign * l.Requests
+		total.Pending += sign * l.Pending
+		if total.Requests == 0 && total.Pending == 0 {
+			delete(w.totals, l.Server)
+			continue
+		}
+		w.totals[l.Server] = total
+	}
+}
+
+// others returns the number of entries and what all but one have under way.
+func (w *watchers) others(now clock.Millis, entry string) (int, []Load) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	own := map[string]Load{}
+	for _, l := range w.entries[entry].loads {
+		own[l.Server] = l
+	}
+	loads := make([]Load, 0, len(w.totals))
+	for server, total := range w.totals {
+		total.Requests -= own[server].Requests
+		total.Pending -= own[server].Pending
+		if total.Requests > 0 || total.Pending > 0 {
+			loads = append(loads, total)
+		}
+	}
+	entries := 0
+	for _, e := range w.entries {
+		if now-e.at <= entryForgotten {
+			entries++
+		}
+	}
+	return entries, loads
+}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -12,8 +12,11 @@
 	// longPrompt is the number of prompt tokens, without those that the server
 	// has cached, that noticeably delays the streams beside it.
 	longPrompt = 3000
-	// requestTokens is what a running request costs, in prompt tokens.
-	requestTokens = 400
+	// outputCost is what an output token costs, in prompt tokens: a place in the
+	// batch for one step.
+	outputCost = 9
+	// runningTokens is what a running request still costs, in prompt tokens.
+	runningTokens = 1200
 	// loadBound is how far above the mean a server's load may be that is chosen
 	// for the prompt parts it holds.
 	loadBound = 1.4
@@ -40,7 +43,7 @@
 
 func (d *demand) add(now clock.Millis, n need) {
 	d.advance(now)
-	work := float64(n.tokens + requestTokens)
+	work := n.work()
 	if n.long {
 		d.long += work
 	} else {
@@ -48,6 +51,12 @@
 	}
 }
 
+// work returns what a request costs an engine, in prompt tokens. Shared parts are
+// mostly cached.
+func (n need) work() float64 {
+	return float64(n.tokens - n.shared*3/4 + outputCost*n.output)
+}
+
 // longShare returns the share of servers that long prompts get.
 func (d *demand) longShare() float64 {
 	if d.long+d.short == 0 {
@@ -63,33 +72,25 @@
 	p.demand.add(now, n)
 	part := f.partition(p, n.long, candidates)
 	costs := lo.Map(part, func(s *server, _ int) float64 { return f.engineCost(now, s) })
-	bound := loadBound*lo.Sum(costs)/float64(len(costs)) + float64(n.tokens+requestTokens)
 	order := lo.Range(len(part))
 	if n.affinity != "" {
+		bound := loadBound*lo.Sum(costs)/float64(len(costs)) + n.work()
 		slices.SortFunc(order, func(a, b int) int {
 			return lo.Ternary(part[a].affinity(n.affinity) > part[b].affinity(n.affinity), -1, 1)
 		})
 		for _, i := range order[:min(len(order), affinityTries)] {
 			if costs[i] <= bound {
-				return f.remember(now, part[i], n)
+				return part[i]
 			}
 		}
 	}
-	best := lo.MinBy(order, func(a, b int) bool { return costs[a] < costs[b] })
-	return f.remember(now, part[best], n)
+	return part[lo.MinBy(order, func(a, b int) bool { return costs[a] < costs[b] })]
 }
 
 // affinityTries is the number of servers that a prompt part is spread over when
 // the first ones are busy.
 const affinityTries = 2
 
-func (f *fleet) remember(now clock.Millis, s *server, n need) *server {
-	if n.affinity != "" {
-		s.parts[n.affinity] = now
-	}
-	return s
-}
-
 // partition returns the servers for long prompts, or the others. All entries
 // have the same order of servers, so their borders are close to each other.
 func (f *fleet) partition(p *pool, long bool, candidates []*server) []*server {
@@ -104,8 +105,8 @@
 	return candidates[border:]
 }
 
-// engineCost is the work at an engine in prompt tokens.
+// engineCost is the work at an engine, in prompt tokens.
 func (f *fleet) engineCost(now clock.Millis, s *server) float64 {
-	cost := float64(s.pending) + requestTokens*s.load(now)
-	return (cost + requestTokens) * (1 + failureCost*s.failureShare(now))
+	cost := s.unreadTokens(now) + runningTokens*s.load(now)
+	return (cost + runningTokens) * (1 + failureCost*s.failureShare(now))
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -114,10 +114,17 @@
 
 func (x *exchange) describeNeed() {
 	x.need = need{service: x.service, prompt: x.route.Prompt, tokens: x.call.PromptTokens}
-	x.need.long = x.call.PromptTokens >= longPrompt
+	x.need.output = x.call.LengthHint
+	if x.need.output == 0 {
+		x.need.output = x.call.OutputTokens / 2
+	}
 	if n := len(x.call.Parts); n > 1 {
 		x.need.affinity = x.call.Parts[n-2].ID
+		for _, p := range x.call.Parts[:n-1] {
+			x.need.shared += p.Tokens
+		}
 	}
+	x.need.long = x.call.PromptTokens >= longPrompt
 }
 
 // serve sends the request until it is answered.
@@ -140,7 +147,7 @@
 
 // begin chooses a server.
 func (x *exchange) begin() *attempt {
-	a := &attempt{exchange: x, uncached: x.call.PromptTokens, repeatable: x.repeatable()}
+	a := &attempt{exchange: x, repeatable: x.repeatable()}
 	a.server = x.relay.fleet.pick(x.relay.clock.Now(), x.need, a)
 	if a.server == nil {
 		return nil
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -78,6 +78,32 @@
 	for _, r := range news.Servers {
 		f.takeRecord(now, r)
 	}
+	f.takeLoads(now, news.Loads)
+}
+
+// takeLoads notes what the other entries have under way.
+func (f *fleet) takeLoads(now clock.Millis, loads []control.Load) {
+	for _, s := range f.servers {
+		s.others, s.othersRead, s.reportedAt = 0, 0, now
+	}
+	for _, l := range loads {
+		if s, ok := f.servers[l.Server]; ok {
+			s.others, s.othersRead = float64(l.Requests), float64(l.Pending)
+		}
+	}
+}
+
+// loads returns what this entry has under way.
+func (f *fleet) loads() []control.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var loads []control.Load
+	for name, s := range f.servers {
+		if len(s.attempts) > 0 {
+			loads = append(loads, control.Load{Server: name, Requests: len(s.attempts), Pending: s.pending})
+		}
+	}
+	return loads
 }
 
 func (f *fleet) takeRecord(now clock.Millis, r roster.Record) {
@@ -110,7 +136,7 @@
 	s.idle = nil
 	s.parts = map[string]clock.Millis{}
 	s.dark, s.stranger, s.blocked, s.backOff = false, false, 0, 0
-	s.failures, s.others, s.latency = 0, 0, 0
+	s.failures, s.others, s.othersRead, s.hinted, s.latency = 0, 0, 0, 0, 0
 }
 
 // sweep finds servers that say nothing, forgets the ones that have left and
@@ -154,9 +180,11 @@
 type need struct {
 	service  string
 	prompt   bool
-	long     bool   // the prompt holds up the streams beside it
-	affinity string // the prompt part that requests share
-	tokens   int
+	long     bool     // the prompt holds up the streams beside it
+	affinity string   // the prompt part that requests share
+	tokens   int      // of the prompt
+	shared   int      // of them in parts that other requests have too
+	output   int      // expected output tokens
 	excluded []string // servers that were tried
 }
 
@@ -175,6 +203,13 @@
 		s = f.pickPlain(now, candidates)
 	}
 	a.sentAt = now
+	a.uncached = n.tokens
+	if n.affinity != "" && now-s.parts[n.affinity] < partMemory && s.parts[n.affinity] > 0 {
+		a.uncached -= n.shared
+	}
+	if n.affinity != "" {
+		s.parts[n.affinity] = now
+	}
 	s.attempts[a] = struct{}{}
 	s.unread++
 	s.pending += a.uncached
@@ -287,7 +322,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.report(f.clock.Now(), answer.Load)
+	s.hint(f.clock.Now(), answer.Load)
 }
 
 // end ends an attempt and records its result.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,6 +153,9 @@
 	r.leased.Store(int64(sent + r.options.Lease))
 }
 
+// Loads returns what this relay has under way, for the other entries.
+func (r *Relay) Loads() []control.Load { return r.fleet.loads() }
+
 func (r *Relay) load(d catalog.Document) bool {
 	c, err := r.options.Format.Decode(d.Body)
 	if err != nil {
--- a/relay/server.go
+++ b/relay/server.go
@@ -20,6 +20,9 @@
 	latencyHalfLife = 3 * clock.Second
 	// reportHalfLife is the time after which half of a load report is forgotten.
 	reportHalfLife = 500 * clock.Millisecond
+	// reportFresh is how long the other entries' loads go before the server's own
+	// report, which comes only with answers.
+	reportFresh = 700 * clock.Millisecond
 	// firstBackOff doubles with each connection that fails, up to maxBackOff.
 	firstBackOff = 300 * clock.Millisecond
 	maxBackOff   = 2 * clock.Second
@@ -41,8 +44,11 @@
 	confirmed bool // by the present leader
 	listedAt  clock.Millis
 
-	others     float64 // load of other callers at reportedAt
+	others     float64 // requests of other entries at reportedAt
+	othersRead float64 // their prompt tokens that are not read yet
 	reportedAt clock.Millis
+	hinted     float64 // load of other callers in an answer at hintedAt
+	hintedAt   clock.Millis
 	failures   float64 // share of failures at failedAt
 	failedAt   clock.Millis
 	latency    float64 // mean latency in ms at latencyAt
@@ -63,14 +69,24 @@
 	return value * math.Exp2(-float64(max(age, 0))/float64(life))
 }
 
-// load returns the requests at the server, its own count first.
+// load returns the requests at the server, this entry's and the others'.
 func (s *server) load(now clock.Millis) float64 {
-	return float64(len(s.attempts)) + halfLife(s.others, now-s.reportedAt, reportHalfLife)
+	if now-s.reportedAt < reportFresh {
+		return float64(len(s.attempts)) + s.others
+	}
+	return float64(len(s.attempts)) + halfLife(s.hinted, now-s.hintedAt, reportHalfLife)
+}
+
+// unreadTokens returns the prompt tokens that the server has still to read.
+func (s *server) unreadTokens(now clock.Millis) float64 {
+	if now-s.reportedAt < reportFresh {
+		return float64(s.pending) + s.othersRead
+	}
+	return float64(s.pending)
 }
 
-func (s *server) report(now clock.Millis, l Load) {
-	s.others = max(float64(l.Running+l.Waiting-len(s.attempts)), 0)
-	s.reportedAt = now
+func (s *server) hint(now clock.Millis, l Load) {
+	s.hinted, s.hintedAt = max(float64(l.Running+l.Waiting-len(s.attempts)), 0), now
 }
 
 func (s *server) failureShare(now clock.Millis) float64 {
