--- a/control/watch.go
+++ b/control/watch.go
@@ -34,6 +34,7 @@
 	Server   string
 	Requests int
 	Pending  int // prompt tokens that the server has not read yet
+	Decode   int // what the output costs, in prompt tokens
 }
 
 // News is the answer to a watch. Only a granted answer says that the catalog is
@@ -115,6 +116,7 @@
 	Server   string `json:"s"`
 	Requests int    `json:"r"`
 	Pending  int    `json:"p,omitempty"`
+	Decode   int    `json:"d,omitempty"`
 }
 
 func toWireLoads(loads []Load) []wireLoad {
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -41,7 +41,8 @@
 		total.Server = l.Server
 		total.Requests += sign * l.Requests
 		total.Pending += sign * l.Pending
-		if total.Requests == 0 && total.Pending == 0 {
+		total.Decode += sign * l.Decode
+		if total.Requests == 0 {
 			delete(w.totals, l.Server)
 			continue
 		}
@@ -61,7 +62,8 @@
 	for server, total := range w.totals {
 		total.Requests -= own[server].Requests
 		total.Pending -= own[server].Pending
-		if total.Requests > 0 || total.Pending > 0 {
+		total.Decode -= own[server].Decode
+		if total.Requests > 0 {
 			loads = append(loads, total)
 		}
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -50,8 +50,9 @@
 type attempt struct {
 	exchange    *exchange
 	server      *server
-	uncached    int  // prompt tokens that the server is expected to read
-	repeatable  bool // the request may go elsewhere
+	uncached    int     // prompt tokens that the server is expected to read
+	decode      float64 // what its output costs, in prompt tokens
+	repeatable  bool    // the request may go elsewhere
 	sentAt      clock.Millis
 	begun       bool // the first byte has come
 	firstByteAt clock.Millis
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -17,6 +17,9 @@
 	// repeatAfter is how many times its target a request that may run again waits
 	// for its first byte before it goes to another server.
 	repeatAfter = 2.5
+	// notRunShare is the part of the retry budget for requests that a server has
+	// refused.
+	notRunShare = 0.4
 	// minRepeatAfter keeps requests with a short target from being sent twice.
 	minRepeatAfter = 200 * clock.Millisecond
 )
@@ -113,7 +116,7 @@
 }
 
 func (x *exchange) describeNeed() {
-	x.need = need{service: x.service, prompt: x.route.Prompt, tokens: x.call.PromptTokens}
+	x.need = need{service: x.service, route: x.route.Name, prompt: x.route.Prompt, tokens: x.call.PromptTokens}
 	x.need.output = x.call.LengthHint
 	if x.need.output == 0 {
 		x.need.output = x.call.OutputTokens / 2
@@ -124,7 +127,6 @@
 			x.need.shared += p.Tokens
 		}
 	}
-	x.need.long = x.call.PromptTokens >= longPrompt
 }
 
 // serve sends the request until it is answered.
@@ -248,15 +250,16 @@
 	if mayRun && (x.route.Repeat == catalog.OnceOnly || x.runs >= x.route.Attempts) {
 		return false
 	}
-	return x.relay.budget.repeat(now, x.service, x.budgetShare())
+	return x.relay.budget.repeat(now, x.service, x.budgetShare(a.result))
 }
 
-// budgetShare keeps a part of the retry budget for the most urgent requests.
-func (x *exchange) budgetShare() float64 {
-	if x.hop.Urgency == 0 {
-		return 1
+// budgetShare keeps a part of the retry budget for requests that a server has
+// lost: a server that is full may be full again.
+func (x *exchange) budgetShare(r result) float64 {
+	if r == resultNotRun {
+		return notRunShare
 	}
-	return 0.8
+	return 1
 }
 
 // giveUp gives the final answer of a request that no server has answered.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -84,11 +84,11 @@
 // takeLoads notes what the other entries have under way.
 func (f *fleet) takeLoads(now clock.Millis, loads []control.Load) {
 	for _, s := range f.servers {
-		s.others, s.othersRead, s.reportedAt = 0, 0, now
+		s.others, s.othersRead, s.othersDecode, s.reportedAt = 0, 0, 0, now
 	}
 	for _, l := range loads {
 		if s, ok := f.servers[l.Server]; ok {
-			s.others, s.othersRead = float64(l.Requests), float64(l.Pending)
+			s.others, s.othersRead, s.othersDecode = float64(l.Requests), float64(l.Pending), float64(l.Decode)
 		}
 	}
 }
@@ -100,7 +100,7 @@
 	var loads []control.Load
 	for name, s := range f.servers {
 		if len(s.attempts) > 0 {
-			loads = append(loads, control.Load{Server: name, Requests: len(s.attempts), Pending: s.pending})
+			loads = append(loads, control.Load{Server: name, Requests: len(s.attempts), Pending: s.pending, Decode: int(s.decode)})
 		}
 	}
 	return loads
@@ -136,7 +136,7 @@
 	s.idle = nil
 	s.parts = map[string]clock.Millis{}
 	s.dark, s.stranger, s.blocked, s.backOff = false, false, 0, 0
-	s.failures, s.others, s.othersRead, s.hinted, s.latency = 0, 0, 0, 0, 0
+	s.failures, s.others, s.othersRead, s.othersDecode, s.hinted, s.latency = 0, 0, 0, 0, 0, 0
 }
 
 // sweep finds servers that say nothing, forgets the ones that have left and
@@ -180,11 +180,12 @@
 type need struct {
 	service  string
 	prompt   bool
-	long     bool     // the prompt holds up the streams beside it
+	route    string
 	affinity string   // the prompt part that requests share
 	tokens   int      // of the prompt
 	shared   int      // of them in parts that other requests have too
 	output   int      // expected output tokens
+	decode   float64  // what they cost, in prompt tokens
 	excluded []string // servers that were tried
 }
 
@@ -197,6 +198,7 @@
 		return nil
 	}
 	var s *server
+	n.decode = f.decodeCost(n)
 	if n.prompt {
 		s = f.pickEngine(now, n, candidates)
 	} else {
@@ -213,9 +215,8 @@
 	s.attempts[a] = struct{}{}
 	s.unread++
 	s.pending += a.uncached
-	if n.long {
-		s.long++
-	}
+	a.decode = n.decode
+	s.decode += a.decode
 	return s
 }
 
@@ -331,13 +332,11 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	delete(s.attempts, a)
+	s.decode -= a.decode
 	if !a.begun {
 		s.unread--
 		s.pending -= a.uncached
 	}
-	if n.long {
-		s.long--
-	}
 	switch a.result {
 	case resultUnreachable:
 		s.unreachable(now)
--- a/relay/server.go
+++ b/relay/server.go
@@ -35,8 +35,8 @@
 
 	attempts  map[*attempt]struct{} // under way
 	pending   int                   // prompt tokens of attempts without a first byte
+	decode    float64               // what the output of attempts costs, in prompt tokens
 	unread    int                   // attempts without a first byte
-	long      int                   // attempts with a long prompt
 	open      int                   // connections, idle ones included
 	idle      []*serverConn         // the newest last
 	parts     map[string]clock.Millis
@@ -44,19 +44,20 @@
 	confirmed bool // by the present leader
 	listedAt  clock.Millis
 
-	others     float64 // requests of other entries at reportedAt
-	othersRead float64 // their prompt tokens that are not read yet
-	reportedAt clock.Millis
-	hinted     float64 // load of other callers in an answer at hintedAt
-	hintedAt   clock.Millis
-	failures   float64 // share of failures at failedAt
-	failedAt   clock.Millis
-	latency    float64 // mean latency in ms at latencyAt
-	latencyAt  clock.Millis
-	backOff    clock.Millis
-	blocked    clock.Millis // no connection is tried before
-	dark       bool         // nothing is heard while attempts wait
-	stranger   bool         // another server is at the address
+	others       float64 // requests of other entries at reportedAt
+	othersRead   float64 // their prompt tokens that are not read yet
+	othersDecode float64 // what their output costs, in prompt tokens
+	reportedAt   clock.Millis
+	hinted       float64 // load of other callers in an answer at hintedAt
+	hintedAt     clock.Millis
+	failures     float64 // share of failures at failedAt
+	failedAt     clock.Millis
+	latency      float64 // mean latency in ms at latencyAt
+	latencyAt    clock.Millis
+	backOff      clock.Millis
+	blocked      clock.Millis // no connection is tried before
+	dark         bool         // nothing is heard while attempts wait
+	stranger     bool         // another server is at the address
 }
 
 func newServer(r roster.Record) *server {
@@ -85,6 +86,14 @@
 	return float64(s.pending)
 }
 
+// decodeTokens returns what the output of all requests costs, in prompt tokens.
+func (s *server) decodeTokens(now clock.Millis) float64 {
+	if now-s.reportedAt < reportFresh {
+		return s.decode + s.othersDecode
+	}
+	return s.decode
+}
+
 func (s *server) hint(now clock.Millis, l Load) {
 	s.hinted, s.hintedAt = max(float64(l.Running+l.Waiting-len(s.attempts)), 0), now
 }
