relay, control: two groups of engines with a border that all entries share

Cause: the border between long prompts and short streams moved with each entry's own demand, so streams got long prompts beside them when it moved. Change: entries share their demand; the border moves in steps, and short requests get headroom beyond their share of the work.

--- a/control/watch.go
+++ b/control/watch.go
@@ -27,6 +27,15 @@
 	Position uint64
 	Wait     clock.Millis // how long the answer may be held without news
 	Loads    []Load       // what the entry has under way, by server
+	Demands  []Demand     // by service
+}
+
+// Demand is the work of recent requests to the engines of a service, in prompt
+// tokens, for long prompts and for others.
+type Demand struct {
+	Service string
+	Long    int
+	Short   int
 }
 
 // Load is what entries have under way at a backend server.
@@ -51,6 +60,7 @@
 	Entries  int             // entries that watch
 	Members  []string        // addresses of the control members
 	Loads    []Load          // of all other entries together
+	Demands  []Demand        // of all other entries together
 }
 
 // answerWatch waits for news and returns them.
@@ -90,7 +100,7 @@
 		news.Document = &document
 	}
 	news.Servers, news.Epoch, news.Position = c.servers.since(w.Epoch, w.Position)
-	news.Entries, news.Loads = c.watchers.others(c.options.Clock.Now(), w.Entry)
+	news.Entries, news.Loads, news.Demands = c.watchers.others(c.options.Clock.Now(), w.Entry)
 	return news
 }
 
@@ -109,6 +119,21 @@
 	Position uint64       `json:"position"`
 	Wait     clock.Millis `json:"wait_ms"`
 	Loads    []wireLoad   `json:"loads,omitempty"`
+	Demands  []wireDemand `json:"demands,omitempty"`
+}
+
+type wireDemand struct {
+	Service string `json:"service"`
+	Long    int    `json:"long"`
+	Short   int    `json:"short"`
+}
+
+func toWireDemands(demands []Demand) []wireDemand {
+	return lo.Map(demands, func(d Demand, _ int) wireDemand { return wireDemand(d) })
+}
+
+func fromWireDemands(wire []wireDemand) []Demand {
+	return lo.Map(wire, func(d wireDemand, _ int) Demand { return Demand(d) })
 }
 
 // wireLoad has short names, because it is sent several times a second.
@@ -139,11 +164,13 @@
 	Entries  int           `json:"entries"`
 	Members  []string      `json:"members"`
 	Loads    []wireLoad    `json:"loads,omitempty"`
+	Demands  []wireDemand  `json:"demands,omitempty"`
 }
 
 func encodeWatch(w Watch) ([]byte, error) {
 	data, err := json.Marshal(wireWatch{
-		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, Wait: w.Wait, Loads: toWireLoads(w.Loads),
+		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, Wait: w.Wait,
+		Loads: toWireLoads(w.Loads), Demands: toWireDemands(w.Demands),
 	})
 	return data, errors.WithStack(err)
 }
@@ -154,14 +181,15 @@
 		return Watch{}, errors.Wrap(err, "decoding a watch")
 	}
 	return Watch{
-		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, Wait: w.Wait, Loads: fromWireLoads(w.Loads),
+		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, Wait: w.Wait,
+		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
 	}, nil
 }
 
 func encodeNews(n News) ([]byte, error) {
 	w := wireNews{
 		Granted: n.Granted, Leader: n.Leader, Term: n.Term, Revision: n.Revision, Epoch: n.Epoch, Position: n.Position,
-		Entries: n.Entries, Members: n.Members, Loads: toWireLoads(n.Loads),
+		Entries: n.Entries, Members: n.Members, Loads: toWireLoads(n.Loads), Demands: toWireDemands(n.Demands),
 		Servers: lo.Map(n.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
 	}
 	if n.Document != nil {
@@ -179,6 +207,7 @@
 	n := News{
 		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
 		Entries: w.Entries, Members: w.Members, Loads: fromWireLoads(w.Loads),
+		Demands: fromWireDemands(w.Demands),
 		Servers: lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.record() }),
 	}
 	if w.Document != nil {
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -34,8 +34,8 @@
 	Logger event.Logger
 	// Take gets each granted answer with the time at which its question was sent.
 	Take func(sent clock.Millis, news News)
-	// Loads returns what the entry has under way.
-	Loads func() []Load
+	// Report returns what the other entries need to know of this one.
+	Report func() ([]Load, []Demand)
 }
 
 // Watcher asks the leader of the control group for news, again and again.
@@ -106,7 +106,7 @@
 }
 
 func (w *Watcher) exchange(address string) (News, error) {
-	w.watch.Loads = w.options.Loads()
+	w.watch.Loads, w.watch.Demands = w.options.Report()
 	data, err := encodeWatch(w.watch)
 	if err != nil {
 		return News{}, err
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/clock"
 )
 
@@ -14,8 +16,9 @@
 }
 
 type watching struct {
-	at    clock.Millis
-	loads []Load
+	at      clock.Millis
+	loads   []Load
+	demands []Demand
 }
 
 // take replaces what an entry has under way.
@@ -31,7 +34,7 @@
 			delete(w.entries, name)
 		}
 	}
-	w.entries[watch.Entry] = watching{at: now, loads: watch.Loads}
+	w.entries[watch.Entry] = watching{at: now, loads: watch.Loads, demands: watch.Demands}
 	w.add(watch.Loads, 1)
 }
 
@@ -50,8 +53,9 @@
 	}
 }
 
-// others returns the number of entries and what all but one have under way.
-func (w *watchers) others(now clock.Millis, entry string) (int, []Load) {
+// others returns the number of entries, and what all but one have under way and
+// demand.
+func (w *watchers) others(now clock.Millis, entry string) (int, []Load, []Demand) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	own := map[string]Load{}
@@ -67,11 +71,21 @@
 			loads = append(loads, total)
 		}
 	}
-	entries := 0
-	for _, e := range w.entries {
-		if now-e.at <= entryForgotten {
-			entries++
+	entries, sums := 0, map[string]Demand{}
+	for name, e := range w.entries {
+		if now-e.at > entryForgotten {
+			continue
+		}
+		entries++
+		for _, d := range e.demands {
+			sum := sums[d.Service]
+			if name != entry {
+				sum.Long += d.Long
+				sum.Short += d.Short
+			}
+			sum.Service = d.Service
+			sums[d.Service] = sum
 		}
 	}
-	return entries, loads
+	return entries, loads, lo.Values(sums)
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"slices"
 
 	"github.com/samber/lo"
@@ -22,99 +23,72 @@
 	// loadBound is how far above the mean a server's load may be that is chosen
 	// for the prompt parts it holds.
 	loadBound = 1.4
-	// leastShare of the work is what each group gets servers for at least.
-	leastShare = 0.08
-	// shapeWeight is the weight of the newest request in a route's usual shape.
-	shapeWeight = 0.05
+	// minLongShare and maxLongShare bound the share of servers for long prompts.
+	minLongShare = 0.3
+	maxLongShare = 0.75
+	// defaultLongShare is used until the demand is known.
+	defaultLongShare = 0.6
+	// shortHeadroom is the room that the others get beyond their share of the
+	// work: they are the more urgent ones and have tighter targets.
+	shortHeadroom = 1.4
+	// borderStep is the least change of the share that moves the border.
+	borderStep = 0.08
+	// borderPause is the least time between two moves.
+	borderPause = 1 * clock.Second
 	// demandHalfLife is how quickly the measured demand follows.
 	demandHalfLife = 2 * clock.Second
 )
 
-// group says which servers of an engine service a request goes to. Prompts hold
-// up the streams beside them, so requests with much to read are kept from those
-// whose output takes most of their time.
-type group uint8
-
-const (
-	longPrompts group = iota
-	shortPrompts
-	outputs
-	groups int = iota
-)
-
-// demand measures the work of each group, in prompt tokens.
+// demand measures the work of long and of short prompts, in prompt tokens. Its
+// border between the servers of both moves in steps, because streams that run
+// beside the border's new neighbours suffer.
 type demand struct {
-	work   [groups]float64
-	at     clock.Millis
-	routes map[string]*routeShape
-}
-
-// routeShape is the usual shape of a route's short requests.
-type routeShape struct {
-	prompt, decode float64
+	long, short float64
+	at          clock.Millis
+	border      float64 // share of the servers that long prompts have
+	movedAt     clock.Millis
 }
 
 func (d *demand) advance(now clock.Millis) {
-	for g := range d.work {
-		d.work[g] = halfLife(d.work[g], now-d.at, demandHalfLife)
-	}
+	d.long = halfLife(d.long, now-d.at, demandHalfLife)
+	d.short = halfLife(d.short, now-d.at, demandHalfLife)
 	d.at = now
 }
 
-// place returns the group of a request and counts its work.
-func (d *demand) place(now clock.Millis, n need) group {
+func (d *demand) add(now clock.Millis, n need) {
 	d.advance(now)
-	g := d.group(n)
-	d.work[g] += float64(n.tokens-n.shared*3/4) + n.decode
-	return g
-}
-
-func (d *demand) group(n need) group {
-	if n.tokens >= longPrompt {
-		return longPrompts
-	}
-	if d.routes == nil {
-		d.routes = map[string]*routeShape{}
-	}
-	shape, ok := d.routes[n.route]
-	if !ok {
-		shape = &routeShape{prompt: float64(n.tokens - n.shared), decode: n.decode}
-		d.routes[n.route] = shape
+	work := float64(n.tokens-n.shared*3/4) + n.decode
+	if n.long() {
+		d.long += work
+	} else {
+		d.short += work
 	}
-	shape.prompt += shapeWeight * (float64(n.tokens-n.shared) - shape.prompt)
-	shape.decode += shapeWeight * (n.decode - shape.decode)
-	if shape.prompt > shape.decode {
-		return shortPrompts
-	}
-	return outputs
 }
 
-// borders returns the number of servers of each group among n.
-func (d *demand) borders(n int) [groups]int {
-	total, least := lo.Sum(d.work[:]), leastShare*lo.Sum(d.work[:])
-	var counts [groups]int
-	if total == 0 {
-		total, least = 1, 1
-	}
-	for _, w := range d.work {
-		total += max(least-w, 0)
+// longShare returns the share of servers that long prompts get, from this
+// entry's demand and the others'.
+func (d *demand) longShare(now clock.Millis, othersLong, othersShort float64) float64 {
+	long, short := d.long+othersLong, (d.short+othersShort)*shortHeadroom
+	if long+short == 0 {
+		return defaultLongShare
 	}
-	left := n
-	for g := groups - 1; g > 0; g-- {
-		counts[g] = int(max(d.work[g], least)/total*float64(n) + 0.5)
-		counts[g] = min(max(counts[g], 1), left-g)
-		left -= counts[g]
+	wanted := min(max(long/(long+short), minLongShare), maxLongShare)
+	moved := math.Abs(wanted-d.border) > borderStep && now-d.movedAt > borderPause
+	if d.border == 0 || moved {
+		d.border, d.movedAt = wanted, now
 	}
-	counts[0] = left
-	return counts
+	return d.border
 }
 
+// long reports whether the prompt holds up the streams beside it.
+func (n need) long() bool { return n.tokens >= longPrompt }
+
 // pickEngine keeps long prompts and short streams on different servers, and
 // requests with equal prompt parts on the same ones.
 func (f *fleet) pickEngine(now clock.Millis, n need, candidates []*server) *server {
 	p := f.pool(n.service)
-	g := p.demand.place(now, n)
-	return f.pickNear(now, n, f.partition(p, g, candidates))
+	p.demand.add(now, n)
+	return f.pickNear(now, n, f.partition(now, p, n.long(), candidates))
 }
 
 // pickNear prefers the servers that are likely to hold the request's prompt parts.
@@ -144,18 +118,19 @@
 // the first ones are busy.
 const affinityTries = 2
 
-// partition returns the servers of a group. All entries have the same order of
-// servers, so their borders are close to each other.
-func (f *fleet) partition(p *pool, g group, candidates []*server) []*server {
-	if len(candidates) < groups {
+// partition returns the servers for long prompts, or for the others. All entries
+// have the same order of servers, so their borders are close to each other.
+func (f *fleet) partition(now clock.Millis, p *pool, long bool, candidates []*server) []*server {
+	if len(candidates) < 2 {
 		return candidates
 	}
-	first := 0
-	counts := p.demand.borders(len(candidates))
-	for _, n := range counts[:g] {
-		first += n
+	share := p.demand.longShare(now, p.othersLong, p.othersShort)
+	border := int(share*float64(len(candidates)) + 0.5)
+	border = min(max(border, 1), len(candidates)-1)
+	if long {
+		return candidates[:border]
 	}
-	return candidates[first : first+counts[g]]
+	return candidates[border:]
 }
 
 // engineCost is the work at an engine, in prompt tokens.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -42,7 +42,9 @@
 
 // pool is what is known about a service as a whole.
 type pool struct {
-	demand demand
+	demand      demand
+	othersLong  float64 // the other entries' demand
+	othersShort float64
 }
 
 func newFleet(zone string, c clock.Clock) *fleet {
@@ -79,6 +81,23 @@
 		f.takeRecord(now, r)
 	}
 	f.takeLoads(now, news.Loads)
+	for _, d := range news.Demands {
+		p := f.pool(d.Service)
+		p.othersLong, p.othersShort = float64(d.Long), float64(d.Short)
+	}
+}
+
+// demands returns the work of this entry's recent requests to engines.
+func (f *fleet) demands() []control.Demand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	var demands []control.Demand
+	for service, p := range f.pools {
+		p.demand.advance(now)
+		demands = append(demands, control.Demand{Service: service, Long: int(p.demand.long), Short: int(p.demand.short)})
+	}
+	return demands
 }
 
 // takeLoads notes what the other entries have under way.
@@ -154,9 +173,6 @@
 			delete(f.servers, name)
 		}
 	}
-	for _, p := range f.pools {
-		p.demand.advance(now)
-	}
 }
 
 // findDark ends the attempts that may be repeated at a server that says nothing.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,8 +153,10 @@
 	r.leased.Store(int64(sent + r.options.Lease))
 }
 
-// Loads returns what this relay has under way, for the other entries.
-func (r *Relay) Loads() []control.Load { return r.fleet.loads() }
+// Report returns what the other entries need to know of this relay.
+func (r *Relay) Report() ([]control.Load, []control.Demand) {
+	return r.fleet.loads(), r.fleet.demands()
+}
 
 func (r *Relay) load(d catalog.Document) bool {
 	c, err := r.options.Format.Decode(d.Body)
