relay: do not cut streams whose server pauses

Ruled out: a caller that left; a manifest change. Tests with scripted servers; TestPausedStreamIsNotCut fails with the former bound.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -62,6 +62,7 @@
 	mu          sync.Mutex
 	conn        *serverConn
 	interrupted bool
+	paid        bool // the retry budget has granted the next attempt
 
 	written  chan error // nil when the request was written at once
 	reusable bool
@@ -81,6 +82,20 @@
 	}
 }
 
+// interruptPaid is interrupt with a repetition that the budget has granted.
+func (a *attempt) interruptPaid() {
+	a.mu.Lock()
+	a.paid = true
+	a.mu.Unlock()
+	a.interrupt()
+}
+
+func (a *attempt) wasPaid() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.paid
+}
+
 // hold notes the connection and reports whether the attempt goes on.
 func (a *attempt) hold(c *serverConn) bool {
 	a.mu.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -250,13 +250,13 @@
 	if mayRun && (x.route.Repeat == catalog.OnceOnly || x.runs >= x.route.Attempts) {
 		return false
 	}
-	return x.relay.budget.repeat(now, x.service, x.budgetShare(a.result))
+	return a.wasPaid() || x.relay.budget.repeat(now, x.service, x.budgetShare(a.result))
 }
 
 // budgetShare keeps a part of the retry budget for requests that a server has
 // lost: a server that is full may be full again.
 func (x *exchange) budgetShare(r result) float64 {
-	if r == resultNotRun {
+	if r == resultNotRun && x.route.Tier > 0 {
 		return notRunShare
 	}
 	return 1
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -17,6 +17,8 @@
 	// darkAfter is how long a server may say nothing at all while requests wait
 	// for it, before work that may be repeated goes elsewhere.
 	darkAfter = 1200 * clock.Millisecond
+	// darkStream is the same for a stream that has begun.
+	darkStream = 3500 * clock.Millisecond
 	// unlistedGrace is how long servers stay that a new leader does not list: it
 	// hears of them at their next heartbeats.
 	unlistedGrace = 4 * clock.Second
@@ -175,19 +177,25 @@
 	}
 }
 
-// findDark ends the attempts that may be repeated at a server that says nothing.
+// findDark marks a server that says nothing at all while requests wait for it.
+// Work that may be repeated goes elsewhere if the retry budget allows; a stream
+// that has begun gets more time, as a server may pause it.
 func (f *fleet) findDark(now clock.Millis, s *server) {
 	oldest := now
 	for a := range s.attempts {
 		oldest = min(oldest, a.sentAt)
 	}
-	if now-max(oldest, s.lastByte) < darkAfter {
+	silence := now - max(oldest, s.lastByte)
+	if silence < darkAfter {
 		return
 	}
 	s.dark = true
 	for a := range s.attempts {
-		if a.repeatable {
-			a.interrupt()
+		if !a.repeatable || a.begun && silence < darkStream || now-a.sentAt < darkAfter {
+			continue
+		}
+		if a.exchange.relay.budget.repeat(now, s.record.Service, 1) {
+			a.interruptPaid()
 		}
 	}
 }
--- a/relay/serverconn.go
+++ b/relay/serverconn.go
@@ -17,6 +17,11 @@
 	// unacknowledged is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken.
 	unacknowledged = 3 * clock.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveCount let the kernel find a
+	// server that is gone without a word while a request waits for it.
+	keepAliveIdle     = 1 * clock.Second
+	keepAliveInterval = 500 * clock.Millisecond
+	keepAliveCount    = 3
 	// defaultIdle is how long an idle connection is kept to a server that does not
 	// say how long it keeps one.
 	defaultIdle = 3 * clock.Second
@@ -78,7 +83,9 @@
 	address := s.record.Address
 	s.open++
 	f.mu.Unlock()
-	dialer := net.Dialer{Timeout: min(timeout, dialTimeout).Duration(), KeepAlive: -1, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: min(timeout, dialTimeout).Duration(), Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: keepAliveCount,
+	}}
 	conn, err := dialer.DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		f.mu.Lock()
