--- a/commands/commands.go
+++ b/commands/commands.go
@@ -52,6 +52,7 @@
 		newControl(),
 		newState(),
 		newKey(),
+		newExplain(),
 		newVersion(),
 	)
 	return root
--- a/control/watch.go
+++ b/control/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
--- a/event/writer.go
+++ b/event/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"sync"
 	"sync/atomic"
 )
 
@@ -21,7 +20,6 @@
 	lines   chan []byte // capacity writerCapacity; when full, lines are dropped
 	flushes chan chan struct{}
 	dropped atomic.Uint64
-	once    sync.Once
 }
 
 func newWriter(out io.Writer) *writer {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -78,7 +78,7 @@
 	defer a.mu.Unlock()
 	a.interrupted = true
 	if a.conn != nil {
-		_ = a.conn.Conn.Close()
+		_ = a.conn.Close()
 	}
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -171,7 +171,7 @@
 	x.caller.onGone(a.interrupt)
 	defer func() {
 		a.release()
-		x.relay.fleet.end(a.server, a, x.need)
+		x.relay.fleet.end(a.server, a)
 		x.logAttempt(a)
 	}()
 	now := x.relay.clock.Now()
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -351,7 +351,7 @@
 }
 
 // end ends an attempt and records its result.
-func (f *fleet) end(s *server, a *attempt, n need) {
+func (f *fleet) end(s *server, a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// metrics are the relay's counters and histograms. Labels come from the catalog
+// and from closed sets, never from callers.
+type metrics struct {
+	registry  *prometheus.Registry
+	answers   *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	attempts  *prometheus.CounterVec
+	cuts      prometheus.Counter
+	firstByte *prometheus.HistogramVec
+	whole     *prometheus.HistogramVec
+}
+
+func newMetrics(r *Relay) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenaslip_relay_answers_total", Help: "Whole answers of backend servers that were passed on.",
+		}, []string{"route", "status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenaslip_relay_refusals_total", Help: "Answers of the relay's own, by reason.",
+		}, []string{"reason", "status"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenaslip_relay_attempts_total", Help: "Sendings of requests to backend servers, by result.",
+		}, []string{"service", "result"}),
+		cuts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenaslip_relay_streams_cut_total", Help: "Streams that could not be completed.",
+		}),
+		firstByte: newHistogram("galenaslip_relay_first_byte_seconds", "Time from a request's arrival to the first byte of its answer."),
+		whole:     newHistogram("galenaslip_relay_answer_seconds", "Time from a request's arrival to the end of its answer."),
+	}
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.cuts, m.firstByte, m.whole)
+	for name, value := range map[string]func(s State) float64{
+		"lease_ms":         func(s State) float64 { return float64(s.LeaseLeft) },
+		"catalog_revision": func(s State) float64 { return float64(s.Revision) },
+		"connections":      func(s State) float64 { return float64(s.Connections) },
+		"attempts_running": func(s State) float64 { return float64(s.Attempts) },
+		"servers":          func(s State) float64 { return float64(len(s.Servers)) },
+		"log_lines_lost":   func(State) float64 { return float64(r.options.Logger.Dropped()) },
+	} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "galenaslip_relay_" + name, Help: "See docs/metrics.md.",
+		}, func() float64 { return value(r.State()) }))
+	}
+	return m
+}
+
+func newHistogram(name, help string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
+	}, []string{"route"})
+}
+
+func (m *metrics) answered(route string, status int, firstByte, whole clock.Millis) {
+	m.answers.WithLabelValues(route, strconv.Itoa(status)).Inc()
+	m.firstByte.WithLabelValues(route).Observe(firstByte.Duration().Seconds())
+	m.whole.WithLabelValues(route).Observe(whole.Duration().Seconds())
+}
+
+// Metrics serves the metrics.
+func (r *Relay) Metrics() http.Handler {
+	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
+}
+
+// State is a dump of what the relay believes.
+type State struct {
+	Name        string
+	Ready       bool
+	Revision    uint64
+	LeaseLeft   clock.Millis
+	Entries     int
+	Connections int
+	Attempts    int
+	Servers     []ServerState
+}
+
+// ServerState is a backend server in a dump.
+type ServerState struct {
+	Server, Service, Address, State       string
+	Silent, Dark, Stranger                bool
+	Attempts, OpenConnections, IdleOnes   int
+	OthersRequests, FailureShare, Latency float64
+}
+
+// State returns a dump.
+func (r *Relay) State() State {
+	now := r.clock.Now()
+	s := State{
+		Name: r.options.Name, Ready: r.Ready(), Revision: r.catalog.Load().Revision(),
+		LeaseLeft: clock.Millis(r.leased.Load()) - now, Connections: r.each(func(*callerConn) {}),
+	}
+	f := r.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.Entries = f.entries
+	for name, v := range f.servers {
+		s.Attempts += len(v.attempts)
+		s.Servers = append(s.Servers, ServerState{
+			Server: name, Service: v.record.Service, Address: v.record.Address, State: string(v.record.State),
+			Silent: v.record.Silent, Dark: v.dark, Stranger: v.stranger, Attempts: len(v.attempts), OpenConnections: v.open,
+			IdleOnes: len(v.idle), OthersRequests: v.others, FailureShare: v.failureShare(now), Latency: v.meanLatency(now),
+		})
+	}
+	return s
+}
+
+type wireState struct {
+	Name        string            `json:"name"`
+	Ready       bool              `json:"ready"`
+	Revision    uint64            `json:"catalog_revision"`
+	LeaseLeft   clock.Millis      `json:"lease_left_ms"`
+	Entries     int               `json:"entries"`
+	Connections int               `json:"connections"`
+	Attempts    int               `json:"attempts_running"`
+	Servers     []wireServerState `json:"servers"`
+}
+
+type wireServerState struct {
+	Server          string  `json:"server"`
+	Service         string  `json:"service"`
+	Address         string  `json:"address"`
+	State           string  `json:"state"`
+	Silent          bool    `json:"silent"`
+	Dark            bool    `json:"dark"`
+	Stranger        bool    `json:"stranger"`
+	Attempts        int     `json:"attempts"`
+	OpenConnections int     `json:"open_connections"`
+	IdleOnes        int     `json:"idle_connections"`
+	OthersRequests  float64 `json:"others_requests"`
+	FailureShare    float64 `json:"failure_share"`
+	Latency         float64 `json:"mean_latency_ms"`
+}
+
+// EncodeState returns the JSON form of a dump.
+func EncodeState(s State) ([]byte, error) {
+	w := wireState{
+		Name: s.Name, Ready: s.Ready, Revision: s.Revision, LeaseLeft: s.LeaseLeft, Entries: s.Entries,
+		Connections: s.Connections, Attempts: s.Attempts,
+	}
+	for _, v := range s.Servers {
+		w.Servers = append(w.Servers, wireServerState(v))
+	}
+	data, err := json.Marshal(w)
+	return data, errors.WithStack(err)
+}
--- a/relay/output.go
+++ b/relay/output.go
@@ -60,7 +60,7 @@
 }
 
 func (x *exchange) refuse(r refusal) bool {
-	x.relay.counters.refused(r.reason)
+	x.relay.metrics.refusals.WithLabelValues(r.reason, strconv.Itoa(r.status)).Inc()
 	x.logRefusal(r)
 	return x.out.refuse(r)
 }
@@ -149,7 +149,7 @@
 // last chunk, so the answer does not look whole.
 func (o *output) cut() bool {
 	x := o.exchange
-	x.relay.counters.cut()
+	x.relay.metrics.cuts.Inc()
 	x.relay.options.Logger.Log(event.StreamCut, zap.String("request", x.call.ID), zap.String("route", x.route.Name),
 		zap.Int("runs", x.runs), zap.String("last_event", x.hop.LastEvent))
 	return false
@@ -164,13 +164,14 @@
 
 func (x *exchange) logAnswer(a *attempt) {
 	now := x.relay.clock.Now()
-	x.relay.counters.answered(a.head.Status)
+	x.relay.metrics.answered(x.route.Name, a.head.Status, a.firstByteAt-x.request.arrived, now-x.request.arrived)
 	x.relay.options.Logger.Log(event.RequestAnswered, zap.String("request", x.call.ID), zap.String("route", x.route.Name),
 		zap.String("server", a.server.record.Server), zap.Int("status", a.head.Status), zap.Int("sends", x.sends),
 		zap.Int64("first_byte_ms", int64(a.firstByteAt-x.request.arrived)), zap.Int64("took_ms", int64(now-x.request.arrived)))
 }
 
 func (x *exchange) logAttempt(a *attempt) {
+	x.relay.metrics.attempts.WithLabelValues(x.service, a.result.String()).Inc()
 	if a.result == resultAnswered {
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,10 +59,14 @@
 	leased   atomic.Int64 // end of the lease, clock.Millis
 	stopping atomic.Bool  // not ready any more
 	closing  atomic.Bool  // connections are closed between requests
-	counters counters
+	metrics  *metrics
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
+
+	// What sweep, the only user, has logged.
+	sweptLeased  bool
+	sweptDropped uint64
 }
 
 // New starts a relay, which is not ready before the first Take. The returned
@@ -80,6 +84,7 @@
 	}
 	r.fleet = newFleet(options.AvailabilityZone, options.Clock)
 	r.catalog.Store(&catalog.Catalog{})
+	r.metrics = newMetrics(r)
 	r.leased.Store(-1)
 	go r.accept()
 	go r.clock.Every(ctx, sweepEvery, r.sweep)
@@ -199,7 +204,21 @@
 // delay again.
 func (r *Relay) deadline(after clock.Millis) time.Time { return r.clock.Deadline(after) }
 
-func (r *Relay) sweep() { r.fleet.sweep(r.clock.Now()) }
+func (r *Relay) sweep() {
+	r.fleet.sweep(r.clock.Now())
+	if leased := r.Leased(); leased != r.sweptLeased {
+		r.sweptLeased = leased
+		e := event.LeaseLost
+		if leased {
+			e = event.LeaseGained
+		}
+		r.options.Logger.Log(e, zap.Uint64("revision", r.catalog.Load().Revision()))
+	}
+	if dropped := r.options.Logger.Dropped(); dropped != r.sweptDropped {
+		r.options.Logger.Log(event.LinesDropped, zap.Uint64("lines", dropped-r.sweptDropped))
+		r.sweptDropped = dropped
+	}
+}
 
 // Stop takes no new connections once the load balancer has seen that the relay is
 // not ready, answers what callers have sent, and returns when no connection is
--- a/relay/serverconn.go
+++ b/relay/serverconn.go
@@ -160,7 +160,7 @@
 // discard closes the connection; the caller holds the lock.
 func (c *serverConn) discard() {
 	c.server.open--
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 // closeExpired closes connections that have been idle too long; the caller holds
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -7,9 +7,9 @@
 	"github.com/galenaslip/galenaslip/roster"
 )
 
-func server(id, address string, started int64, sequence uint64) roster.Announcement {
+func server(id string, started int64, sequence uint64) roster.Announcement {
 	return roster.Announcement{
-		Server: id, Service: "s", Address: address, State: roster.Serving, Started: started, Sequence: sequence,
+		Server: id, Service: "s", Address: "10.0.0.1:1", State: roster.Serving, Started: started, Sequence: sequence,
 	}
 }
 
@@ -33,31 +33,31 @@
 	}{
 		{
 			"late announcement",
-			[]roster.Announcement{server("a", "10.0.0.1:1", 7, 2), server("a", "10.0.0.1:1", 7, 1).WithState(roster.Leaving)},
+			[]roster.Announcement{server("a", 7, 2), server("a", 7, 1).WithState(roster.Leaving)},
 			[]roster.Acceptance{roster.Changed, roster.Stale},
 			map[string]roster.State{"a": roster.Serving},
 		},
 		{
 			"new start under the same name",
-			[]roster.Announcement{server("a", "10.0.0.1:1", 7, 90), server("a", "10.0.0.1:1", 8, 1)},
+			[]roster.Announcement{server("a", 7, 90), server("a", 8, 1)},
 			[]roster.Acceptance{roster.Changed, roster.Changed},
 			map[string]roster.State{"a": roster.Serving},
 		},
 		{
 			"another server at the address",
-			[]roster.Announcement{server("a", "10.0.0.1:1", 7, 1), server("b", "10.0.0.1:1", 9, 1), server("a", "10.0.0.1:1", 7, 2)},
+			[]roster.Announcement{server("a", 7, 1), server("b", 9, 1), server("a", 7, 2)},
 			[]roster.Acceptance{roster.Changed, roster.Changed, roster.Stale},
 			map[string]roster.State{"a": roster.Gone, "b": roster.Serving},
 		},
 		{
 			"delayed announcement of the former server",
-			[]roster.Announcement{server("b", "10.0.0.1:1", 9, 1), server("a", "10.0.0.1:1", 7, 5)},
+			[]roster.Announcement{server("b", 9, 1), server("a", 7, 5)},
 			[]roster.Acceptance{roster.Changed, roster.Stale},
 			map[string]roster.State{"b": roster.Serving},
 		},
 		{
 			"heartbeat without news",
-			[]roster.Announcement{server("a", "10.0.0.1:1", 7, 1), server("a", "10.0.0.1:1", 7, 2)},
+			[]roster.Announcement{server("a", 7, 1), server("a", 7, 2)},
 			[]roster.Acceptance{roster.Changed, roster.Refreshed},
 			map[string]roster.State{"a": roster.Serving},
 		},
@@ -83,14 +83,14 @@
 // Guards against a server that has left and is used again after a late heartbeat.
 func TestLeave(t *testing.T) {
 	r := roster.New(4 * clock.Second)
-	r.Accept(0, server("a", "10.0.0.1:1", 7, 1))
+	r.Accept(0, server("a", 7, 1))
 	if got, want := r.Leave(1, "a"), roster.Changed; got != want {
 		t.Errorf("leave: got %d, want %d", got, want)
 	}
-	if got, want := r.Accept(2, server("a", "10.0.0.1:1", 7, 2)), roster.Stale; got != want {
+	if got, want := r.Accept(2, server("a", 7, 2)), roster.Stale; got != want {
 		t.Errorf("late heartbeat: got %d, want %d", got, want)
 	}
-	if got, want := r.Accept(3, server("a", "10.0.0.1:1", 8, 1)), roster.Changed; got != want {
+	if got, want := r.Accept(3, server("a", 8, 1)), roster.Changed; got != want {
 		t.Errorf("new start: got %d, want %d", got, want)
 	}
 	// A new leader may hear of a server for the first time when it leaves.
@@ -103,10 +103,10 @@
 // traffic for heartbeats that change nothing.
 func TestSilence(t *testing.T) {
 	r := roster.New(4 * clock.Second)
-	r.Accept(0, server("a", "10.0.0.1:1", 7, 1))
+	r.Accept(0, server("a", 7, 1))
 	position := r.Position()
 	for i := range 5 {
-		r.Accept(clock.Millis(i+1)*clock.Second, server("a", "10.0.0.1:1", 7, uint64(i+2)))
+		r.Accept(clock.Millis(i+1)*clock.Second, server("a", 7, uint64(i+2)))
 	}
 	if got := r.Since(position); len(got) != 0 {
 		t.Errorf("heartbeats: got %d changes, want none", len(got))
@@ -121,7 +121,7 @@
 	if len(changes) != 1 || !changes[0].Silent {
 		t.Errorf("got %v, want one silent server", changes)
 	}
-	r.Accept(10*clock.Second, server("a", "10.0.0.1:1", 7, 9))
+	r.Accept(10*clock.Second, server("a", 7, 9))
 	if changes = r.Since(position); len(changes) != 1 || changes[0].Silent {
 		t.Errorf("after a heartbeat: got %v, want one server that is heard", changes)
 	}
--- a/setting/site.go
+++ b/setting/site.go
@@ -32,7 +32,6 @@
 	LogLevel  string
 	MemoryMB  int
 	StopTime  clock.Millis // that a planned stop may take
-	StateAt   string       // IP:port of metrics and state dump; none when empty
 	Heartbeat clock.Millis // interval of the servers' announcements
 }
 
@@ -52,6 +51,7 @@
 	Node
 	Listen      string // for callers
 	ReadyListen string // for readiness checks
+	StateListen string // for metrics and the state dump; none when empty
 	// Revoke is how long a key may go on working after it was taken away.
 	Revoke      clock.Millis
 	RetryRatio  float64
@@ -78,7 +78,6 @@
 	LogLevel         string   `yaml:"log_level"`
 	MemoryMB         int      `yaml:"memory_mb"`
 	StopS            float64  `yaml:"stop_s"`
-	StateListen      string   `yaml:"state_listen"`
 	HeartbeatMS      int64    `yaml:"heartbeat_ms"`
 }
 
@@ -86,6 +85,7 @@
 	Node         wireNode `yaml:",inline"`
 	Listen       string   `yaml:"listen"`
 	ReadyListen  string   `yaml:"ready_listen"`
+	StateListen  string   `yaml:"state_listen"`
 	RevokeMS     int64    `yaml:"revoke_ms"`
 	RetryRatio   float64  `yaml:"retry_ratio"`
 	RetryWindowS float64  `yaml:"retry_window_s"`
@@ -108,7 +108,7 @@
 func (w wireNode) domain() Node {
 	return Node{
 		Name: w.Name, AvailabilityZone: w.AvailabilityZone, Address: w.Address, PeerPort: w.PeerPort, Seeds: w.Seeds,
-		LogLevel: w.LogLevel, MemoryMB: w.MemoryMB, StopTime: seconds(w.StopS), StateAt: w.StateListen,
+		LogLevel: w.LogLevel, MemoryMB: w.MemoryMB, StopTime: seconds(w.StopS),
 		Heartbeat: clock.Millis(w.HeartbeatMS),
 	}
 }
@@ -124,7 +124,7 @@
 		return Relay{}, err
 	}
 	r := Relay{
-		Node: w.Node.domain(), Listen: w.Listen, ReadyListen: w.ReadyListen, Revoke: clock.Millis(w.RevokeMS),
+		Node: w.Node.domain(), Listen: w.Listen, ReadyListen: w.ReadyListen, StateListen: w.StateListen, Revoke: clock.Millis(w.RevokeMS),
 		RetryRatio: w.RetryRatio, RetryWindow: seconds(w.RetryWindowS), RetrySlack: w.RetrySlack,
 	}
 	return r, d.checkRelay(w)
@@ -159,11 +159,6 @@
 			return d.errorAt("$.seeds["+strconv.Itoa(i)+"]", "seeds %s", err)
 		}
 	}
-	if w.StateListen != "" {
-		if err := CheckAddress(w.StateListen); err != nil {
-			return d.errorAt("$.state_listen", "state_listen %s", err)
-		}
-	}
 	return d.checkRanges([]numberRange{
 		{"peer_port", int64(w.PeerPort), 1, 65535},
 		{"memory_mb", int64(w.MemoryMB), 32, 1 << 20},
@@ -188,6 +183,11 @@
 	if err := d.checkListen(map[string]string{"listen": w.Listen, "ready_listen": w.ReadyListen}); err != nil {
 		return err
 	}
+	if w.StateListen != "" {
+		if err := CheckAddress(w.StateListen); err != nil {
+			return d.errorAt("$.state_listen", "state_listen %s", err)
+		}
+	}
 	if w.RetryRatio < 0 || w.RetryWindowS <= 0 {
 		return d.errorAt("$.retry_ratio", "retry_ratio %g or retry_window_s %g is out of range", w.RetryRatio, w.RetryWindowS)
 	}
