--- a/control/control.go
+++ b/control/control.go
@@ -38,6 +38,8 @@
 	// LostAfter is how long a voter is silent before a standby replaces it;
 	// membership.LostAfter when 0.
 	LostAfter clock.Millis
+	// Election is the shortest election timeout; replica.DefaultElection when 0.
+	Election clock.Millis
 	// ServerSilence is how long a backend server may miss its heartbeats before
 	// entries are told; DefaultServerSilence when 0.
 	ServerSilence clock.Millis
--- a/control/start.go
+++ b/control/start.go
@@ -43,6 +43,7 @@
 		Clock:     c.options.Clock,
 		Machine:   c.machine,
 		Transport: c.peers,
+		Election:  c.options.Election,
 		Seed:      xxhash.Sum64String(c.options.Name + strconv.FormatInt(int64(c.options.Clock.Wall()), 10)),
 		Log:       c.options.Logger.Log,
 	})
--- a/relay/output.go
+++ b/relay/output.go
@@ -30,8 +30,9 @@
 )
 
 const (
-	// coreRetry is when a caller is told to come back while control is away.
-	coreRetry     = 500 * clock.Millisecond
+	// coreRetry is when a caller is told to come back while control is away: an
+	// election and the first news take about as long.
+	coreRetry     = 2500 * clock.Millisecond
 	minRetryAfter = 100 * clock.Millisecond
 	maxRetryAfter = 1 * clock.Second
 )
