commands: the log of demo and recover stays on standard error

Cause: logs of processes go to standard output now, where these two print results. Ruled out: nothing.

--- a/commands/site_test.go
+++ b/commands/site_test.go
@@ -67,14 +67,14 @@
 		t.Fatal(err)
 	}
 	p := &process{command: exec.Command(path, args...), log: &bytes.Buffer{}, started: make(chan string, 1), ended: make(chan struct{})}
-	stderr, err := p.command.StderrPipe()
+	stdout, err := p.command.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := p.command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go p.read(bufio.NewScanner(stderr))
+	go p.read(bufio.NewScanner(stdout))
 	t.Cleanup(func() {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
