--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/roster"
 )
 
 // Guards against a request or an answer that changes on its way.
@@ -363,3 +364,47 @@
 		}
 	}
 }
+
+// Guards against repetitions beyond the share that the operator allows, when all
+// servers fail.
+func TestRetryBudget(t *testing.T) {
+	failing := func(a arrival) { write(a, "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n") }
+	one, two := newBackend(t, failing), newBackend(t, failing)
+	c := newSite(t, one, two).client()
+	const requests = 400
+	for i := range requests {
+		c.get("/safe/", fmt.Sprint(i))
+		c.wantStatus(500)
+	}
+	repeats := one.count() + two.count() - requests
+	if limit := requests/5 + 50; repeats > limit || repeats < limit/2 {
+		t.Errorf("got %d repetitions, want at most %d and at least half of them", repeats, limit)
+	}
+}
+
+// Guards against an entry that uses a server after the leader has said that it is
+// leaving, and against an older start that replaces a newer one.
+func TestServersFollowTheLeader(t *testing.T) {
+	b := newBackend(t, func(a arrival) { ok(a, "ran") })
+	s := newSite(t, b)
+	record := func(state roster.State, started int64) control.News {
+		return control.News{Granted: true, Revision: 1, Epoch: 1, Entries: 1, Servers: []roster.Record{{Announcement: roster.Announcement{
+			Server: "server-0", Service: "s", Address: b.listener.Addr().String(), Slots: 4, State: state, Started: started,
+		}}}}
+	}
+	steps := []struct {
+		news control.News
+		want int
+	}{
+		{record(roster.Leaving, 1), 503}, {record(roster.Gone, 1), 503}, {record(roster.Serving, 1), 503},
+		{record(roster.Serving, 2), 200}, {record(roster.Leaving, 1), 200},
+	}
+	for i, step := range steps {
+		s.relay.Take(s.clock.Now(), step.news)
+		c := s.client()
+		c.get("/safe/", "1")
+		if head, _, err := c.read(); err != nil || head.Status != step.want {
+			t.Errorf("step %d: got %d and %v, want %d", i, head.Status, err, step.want)
+		}
+	}
+}
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -25,6 +25,27 @@
   - {name: control-1, address: "127.0.0.1:8081", availability_zone: az-1}
 `
 
+const validRelay = `role: relay
+name: relay-1
+availability_zone: az-1
+address: 10.0.0.4
+listen: 10.0.0.4:8080
+ready_listen: 10.0.0.4:8081
+peer_port: 8082
+seeds: ["10.0.0.1:8083"]
+`
+
+const validMember = `role: member
+name: member-1
+availability_zone: az-1
+address: 10.0.0.1
+listen: 10.0.0.1:8083
+peer_port: 8082
+seeds: ["10.0.0.1:8083"]
+data_folder: /var/lib/galenaslip
+found: true
+`
+
 // Guards against a wrong setting being accepted, and against an error that does
 // not name the line and the key.
 func TestCheck(t *testing.T) {
@@ -46,6 +67,16 @@
 		{name: "advertise any address", content: validEntry + "advertise: 0.0.0.0:80\n", want: ":6: advertise"},
 		{name: "relative folder", content: strings.Replace(validControl, "/var/lib", "var", 1), want: ":5: data_folder"},
 		{name: "two members", content: validControl + `  - {name: control-2, address: "127.0.0.1:8082"}` + "\n", want: "2 processes"},
+		{name: "relay", content: validRelay},
+		{name: "member", content: validMember},
+		{name: "relay at a host name", content: strings.Replace(validRelay, "listen: 10.0.0.4", "listen: here", 1), want: ":5: listen"},
+		{name: "relay without readiness", content: strings.Replace(validRelay, "ready_listen: 10.0.0.4:8081\n", "", 1), want: "ready_listen"},
+		{name: "address with a port", content: strings.Replace(validRelay, "address: 10.0.0.4", "address: 10.0.0.4:1", 1), want: ":4: address"},
+		{name: "seed without a port", content: strings.Replace(validRelay, "10.0.0.1:8083", "10.0.0.1", 1), want: ":8: seeds"},
+		{name: "lease that no election fits in", content: validRelay + "revoke_ms: 2000\n", want: ":9: revoke_ms 2000"},
+		{name: "wrong type", content: validRelay + "retry_slack: many\n", want: "9:"},
+		{name: "foundation without seeds", content: strings.Replace(validMember, `["10.0.0.1:8083"]`, "[]", 1), want: ":7: a group"},
+		{name: "member without a folder", content: strings.Replace(validMember, "data_folder: /var/lib/galenaslip\n", "", 1), want: "data_folder"},
 		{name: "not YAML", content: "role: [", want: "s.yaml"},
 		{name: "empty", content: "", want: "role"},
 	}
