--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -50,9 +50,11 @@
 type attempt struct {
 	exchange    *exchange
 	server      *server
-	uncached    int     // prompt tokens that the server is expected to read
-	decode      float64 // what its output costs, in prompt tokens
-	repeatable  bool    // the request may go elsewhere
+	uncached    int          // prompt tokens that the server is expected to read
+	decode      float64      // what its output costs, in prompt tokens
+	repeatable  bool         // the request may go elsewhere
+	load        float64      // requests at the server when it was chosen
+	loadAge     clock.Millis // of the other entries' part of it
 	sentAt      clock.Millis
 	begun       bool // the first byte has come
 	firstByteAt clock.Millis
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -36,6 +36,7 @@
 	service  string
 	hop      Hop
 	need     need
+	revision uint64 // of the catalog that decided
 	deadline clock.Millis
 	runs     int // servers that may have run the request
 	sends    int
@@ -77,6 +78,7 @@
 func (x *exchange) accept() *refusal {
 	leased := x.relay.Leased()
 	c := x.relay.catalog.Load()
+	x.revision = c.Revision()
 	path, _, _ := strings.Cut(x.request.head.Target, "?")
 	route, ok := c.Route(hostOf(x.request.head.Get("Host")), path)
 	switch {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -228,7 +228,7 @@
 	} else {
 		s = f.pickPlain(now, candidates)
 	}
-	a.sentAt = now
+	a.sentAt, a.load, a.loadAge = now, s.load(now), now-s.reportedAt
 	a.uncached = n.tokens
 	if n.affinity != "" && now-s.parts[n.affinity] < partMemory && s.parts[n.affinity] > 0 {
 		a.uncached -= n.shared
--- a/relay/output.go
+++ b/relay/output.go
@@ -160,7 +160,7 @@
 	x.relay.options.Logger.Log(event.RequestRefused, zap.String("request", x.call.ID), zap.String("route", x.route.Name),
 		zap.Int("status", r.status), zap.String("reason", r.reason), zap.Int("sends", x.sends), zap.Int("runs", x.runs),
 		zap.Int64("age_ms", int64(x.relay.clock.Now()-x.request.arrived)),
-		zap.Uint64("revision", x.relay.catalog.Load().Revision()), zap.Error(r.err))
+		zap.Uint64("revision", x.revision), zap.Error(r.err))
 }
 
 func (x *exchange) logAnswer(a *attempt) {
@@ -168,6 +168,8 @@
 	x.relay.metrics.answered(x.route.Name, a.head.Status, a.firstByteAt-x.request.arrived, now-x.request.arrived)
 	x.relay.options.Logger.Log(event.RequestAnswered, zap.String("request", x.call.ID), zap.String("route", x.route.Name),
 		zap.String("server", a.server.record.Server), zap.Int("status", a.head.Status), zap.Int("sends", x.sends),
+		zap.Float64("load", a.load), zap.Int64("load_age_ms", int64(a.loadAge)), zap.Int("urgency", x.hop.Urgency),
+		zap.Uint64("revision", x.revision),
 		zap.Int64("first_byte_ms", int64(a.firstByteAt-x.request.arrived)), zap.Int64("took_ms", int64(now-x.request.arrived)))
 }
 
@@ -178,5 +180,6 @@
 	}
 	x.relay.options.Logger.Log(event.AttemptFailed, zap.String("request", x.call.ID), zap.String("route", x.route.Name),
 		zap.String("server", a.server.record.Server), zap.Stringer("result", a.result), zap.Int("status", a.head.Status),
+		zap.Float64("load", a.load), zap.Int64("load_age_ms", int64(a.loadAge)), zap.Uint64("revision", x.revision),
 		zap.Int64("took_ms", int64(x.relay.clock.Now()-a.sentAt)), zap.Error(a.err))
 }
