control, relay: log each found leader; remove what nothing reads

Cause: after a restart a relay that was sent on to the leader logged no leader_found. Ruled out: a missing answer; the relay served. Change: the watcher remembers whose granted answer was the newest; unread counts and engine fields without a reader are gone.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -55,10 +55,7 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots     int
-	KVTokens  int // tokens that the engine's memory holds
-	Stride    int // output tokens in one event
-	MaxPinned clock.Millis
+	Slots int // requests at once
 }
 
 // Workspace is a customer with its API keys.
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
@@ -46,7 +45,7 @@
 	leader  string
 	turn    int
 	watch   Watch
-	lost    bool
+	granted string // address of the newest granted answer; empty after a failure
 }
 
 // NewWatcher returns a watcher; Run does the work.
@@ -122,18 +121,18 @@
 }
 
 func (w *Watcher) lose(address string, err error) {
-	if w.lost || w.leader == "" {
+	if w.granted == "" {
 		return
 	}
-	w.lost = true
+	w.granted = ""
 	w.options.Logger.Log(event.LeaderLost, zap.String("address", address), zap.Error(err))
 }
 
 func (w *Watcher) regain(address string, news News) {
-	if w.leader == address && !w.lost {
+	if w.granted == address {
 		return
 	}
-	w.lost = false
+	w.granted = address
 	w.options.Logger.Log(event.LeaderFound, zap.String("address", address), zap.Uint64("term", news.Term),
-		zap.Uint64("revision", news.Revision), zap.Duration("wait", time.Duration(w.watch.Wait)*time.Millisecond))
+		zap.Uint64("revision", news.Revision))
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -237,7 +237,6 @@
 		s.parts[n.affinity] = now
 	}
 	s.attempts[a] = struct{}{}
-	s.unread++
 	s.pending += a.uncached
 	a.decode = n.decode
 	s.decode += a.decode
@@ -328,7 +327,6 @@
 	s.lastByte, s.dark = now, false
 	if !a.begun {
 		a.begun = true
-		s.unread--
 		s.pending -= a.uncached
 	}
 }
@@ -358,7 +356,6 @@
 	delete(s.attempts, a)
 	s.decode -= a.decode
 	if !a.begun {
-		s.unread--
 		s.pending -= a.uncached
 	}
 	switch a.result {
--- a/relay/server.go
+++ b/relay/server.go
@@ -36,7 +36,6 @@
 	attempts  map[*attempt]struct{} // under way
 	pending   int                   // prompt tokens of attempts without a first byte
 	decode    float64               // what the output of attempts costs, in prompt tokens
-	unread    int                   // attempts without a first byte
 	open      int                   // connections, idle ones included
 	idle      []*serverConn         // the newest last
 	parts     map[string]clock.Millis
