--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"regexp"
@@ -424,7 +425,7 @@
 	c.get("/none/", "2")
 	c.wantStatus(404)
 	recorder := httptest.NewRecorder()
-	s.relay.Metrics().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	s.relay.Metrics().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	text := recorder.Body.String()
 	page, err := os.ReadFile("../docs/metrics.md")
 	if err != nil {
