--- /dev/null
+++ b/catalog/property_test.go
@@ -0,0 +1,83 @@
+package catalog_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenaslip/galenaslip/catalog"
+)
+
+// TestMain fixes the seed of rapid unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a route that differs from the one that a search of all routes
+// finds: the longest prefix among the host's.
+func TestRouteAgainstSearch(t *testing.T) {
+	hosts := rapid.SampledFrom([]string{"a", "b"})
+	segment := rapid.SampledFrom([]string{"x", "y", "xx"})
+	prefixes := rapid.Map(rapid.SliceOfN(segment, 0, 3), func(s []string) string {
+		return strings.Join(append(append([]string{""}, s...), ""), "/")
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		p := catalog.Parts{Revision: 1, Services: []catalog.Service{{Name: "one"}}}
+		seen := map[string]bool{}
+		for range rapid.IntRange(0, 8).Draw(t, "routes") {
+			host, prefix := hosts.Draw(t, "host"), prefixes.Draw(t, "prefix")
+			if !seen[host+prefix] {
+				p.Routes = append(p.Routes, route(host, prefix, 0, catalog.Share{Service: "one", Weight: 1}))
+			}
+			seen[host+prefix] = true
+		}
+		c, err := catalog.Build(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		host, path := hosts.Draw(t, "host asked"), prefixes.Draw(t, "path")+rapid.SampledFrom([]string{"", "x", "y/z"}).Draw(t, "end")
+		want := ""
+		for _, r := range p.Routes {
+			if r.Host == host && strings.HasPrefix(path, r.Prefix) && (want == "" || len(host+r.Prefix) > len(want)) {
+				want = r.Name
+			}
+		}
+		if got, _ := c.Route(host, path); got.Name != want {
+			t.Fatalf("%s%s: got %q, want %q", host, path, got.Name, want)
+		}
+	})
+}
+
+// Guards against a revision that goes back in any order of documents, and against
+// machines that differ after the same documents.
+func TestMachineKeepsTheHighest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var one, two catalog.Machine
+		first := map[uint64]string{}
+		highest := uint64(0)
+		for i, revision := range rapid.SliceOfN(rapid.Uint64Range(1, 9), 1, 20).Draw(t, "revisions") {
+			d := catalog.Document{Revision: revision, Body: []byte{byte(i)}}
+			got := one.Apply(d)
+			two.Apply(d)
+			if want := revision > highest; (got.Verdict == catalog.Accepted) != want {
+				t.Fatalf("revision %d over %d: got %q, want accepted %v", revision, highest, got.Verdict, want)
+			}
+			if revision > highest {
+				highest, first[revision] = revision, string(d.Body)
+			}
+			if held := one.Current(); held.Revision != highest || string(held.Body) != first[highest] {
+				t.Fatalf("got revision %d, want %d with its first body", held.Revision, highest)
+			}
+		}
+		if string(one.Snapshot()) != string(two.Snapshot()) {
+			t.Fatal("two machines differ after the same documents")
+		}
+	})
+}
