relay: remove a field without a reader; one way to drop idle connections

Ruled out: a change of behaviour; no bound, check or test is touched. Change: the field is gone; server.discardIdle serves both.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -118,7 +118,7 @@
 }
 
 func (x *exchange) describeNeed() {
-	x.need = need{service: x.service, route: x.route.Name, prompt: x.route.Prompt, tokens: x.call.PromptTokens}
+	x.need = need{service: x.service, prompt: x.route.Prompt, tokens: x.call.PromptTokens}
 	x.need.output = x.call.LengthHint
 	if x.need.output == 0 {
 		x.need.output = x.call.OutputTokens / 2
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -151,10 +151,7 @@
 
 // restart forgets what was known about an earlier start.
 func (f *fleet) restart(s *server) {
-	for _, c := range s.idle {
-		c.discard()
-	}
-	s.idle = nil
+	s.discardIdle()
 	s.parts = map[string]clock.Millis{}
 	s.dark, s.stranger, s.blocked, s.backOff = false, false, 0, 0
 	s.failures, s.others, s.othersRead, s.othersDecode, s.hinted, s.latency = 0, 0, 0, 0, 0, 0
@@ -204,7 +201,6 @@
 type need struct {
 	service  string
 	prompt   bool
-	route    string
 	affinity string   // the prompt part that requests share
 	tokens   int      // of the prompt
 	shared   int      // of them in parts that other requests have too
@@ -378,9 +374,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
-		for _, c := range s.idle {
-			c.discard()
-		}
-		s.idle = nil
+		s.discardIdle()
 	}
 }
--- a/relay/serverconn.go
+++ b/relay/serverconn.go
@@ -163,6 +163,14 @@
 	_ = c.Close()
 }
 
+// discardIdle closes all idle connections; the caller holds the lock.
+func (s *server) discardIdle() {
+	for _, c := range s.idle {
+		c.discard()
+	}
+	s.idle = nil
+}
+
 // closeExpired closes connections that have been idle too long; the caller holds
 // the lock.
 func (s *server) closeExpired(now clock.Millis) {
