slot: share recalls among the entries that own servers of the pool

Cause: each entry counted as one that might stop work for an urgent demand, also entries that own no server of its pool. With half of the engines gone, the remainder of a demand waited up to three turns of 150 ms for an owner that has something to stop. Change: owners of servers with slots are kept for each pool; only they share. Figures: TestRecallByOwnersOfThePool failed in three of four turns before.

--- a/slot/recall.go
+++ b/slot/recall.go
@@ -29,14 +29,18 @@
 }
 
 // share is the part of a demand for which this owner stops work. Every entry
-// tells its demand to all owners, so they share it. The remainder goes to another
-// owner each AnswerBound; they take turns by the time to the deadline, which they
-// all know.
+// tells its demand to all owners, so those that own servers of the pool share it.
+// The remainder goes to another of them each AnswerBound; they take turns by the
+// time to the deadline, which they all know.
 func (t *Table) share(now clock.Millis, d Demand) int {
-	n := len(t.entries)
+	owners := t.owners[d.Pool]
+	own := slices.Index(owners, t.options.Entry)
+	if own < 0 {
+		return 0
+	}
+	n := len(owners)
 	turn := int(max(d.Deadline-now+clock.Hour, 0) / AnswerBound)
-	index := (slices.Index(t.entries, t.options.Entry) + turn) % n
-	return d.Waiting/n + lo.Ternary(index < d.Waiting%n, 1, 0)
+	return d.Waiting/n + lo.Ternary((own+turn)%n < d.Waiting%n, 1, 0)
 }
 
 // stopping counts the slots of a pool that are about to be given back.
--- a/slot/table.go
+++ b/slot/table.go
@@ -22,8 +22,9 @@
 	runs     map[string]*run
 	held     []held
 	victims  []string
-	mine     []*server // that this entry owns, by name
-	sequence uint64    // of messages
+	mine     []*server           // that this entry owns, by name
+	owners   map[string][]string // entries that own servers with slots, by pool
+	sequence uint64              // of messages
 	starts   uint64
 	numbers  uint64 // of offers and recalls
 	streak   int    // offers since the last one to starving work
@@ -101,13 +102,27 @@
 }
 
 func (t *Table) assignAll(now clock.Millis) {
-	t.mine = nil
+	t.mine, t.owners = nil, map[string][]string{}
 	for _, name := range sortedNames(t.servers) {
 		s := t.servers[name]
 		t.assign(now, s)
 		if s.owner == t.options.Entry {
 			t.mine = append(t.mine, s)
 		}
+		t.addOwner(s)
+	}
+}
+
+// addOwner lists the owner of a server that can run work for each of its pools.
+func (t *Table) addOwner(s *server) {
+	if s.owner == "" || s.Slots == 0 {
+		return
+	}
+	for _, pool := range s.Pools {
+		owners := t.owners[pool]
+		if i, ok := slices.BinarySearch(owners, s.owner); !ok {
+			t.owners[pool] = slices.Insert(owners, i, s.owner)
+		}
 	}
 }
 
--- a/slot/table_test.go
+++ b/slot/table_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// Guards against urgent work that waits for a turn of entries which own no server
+// of its pool and so have no work to stop.
+func TestRecallByOwnersOfThePool(t *testing.T) {
+	for turn := range 4 {
+		t.Run(fmt.Sprintf("turn %d", turn), func(t *testing.T) {
+			w := newWorld(t, 4, 4)
+			for range 4 {
+				w.arrive(w.nodes[0], 4)
+				w.settle()
+			}
+			w.arrive(w.nodes[1], 1, func(r *request) {
+				r.urgentAt = w.now
+				r.deadline = w.now + clock.Millis(turn)*slot.AnswerBound
+			})
+			w.settle()
+			if got, want := len(w.nodes[1].running), 1; got != want {
+				t.Errorf("running at once: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
 // Guards against lower tiers that wait for ever while a higher tier fills all
 // slots, and against more than the share for them.
 func TestStarvingShare(t *testing.T) {
