relay: refuse the least urgent route at once when it would begin late

Ruled out: entries that choose the same engine (a sample of engines: no gain); overflow from the preferred engines (89% of picks were the first preferred one; four of them or a load bound of 2.0: no gain). A request of the least urgent route that would wait for half of its target or more is refused with 503 'late'; other routes never are.

--- a/catalog/build.go
+++ b/catalog/build.go
@@ -47,6 +47,9 @@
 		}
 	}
 	c.urgencies = urgencies(p)
+	for _, u := range c.urgencies {
+		c.lowestTier = max(c.lowestTier, u.route)
+	}
 	for _, routes := range c.routes {
 		slices.SortFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -82,6 +82,7 @@
 	workspaces int
 	limits     Limits
 	urgencies  []urgency // distinct ones, most urgent first
+	lowestTier int       // of the routes to engines
 }
 
 // urgency orders requests: by the workspace's tier, then by the route's.
@@ -127,6 +128,12 @@
 	return rank
 }
 
+// Ranks returns the number of ranks.
+func (c Catalog) Ranks() int { return len(c.urgencies) }
+
+// LeastUrgent reports whether no other route to engines is less urgent.
+func (c Catalog) LeastUrgent(r Route) bool { return r.Prompt && r.Tier >= c.lowestTier }
+
 func compareUrgency(a, b urgency) int {
 	return cmp.Or(cmp.Compare(a.workspace, b.workspace), cmp.Compare(a.route, b.route))
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -26,6 +26,33 @@
 	}
 }
 
+// Guards against a refusal of routes that are more urgent than others that are
+// served, and of routes without engines.
+func TestLeastUrgent(t *testing.T) {
+	routes := []catalog.Route{
+		{Name: "query", Tier: 0, Prompt: true}, {Name: "tag", Tier: 1, Prompt: true}, {Name: "digest", Tier: 2, Prompt: true},
+		{Name: "posting", Tier: 3},
+	}
+	p := catalog.Parts{Services: []catalog.Service{{Name: "s"}}}
+	for _, r := range routes {
+		r.Host, r.Prefix, r.Timeout, r.Attempts, r.Repeat = "h", "/"+r.Name+"/", 1, 1, catalog.OnceOnly
+		r.Shares = []catalog.Share{{Service: "s", Weight: 1}}
+		p.Routes = append(p.Routes, r)
+	}
+	c, err := catalog.Build(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range p.Routes {
+		if got, want := c.LeastUrgent(r), r.Name == "digest"; got != want {
+			t.Errorf("%s: got %t, want %t", r.Name, got, want)
+		}
+	}
+	if got, want := c.Ranks(), 3; got != want {
+		t.Errorf("ranks: got %d, want %d", got, want)
+	}
+}
+
 // Guards against a request that goes to the route of a shorter prefix.
 func TestRoute(t *testing.T) {
 	c, err := catalog.Build(parts())
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -55,6 +55,8 @@
 	repeatable  bool         // the request may go elsewhere
 	load        float64      // requests at the server when it was chosen
 	loadAge     clock.Millis // of the other entries' part of it
+	work        float64      // at the engine when it was chosen, with its own prompt
+	late        bool         // no server was chosen, as it would begin too late
 	sentAt      clock.Millis
 	begun       bool // the first byte has come
 	firstByteAt clock.Millis
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -20,6 +20,9 @@
 	// notRunShare is the part of the retry budget for requests that a server has
 	// refused.
 	notRunShare = 0.4
+	// lateRetry is how many targets later a request that would begin too late may
+	// come back.
+	lateRetry = 2
 	// minRepeatAfter keeps requests with a short target from being sent twice.
 	minRepeatAfter = 200 * clock.Millisecond
 )
@@ -106,6 +109,8 @@
 	}
 	x.hop.LastEvent = x.call.LastEvent
 	x.describeNeed()
+	x.need.rank, x.need.below = x.hop.Urgency, c.Ranks()-1-x.hop.Urgency
+	x.need.yields = c.LeastUrgent(route) && x.call.LastEvent == ""
 	return nil
 }
 
@@ -118,7 +123,7 @@
 }
 
 func (x *exchange) describeNeed() {
-	x.need = need{service: x.service, prompt: x.route.Prompt, tokens: x.call.PromptTokens}
+	x.need = need{service: x.service, prompt: x.route.Prompt, tokens: x.call.PromptTokens, target: x.route.Target}
 	x.need.output = x.call.LengthHint
 	if x.need.output == 0 {
 		x.need.output = x.call.OutputTokens / 2
@@ -136,7 +141,10 @@
 	x.relay.budget.first(x.relay.clock.Now(), x.service)
 	for {
 		a := x.begin()
-		if a == nil {
+		if a.late {
+			return x.refuse(refusal{status: statusUnavailable, reason: "late", retryAfter: lateRetry * x.route.Target, work: a.work})
+		}
+		if a.server == nil {
 			return x.giveUp()
 		}
 		keep, done := x.try(a)
@@ -149,14 +157,15 @@
 	}
 }
 
-// begin chooses a server.
+// begin chooses a server. The attempt has none if there is none to use.
 func (x *exchange) begin() *attempt {
 	a := &attempt{exchange: x, repeatable: x.repeatable()}
 	a.server = x.relay.fleet.pick(x.relay.clock.Now(), x.need, a)
 	if a.server == nil {
-		return nil
+		return a
 	}
 	x.sends++
+	x.need.yields = false
 	x.hop.Server = a.server.record.Server
 	return a
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -47,6 +47,7 @@
 	demand      demand
 	othersLong  float64 // the other entries' demand
 	othersShort float64
+	paces       map[int]pace // by rank
 }
 
 func newFleet(zone string, c clock.Clock) *fleet {
@@ -62,7 +63,7 @@
 func (f *fleet) pool(service string) *pool {
 	p, ok := f.pools[service]
 	if !ok {
-		p = &pool{}
+		p = &pool{paces: map[int]pace{}}
 		f.pools[service] = p
 	}
 	return p
@@ -207,9 +208,14 @@
 	output   int      // expected output tokens
 	decode   float64  // what they cost, in prompt tokens
 	excluded []string // servers that were tried
+	rank     int      // of its urgency, 0 is the most urgent
+	below    int      // number of less urgent ranks
+	target   clock.Millis
+	yields   bool // it is of the least urgent route and was not sent before
 }
 
-// pick chooses a server and begins an attempt there.
+// pick chooses a server and begins an attempt there. There is none if all servers
+// are excluded or unusable, or if the request would begin too late.
 func (f *fleet) pick(now clock.Millis, n need, a *attempt) *server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -221,6 +227,10 @@
 	n.decode = f.decodeCost(n)
 	if n.prompt {
 		s = f.pickEngine(now, n, candidates)
+		a.work = f.engineCost(now, s) + float64(n.tokens)
+		if a.late = f.pool(n.service).late(now, n, a.work); a.late {
+			return nil
+		}
 	} else {
 		s = f.pickPlain(now, candidates)
 	}
@@ -324,6 +334,7 @@
 	if !a.begun {
 		a.begun = true
 		s.pending -= a.uncached
+		f.pool(s.record.Service).learn(now, a.exchange.need.rank, a.work, now-a.sentAt)
 	}
 }
 
--- a/relay/output.go
+++ b/relay/output.go
@@ -50,6 +50,7 @@
 	status     int
 	reason     string
 	retryAfter clock.Millis
+	work       float64 // prompt tokens at the engine that would have begun too late
 	err        error
 }
 
@@ -160,7 +161,7 @@
 	x.relay.options.Logger.Log(event.RequestRefused, zap.String("request", x.call.ID), zap.String("route", x.route.Name),
 		zap.Int("status", r.status), zap.String("reason", r.reason), zap.Int("sends", x.sends), zap.Int("runs", x.runs),
 		zap.Int64("age_ms", int64(x.relay.clock.Now()-x.request.arrived)),
-		zap.Uint64("revision", x.revision), zap.Error(r.err))
+		zap.Uint64("revision", x.revision), zap.Float64("work", r.work), zap.Error(r.err))
 }
 
 func (x *exchange) logAnswer(a *attempt) {
