relay: a line when a caller leaves; count the work of a repeated request once

Change: events 433 input_acknowledged and 434 caller_left; demand is added at the first send. Figures: TestCallerGone failed before for want of the line.

--- a/event/relay.go
+++ b/event/relay.go
@@ -15,4 +15,6 @@
 	LinesDropped      = define(430, "lines_dropped", Warn, "Log lines were dropped because standard output did not take them.")
 	InputRefused      = define(431, "input_refused", Info, "A call to the control interface was refused as invalid.")
 	InputUnanswered   = define(432, "input_unanswered", Warn, "A call to the control interface could not be answered with certainty.")
+	InputAcknowledged = define(433, "input_acknowledged", Info, "A catalog document of an operator was acknowledged at this member.")
+	CallerLeft        = define(434, "caller_left", Info, "The caller has left before its answer was complete; the request was given up.")
 )
--- a/event/writer_test.go
+++ b/event/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"sync"
 	"testing"
 
@@ -46,3 +47,16 @@
 		t.Errorf("written and dropped: got %d, want %d", got, want)
 	}
 }
+
+// BenchmarkLog measures what one line of a request costs the thread that logs it.
+func BenchmarkLog(b *testing.B) {
+	l, flush := event.NewTo(io.Discard, "relay-1", event.Info)
+	defer flush()
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Log(event.RequestAnswered, zap.String("request", "9c41d07be2a35f68"), zap.String("route", "r-fi6y7z5"),
+			zap.String("server", "i-7f3a91c2"), zap.Int("status", 200), zap.Int("sends", 1), zap.Float64("load", 3.5),
+			zap.Int64("load_age_ms", 120), zap.Int("urgency", 2), zap.Uint64("revision", 7),
+			zap.Int64("first_byte_ms", 41), zap.Int64("took_ms", 830))
+	}
+}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -87,7 +87,9 @@
 // requests with equal prompt parts on the same ones.
 func (f *fleet) pickEngine(now clock.Millis, n need, candidates []*server) *server {
 	p := f.pool(n.service)
-	p.demand.add(now, n)
+	if len(n.excluded) == 0 {
+		p.demand.add(now, n) // a request that is sent again is the same work
+	}
 	return f.pickNear(now, n, f.partition(now, p, n.long(), candidates))
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -213,7 +213,7 @@
 // afterFailure decides after an attempt without an answer.
 func (x *exchange) afterFailure(a *attempt) (keep, done bool) {
 	if x.caller.isGone() {
-		return false, true
+		return x.callerLeft(), true
 	}
 	if a.result == resultFailed || a.result == resultAbandoned {
 		x.runs++
@@ -278,7 +278,7 @@
 	now := x.relay.clock.Now()
 	switch {
 	case x.caller.isGone():
-		return false
+		return x.callerLeft()
 	case x.out.begun:
 		return x.out.cut()
 	case x.last != nil && !promisesNotRun(x.last.attempt.head.Status):
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -150,6 +150,25 @@
 	manual *clock.Manual
 	clock  clock.Clock
 	parts  catalog.Parts
+	log    *lines
+}
+
+// lines keeps what a logger writes.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(data)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // newSite starts a relay with three routes: /once/, /safe/ and /stream/.
@@ -167,16 +186,19 @@
 		},
 		Workspaces: []catalog.Workspace{{Name: "w", Keys: []string{"k"}}},
 	}
+	log := &lines{}
+	logger, flush := event.NewTo(log, "entry", event.Info)
+	t.Cleanup(flush)
 	r, release, err := relay.New(relay.Options{
 		Name: "entry", AvailabilityZone: "z", Listen: "127.0.0.1:0", Protocol: plain{}, Format: fixed{parts},
-		Clock: c, Logger: event.Discard(), Lease: 4 * clock.Second, Grace: 8 * clock.Second,
+		Clock: c, Logger: logger, Lease: 4 * clock.Second, Grace: 8 * clock.Second,
 		Retry: relay.RetryLimits{Ratio: 0.2, Window: 10 * clock.Second, Slack: 50},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(release)
-	s := &site{t: t, relay: r, manual: manual, clock: c, parts: parts}
+	s := &site{t: t, relay: r, manual: manual, clock: c, parts: parts, log: log}
 	news := control.News{Granted: true, Revision: 1, Document: &catalog.Document{Revision: 1}, Epoch: 1, Entries: 1}
 	for i, b := range servers {
 		news.Servers = append(news.Servers, roster.Record{Announcement: roster.Announcement{
--- a/relay/output.go
+++ b/relay/output.go
@@ -164,6 +164,14 @@
 		zap.Uint64("revision", x.revision), zap.Float64("work", r.work), zap.Error(r.err))
 }
 
+// callerLeft logs that the request is given up; its connection ends.
+func (x *exchange) callerLeft() (keep bool) {
+	x.relay.options.Logger.Log(event.CallerLeft, zap.String("request", x.call.ID), zap.String("route", x.route.Name),
+		zap.Int("sends", x.sends), zap.Int("runs", x.runs), zap.String("last_event", x.hop.LastEvent),
+		zap.Int64("age_ms", int64(x.relay.clock.Now()-x.request.arrived)))
+	return false
+}
+
 func (x *exchange) logAnswer(a *attempt) {
 	now := x.relay.clock.Now()
 	x.relay.metrics.answered(x.route.Name, a.head.Status, a.firstByteAt-x.request.arrived, now-x.request.arrived)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,9 +10,11 @@
 	"net/http/httptest"
 	"os"
 	"regexp"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -168,7 +170,8 @@
 	}
 }
 
-// Guards against work that goes on at a server after its caller has left.
+// Guards against work that goes on at a server after its caller has left, and
+// against a request that leaves no line when its caller does.
 func TestCallerGone(t *testing.T) {
 	arrived, gone := make(chan struct{}), make(chan struct{})
 	b := newBackend(t, func(a arrival) {
@@ -176,11 +179,17 @@
 		<-a.gone
 		close(gone)
 	})
-	c := newSite(t, b).client()
+	s := newSite(t, b)
+	c := s.client()
 	c.get("/safe/", "1")
 	await(t, "the arrival", arrived)
 	_ = c.conn.Close()
 	await(t, "the end of the work", gone)
+	for end := time.Now().Add(patience); !strings.Contains(s.log.String(), `"msg":"caller_left"`); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatalf("lines: got %s, want caller_left", s.log)
+		}
+	}
 	if got, want := b.count(), 1; got != want {
 		t.Errorf("arrivals: got %d, want %d", got, want)
 	}
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -30,7 +30,7 @@
 		return x.out.finish(), true
 	case x.caller.isGone(), errors.Is(err, errCaller):
 		a.fail(resultAbandoned, err)
-		return false, true
+		return x.callerLeft(), true
 	}
 	a.failSent(err)
 	x.runs++
