relay: wait for the line of a caller that left without the wall clock

Cause: the test read the wall clock, which the linter forbids. Ruled out: nothing. Change: the test's log tells when a line was written.

--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -153,22 +153,29 @@
 	log    *lines
 }
 
-// lines keeps what a logger writes.
+// lines waits for a line of a log.
 type lines struct {
-	mu   sync.Mutex
-	text strings.Builder
+	mu     sync.Mutex
+	wanted string
+	seen   chan struct{}
 }
 
-func (l *lines) Write(data []byte) (int, error) {
+// await returns a channel that is closed once a line with the text is written.
+func (l *lines) await(text string) chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.text.Write(data)
+	l.wanted, l.seen = text, make(chan struct{})
+	return l.seen
 }
 
-func (l *lines) String() string {
+func (l *lines) Write(data []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.text.String()
+	if l.wanted != "" && strings.Contains(string(data), l.wanted) {
+		close(l.seen)
+		l.wanted = ""
+	}
+	return len(data), nil
 }
 
 // newSite starts a relay with three routes: /once/, /safe/ and /stream/.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,11 +10,9 @@
 	"net/http/httptest"
 	"os"
 	"regexp"
-	"runtime"
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -180,16 +178,13 @@
 		close(gone)
 	})
 	s := newSite(t, b)
+	left := s.log.await("caller_left")
 	c := s.client()
 	c.get("/safe/", "1")
 	await(t, "the arrival", arrived)
 	_ = c.conn.Close()
 	await(t, "the end of the work", gone)
-	for end := time.Now().Add(patience); !strings.Contains(s.log.String(), `"msg":"caller_left"`); runtime.Gosched() {
-		if time.Now().After(end) {
-			t.Fatalf("lines: got %s, want caller_left", s.log)
-		}
-	}
+	await(t, "the line", left)
 	if got, want := b.count(), 1; got != want {
 		t.Errorf("arrivals: got %d, want %d", got, want)
 	}
