commands: SIGHUP during the start of a process does not end it

Cause: the receiver of SIGHUP was installed after the process had been built. Ruled out: an address still in use and a stop that hangs: no such line, and the former process had ended. Change: the receiver is there before the settings are read.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -32,7 +32,7 @@
 	return c
 }
 
-func newServeRole(role, short string, run func(*cobra.Command, string) error) *cobra.Command {
+func newServeRole(role, short string, run func(*cobra.Command, string, hangups) error) *cobra.Command {
 	c := &cobra.Command{
 		Use:   role,
 		Short: short,
@@ -47,7 +47,9 @@
 			if err != nil {
 				return errors.Wrap(err, "cannot read --settings")
 			}
-			return run(c, path)
+			h, release := receiveHangups()
+			defer release()
+			return run(c, path, h)
 		},
 	}
 	c.Flags().String("settings", "", "settings file (required)")
@@ -58,6 +60,17 @@
 	return c
 }
 
+// hangups tells of each SIGHUP.
+type hangups <-chan os.Signal
+
+// receiveHangups is called before anything else of a process: until there is a
+// receiver, SIGHUP ends it, and the infrastructure may send it at any time.
+func receiveHangups() (hangups, func()) {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP)
+	return received, func() { signal.Stop(received) }
+}
+
 // process is what serve runs.
 type process interface {
 	Stop(ctx context.Context) error
@@ -68,37 +81,37 @@
 	Reload()
 }
 
-func serveEntry(c *cobra.Command, path string) error {
+func serveEntry(c *cobra.Command, path string, h hangups) error {
 	settings, err := setting.LoadEntry(path)
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
-	return serve(c, settings.Process, "the entry", (*entry.Entry).Stopped, func(i do.Injector) {
+	return serve(c, h, settings.Process, "the entry", (*entry.Entry).Stopped, func(i do.Injector) {
 		do.ProvideValue(i, settings)
 		do.Provide(i, provideControlClient)
 		do.Provide(i, provideEntry)
 	})
 }
 
-func serveControl(c *cobra.Command, path string) error {
+func serveControl(c *cobra.Command, path string, h hangups) error {
 	settings, err := setting.LoadControl(path)
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
 	neverByItself := func(*control.Control) <-chan struct{} { return nil }
-	return serve(c, settings.Process, "the control process", neverByItself, func(i do.Injector) {
+	return serve(c, h, settings.Process, "the control process", neverByItself, func(i do.Injector) {
 		do.ProvideValue(i, settings)
 		do.Provide(i, provideControl)
 	})
 }
 
-func serveRelay(c *cobra.Command, path string) error {
+func serveRelay(c *cobra.Command, path string, h hangups) error {
 	settings, err := setting.LoadRelay(path)
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
 	neverByItself := func(*platform.Entry) <-chan struct{} { return nil }
-	return serve(c, processOf(settings.Node), "the relay", neverByItself, func(i do.Injector) {
+	return serve(c, h, processOf(settings.Node), "the relay", neverByItself, func(i do.Injector) {
 		do.Provide(i, func(i do.Injector) (*platform.Entry, error) {
 			e, _, err := platform.NewEntry(path, settings, do.MustInvoke[clock.Clock](i), do.MustInvoke[event.Logger](i))
 			return e, err
@@ -106,13 +119,13 @@
 	})
 }
 
-func serveMember(c *cobra.Command, path string) error {
+func serveMember(c *cobra.Command, path string, h hangups) error {
 	settings, err := setting.LoadGroupMember(path)
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
 	neverByItself := func(*platform.Member) <-chan struct{} { return nil }
-	return serve(c, processOf(settings.Node), "the member", neverByItself, func(i do.Injector) {
+	return serve(c, h, processOf(settings.Node), "the member", neverByItself, func(i do.Injector) {
 		do.Provide(i, func(i do.Injector) (*platform.Member, error) {
 			m, _, err := platform.NewMember(path, settings, do.MustInvoke[clock.Clock](i), do.MustInvoke[event.Logger](i))
 			return m, err
@@ -126,7 +139,7 @@
 
 // serve builds the process that register provides and runs it until it stops.
 func serve[P process](
-	c *cobra.Command, settings setting.Process, name string, stopped func(P) <-chan struct{}, register func(do.Injector),
+	c *cobra.Command, h hangups, settings setting.Process, name string, stopped func(P) <-chan struct{}, register func(do.Injector),
 ) error {
 	injector, release, err := newInjector(settings)
 	if err != nil {
@@ -138,7 +151,7 @@
 	if err != nil {
 		return fail(ExitFailed, errors.Wrap(err, "cannot start "+name))
 	}
-	return runProcess(c.Context(), p, stopped(p))
+	return runProcess(c.Context(), p, stopped(p), h)
 }
 
 // newInjector returns a container with the clock and the logger that every
@@ -161,14 +174,10 @@
 
 // runProcess waits for a signal or for the process's own planned stop. A second
 // signal ends the process at once.
-func runProcess(ctx context.Context, p process, stopped <-chan struct{}) error {
+func runProcess(ctx context.Context, p process, stopped <-chan struct{}, h hangups) error {
 	signals, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer release()
-	// Without a receiver, SIGHUP would end the process.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	waitForStop(signals, stopped, hangups, p)
+	waitForStop(signals, stopped, h, p)
 	release()
 	if err := p.Stop(ctx); err != nil {
 		return fail(ExitFailed, errors.Wrap(err, "graceful stop failed"))
@@ -176,14 +185,14 @@
 	return nil
 }
 
-func waitForStop(signals context.Context, stopped <-chan struct{}, hangups <-chan os.Signal, p process) {
+func waitForStop(signals context.Context, stopped <-chan struct{}, h hangups, p process) {
 	for {
 		select {
 		case <-signals.Done():
 			return
 		case <-stopped:
 			return
-		case <-hangups:
+		case <-h:
 			if r, ok := p.(reloader); ok {
 				r.Reload()
 			}
--- a/commands/standin.go
+++ b/commands/standin.go
@@ -113,7 +113,9 @@
 			}
 			o.Prefix, o.Announce, o.Clock = f.name+"-", announce, clock.New()
 			_, release := standin.NewFleet(o)
-			return runProcess(c.Context(), releaser(release), nil)
+			h, releaseHangups := receiveHangups()
+			defer releaseHangups()
+			return runProcess(c.Context(), releaser(release), nil, h)
 		},
 	}
 	f.add(c.Flags(), "fleet")
@@ -153,7 +155,9 @@
 	}
 	defer release()
 	logger.Log(event.ProcessStarted, zap.String("address", s.Address()))
-	err = runProcess(c.Context(), s, nil)
+	h, releaseHangups := receiveHangups()
+	defer releaseHangups()
+	err = runProcess(c.Context(), s, nil, h)
 	logger.Log(event.ProcessStopped)
 	return err
 }
