relay: rank engines once for a choice; read the state once for the metrics

Cause: a choice hashed the prompt part with each server's name in every comparison of a sort, and worked out costs twice for each comparison; a scrape dumped the whole state once for each of six gauges. Also closeAll stood a second time in Stop, deadline only passed on to the clock, and a request's need was filled in at two places. Ruled out: a change of choices: order, bound and the first of equals are the same. Change: preferred ranks each server once; cheapest costs each server once; the gauges are one collector; the doubles are gone.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -133,7 +133,7 @@
 		a.fail(resultAbandoned, errInterrupted)
 		return false
 	}
-	_ = conn.SetDeadline(x.relay.deadline(deadline - x.relay.clock.Now()))
+	_ = conn.SetDeadline(x.relay.clock.Deadline(deadline - x.relay.clock.Now()))
 	if err := a.write(conn, data); err != nil {
 		a.failSent(err)
 		return false
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -108,7 +108,7 @@
 
 // setReadDeadline lets reads fail after a time.
 func (c *callerConn) setReadDeadline(after clock.Millis) {
-	_ = c.conn.SetReadDeadline(c.relay.deadline(after))
+	_ = c.conn.SetReadDeadline(c.relay.clock.Deadline(after))
 }
 
 // read reads requests and notices the end of the connection.
@@ -231,7 +231,7 @@
 }
 
 func (c *callerConn) write(data []byte) error {
-	_ = c.conn.SetWriteDeadline(c.relay.deadline(writeTimeout))
+	_ = c.conn.SetWriteDeadline(c.relay.clock.Deadline(writeTimeout))
 	_, err := c.conn.Write(data)
 	return err
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -100,11 +101,7 @@
 	}
 	total := lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) })
 	bound := loadBound*total/float64(len(servers)) + float64(n.tokens) + n.decode
-	ordered := slices.Clone(servers)
-	slices.SortFunc(ordered, func(a, b *server) int {
-		return lo.Ternary(a.affinity(n.affinity) > b.affinity(n.affinity), -1, 1)
-	})
-	for _, s := range ordered[:min(len(ordered), affinityTries)] {
+	for _, s := range preferred(n.affinity, servers) {
 		if f.engineCost(now, s) <= bound {
 			return s
 		}
@@ -112,8 +109,27 @@
 	return f.cheapest(now, servers)
 }
 
+// preferred returns the servers that every entry prefers for a prompt part, the
+// first one first.
+func preferred(part string, servers []*server) []*server {
+	type ranked struct {
+		server *server
+		rank   uint64
+	}
+	ranks := lo.Map(servers, func(s *server, _ int) ranked { return ranked{s, s.affinity(part)} })
+	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	return lo.Map(ranks[:min(len(ranks), affinityTries)], func(r ranked, _ int) *server { return r.server })
+}
+
 func (f *fleet) cheapest(now clock.Millis, servers []*server) *server {
-	return lo.MinBy(servers, func(a, b *server) bool { return f.engineCost(now, a) < f.engineCost(now, b) })
+	var best *server
+	least := 0.0
+	for _, s := range servers {
+		if cost := f.engineCost(now, s); best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	return best
 }
 
 // affinityTries is the number of servers that a prompt part is spread over when
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -108,9 +108,7 @@
 		x.deadline = min(x.deadline, x.request.arrived+x.call.TimeLeft)
 	}
 	x.hop.LastEvent = x.call.LastEvent
-	x.describeNeed()
-	x.need.rank, x.need.below = x.hop.Urgency, c.Ranks()-1-x.hop.Urgency
-	x.need.yields = c.LeastUrgent(route) && x.call.LastEvent == ""
+	x.describeNeed(c)
 	return nil
 }
 
@@ -122,8 +120,11 @@
 	return host
 }
 
-func (x *exchange) describeNeed() {
-	x.need = need{service: x.service, prompt: x.route.Prompt, tokens: x.call.PromptTokens, target: x.route.Target}
+func (x *exchange) describeNeed(c *catalog.Catalog) {
+	x.need = need{
+		service: x.service, prompt: x.route.Prompt, tokens: x.call.PromptTokens, target: x.route.Target,
+		rank: x.hop.Urgency, below: c.Ranks() - 1 - x.hop.Urgency, yields: c.LeastUrgent(x.route) && x.call.LastEvent == "",
+	}
 	x.need.output = x.call.LengthHint
 	if x.need.output == 0 {
 		x.need.output = x.call.OutputTokens / 2
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -43,19 +43,30 @@
 		whole:     newHistogram("galenaslip_relay_answer_seconds", "Time from a request's arrival to the end of its answer."),
 	}
 	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.cuts, m.firstByte, m.whole)
-	for name, value := range map[string]func(s State) float64{
-		"lease_ms":         func(s State) float64 { return float64(s.LeaseLeft) },
-		"catalog_revision": func(s State) float64 { return float64(s.Revision) },
-		"connections":      func(s State) float64 { return float64(s.Connections) },
-		"attempts_running": func(s State) float64 { return float64(s.Attempts) },
-		"servers":          func(s State) float64 { return float64(len(s.Servers)) },
-		"log_lines_lost":   func(State) float64 { return float64(r.options.Logger.Dropped()) },
+	m.registry.MustRegister(gauges{r})
+	return m
+}
+
+// gauges are the metrics of the relay's state, which is read once for all of them.
+type gauges struct{ relay *Relay }
+
+// Describe implements prometheus.Collector.
+func (g gauges) Describe(out chan<- *prometheus.Desc) { prometheus.DescribeByCollect(g, out) }
+
+// Collect implements prometheus.Collector.
+func (g gauges) Collect(out chan<- prometheus.Metric) {
+	s := g.relay.State()
+	for name, value := range map[string]float64{
+		"lease_ms":         float64(s.LeaseLeft),
+		"catalog_revision": float64(s.Revision),
+		"connections":      float64(s.Connections),
+		"attempts_running": float64(s.Attempts),
+		"servers":          float64(len(s.Servers)),
+		"log_lines_lost":   float64(g.relay.options.Logger.Dropped()),
 	} {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "galenaslip_relay_" + name, Help: "See docs/metrics.md.",
-		}, func() float64 { return value(r.State()) }))
+		description := prometheus.NewDesc("galenaslip_relay_"+name, "See docs/metrics.md.", nil, nil)
+		out <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value)
 	}
-	return m
 }
 
 func newHistogram(name, help string) *prometheus.HistogramVec {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -139,7 +138,7 @@
 	return len(conns)
 }
 
-func (r *Relay) closeAll() { r.each(func(c *callerConn) { _ = c.conn.Close() }) }
+func (r *Relay) closeAll() int { return r.each(func(c *callerConn) { _ = c.conn.Close() }) }
 
 // Take puts news of the control leader in force. The lease counts from the time
 // at which they were asked for.
@@ -200,10 +199,6 @@
 	return l
 }
 
-// deadline returns the time of day after a delay, which net.Conn turns into a
-// delay again.
-func (r *Relay) deadline(after clock.Millis) time.Time { return r.clock.Deadline(after) }
-
 func (r *Relay) sweep() {
 	r.fleet.sweep(r.clock.Now())
 	if leased := r.Leased(); leased != r.sweptLeased {
@@ -238,7 +233,6 @@
 		r.clock.Sleep(ctx, stopInterval)
 	}
 	_ = r.listener.Close()
-	left := r.each(func(c *callerConn) { _ = c.conn.Close() })
-	r.options.Logger.Log(event.ProcessStopped, zap.Int("connections_cut", left))
+	r.options.Logger.Log(event.ProcessStopped, zap.Int("connections_cut", r.closeAll()))
 	return nil
 }
