control, commands: convert documents in one way; one neverByItself

Cause: the wire form of a document was copied field by field at six places, and the function for processes that stop only at a signal stood three times. Ruled out: nothing. Change: conversions of the equal structs, nil included; one generic function.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -98,8 +98,7 @@
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
-	neverByItself := func(*control.Control) <-chan struct{} { return nil }
-	return serve(c, h, settings.Process, "the control process", neverByItself, func(i do.Injector) {
+	return serve(c, h, settings.Process, "the control process", neverByItself[*control.Control], func(i do.Injector) {
 		do.ProvideValue(i, settings)
 		do.Provide(i, provideControl)
 	})
@@ -110,8 +109,7 @@
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
-	neverByItself := func(*platform.Entry) <-chan struct{} { return nil }
-	return serve(c, h, processOf(settings.Node), "the relay", neverByItself, func(i do.Injector) {
+	return serve(c, h, processOf(settings.Node), "the relay", neverByItself[*platform.Entry], func(i do.Injector) {
 		do.Provide(i, func(i do.Injector) (*platform.Entry, error) {
 			e, _, err := platform.NewEntry(path, settings, do.MustInvoke[clock.Clock](i), do.MustInvoke[event.Logger](i))
 			return e, err
@@ -124,8 +122,7 @@
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
-	neverByItself := func(*platform.Member) <-chan struct{} { return nil }
-	return serve(c, h, processOf(settings.Node), "the member", neverByItself, func(i do.Injector) {
+	return serve(c, h, processOf(settings.Node), "the member", neverByItself[*platform.Member], func(i do.Injector) {
 		do.Provide(i, func(i do.Injector) (*platform.Member, error) {
 			m, _, err := platform.NewMember(path, settings, do.MustInvoke[clock.Clock](i), do.MustInvoke[event.Logger](i))
 			return m, err
@@ -133,6 +130,9 @@
 	})
 }
 
+// neverByItself is for processes that stop only at a signal.
+func neverByItself[P process](P) <-chan struct{} { return nil }
+
 func processOf(n setting.Node) setting.Process {
 	return setting.Process{Name: n.Name, LogLevel: n.LogLevel}
 }
--- a/control/catalog.go
+++ b/control/catalog.go
@@ -26,7 +26,7 @@
 }
 
 func encodeDocument(d catalog.Document) ([]byte, error) {
-	data, err := json.Marshal(wireDocument{Revision: d.Revision, Body: d.Body})
+	data, err := json.Marshal(wireDocument(d))
 	return data, errors.WithStack(err)
 }
 
@@ -35,11 +35,11 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return catalog.Document{}, errors.Wrap(err, "decoding a catalog document")
 	}
-	return catalog.Document{Revision: w.Revision, Body: w.Body}, nil
+	return catalog.Document(w), nil
 }
 
 func encodeCatalogAnswer(a catalog.Answer) ([]byte, error) {
-	data, err := json.Marshal(wireCatalogAnswer{Verdict: a.Verdict, Revision: a.Revision})
+	data, err := json.Marshal(wireCatalogAnswer(a))
 	return data, errors.WithStack(err)
 }
 
@@ -48,7 +48,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return catalog.Answer{}, errors.Wrap(err, "decoding the answer to a catalog")
 	}
-	return catalog.Answer{Verdict: w.Verdict, Revision: w.Revision}, nil
+	return catalog.Answer(w), nil
 }
 
 // PutCatalog commits a document. The caller has checked that it can be decoded.
--- a/control/codec.go
+++ b/control/codec.go
@@ -84,9 +84,7 @@
 			return nil, err
 		}
 	}
-	if c.document != nil {
-		w.Document = &wireDocument{Revision: c.document.Revision, Body: c.document.Body}
-	}
+	w.Document = (*wireDocument)(c.document)
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -104,9 +102,7 @@
 	if err == nil && len(w.Claim) > 0 {
 		c.claim, err = claim.DecodeCommand(w.Claim)
 	}
-	if w.Document != nil {
-		c.document = &catalog.Document{Revision: w.Document.Revision, Body: w.Document.Body}
-	}
+	c.document = (*catalog.Document)(w.Document)
 	if err == nil && c.change == nil && c.claim == nil && c.document == nil {
 		err = errors.New("a command without content")
 	}
--- a/control/watch.go
+++ b/control/watch.go
@@ -191,10 +191,8 @@
 	w := wireNews{
 		Granted: n.Granted, Leader: n.Leader, Term: n.Term, Revision: n.Revision, Epoch: n.Epoch, Position: n.Position,
 		Entries: n.Entries, Members: n.Members, Loads: toWireLoads(n.Loads), Demands: toWireDemands(n.Demands),
-		Servers: lo.Map(n.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
-	}
-	if n.Document != nil {
-		w.Document = &wireDocument{Revision: n.Document.Revision, Body: n.Document.Body}
+		Document: (*wireDocument)(n.Document),
+		Servers:  lo.Map(n.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
 	}
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
@@ -205,14 +203,11 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return News{}, errors.Wrap(err, "decoding the answer to a watch")
 	}
-	n := News{
+	return News{
 		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
 		Entries: w.Entries, Members: w.Members, Loads: fromWireLoads(w.Loads),
-		Demands: fromWireDemands(w.Demands),
-		Servers: lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.record() }),
-	}
-	if w.Document != nil {
-		n.Document = &catalog.Document{Revision: w.Document.Revision, Body: w.Document.Body}
-	}
-	return n, nil
+		Demands:  fromWireDemands(w.Demands),
+		Document: (*catalog.Document)(w.Document),
+		Servers:  lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.record() }),
+	}, nil
 }
