--- a/commands/site_test.go
+++ b/commands/site_test.go
@@ -12,12 +12,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/caller"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/commands/commandstest"
 	"github.com/galenaslip/galenaslip/outcome"
 )
 
@@ -30,25 +30,10 @@
 
 var wall = clock.New()
 
-// binary is the program under test, built once.
-var binary = sync.OnceValues(func() (string, error) {
-	folder, err := os.MkdirTemp("", "galenaslip-test-")
-	if err != nil {
-		return "", err
-	}
-	path := filepath.Join(folder, "galenaslip")
-	output, err := exec.Command("go", "build", "-o", path, "..").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, output)
-	}
-	return path, nil
-})
-
+// TestMain removes the program that tests have built.
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := binary(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(path))
-	}
+	commandstest.Remove()
 	os.Exit(code)
 }
 
@@ -62,7 +47,7 @@
 
 func start(t testing.TB, args ...string) *process {
 	t.Helper()
-	path, err := binary()
+	path, err := commandstest.Binary()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -224,7 +209,7 @@
 
 // runPlain runs a command that takes no --control.
 func (s *site) runPlain(args ...string) (output string, code int) {
-	path, err := binary()
+	path, err := commandstest.Binary()
 	if err != nil {
 		return err.Error(), -1
 	}
