--- a/control/catalog_test.go
+++ b/control/catalog_test.go
@@ -139,12 +139,12 @@
 	}
 }
 
-// hasSeen reports whether the newest catalog has this revision and the server
+// hasSeen reports whether the newest catalog has this revision and server s1
 // this state.
-func (r *watchRecorder) hasSeen(revision uint64, server string, state roster.State) bool {
+func (r *watchRecorder) hasSeen(revision uint64, state roster.State) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision == revision && r.servers[server] == state
+	return r.revision == revision && r.servers["s1"] == state
 }
 
 // Guards against an entry that misses changes: those made after a change of the
@@ -155,7 +155,7 @@
 	addresses := []string{g.memberOptions["c1"].Listen, g.memberOptions["c2"].Listen, g.memberOptions["c3"].Listen}
 	w := control.NewWatcher(control.WatcherOptions{
 		Entry: "entry", Seeds: func() []string { return addresses }, Clock: g.clock, Logger: event.Discard(), Update: recorder.record,
-		Report: func() ([]control.ServerLoad, []control.ServiceDemand) { return nil, nil },
+		Report: func() control.Report { return control.Report{} },
 	})
 	go w.Run(t.Context())
 	server := roster.Announcement{Server: "s1", Service: "s", Address: "10.0.0.1:1", State: roster.Serving, StartedAt: 5, Sequence: 1}
@@ -164,7 +164,7 @@
 	}
 	g.putCatalog("c4", 7)
 	announce("c5", server)
-	g.eventually("the catalog and the server at the watcher", func() bool { return recorder.hasSeen(7, "s1", roster.Serving) })
+	g.eventually("the catalog and the server at the watcher", func() bool { return recorder.hasSeen(7, roster.Serving) })
 	g.crash(g.leader())
 	name := ""
 	for name = range g.running {
@@ -174,5 +174,5 @@
 	leaving := server.WithState(roster.Leaving)
 	leaving.Sequence = 2
 	announce(name, leaving)
-	g.eventually("the changes at the next leader", func() bool { return recorder.hasSeen(8, "s1", roster.Leaving) })
+	g.eventually("the changes at the next leader", func() bool { return recorder.hasSeen(8, roster.Leaving) })
 }
--- a/control/control.go
+++ b/control/control.go
@@ -79,7 +79,9 @@
 	placementController *placementController
 	serverRegistry      *serverRegistry
 	watchingEntries     watchingEntries
-	changed             *changeNotifier // notified when the catalog or the server list has changed
+	delegate            *delegate
+	changed             *changeNotifier // notified when the answers to watches have changed
+	reported            *changeNotifier // notified when an entry has reported what it knows
 	stopping            atomic.Bool
 	cancel              context.CancelFunc
 	tasks               sync.WaitGroup
@@ -104,6 +106,7 @@
 		machine:  NewMachine(),
 		tokens:   tokens{operator: options.OperatorToken, peer: options.PeerToken, privateNetwork: options.PrivateNetwork},
 		changed:  newChangeNotifier(),
+		reported: newChangeNotifier(),
 	}
 	c.machine.onCatalogChange = c.changed.notify
 	c.serverRegistry = newServerRegistry(c)
@@ -116,6 +119,7 @@
 	c.peerClient = newPeerClient(options.PeerToken)
 	c.leaderTasks = newLeaderTasks(c)
 	c.placementController = newPlacementController(c)
+	c.delegate = newDelegate(c)
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
 	if err := c.openLog(); err != nil {
@@ -129,6 +133,7 @@
 	c.startTask(func() { c.placementController.run(ctx) })
 	c.startTask(func() { c.maintainMembership(ctx) })
 	c.startTask(func() { c.serverRegistry.run(ctx) })
+	c.startTask(func() { c.delegate.run(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
 	return c, c.release, nil
 }
--- /dev/null
+++ b/control/delegate.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/catalog"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/replica"
+	"github.com/galenaslip/galenaslip/roster"
+)
+
+const (
+	// delegateWait is how long the leader waits for changes before it answers a member's
+	// watch. It bounds how late the member reports what its entries know.
+	delegateWait = 100 * clock.Millisecond
+	// idleDelegateWait is the corresponding time while all entries watch the leader itself.
+	idleDelegateWait = 1 * clock.Second
+)
+
+// delegate answers entries on behalf of the leader while this member does not lead. It
+// watches the leader as one entry does, with the sums of its own entries' reports, and
+// passes on what the leader confirms. It is safe for concurrent use.
+type delegate struct {
+	control *Control
+	watcher *Watcher
+
+	mu           sync.Mutex
+	confirmation delegation.Confirmation
+	document     catalog.Document // newest catalog document that the leader has sent
+	mirror       *roster.Mirror   // the leader's server list
+	reported     int              // number of entries in the report that others does not contain
+	others       WatchResponse    // reports of the entries that do not watch this member
+	heartbeats   map[string]roster.Announcement
+}
+
+func newDelegate(c *Control) *delegate {
+	d := &delegate{control: c, mirror: roster.NewMirror(), heartbeats: map[string]roster.Announcement{}}
+	d.watcher = NewWatcher(WatcherOptions{
+		Entry: "member " + c.options.Advertise, Token: c.options.PeerToken, Delegate: lo.ToPtr(c.delegationMember()), Seeds: d.leader,
+		Clock: c.options.Clock, Logger: c.options.Logger, Update: d.update, Report: d.report,
+	})
+	return d
+}
+
+// run watches the leader until ctx ends.
+func (d *delegate) run(ctx context.Context) { d.watcher.Run(ctx) }
+
+// leader returns the address of the leader, or nothing if this member leads or knows none.
+func (d *delegate) leader() []string {
+	status := d.control.log.Load().Status()
+	if status.Role == replica.Leader || status.Leader == "" || status.Leader == d.control.options.Advertise {
+		return nil
+	}
+	return []string{status.Leader}
+}
+
+// report sums up what this member's entries have reported.
+func (d *delegate) report() Report {
+	c := d.control
+	now := c.options.Clock.Now()
+	count, loads, demands := c.watchingEntries.totalsExcept(now, "")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reported = count
+	r := Report{
+		Loads: loads, Demands: demands, Revision: max(c.machine.Catalog().Revision, d.document.Revision), EntryCount: count,
+		Acknowledged: c.watchingEntries.acknowledged(now, d.mirror.Epoch(), d.mirror.Position()),
+		Heartbeats:   lo.Values(d.heartbeats), MaxWait: lo.Ternary(d.delegates(), delegateWait, idleDelegateWait),
+	}
+	d.heartbeats = map[string]roster.Announcement{}
+	return r
+}
+
+// delegates reports whether the leader wants entries to watch members. The caller holds
+// the lock.
+func (d *delegate) delegates() bool { return len(d.others.Delegates) > 0 }
+
+// update stores a response that the leader has granted.
+func (d *delegate) update(askedAt clock.Millis, response WatchResponse) {
+	next := delegation.Confirmation{AskedAt: askedAt, Term: response.Term, Revision: response.Revision}
+	d.mu.Lock()
+	if !next.Replaces(d.confirmation) {
+		d.mu.Unlock()
+		return
+	}
+	wasValid := d.confirmation.Valid(d.control.options.Clock.Now())
+	if response.Document != nil {
+		d.document = *response.Document
+	}
+	changed := d.mirror.Apply(d.control.options.Clock.Now(), response.Epoch, response.Position, response.Servers)
+	changed = changed || !wasValid || next.Revision != d.confirmation.Revision
+	d.confirmation = next
+	d.others = response
+	d.others.EntryCount = max(response.EntryCount-d.reported, 0)
+	d.mu.Unlock()
+	if changed {
+		d.control.changed.notify()
+	}
+}
+
+// grant completes the response to an entry's watch that was received at the given time, if
+// the leader's newest confirmation is recent enough and the entry does not know more than
+// this member.
+func (d *delegate) grant(now clock.Millis, watch WatchRequest, receivedAt clock.Millis, response *WatchResponse) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	document := d.control.machine.Catalog()
+	if d.document.Revision > document.Revision {
+		document = d.document
+	}
+	if !d.confirmation.Valid(now) || document.Revision < d.confirmation.Revision || d.mirror.Epoch() < watch.Epoch {
+		return
+	}
+	response.Granted, response.Term, response.Revision = true, d.confirmation.Term, document.Revision
+	response.Document = newerDocument(document, watch.Revision)
+	response.Servers = d.mirror.ChangedSince(watch.Epoch, watch.Position)
+	response.Epoch, response.Position = d.mirror.Epoch(), d.mirror.Position()
+	response.EntryCount, response.Loads, response.Demands = d.others.EntryCount, d.others.Loads, d.others.Demands
+	response.ConfirmationAge, response.Delegates = d.confirmation.Age(receivedAt), d.others.Delegates
+}
+
+// acceptHeartbeat takes a heartbeat that has no news for the entries, and reports whether
+// it did. The next request to the leader passes it on.
+func (d *delegate) acceptHeartbeat(a roster.Announcement) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.delegates() || !d.confirmation.Valid(d.control.options.Clock.Now()) || !d.mirror.IsRefresh(a) {
+		return false
+	}
+	if waiting, ok := d.heartbeats[a.Server]; !ok || a.Sequence > waiting.Sequence {
+		d.heartbeats[a.Server] = a
+	}
+	return true
+}
--- /dev/null
+++ b/control/delegate_test.go
@@ -0,0 +1,166 @@
+package control_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/roster"
+)
+
+// watchingEntry is an entry that watches the group. Its lock guards the embedded recorder
+// and the fields below.
+type watchingEntry struct {
+	watchRecorder
+	passedOn       bool         // the latest response came from a member on behalf of the leader
+	entryCount     int          // number of entries in the latest response
+	load           int          // load of other entries in the latest response
+	confirmedAfter clock.Millis // latest time from which the lease counts
+	delay          clock.Millis // pause before each request
+}
+
+func (e *watchingEntry) update(confirmedAfter clock.Millis, response control.WatchResponse) {
+	e.record(confirmedAfter, response)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.passedOn, e.entryCount, e.confirmedAfter, e.load = response.Leader != "", response.EntryCount, confirmedAfter, 0
+	for _, l := range response.Loads {
+		e.load += l.Requests
+	}
+}
+
+func (e *watchingEntry) state() (passedOn bool, entryCount, load int, confirmedAfter clock.Millis) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.passedOn, e.entryCount, e.load, e.confirmedAfter
+}
+
+// watch starts entries that know only the group's seeds. Each has one request in progress
+// at server s1.
+func (g *group) watch(count int, delay clock.Millis) []*watchingEntry {
+	seeds := []string{g.memberOptions["c1"].Listen, g.memberOptions["c2"].Listen, g.memberOptions["c3"].Listen}
+	entries := make([]*watchingEntry, count)
+	for i := range entries {
+		e := &watchingEntry{watchRecorder: watchRecorder{servers: map[string]roster.State{}}, delay: delay}
+		entries[i] = e
+		w := control.NewWatcher(control.WatcherOptions{
+			Entry: fmt.Sprintf("entry-%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%3), Seeds: func() []string { return seeds },
+			Clock: g.clock, Logger: event.Discard(), Update: e.update,
+			Report: func() control.Report {
+				g.clock.Sleep(g.t.Context(), e.delay)
+				return control.Report{Loads: []control.ServerLoad{{Server: "s1", Requests: 1}}}
+			},
+		})
+		go w.Run(g.t.Context())
+	}
+	return entries
+}
+
+// allOf reports whether a condition holds for all entries.
+func allOf(entries []*watchingEntry, condition func(e *watchingEntry) bool) bool {
+	for _, e := range entries {
+		if !condition(e) {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a leader that must answer every entry itself, against entries that miss a
+// change because a member answers on behalf of the leader, and against members that do not
+// pass on the loads of each other's entries. It also crashes the leader.
+func TestDelegation(t *testing.T) {
+	const count = 48
+	g := newSeededGroup(t, 5)
+	server := roster.Announcement{Server: "s1", Service: "s", Address: "10.0.0.1:1", State: roster.Serving, StartedAt: 5, Sequence: 1}
+	g.putCatalog("c4", 7)
+	g.eventually("an announcement", func() bool { return g.running["c5"].Announce(server) == nil })
+	entries := g.watch(count, 0)
+	settled := func(revision uint64, state roster.State) bool {
+		passedOn := 0
+		for _, e := range entries {
+			viaMember, entryCount, load, _ := e.state()
+			if !e.hasSeen(revision, state) || entryCount != count || load != count-1 {
+				return false
+			}
+			if viaMember {
+				passedOn++
+			}
+		}
+		return passedOn > count/2 && passedOn < count
+	}
+	g.eventually("all entries to know all others", func() bool { return settled(7, roster.Serving) })
+	g.crash(g.leader())
+	name := ""
+	for name = range g.running {
+		break
+	}
+	g.putCatalog(name, 8)
+	g.eventually("the heartbeat at the new leader", func() bool {
+		server.Sequence++
+		return g.running[name].Announce(server.WithState(roster.Leaving)) == nil
+	})
+	g.eventually("all entries to know all others again", func() bool { return settled(8, roster.Leaving) })
+}
+
+// Guards against a server that gets requests long after its leaving was acknowledged: with
+// entries that ask late for changes, an acknowledgement before all of them know is too early.
+func TestLeavingIsAcknowledgedOnceAllEntriesKnow(t *testing.T) {
+	for _, count := range []int{3, 48} {
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) {
+			g := newSeededGroup(t, 5)
+			server := roster.Announcement{Server: "s1", Service: "s", Address: "10.0.0.1:1", State: roster.Serving, StartedAt: 5, Sequence: 1}
+			g.putCatalog("c4", 7)
+			entries := g.watch(count, 50*clock.Millisecond)
+			g.eventually("an announcement", func() bool { server.Sequence++; return g.running["c5"].Announce(server) == nil })
+			g.eventually("all entries to know the server", func() bool {
+				return allOf(entries, func(e *watchingEntry) bool {
+					_, entryCount, _, _ := e.state()
+					return entryCount == count && e.hasSeen(7, roster.Serving)
+				})
+			})
+			var wait sync.WaitGroup
+			for name := range g.running {
+				wait.Go(func() {
+					leaving := server.WithState(roster.Leaving)
+					leaving.Sequence++
+					g.eventually("the acknowledgement", func() bool { return g.running[name].Announce(leaving) == nil })
+					if !allOf(entries, func(e *watchingEntry) bool { return e.hasSeen(7, roster.Leaving) }) {
+						t.Errorf("leaving acknowledged at %s before all entries know of it", name)
+					}
+				})
+			}
+			wait.Wait()
+		})
+	}
+}
+
+// Guards against an entry that keeps its lease although nobody can reach the leader: a
+// member that has lost it passes its last confirmation on for a bounded time only, and no
+// lease counts from a later time.
+func TestNoLeaseWithoutLeader(t *testing.T) {
+	g := newSeededGroup(t, 3)
+	g.putCatalog("c1", 7)
+	entries := g.watch(48, 0)
+	g.eventually("entries that watch members", func() bool {
+		return !allOf(entries, func(e *watchingEntry) bool { passedOn, _, _, _ := e.state(); return !passedOn })
+	})
+	leader := g.leader()
+	for name := range g.running {
+		if name != leader {
+			g.crash(name)
+			break
+		}
+	}
+	g.crash(leader)
+	lostAt := g.clock.Now()
+	g.clock.Sleep(t.Context(), clock.Second)
+	for i, e := range entries {
+		if _, _, _, confirmedAfter := e.state(); confirmedAfter > lostAt {
+			t.Errorf("lease of entry %d: counts from %d, want at most %d", i, confirmedAfter, lostAt)
+		}
+	}
+}
--- a/control/servers.go
+++ b/control/servers.go
@@ -26,6 +26,10 @@
 	announceTimeout = 700 * clock.Millisecond
 	// silenceCheckInterval is how often the list is checked for silent servers.
 	silenceCheckInterval = 250 * clock.Millisecond
+	// departureTimeout bounds the wait until the entries know that a server leaves. It is
+	// below announceTimeout, so that the member that forwarded the announcement learns why
+	// it is not acknowledged. The server repeats it.
+	departureTimeout = 600 * clock.Millisecond
 )
 
 // serverRegistry holds the announcements of backend servers that the leader has
@@ -110,20 +114,83 @@
 	return s.registry.ChangedSince(position), s.epoch, s.registry.LastChangeNumber()
 }
 
+// awaitDeparture waits until all entries that watch know that the given servers no longer
+// take requests, and reports whether they do. An entry that has stopped watching is no
+// longer waited for after entryTimeout.
+func (c *Control) awaitDeparture(servers []string) bool {
+	timeout, release := c.options.Clock.After(departureTimeout)
+	defer release()
+	for {
+		reported := c.reported.nextChange()
+		if c.knownToEntries(servers) {
+			return true
+		}
+		select {
+		case <-reported:
+		case <-timeout:
+			return c.knownToEntries(servers)
+		}
+	}
+}
+
+// knownToEntries reports whether all entries that watch know the newest records of the
+// given servers.
+func (c *Control) knownToEntries(servers []string) bool {
+	change, epoch := c.serverRegistry.newestChange(servers)
+	return c.watchingEntries.acknowledged(c.options.Clock.Now(), epoch, change) >= change
+}
+
+// newestChange returns the position of the newest change of the given servers, and the
+// epoch of the list.
+func (s *serverRegistry) newestChange(servers []string) (position, epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.NewestChangeOf(servers), s.epoch
+}
+
+// departures returns the names of the servers that no longer take requests.
+func departures(announcements []roster.Announcement) []string {
+	return lo.FilterMap(announcements, func(a roster.Announcement, _ int) (string, bool) { return a.Server, a.State != roster.Serving })
+}
+
+// receiveHeartbeats applies heartbeats that another member has already acknowledged. A
+// heartbeat that is lost because the leader has changed is followed by the next one.
+func (c *Control) receiveHeartbeats(heartbeats []roster.Announcement) {
+	if err := c.applyAnnouncements(heartbeats); err != nil {
+		c.options.Logger.Log(event.HeartbeatsDropped, zap.Int("heartbeats", len(heartbeats)), zap.Error(err))
+	}
+}
+
 // Announce passes an announcement of a backend server to the leader. It returns
-// nil once the leader's server list contains the announcement. Entries receive it
-// in the responses to their watches.
+// nil once the leader's server list contains the announcement and, if the server leaves,
+// once all entries know. Entries receive it in the responses to their watches. A heartbeat
+// without news is passed on later, together with others.
 func (c *Control) Announce(announcement roster.Announcement) error {
+	if c.delegate.acceptHeartbeat(announcement) {
+		return nil
+	}
 	data, err := encodeAnnouncements([]roster.Announcement{announcement})
 	if err != nil {
 		return err
 	}
 	_, err = c.runOnLeader(fasthttp.MethodPost, pathServers, data, announceTimeout, func() ([]byte, error) {
-		return nil, c.applyAnnouncements([]roster.Announcement{announcement})
+		return nil, c.acknowledgeAnnouncements([]roster.Announcement{announcement})
 	})
 	return err
 }
 
+// acknowledgeAnnouncements applies announcements and returns nil when they may be
+// acknowledged. An acknowledged server that leaves gets no new requests.
+func (c *Control) acknowledgeAnnouncements(announcements []roster.Announcement) error {
+	if err := c.applyAnnouncements(announcements); err != nil {
+		return err
+	}
+	if leaving := departures(announcements); len(leaving) > 0 && !c.awaitDeparture(leaving) {
+		return notRunError("some entries do not know yet that the server leaves")
+	}
+	return nil
+}
+
 // applyAnnouncements applies announcements when this member leads and holds the
 // leader lease, and returns an error otherwise.
 func (c *Control) applyAnnouncements(announcements []roster.Announcement) error {
@@ -143,7 +210,7 @@
 	if err != nil {
 		return invalidError(fiber.StatusBadRequest, err)
 	}
-	if err := c.applyAnnouncements(announcements); err != nil {
+	if err := c.acknowledgeAnnouncements(announcements); err != nil {
 		return err
 	}
 	return f.SendStatus(fiber.StatusNoContent)
@@ -179,16 +246,22 @@
 }
 
 func encodeAnnouncements(announcements []roster.Announcement) ([]byte, error) {
-	data, err := json.Marshal(lo.Map(announcements, func(a roster.Announcement, _ int) wireServer {
-		return toWireServer(roster.Record{Announcement: a})
-	}))
+	data, err := json.Marshal(toWireAnnouncements(announcements))
 	return data, errors.WithStack(err)
 }
 
+func toWireAnnouncements(announcements []roster.Announcement) []wireServer {
+	return lo.Map(announcements, func(a roster.Announcement, _ int) wireServer { return toWireServer(roster.Record{Announcement: a}) })
+}
+
+func fromWireAnnouncements(wire []wireServer) []roster.Announcement {
+	return lo.Map(wire, func(w wireServer, _ int) roster.Announcement { return w.toRecord().Announcement })
+}
+
 func decodeAnnouncements(data []byte) ([]roster.Announcement, error) {
 	var wire []wireServer
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return nil, errors.Wrap(err, "decoding announcements")
 	}
-	return lo.Map(wire, func(w wireServer, _ int) roster.Announcement { return w.toRecord().Announcement }), nil
+	return fromWireAnnouncements(wire), nil
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -1,14 +1,12 @@
 package control
 
 import (
-	"encoding/json"
-
 	"github.com/gofiber/fiber/v3"
-	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
 )
@@ -19,10 +17,19 @@
 	maxWatchWait = 2 * clock.Second
 	// entryTimeout is how long an entry counts as watching after its latest watch.
 	entryTimeout = 2 * clock.Second
+	// changeBatchInterval is the time for which further changes are collected before
+	// watches are answered. Without it, each of many servers that restart together would
+	// cost one answer to each entry.
+	changeBatchInterval = 20 * clock.Millisecond
+	// maxDirectEntries is the number of entries up to which all of them watch the leader
+	// itself. More entries watch the members near them, which costs the loads of other
+	// entries some hundred milliseconds of delay.
+	maxDirectEntries = 40
 )
 
 // WatchRequest is a long-poll request of an entry for the changes since its last
-// response. It also reports the entry's load and demand.
+// response. It also reports the entry's load and demand. A member that watches the leader
+// for its own entries sends the same request, with their sums.
 type WatchRequest struct {
 	Entry    string
 	Revision uint64          // revision of the entry's catalog
@@ -31,6 +38,24 @@
 	MaxWait  clock.Millis    // how long the leader may wait for changes before it answers
 	Loads    []ServerLoad    // this entry's requests in progress, one ServerLoad for each server
 	Demands  []ServiceDemand // demand at this entry, one ServiceDemand for each service
+
+	// AcceptsDelegation is set by entries that take WatchResponse.ConfirmationAge into
+	// account. Other entries are answered by the leader alone.
+	AcceptsDelegation bool
+	// Delegate is set in the request of a member. The fields after it are set by members.
+	Delegate     *delegation.Member
+	EntryCount   int                   // number of entries that watch the member
+	Acknowledged uint64                // position up to which all of these entries know all changes
+	Heartbeats   []roster.Announcement // heartbeats that changed nothing, received since the last request
+}
+
+// acknowledged returns the position in the server list up to which everyone on whose behalf
+// the request was sent knows all changes.
+func (w WatchRequest) acknowledged() uint64 {
+	if w.Delegate != nil {
+		return w.Acknowledged
+	}
+	return w.Position
 }
 
 // ServiceDemand is the number of prompt tokens in recent requests to the engines of a
@@ -53,7 +78,7 @@
 // catalog with its revision is the newest one. Without a grant only Term,
 // Members and Leader are set.
 type WatchResponse struct {
-	Granted    bool   // whether the member led and held the leader lease after it had read the catalog
+	Granted    bool   // whether the leader, which held the leader lease, has confirmed the revision
 	Leader     string // address of the leader if another member leads
 	Term       uint64
 	Revision   uint64            // newest revision of the catalog
@@ -65,159 +90,115 @@
 	Members    []string          // addresses of the control members
 	Loads      []ServerLoad      // total load of all other entries, one ServerLoad for each server
 	Demands    []ServiceDemand   // total demand of all other entries, one ServiceDemand for each service
+
+	// ConfirmationAge is by how much the leader's confirmation is older than the entry's
+	// request. It is 0 in responses of the leader itself.
+	ConfirmationAge clock.Millis
+	// Delegates are the members that entries watch in place of the leader. It is empty if
+	// the entries watch the leader.
+	Delegates []delegation.Member
 }
 
 // answerWatch records the entry's report and returns the response once there is
 // a change for the entry, or when the wait time has passed. A response without
-// a grant is returned at once.
+// a grant is returned at once, unless this member may soon answer for the leader.
 func (c *Control) answerWatch(watch WatchRequest) WatchResponse {
-	c.watchingEntries.update(c.options.Clock.Now(), watch)
+	receivedAt := c.options.Clock.Now()
+	c.watchingEntries.update(receivedAt, watch)
+	c.reported.notify()
+	if len(watch.Heartbeats) > 0 {
+		c.receiveHeartbeats(watch.Heartbeats)
+	}
 	timeout, release := c.options.Clock.After(min(watch.MaxWait, maxWatchWait))
 	defer release()
 	for {
 		changed := c.changed.nextChange()
-		watchResponse := c.watchResponse(watch)
-		if !watchResponse.Granted || watchResponse.Document != nil || len(watchResponse.Servers) > 0 || watchResponse.Epoch != watch.Epoch {
-			return watchResponse
+		response := c.watchResponse(watch, receivedAt)
+		awaitsConfirmation := !response.Granted && watch.AcceptsDelegation && response.Leader != ""
+		if !response.Granted && !awaitsConfirmation || response.hasNews(watch) {
+			return response
 		}
 		select {
 		case <-changed:
+			c.collectChanges(timeout)
 		case <-timeout:
-			return c.watchResponse(watch)
+			return c.watchResponse(watch, receivedAt)
 		}
 	}
 }
 
-// watchResponse builds the response to a watch. It reads the catalog first and
-// checks the leader lease afterwards, so that the catalog in a granted response
-// was the newest one when it was read.
-func (c *Control) watchResponse(watch WatchRequest) WatchResponse {
+// hasNews reports whether a granted response contains something that the entry must learn
+// at once.
+func (r WatchResponse) hasNews(watch WatchRequest) bool {
+	return r.Granted && (r.Document != nil || len(r.Servers) > 0 || r.Epoch != watch.Epoch)
+}
+
+// collectChanges waits for changeBatchInterval or until the timeout of a watch.
+func (c *Control) collectChanges(timeout <-chan struct{}) {
+	collected, release := c.options.Clock.After(changeBatchInterval)
+	defer release()
+	select {
+	case <-collected:
+	case <-timeout:
+	}
+}
+
+// watchResponse builds the response to a watch that was received at the given time. It
+// reads the catalog first and checks the leader lease afterwards, so that the catalog in a
+// granted response was the newest one when it was read.
+func (c *Control) watchResponse(watch WatchRequest, receivedAt clock.Millis) WatchResponse {
 	document := c.machine.Catalog()
 	status := c.log.Load().Status()
-	watchResponse := WatchResponse{Term: status.Term, Members: lo.Map(status.Members, func(m replica.Member, _ int) string { return m.Address })}
+	response := WatchResponse{Term: status.Term, Members: lo.Map(status.Members, func(m replica.Member, _ int) string { return m.Address })}
+	now := c.options.Clock.Now()
 	if status.Role != replica.Leader || status.LeaseRemaining <= 0 {
 		if status.Leader != c.options.Advertise {
-			watchResponse.Leader = status.Leader
+			response.Leader = status.Leader
+		}
+		if watch.AcceptsDelegation && watch.Delegate == nil {
+			c.delegate.grant(now, watch, receivedAt, &response)
+		}
+	} else {
+		c.serverRegistry.receive(status.Term, nil)
+		response.Granted, response.Revision = true, document.Revision
+		response.Document = newerDocument(document, watch.Revision)
+		response.Servers, response.Epoch, response.Position = c.serverRegistry.changesSince(watch.Epoch, watch.Position)
+		if c.watchingEntries.count(now) > maxDirectEntries {
+			response.Delegates = c.watchingEntries.delegates(now, c.delegationMember())
 		}
-		return watchResponse
 	}
-	c.serverRegistry.receive(status.Term, nil)
-	watchResponse.Granted, watchResponse.Revision = true, document.Revision
-	if document.Revision > watch.Revision {
-		watchResponse.Document = &document
+	if response.Granted {
+		c.addOtherEntries(now, watch.Entry, &response)
 	}
-	watchResponse.Servers, watchResponse.Epoch, watchResponse.Position = c.serverRegistry.changesSince(watch.Epoch, watch.Position)
-	watchResponse.EntryCount, watchResponse.Loads, watchResponse.Demands = c.watchingEntries.totalsExcept(c.options.Clock.Now(), watch.Entry)
-	return watchResponse
+	return response
 }
 
-func (c *Control) postWatch(f fiber.Ctx) error {
-	watch, err := decodeWatch(f.Body())
-	if err != nil {
-		return invalidError(fiber.StatusBadRequest, err)
-	}
-	return respond(f)(encodeWatchResponse(c.answerWatch(watch)))
+// addOtherEntries adds the reports of all other entries to a response: to those that this
+// member has received, the response of a delegate already has those from the leader.
+func (c *Control) addOtherEntries(now clock.Millis, entry string, response *WatchResponse) {
+	count, loads, demands := c.watchingEntries.totalsExcept(now, entry)
+	response.EntryCount += count
+	response.Loads = sumLoads(response.Loads, loads)
+	response.Demands = sumServiceDemands(response.Demands, demands)
 }
 
-// wireWatch is the JSON form of WatchRequest.
-type wireWatch struct {
-	Entry    string       `json:"entry"`
-	Revision uint64       `json:"revision"`
-	Epoch    uint64       `json:"epoch"`
-	Position uint64       `json:"position"`
-	MaxWait  clock.Millis `json:"wait_ms"`
-	Loads    []wireLoad   `json:"loads,omitempty"`
-	Demands  []wireDemand `json:"demands,omitempty"`
-}
-
-// wireDemand is the JSON form of ServiceDemand.
-type wireDemand struct {
-	Service           string `json:"service"`
-	LongPromptTokens  int    `json:"long"`
-	ShortPromptTokens int    `json:"short"`
-}
-
-func toWireDemands(demands []ServiceDemand) []wireDemand {
-	return lo.Map(demands, func(d ServiceDemand, _ int) wireDemand { return wireDemand(d) })
-}
-
-func fromWireDemands(wire []wireDemand) []ServiceDemand {
-	return lo.Map(wire, func(d wireDemand, _ int) ServiceDemand { return ServiceDemand(d) })
-}
-
-// wireLoad is the JSON form of ServerLoad. Its keys are short, because it is sent
-// several times a second.
-type wireLoad struct {
-	Server              string `json:"s"`
-	Requests            int    `json:"r"`
-	PendingPromptTokens int    `json:"p,omitempty"`
-	DecodeCost          int    `json:"d,omitempty"`
-}
-
-func toWireLoads(loads []ServerLoad) []wireLoad {
-	return lo.Map(loads, func(l ServerLoad, _ int) wireLoad { return wireLoad(l) })
-}
-
-func fromWireLoads(wire []wireLoad) []ServerLoad {
-	return lo.Map(wire, func(l wireLoad, _ int) ServerLoad { return ServerLoad(l) })
-}
-
-// wireWatchResponse is the JSON form of WatchResponse.
-type wireWatchResponse struct {
-	Granted    bool          `json:"granted"`
-	Leader     string        `json:"leader,omitempty"`
-	Term       uint64        `json:"term"`
-	Revision   uint64        `json:"revision"`
-	Document   *wireDocument `json:"document,omitempty"`
-	Epoch      uint64        `json:"epoch"`
-	Position   uint64        `json:"position"`
-	Servers    []wireServer  `json:"servers,omitempty"`
-	EntryCount int           `json:"entries"`
-	Members    []string      `json:"members"`
-	Loads      []wireLoad    `json:"loads,omitempty"`
-	Demands    []wireDemand  `json:"demands,omitempty"`
-}
-
-func encodeWatch(watch WatchRequest) ([]byte, error) {
-	data, err := json.Marshal(wireWatch{
-		Entry: watch.Entry, Revision: watch.Revision, Epoch: watch.Epoch, Position: watch.Position, MaxWait: watch.MaxWait,
-		Loads: toWireLoads(watch.Loads), Demands: toWireDemands(watch.Demands),
-	})
-	return data, errors.WithStack(err)
-}
-
-func decodeWatch(data []byte) (WatchRequest, error) {
-	var w wireWatch
-	if err := json.Unmarshal(data, &w); err != nil {
-		return WatchRequest{}, errors.Wrap(err, "decoding a watch")
+// newerDocument returns the document, or nil if its revision is not above the given one.
+func newerDocument(document catalog.Document, revision uint64) *catalog.Document {
+	if document.Revision <= revision {
+		return nil
 	}
-	return WatchRequest{
-		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, MaxWait: w.MaxWait,
-		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
-	}, nil
+	return &document
 }
 
-func encodeWatchResponse(response WatchResponse) ([]byte, error) {
-	w := wireWatchResponse{
-		Granted: response.Granted, Leader: response.Leader, Term: response.Term, Revision: response.Revision, Epoch: response.Epoch, Position: response.Position,
-		EntryCount: response.EntryCount, Members: response.Members, Loads: toWireLoads(response.Loads), Demands: toWireDemands(response.Demands),
-		Document: (*wireDocument)(response.Document),
-		Servers:  lo.Map(response.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
-	}
-	data, err := json.Marshal(w)
-	return data, errors.WithStack(err)
+// delegationMember describes this member to entries.
+func (c *Control) delegationMember() delegation.Member {
+	return delegation.Member{Address: c.options.Advertise, AvailabilityZone: c.options.AvailabilityZone}
 }
 
-func decodeWatchResponse(data []byte) (WatchResponse, error) {
-	var w wireWatchResponse
-	if err := json.Unmarshal(data, &w); err != nil {
-		return WatchResponse{}, errors.Wrap(err, "decoding the answer to a watch")
+func (c *Control) postWatch(f fiber.Ctx) error {
+	watch, err := decodeWatch(f.Body())
+	if err != nil {
+		return invalidError(fiber.StatusBadRequest, err)
 	}
-	return WatchResponse{
-		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
-		EntryCount: w.EntryCount, Members: w.Members, Loads: fromWireLoads(w.Loads),
-		Demands:  fromWireDemands(w.Demands),
-		Document: (*catalog.Document)(w.Document),
-		Servers:  lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.toRecord() }),
-	}, nil
+	return respond(f)(encodeWatchResponse(c.answerWatch(watch)))
 }
--- /dev/null
+++ b/control/watch_codec.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/catalog"
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/roster"
+)
+
+// wireWatch is the JSON form of WatchRequest.
+type wireWatch struct {
+	Entry    string       `json:"entry"`
+	Revision uint64       `json:"revision"`
+	Epoch    uint64       `json:"epoch"`
+	Position uint64       `json:"position"`
+	MaxWait  clock.Millis `json:"wait_ms"`
+	Loads    []wireLoad   `json:"loads,omitempty"`
+	Demands  []wireDemand `json:"demands,omitempty"`
+
+	AcceptsDelegation bool          `json:"accepts_delegation,omitempty"`
+	Delegate          *wireDelegate `json:"delegate,omitempty"`
+	EntryCount        int           `json:"entries,omitempty"`
+	Acknowledged      uint64        `json:"acknowledged,omitempty"`
+	Heartbeats        []wireServer  `json:"heartbeats,omitempty"`
+}
+
+// wireDelegate is the JSON form of delegation.Member.
+type wireDelegate struct {
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability_zone,omitempty"`
+}
+
+// wireDemand is the JSON form of ServiceDemand.
+type wireDemand struct {
+	Service           string `json:"service"`
+	LongPromptTokens  int    `json:"long"`
+	ShortPromptTokens int    `json:"short"`
+}
+
+func toWireDemands(demands []ServiceDemand) []wireDemand {
+	return lo.Map(demands, func(d ServiceDemand, _ int) wireDemand { return wireDemand(d) })
+}
+
+func fromWireDemands(wire []wireDemand) []ServiceDemand {
+	return lo.Map(wire, func(d wireDemand, _ int) ServiceDemand { return ServiceDemand(d) })
+}
+
+// wireLoad is the JSON form of ServerLoad. Its keys are short, because it is sent
+// several times a second.
+type wireLoad struct {
+	Server              string `json:"s"`
+	Requests            int    `json:"r"`
+	PendingPromptTokens int    `json:"p,omitempty"`
+	DecodeCost          int    `json:"d,omitempty"`
+}
+
+func toWireLoads(loads []ServerLoad) []wireLoad {
+	return lo.Map(loads, func(l ServerLoad, _ int) wireLoad { return wireLoad(l) })
+}
+
+func fromWireLoads(wire []wireLoad) []ServerLoad {
+	return lo.Map(wire, func(l wireLoad, _ int) ServerLoad { return ServerLoad(l) })
+}
+
+// wireWatchResponse is the JSON form of WatchResponse.
+type wireWatchResponse struct {
+	Granted    bool          `json:"granted"`
+	Leader     string        `json:"leader,omitempty"`
+	Term       uint64        `json:"term"`
+	Revision   uint64        `json:"revision"`
+	Document   *wireDocument `json:"document,omitempty"`
+	Epoch      uint64        `json:"epoch"`
+	Position   uint64        `json:"position"`
+	Servers    []wireServer  `json:"servers,omitempty"`
+	EntryCount int           `json:"entries"`
+	Members    []string      `json:"members"`
+	Loads      []wireLoad    `json:"loads,omitempty"`
+	Demands    []wireDemand  `json:"demands,omitempty"`
+
+	ConfirmationAge clock.Millis   `json:"confirmation_age_ms,omitempty"`
+	Delegates       []wireDelegate `json:"delegates,omitempty"`
+}
+
+func encodeWatch(watch WatchRequest) ([]byte, error) {
+	data, err := json.Marshal(wireWatch{
+		Entry: watch.Entry, Revision: watch.Revision, Epoch: watch.Epoch, Position: watch.Position, MaxWait: watch.MaxWait,
+		Loads: toWireLoads(watch.Loads), Demands: toWireDemands(watch.Demands),
+		AcceptsDelegation: watch.AcceptsDelegation, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
+		Acknowledged: watch.Acknowledged, Heartbeats: toWireAnnouncements(watch.Heartbeats),
+	})
+	return data, errors.WithStack(err)
+}
+
+func decodeWatch(data []byte) (WatchRequest, error) {
+	var w wireWatch
+	if err := json.Unmarshal(data, &w); err != nil {
+		return WatchRequest{}, errors.Wrap(err, "decoding a watch")
+	}
+	return WatchRequest{
+		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, MaxWait: w.MaxWait,
+		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
+		AcceptsDelegation: w.AcceptsDelegation, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
+		Acknowledged: w.Acknowledged, Heartbeats: fromWireAnnouncements(w.Heartbeats),
+	}, nil
+}
+
+func encodeWatchResponse(response WatchResponse) ([]byte, error) {
+	w := wireWatchResponse{
+		Granted: response.Granted, Leader: response.Leader, Term: response.Term, Revision: response.Revision, Epoch: response.Epoch, Position: response.Position,
+		EntryCount: response.EntryCount, Members: response.Members, Loads: toWireLoads(response.Loads), Demands: toWireDemands(response.Demands),
+		Document: (*wireDocument)(response.Document),
+		Servers:  lo.Map(response.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
+
+		ConfirmationAge: response.ConfirmationAge,
+		Delegates:       lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
+	}
+	data, err := json.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+func decodeWatchResponse(data []byte) (WatchResponse, error) {
+	var w wireWatchResponse
+	if err := json.Unmarshal(data, &w); err != nil {
+		return WatchResponse{}, errors.Wrap(err, "decoding the answer to a watch")
+	}
+	return WatchResponse{
+		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
+		EntryCount: w.EntryCount, Members: w.Members, Loads: fromWireLoads(w.Loads),
+		Demands:  fromWireDemands(w.Demands),
+		Document: (*catalog.Document)(w.Document),
+		Servers:  lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.toRecord() }),
+
+		ConfirmationAge: w.ConfirmationAge,
+		Delegates:       lo.Map(w.Delegates, func(d wireDelegate, _ int) delegation.Member { return delegation.Member(d) }),
+	}, nil
+}
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
@@ -10,61 +11,93 @@
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/roster"
 )
 
 // Timeouts of a watcher.
 const (
-	// longPollWait is how long the leader waits for changes before it answers a
+	// longPollWait is how long a member waits for changes before it answers a
 	// watch. Each granted response renews the entry's lease, so this sets how
 	// often the lease is renewed.
 	longPollWait = 200 * clock.Millisecond
-	// watchTimeoutMargin is added to longPollWait to get the timeout of a watch
+	// watchTimeoutMargin is added to the longest wait to get the timeout of a watch
 	// request.
 	watchTimeoutMargin = 500 * clock.Millisecond
-	// watchRetryPause is the delay before the next watch after a failure. It keeps
-	// an entry from flooding a group that has no leader.
-	watchRetryPause = 50 * clock.Millisecond
+	// minRetryPause and maxRetryPause bound the delay before the next watch after a
+	// failure. It doubles with each failure in a row, so that hundreds of entries do not
+	// flood a group that has no leader.
+	minRetryPause = 50 * clock.Millisecond
+	maxRetryPause = 400 * clock.Millisecond
+	// preferredRetryInterval is how long an entry stays with a member that is not its
+	// preferred one before it tries the preferred one again.
+	preferredRetryInterval = 5 * clock.Second
 )
 
 // WatcherOptions configure a Watcher.
 type WatcherOptions struct {
-	Entry  string
-	Token  string
-	Seeds  func() []string // returns the addresses of control members from the settings
-	Clock  clock.Clock
-	Logger event.Logger
+	Entry            string
+	AvailabilityZone string
+	Token            string
+	Delegate         *delegation.Member // set by a member that watches the leader for its own entries
+	Seeds            func() []string    // returns the addresses of control members from the settings
+	Clock            clock.Clock
+	Logger           event.Logger
 	// Update is called with each response that renewed the entry's lease, and with
-	// the time at which its request was sent. It is called from the goroutine of Run.
-	Update func(sentAt clock.Millis, response WatchResponse)
-	// Report returns the loads and demands of this entry for the other entries. It
-	// is called from the goroutine of Run before each request.
-	Report func() ([]ServerLoad, []ServiceDemand)
+	// the time from which the lease counts: the leader has confirmed the response later. It
+	// is called from the goroutine of Run.
+	Update func(confirmedAfter clock.Millis, response WatchResponse)
+	// Report returns what the next request reports. It is called from the goroutine of Run
+	// before each request.
+	Report func() Report
+}
+
+// Report is what an entry or a member reports in a WatchRequest. An entry sets only the
+// first two fields.
+type Report struct {
+	Loads        []ServerLoad
+	Demands      []ServiceDemand
+	Revision     uint64 // newest revision of the catalog that the member has itself
+	EntryCount   int
+	Acknowledged uint64
+	Heartbeats   []roster.Announcement
+	MaxWait      clock.Millis // longPollWait when 0
 }
 
 // Watcher watches the control group for an entry: it sends one watch request
-// after another to the leader. It is not safe for concurrent use.
+// after another to the leader, or to a member that answers on its behalf. It is not safe
+// for concurrent use.
 type Watcher struct {
 	options         WatcherOptions
 	peerClient      *peerClient
 	memberAddresses []string     // addresses of the control members from the latest response
 	leaderAddress   string       // address of the leader; empty when unknown
 	memberIndex     int          // index of the next member to ask, modulo the number of known members
+	delegates       delegates    // members that answer on behalf of the leader
 	request         WatchRequest // the next request
-	confirmedLeader string       // address that sent the latest granted response; empty after a failure
+	confirmedSource string       // address that sent the latest granted response; empty after a failure
+	failures        int          // watches that failed or were not granted since the latest granted one
 }
 
 // NewWatcher returns a watcher. It sends nothing until Run is called.
 func NewWatcher(options WatcherOptions) *Watcher {
-	return &Watcher{options: options, peerClient: newPeerClient(options.Token), request: WatchRequest{Entry: options.Entry, MaxWait: longPollWait}}
+	return &Watcher{
+		options: options, peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
+		request: WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, Delegate: options.Delegate},
+	}
 }
 
 // Run sends watch requests until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !w.poll() {
-			w.options.Clock.Sleep(ctx, watchRetryPause)
+		if w.poll() {
+			w.failures = 0
+			continue
 		}
+		pause := min(minRetryPause<<min(w.failures, 8), maxRetryPause)
+		w.failures++
+		w.options.Clock.Sleep(ctx, pause/2+rand.N(pause/2+1))
 	}
 	w.peerClient.httpClient.CloseIdleConnections()
 }
@@ -80,27 +113,49 @@
 	response, err := w.exchange(address)
 	switch {
 	case err != nil:
-		w.logLeaderLost(address, err)
+		w.logSourceLost(address, err)
 		w.leaderAddress = ""
+		w.delegates.skip(w.options.Clock.Now())
 		return false
 	case len(response.Members) > 0:
 		w.memberAddresses = response.Members
 	}
-	if !response.Granted {
+	if !response.Granted || response.Epoch < w.request.Epoch {
 		w.leaderAddress = response.Leader
+		w.delegates.skip(w.options.Clock.Now())
 		return response.Leader != "" && response.Leader != address
 	}
-	w.logLeaderFound(address, response)
-	w.leaderAddress = address
-	w.options.Update(sentAt, response)
-	w.request.Epoch, w.request.Position = response.Epoch, response.Position
-	w.request.Revision = max(w.request.Revision, response.Revision)
+	w.applyResponse(sentAt, address, response)
 	return true
 }
 
-// address returns the leader's address if known, and otherwise that of the next
-// control member in turn. It returns an empty string when no member is known.
+// applyResponse applies a granted response.
+func (w *Watcher) applyResponse(sentAt clock.Millis, address string, response WatchResponse) {
+	w.logSourceFound(address, response)
+	w.leaderAddress = lo.CoalesceOrEmpty(response.Leader, address)
+	w.options.Update(sentAt-response.ConfirmationAge, response)
+	if response.Epoch != w.request.Epoch {
+		w.request.Epoch, w.request.Position = response.Epoch, 0
+	}
+	// A member that is behind another one must not make the entry receive changes again.
+	w.request.Position = max(w.request.Position, response.Position)
+	w.request.Revision = max(w.request.Revision, response.Revision)
+	if w.options.Delegate == nil {
+		w.delegates.set(w.options.Clock.Now(), response.Delegates)
+	}
+}
+
+// address returns the address of the member to ask: a delegate if there are any, otherwise
+// the leader if known, and otherwise the next control member in turn. It returns an empty
+// string when no member is known.
 func (w *Watcher) address() string {
+	if address := w.delegates.address(w.options.Clock.Now()); address != "" {
+		return address
+	}
+	if w.options.Delegate != nil {
+		// A member knows the leader from the replicated log.
+		return lo.FirstOrEmpty(w.options.Seeds())
+	}
 	if w.leaderAddress != "" {
 		return w.leaderAddress
 	}
@@ -114,12 +169,17 @@
 
 // exchange sends a watch request to an address and returns the response.
 func (w *Watcher) exchange(address string) (WatchResponse, error) {
-	w.request.Loads, w.request.Demands = w.options.Report()
-	data, err := encodeWatch(w.request)
+	report := w.options.Report()
+	request := w.request
+	request.Loads, request.Demands, request.Heartbeats = report.Loads, report.Demands, report.Heartbeats
+	request.EntryCount, request.Acknowledged = report.EntryCount, report.Acknowledged
+	request.Revision = max(request.Revision, report.Revision)
+	request.MaxWait = lo.Ternary(report.MaxWait > 0, report.MaxWait, longPollWait)
+	data, err := encodeWatch(request)
 	if err != nil {
 		return WatchResponse{}, err
 	}
-	status, body, err := w.peerClient.exchange(fasthttp.MethodPost, address, pathWatch, data, w.request.MaxWait+watchTimeoutMargin)
+	status, body, err := w.peerClient.exchange(fasthttp.MethodPost, address, pathWatch, data, request.MaxWait+watchTimeoutMargin)
 	if err != nil {
 		return WatchResponse{}, err
 	}
@@ -129,25 +189,67 @@
 	return decodeWatchResponse(body)
 }
 
-// logLeaderLost logs that the watch of a member failed. It logs this only once, until a
-// leader with a valid leader lease answers again (see WatchResponse.Granted).
-func (w *Watcher) logLeaderLost(address string, err error) {
-	if w.confirmedLeader == "" {
+// logSourceLost logs that the watch of a member failed. It logs this only once, until a
+// member answers again with a grant (see WatchResponse.Granted).
+func (w *Watcher) logSourceLost(address string, err error) {
+	if w.confirmedSource == "" {
 		return
 	}
-	w.confirmedLeader = ""
+	w.confirmedSource = ""
 	w.options.Logger.Log(event.LeaderUnreachable, zap.String("address", address), zap.Error(err))
 }
 
-// logLeaderFound logs the address of the leader that sent the response. The caller has
-// checked that this leader held the leader lease (see WatchResponse.Granted). Nothing is
+// logSourceFound logs the address of the member that sent the granted response. Nothing is
 // logged if the previous such response came from the same address and no watch has
 // failed since.
-func (w *Watcher) logLeaderFound(address string, response WatchResponse) {
-	if w.confirmedLeader == address {
+func (w *Watcher) logSourceFound(address string, response WatchResponse) {
+	if w.confirmedSource == address {
 		return
 	}
-	w.confirmedLeader = address
-	w.options.Logger.Log(event.LeaderReachable, zap.String("address", address), zap.Uint64("term", response.Term),
-		zap.Uint64("revision", response.Revision))
+	found := lo.Ternary(response.Leader == "", event.LeaderReachable, event.DelegateChanged)
+	w.confirmedSource = address
+	w.options.Logger.Log(found, zap.String("address", address), zap.Uint64("term", response.Term), zap.Uint64("revision", response.Revision))
+}
+
+// delegates are the members that answer an entry on behalf of the leader, in the order of
+// the entry's preference.
+type delegates struct {
+	entry, zone string
+	members     []delegation.Member
+	index       int          // the member that is asked; all of them have failed when it is len(members)
+	movedAt     clock.Millis // when the entry last turned to another member than the first
+}
+
+// set replaces the members. The entry stays with the member that it asks.
+func (d *delegates) set(now clock.Millis, members []delegation.Member) {
+	asked, isAsked := lo.Nth(d.members, d.index)
+	if len(members) != len(d.members) || !lo.Every(d.members, members) {
+		d.members = delegation.Preferred(d.entry, d.zone, members)
+		d.index, d.movedAt = 0, now
+		if i := lo.IndexOf(d.members, asked); isAsked == nil && i > 0 {
+			d.index = i
+		}
+	}
+	if d.index >= len(d.members) {
+		d.index, d.movedAt = 0, now
+	}
+}
+
+// address returns the address of the member that is asked, or an empty string if there is
+// none. After preferredRetryInterval it is the first one again.
+func (d *delegates) address(now clock.Millis) string {
+	if d.index >= len(d.members) {
+		return ""
+	}
+	if d.index > 0 && now-d.movedAt > preferredRetryInterval {
+		d.index, d.movedAt = 0, now
+	}
+	return d.members[d.index].Address
+}
+
+// skip turns to the next member after a failure.
+func (d *delegates) skip(now clock.Millis) {
+	if d.index < len(d.members) {
+		d.index, d.movedAt = d.index+1, now
+	}
 }
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -1,30 +1,52 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/delegation"
 )
 
 // watchingEntries holds the latest loads and demands of the entries that watch
-// this member. It is safe for concurrent use.
+// this member, and of the members that watch it for their own entries. It is safe for
+// concurrent use.
 type watchingEntries struct {
 	mu         sync.Mutex
 	entries    map[string]entryReport
 	loadTotals map[string]ServerLoad // sum of the loads of all entries, by server
 }
 
-// entryReport holds the loads and demands in the latest WatchRequest of an entry.
+// entryReport holds what the latest WatchRequest of an entry has reported.
 type entryReport struct {
-	receivedAt clock.Millis
-	loads      []ServerLoad
-	demands    []ServiceDemand
+	receivedAt   clock.Millis
+	loads        []ServerLoad
+	demands      []ServiceDemand
+	entryCount   int    // number of entries that the report stands for
+	epoch        uint64 // epoch of the server list that acknowledged refers to
+	acknowledged uint64 // position in the server list up to which these entries know all changes
+	delegate     *delegation.Member
 }
 
-// update replaces the loads and demands of an entry with those of its watch, and
-// removes the entries whose latest watch is too old.
+func newEntryReport(now clock.Millis, watch WatchRequest) entryReport {
+	count := 1
+	if watch.Delegate != nil {
+		count = watch.EntryCount
+	}
+	return entryReport{
+		receivedAt: now, loads: watch.Loads, demands: watch.Demands, entryCount: count,
+		epoch: watch.Epoch, acknowledged: watch.acknowledged(), delegate: watch.Delegate,
+	}
+}
+
+// isCurrent reports whether the entry still counts as watching.
+func (e entryReport) isCurrent(now clock.Millis) bool { return now-e.receivedAt <= entryTimeout }
+
+// update replaces the report of an entry with that of its watch, and removes the entries
+// whose latest watch is too old.
 func (w *watchingEntries) update(now clock.Millis, watch WatchRequest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -32,12 +54,12 @@
 		w.entries, w.loadTotals = map[string]entryReport{}, map[string]ServerLoad{}
 	}
 	for name, e := range w.entries {
-		if name == watch.Entry || now-e.receivedAt > entryTimeout {
+		if name == watch.Entry || !e.isCurrent(now) {
 			w.addLoads(e.loads, -1)
 			delete(w.entries, name)
 		}
 	}
-	w.entries[watch.Entry] = entryReport{receivedAt: now, loads: watch.Loads, demands: watch.Demands}
+	w.entries[watch.Entry] = newEntryReport(now, watch)
 	w.addLoads(watch.Loads, 1)
 }
 
@@ -45,11 +67,7 @@
 // caller holds the lock.
 func (w *watchingEntries) addLoads(loads []ServerLoad, sign int) {
 	for _, l := range loads {
-		total := w.loadTotals[l.Server]
-		total.Server = l.Server
-		total.Requests += sign * l.Requests
-		total.PendingPromptTokens += sign * l.PendingPromptTokens
-		total.DecodeCost += sign * l.DecodeCost
+		total := w.loadTotals[l.Server].plus(l, sign)
 		if total.Requests == 0 {
 			delete(w.loadTotals, l.Server)
 			continue
@@ -58,39 +76,118 @@
 	}
 }
 
+// plus returns the load with another load of the same server added (sign 1) or subtracted
+// (sign -1).
+func (l ServerLoad) plus(other ServerLoad, sign int) ServerLoad {
+	l.Server = other.Server
+	l.Requests += sign * other.Requests
+	l.PendingPromptTokens += sign * other.PendingPromptTokens
+	l.DecodeCost += sign * other.DecodeCost
+	return l
+}
+
 // totalsExcept returns the number of entries that watch, including the given
 // one, and the total loads and demands of all other entries.
 func (w *watchingEntries) totalsExcept(now clock.Millis, entry string) (int, []ServerLoad, []ServiceDemand) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	ownLoads := map[string]ServerLoad{}
-	for _, l := range w.entries[entry].loads {
-		ownLoads[l.Server] = l
-	}
-	loads := make([]ServerLoad, 0, len(w.loadTotals))
-	for server, total := range w.loadTotals {
-		total.Requests -= ownLoads[server].Requests
-		total.PendingPromptTokens -= ownLoads[server].PendingPromptTokens
-		total.DecodeCost -= ownLoads[server].DecodeCost
-		if total.Requests > 0 {
-			loads = append(loads, total)
+	totals := w.loadTotals
+	if own := w.entries[entry].loads; len(own) > 0 {
+		totals = make(map[string]ServerLoad, len(w.loadTotals))
+		for server, total := range w.loadTotals {
+			totals[server] = total
+		}
+		for _, l := range own {
+			totals[l.Server] = totals[l.Server].plus(l, -1)
 		}
 	}
-	entries, demandTotals := 0, map[string]ServiceDemand{}
+	loads := lo.Filter(lo.Values(totals), func(l ServerLoad, _ int) bool { return l.Requests > 0 })
+	entries, demands := 0, []ServiceDemand(nil)
 	for name, e := range w.entries {
-		if now-e.receivedAt > entryTimeout {
+		if !e.isCurrent(now) {
 			continue
 		}
-		entries++
-		for _, d := range e.demands {
-			sum := demandTotals[d.Service]
-			if name != entry {
-				sum.LongPromptTokens += d.LongPromptTokens
-				sum.ShortPromptTokens += d.ShortPromptTokens
-			}
-			sum.Service = d.Service
-			demandTotals[d.Service] = sum
+		entries += e.entryCount
+		if name == entry {
+			// Without its own services, an entry would not learn that the others' demand has ended.
+			demands = append(demands, lo.Map(e.demands, func(d ServiceDemand, _ int) ServiceDemand { return ServiceDemand{Service: d.Service} })...)
+			continue
+		}
+		demands = append(demands, e.demands...)
+	}
+	return entries, loads, sumServiceDemands(nil, demands)
+}
+
+// count returns the number of entries that watch.
+func (w *watchingEntries) count(now clock.Millis) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, e := range w.entries {
+		if e.isCurrent(now) {
+			n += e.entryCount
+		}
+	}
+	return n
+}
+
+// delegates returns the members that watch this one, and this member itself, ordered by
+// address.
+func (w *watchingEntries) delegates(now clock.Millis, self delegation.Member) []delegation.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	members := []delegation.Member{self}
+	for _, e := range w.entries {
+		if e.delegate != nil && e.isCurrent(now) {
+			members = append(members, *e.delegate)
+		}
+	}
+	slices.SortFunc(members, func(a, b delegation.Member) int { return cmp.Compare(a.Address, b.Address) })
+	return members
+}
+
+// acknowledged returns the position in the server list of the given epoch up to which all
+// entries that watch know all changes. It returns newest if no entry watches.
+func (w *watchingEntries) acknowledged(now clock.Millis, epoch, newest uint64) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	position := newest
+	for _, e := range w.entries {
+		switch {
+		case !e.isCurrent(now) || e.entryCount == 0:
+		case e.epoch != epoch:
+			return 0
+		default:
+			position = min(position, e.acknowledged)
 		}
 	}
-	return entries, loads, lo.Values(demandTotals)
+	return position
+}
+
+// sumLoads returns the sums of two lists of loads, one element for each server.
+func sumLoads(a, b []ServerLoad) []ServerLoad {
+	if len(a) == 0 {
+		return b
+	}
+	totals := make(map[string]ServerLoad, len(a)+len(b))
+	for _, l := range a {
+		totals[l.Server] = totals[l.Server].plus(l, 1)
+	}
+	for _, l := range b {
+		totals[l.Server] = totals[l.Server].plus(l, 1)
+	}
+	return lo.Values(totals)
+}
+
+// sumServiceDemands returns the sums of two lists of demands, one element for each service.
+func sumServiceDemands(a, b []ServiceDemand) []ServiceDemand {
+	totals := map[string]ServiceDemand{}
+	for _, d := range append(slices.Clone(a), b...) {
+		sum := totals[d.Service]
+		sum.Service = d.Service
+		sum.LongPromptTokens += d.LongPromptTokens
+		sum.ShortPromptTokens += d.ShortPromptTokens
+		totals[d.Service] = sum
+	}
+	return lo.Values(totals)
 }
--- a/event/control.go
+++ b/event/control.go
@@ -16,4 +16,6 @@
 	ServerChanged         = define(311, "server_changed", Info, "A backend server's announcement changed what entries must know about it.")
 	LeaderUnreachable     = define(312, "leader_lost", Warn, "The control leader does not answer; the other members are asked.")
 	LeaderReachable       = define(313, "leader_found", Info, "The control leader answers again.")
+	HeartbeatsDropped     = define(314, "heartbeats_dropped", Warn, "Heartbeats that another member acknowledged came to a member that does not lead.")
+	DelegateChanged       = define(315, "delegate_changed", Info, "An entry watches another control member.")
 )
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -151,7 +151,7 @@
 		r.Announcement = known.record.WithState(roster.Gone)
 	}
 	previous := known.record
-	if r.StartedAt < previous.StartedAt || previous.State == roster.Gone && r.StartedAt == previous.StartedAt && r.State != roster.Gone {
+	if r.StartedAt < previous.StartedAt || r.StartedAt == previous.StartedAt && resumesServing(previous, r) {
 		return
 	}
 	if r.StartedAt > previous.StartedAt || r.Address != previous.Address {
@@ -160,6 +160,19 @@
 	known.record, known.listedByLeader, known.listedAt = r, true, now
 }
 
+// resumesServing reports whether a record would make a server take requests again that has
+// left, or that leaves and has not announced anything since. Such a record is out of date:
+// members that answer on behalf of the leader may be behind one another.
+func resumesServing(previous, next roster.Record) bool {
+	switch previous.State {
+	case roster.Gone:
+		return next.State != roster.Gone
+	case roster.Leaving:
+		return next.State == roster.Serving && next.Sequence <= previous.Sequence
+	}
+	return false
+}
+
 // resetServer discards the measurements of a server that has restarted or changed its
 // address, and closes its idle connections. The caller holds the lock.
 func (f *fleet) resetServer(s *server) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,8 +45,8 @@
 	Format           catalog.Format
 	Clock            clock.Clock
 	Logger           event.Logger
-	// Lease is how long requests with API keys are accepted after the relay has sent
-	// the newest successful request for an update to the control leader.
+	// Lease is how long requests with API keys are accepted after the control leader has
+	// confirmed that the catalog is the newest one.
 	Lease clock.Millis
 	// Grace is the longest time that a planned stop may take.
 	Grace clock.Millis
@@ -149,9 +149,9 @@
 
 func (r *Relay) closeAll() int { return r.forEachConn(func(c *callerConn) { _ = c.conn.Close() }) }
 
-// Update applies an update from the control leader. The lease begins at the time when
-// the relay sent its request for the update, which is sentAt.
-func (r *Relay) Update(sentAt clock.Millis, update control.WatchResponse) {
+// Update applies an update from the control group. The lease begins at confirmedAfter: the
+// leader has confirmed later that the update was the newest.
+func (r *Relay) Update(confirmedAfter clock.Millis, update control.WatchResponse) {
 	if update.Document != nil && update.Document.Revision > r.catalog.Load().Revision() {
 		if !r.loadCatalog(*update.Document) {
 			return
@@ -163,7 +163,7 @@
 	now := r.clock.Now()
 	r.fleet.applyUpdate(now, update)
 	r.budget.setEntryCount(update.EntryCount)
-	r.leaseEnd.Store(int64(sentAt + r.options.Lease))
+	r.leaseEnd.Store(int64(confirmedAfter + r.options.Lease))
 }
 
 // Report returns the load and the demand that the other entries need to know of this
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -451,6 +451,32 @@
 	}
 }
 
+// Guards against a server that leaves and gets requests again, because an entry has turned
+// to a member that does not know yet that the server leaves.
+func TestLeavingServerStaysOut(t *testing.T) {
+	b := newBackend(t, func(req receivedRequest) { respondOK(req, "ran") })
+	s := newFixture(t, b)
+	steps := []struct {
+		state    roster.State
+		sequence uint64
+		want     int
+	}{
+		{roster.Serving, 4, 200}, {roster.Leaving, 5, 503}, {roster.Serving, 4, 503}, {roster.Serving, 5, 503}, {roster.Serving, 6, 200},
+	}
+	for i, step := range steps {
+		s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, Servers: []roster.Record{{
+			Announcement: roster.Announcement{
+				Server: "server-0", Service: "s", Address: b.listener.Addr().String(), Slots: 4, State: step.state, StartedAt: 1, Sequence: step.sequence,
+			},
+		}}})
+		c := s.client()
+		c.get("/safe/", "1")
+		if head, _, err := c.read(); err != nil || head.Status != step.want {
+			t.Errorf("step %d: got %d and %v, want %d", i, head.Status, err, step.want)
+		}
+	}
+}
+
 // Guards against undocumented metrics, documented metrics that do not exist, and API
 // keys in the metrics or the state.
 func TestMetricsPage(t *testing.T) {
--- a/roster/registry.go
+++ b/roster/registry.go
@@ -57,6 +57,18 @@
 // LastChangeNumber returns the number of the newest change, 0 if there is none.
 func (r *Registry) LastChangeNumber() uint64 { return r.changeNumber }
 
+// NewestChangeOf returns the number of the newest change of the given servers, 0 if none of
+// them is known.
+func (r *Registry) NewestChangeOf(servers []string) uint64 {
+	newest := uint64(0)
+	for _, server := range servers {
+		if known, ok := r.servers[server]; ok {
+			newest = max(newest, known.changeNumber)
+		}
+	}
+	return newest
+}
+
 // Accept processes an announcement. If two servers announce the same address, the one
 // that started later replaces the other.
 func (r *Registry) Accept(now clock.Millis, a Announcement) AcceptResult {
