--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -1,9 +1,7 @@
 package admission_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 
@@ -14,16 +12,11 @@
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// TestMain fixes the seed of rapid unless the command line gives one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
 
 // queueModel is a simple model of a queue. It keeps the expected items in a flat list in
 // order of insertion; the tests check each rule by a scan of that list.
--- a/backend/cell_test.go
+++ b/backend/cell_test.go
@@ -2,26 +2,19 @@
 
 import (
 	"container/heap"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// TestMain fixes rapid's seed, so that a run can be repeated.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "4711")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
 
 // cluster simulates some entries, each with its own clock, and some servers. They are
 // connected by links that lose, delay, duplicate and reorder messages.
--- a/catalog/property_test.go
+++ b/catalog/property_test.go
@@ -1,25 +1,17 @@
 package catalog_test
 
 import (
-	"flag"
-	"os"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/galenaslip/galenaslip/catalog"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// TestMain sets a fixed seed for rapid unless the command line sets one, so that test
-// runs are reproducible.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
 
 // Guards against a route lookup whose result differs from that of a search through all
 // routes for the longest matching prefix.
--- a/commands/explain.go
+++ b/commands/explain.go
@@ -12,8 +12,7 @@
 	"github.com/spf13/cobra"
 )
 
-// maxLogLine is the longest line of a log file in bytes. Reading fails at a longer
-// one.
+// maxLogLine is the longest line of a log file in bytes. A longer one counts as damaged.
 const maxLogLine = 1 << 20
 
 // logLine is one line of a process's log. The field request is the request's ID; it is
@@ -88,21 +87,44 @@
 func readLog(r io.Reader) ([]logLine, int, error) {
 	var lines []logLine
 	damagedLines := 0
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
+	reader := bufio.NewReaderSize(r, maxLogLine)
+	for {
+		text, tooLong, err := reader.ReadLine()
+		if errors.Is(err, io.EOF) {
+			return lines, damagedLines, nil
+		}
+		if err != nil {
+			return nil, 0, errors.WithStack(err)
+		}
+		if tooLong {
+			damagedLines++
+			if err := skipLine(reader); err != nil {
+				return nil, 0, err
+			}
+			continue
+		}
 		var w struct {
 			At      string `json:"ts"`
 			Process string `json:"process"`
 			Request string `json:"request"`
 		}
-		if json.Unmarshal(scanner.Bytes(), &w) != nil || w.At == "" {
+		if json.Unmarshal(text, &w) != nil || w.At == "" {
 			damagedLines++
 			continue
 		}
-		lines = append(lines, logLine{timestamp: w.At, process: w.Process, request: w.Request, text: scanner.Text()})
+		lines = append(lines, logLine{timestamp: w.At, process: w.Process, request: w.Request, text: string(text)})
+	}
+}
+
+// skipLine reads the rest of a line that is longer than the reader's buffer.
+func skipLine(reader *bufio.Reader) error {
+	for more := true; more; {
+		var err error
+		if _, more, err = reader.ReadLine(); err != nil && !errors.Is(err, io.EOF) {
+			return errors.WithStack(err)
+		}
 	}
-	return lines, damagedLines, scanner.Err()
+	return nil
 }
 
 // maxContextLines is the maximum number of lines without a request that are printed
--- a/control/api_test.go
+++ b/control/api_test.go
@@ -203,3 +203,11 @@
 		}
 	})
 }
+
+// Guards against a panic or an endless loop on arbitrary bytes from a peer.
+func FuzzWatch(f *testing.F) {
+	f.Add([]byte(`{"entry":"e","loads":[{"s":"a","r":1}],"delegate":{"address":"10.0.0.1:1"},"heartbeats":[{"server":"s"}]}`))
+	f.Add([]byte(`{"granted":true,"document":{"revision":1,"body_base64":"e30="},"servers":[{"server":"s","state":"serving"}],"delegates":[{}]}`))
+	f.Add([]byte(`{"loads":null,"heartbeats":[null],"delegate":[]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) { control.DecodeWatchMessages(data) })
+}
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -16,3 +16,10 @@
 	})
 	return errors.Is(err, errLeaseExpired)
 }
+
+// DecodeWatchMessages decodes data as each of the messages of a watch.
+func DecodeWatchMessages(data []byte) {
+	_, _ = decodeWatch(data)
+	_, _ = decodeWatchResponse(data)
+	_, _ = decodeAnnouncements(data)
+}
--- a/control/server.go
+++ b/control/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/recovery"
 )
 
 // Paths of the control API.
@@ -48,6 +49,7 @@
 		// traffic.
 		DisableDefaultDate: true,
 	})
+	app.Use(recovery.Middleware(c.options.Logger))
 	app.Get("/healthz", func(f fiber.Ctx) error { return f.SendString("ok") })
 	app.Get("/readyz", c.getReadiness)
 	app.Get("/metrics", adaptor.HTTPHandler(c.metrics.handler()))
--- a/delegation/delegation_test.go
+++ b/delegation/delegation_test.go
@@ -9,8 +9,12 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
+
 // Guards against an entry that holds its lease for longer than the member that passed it on:
 // whatever the clocks show and however long the messages take, the lease begins no later than
 // the member's request to the leader.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/recovery"
 )
 
 // Entry is one entry process. Its methods may be called concurrently.
@@ -149,6 +150,7 @@
 		ReadTimeout:    e.options.Timeouts.CallerRead.Duration(),
 		ErrorHandler:   e.handleError,
 	})
+	app.Use(recovery.Middleware(e.options.Logger))
 	app.Post("/v1/chat/completions", e.chatCompletions)
 	app.Get("/v1/models", e.models)
 	app.Get("/v1/streams/:id", e.resumeStream)
--- a/event/relay.go
+++ b/event/relay.go
@@ -17,4 +17,6 @@
 	ControlCallUnanswered = define(432, "input_unanswered", Warn, "A call to the control interface could not be answered with certainty.")
 	CatalogAcknowledged   = define(433, "input_acknowledged", Info, "A catalog document of an operator was acknowledged at this member.")
 	CallerDisconnected    = define(434, "caller_left", Info, "The caller has left before its answer was complete; the request was given up.")
+	RequestPanicked       = define(435, "request_panicked", Error, "Handling a connection failed unexpectedly; that connection was closed.")
+	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
 )
--- a/frame/body.go
+++ b/frame/body.go
@@ -9,8 +9,15 @@
 	"github.com/pkg/errors"
 )
 
-// maxChunkLine is the largest size of a chunk header or a trailer line, in bytes.
-const maxChunkLine = 1024
+const (
+	// maxChunkLine is the largest size of a chunk header, in bytes.
+	maxChunkLine = 1024
+	// maxTrailers is the largest size of all trailer lines of a body together, in bytes.
+	maxTrailers = 8 << 10
+	// firstReserve is the size of the first part of a body for which memory is reserved, in
+	// bytes. A message that only announces a large body gets no more.
+	firstReserve = 64 << 10
+)
 
 // Body reads the body of a message and detects whether it is complete. It is not safe
 // for concurrent use.
@@ -84,6 +91,9 @@
 // connection closes.
 func (b *Body) EndsWithConnection() bool { return b.kind == untilClose && !b.done }
 
+// EndedWithConnection reports whether the body had no length and the connection has closed.
+func (b *Body) EndedWithConnection() bool { return b.kind == untilClose && b.done }
+
 // Done reports whether the complete body was read.
 func (b *Body) Done() bool { return b.done }
 
@@ -139,7 +149,8 @@
 		return nil
 	}
 	b.inChunk = false
-	lineEnd, err := b.nextLine()
+	limit := maxChunkLine
+	lineEnd, err := b.nextLine(&limit)
 	if err == nil && lineEnd != "" {
 		err = errors.Wrap(ErrMalformed, "chunk data is not followed by CR LF")
 	}
@@ -149,7 +160,8 @@
 // readChunkHeader reads the header of the next chunk and, after the last chunk, the
 // trailer.
 func (b *Body) readChunkHeader() error {
-	nextLine, err := b.nextLine()
+	limit := maxChunkLine
+	nextLine, err := b.nextLine(&limit)
 	if err != nil {
 		return err
 	}
@@ -162,8 +174,9 @@
 		b.inChunk = true
 		return nil
 	}
+	limit = maxTrailers
 	for {
-		trailer, err := b.nextLine()
+		trailer, err := b.nextLine(&limit)
 		if err != nil {
 			return err
 		}
@@ -175,33 +188,43 @@
 }
 
 // nextLine reads the next line of a chunked body: a chunk header, the line end after a
-// chunk or a trailer line.
-func (b *Body) nextLine() (string, error) {
-	limit := maxChunkLine
-	nextLine, err := readLine(b.reader, &limit)
+// chunk or a trailer line. It reduces limit by the number of bytes read.
+func (b *Body) nextLine(limit *int) (string, error) {
+	nextLine, err := readLine(b.reader, limit)
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	return nextLine, err
 }
 
+// Memory limits the memory of all bodies that are held at the same time.
+type Memory interface {
+	// Reserve reserves a number of bytes and reports whether that many are left.
+	Reserve(bytes int) bool
+}
+
 // ReadAll reads the rest of the body. It returns ErrTooLarge if that has more than
-// limit bytes.
-func (b *Body) ReadAll(limit int) ([]byte, error) {
+// limit bytes, and ErrNoMemory if memory, unless nil, has none left for it. What was
+// reserved stays so, also after an error.
+func (b *Body) ReadAll(limit int, memory Memory) ([]byte, error) {
 	if n := b.Remaining(); n > int64(limit) {
 		return nil, ErrTooLarge
 	}
 	var data []byte
-	if n := b.Remaining(); n > 0 {
-		data = make([]byte, 0, n)
-	}
 	buffer := make([]byte, 4096)
 	for {
 		n, err := b.Read(buffer)
-		data = append(data, buffer[:n]...)
-		if len(data) > limit {
+		if len(data)+n > limit {
 			return nil, ErrTooLarge
 		}
+		if len(data)+n > cap(data) {
+			size := b.nextCapacity(len(data)+n, limit)
+			if memory != nil && !memory.Reserve(size-cap(data)) {
+				return nil, ErrNoMemory
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		data = append(data, buffer[:n]...)
 		if errors.Is(err, io.EOF) {
 			return data, nil
 		}
@@ -211,6 +234,16 @@
 	}
 }
 
+// nextCapacity returns the capacity of the memory for a body of which the given number of
+// bytes has arrived: the rest of the body if that is known and small, otherwise double.
+func (b *Body) nextCapacity(arrived, limit int) int {
+	capacity := max(2*arrived, min(firstReserve, limit))
+	if rest := b.Remaining(); rest >= 0 {
+		capacity = min(capacity, arrived+int(rest))
+	}
+	return min(capacity, limit)
+}
+
 // AppendChunk appends the data as one chunk to b and returns the result. Empty data
 // would end the body.
 func AppendChunk(b, data []byte) []byte {
--- a/frame/frame_test.go
+++ b/frame/frame_test.go
@@ -117,11 +117,71 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err = b.ReadAll(8); !errors.Is(err, frame.ErrTooLarge) {
+	if _, err = b.ReadAll(8, nil); !errors.Is(err, frame.ErrTooLarge) {
 		t.Errorf("body: got %v, want %v", err, frame.ErrTooLarge)
 	}
 }
 
+// budget is memory for bodies with a number of bytes left.
+type budget struct{ left int }
+
+func (b *budget) Reserve(bytes int) bool {
+	b.left -= bytes
+	return b.left >= 0
+}
+
+// Guards against a message that reserves memory by announcing a large body, and against a
+// body without a length that takes more memory than is left.
+func TestMemoryOfBodies(t *testing.T) {
+	tests := []struct {
+		name, fields, body string
+		left, mostReserved int
+		err                error
+	}{
+		{name: "announced and sent", fields: "Content-Length: 5", body: "abcde", left: 5, mostReserved: 5, err: nil},
+		{name: "announced only", fields: "Content-Length: 1000000", body: "abc", left: 1 << 20, mostReserved: 64 << 10, err: io.ErrUnexpectedEOF},
+		{name: "too little left", fields: "Content-Length: 1000000", body: strings.Repeat("x", 1_000_000), left: 300_000, mostReserved: 0, err: frame.ErrNoMemory},
+		{name: "without a length", fields: "A: b", body: strings.Repeat("x", 1_000_000), left: 300_000, mostReserved: 0, err: frame.ErrNoMemory},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := reader("HTTP/1.1 200 OK\r\n" + tt.fields + "\r\n\r\n" + tt.body)
+			head, err := frame.ReadResponse(r, 4096)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := frame.ResponseBody(r, head, "GET")
+			if err != nil {
+				t.Fatal(err)
+			}
+			memory := &budget{left: tt.left}
+			_, err = body.ReadAll(1<<20, memory)
+			if !errors.Is(err, tt.err) {
+				t.Errorf("error: got %v, want %v", err, tt.err)
+			}
+			if got := tt.left - memory.left; tt.mostReserved > 0 && got > tt.mostReserved {
+				t.Errorf("reserved: got %d bytes, want at most %d", got, tt.mostReserved)
+			}
+		})
+	}
+}
+
+// Guards against trailers without end.
+func TestTrailerLimit(t *testing.T) {
+	r := reader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("A: b\r\n", 10_000) + "\r\n")
+	head, err := frame.ReadResponse(r, 4096)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := frame.ResponseBody(r, head, "GET")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := body.ReadAll(8, nil); !errors.Is(err, frame.ErrTooLarge) {
+		t.Errorf("got %v, want %v", err, frame.ErrTooLarge)
+	}
+}
+
 // Guards against a panic or an endless read on arbitrary bytes.
 func FuzzResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
@@ -132,7 +192,7 @@
 			return
 		}
 		if b, err := frame.ResponseBody(r, h, "GET"); err == nil {
-			_, _ = b.ReadAll(1 << 16)
+			_, _ = b.ReadAll(1<<16, nil)
 		}
 	})
 }
--- a/frame/head.go
+++ b/frame/head.go
@@ -16,6 +16,8 @@
 	// ErrMalformed means that the bytes are not a valid or not an unambiguous HTTP/1
 	// message.
 	ErrMalformed = errors.New("malformed message")
+	// ErrNoMemory means that no memory is left for the body of a message.
+	ErrNoMemory = errors.New("no memory is left for the message")
 	// ErrUnsupported means that the transfer encoding is not supported.
 	ErrUnsupported = errors.New("unsupported transfer encoding")
 )
--- a/frame/property_test.go
+++ b/frame/property_test.go
@@ -3,25 +3,17 @@
 import (
 	"bufio"
 	"bytes"
-	"flag"
 	"io"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// TestMain sets a fixed seed for rapid unless the command line sets one, so that test
-// runs are reproducible.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
 
 // fragmentReader is a reader that returns its data in fragments of the given sizes,
 // then byte by byte.
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -1,10 +1,8 @@
 package placement_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 
@@ -15,16 +13,11 @@
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/placement"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// TestMain fixes rapid's seed, so that a run can be repeated.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "4711")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
 
 // engine simulates how an engine executes orders: an order with a known ID has no
 // effect, and an order with an old fencing token is refused if the engine checks tokens.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -44,6 +44,9 @@
 	// maxStrayResponses is the number of responses to other requests that an attempt
 	// skips before it fails.
 	maxStrayResponses = 2
+	// maxInterimResponses is the number of informational responses (1xx) that an attempt
+	// skips before it fails.
+	maxInterimResponses = 16
 	// maxInlineWrite is the size of the largest request that fits into the socket
 	// buffers of a new connection, so that writing it never blocks on the server.
 	maxInlineWrite = 32 << 10
@@ -175,37 +178,40 @@
 	a.setResult(resultFailed, err)
 }
 
-// readHead reads the head of the response to the request. It skips informational
-// responses and, up to a limit, responses that carry the ID of another request.
+// readHead reads the head of the response to the request. It skips, up to a limit, responses
+// that carry the ID of another request.
 func (a *attempt) readHead(conn *serverConn) bool {
 	x := a.exchange
 	for stray := 0; ; {
-		head, err := frame.ReadResponse(conn.reader, maxResponseHead)
+		head, err := readFinalHead(conn)
 		if err != nil {
 			a.failAfterSend(err)
 			return false
 		}
-		if head.Status < 200 {
-			continue
-		}
 		responseInfo := x.relay.options.Protocol.ResponseInfo(head)
 		body, err := frame.ResponseBody(conn.reader, head, x.request.head.Method)
 		if err != nil {
 			a.failAfterSend(err)
 			return false
 		}
+		if responseInfo.ID == "" && conn.identifiesResponses {
+			// It may be a copy of an earlier response.
+			a.failAfterSend(errors.New("server sent a response without the ID that its earlier ones had"))
+			return false
+		}
 		if responseInfo.ID != "" && responseInfo.ID != x.requestInfo.ID {
 			stray++
 			if stray > maxStrayResponses || body.EndsWithConnection() {
 				a.failAfterSend(errors.New("server sent responses to other requests"))
 				return false
 			}
-			if _, err := body.ReadAll(maxResponseBody); err != nil {
+			if _, err := body.ReadAll(maxResponseBody, &x.memory); err != nil {
 				a.failAfterSend(err)
 				return false
 			}
 			continue
 		}
+		conn.identifiesResponses = responseInfo.ID != ""
 		a.firstByteAt = x.relay.clock.Now()
 		a.reusable = stray == 0 && !head.ClosesConnection() && !body.EndsWithConnection()
 		a.head, a.responseInfo, a.body = head, responseInfo, body
@@ -214,10 +220,22 @@
 	}
 }
 
+// readFinalHead reads the head of a response. It skips informational responses, up to a
+// limit.
+func readFinalHead(conn *serverConn) (frame.Head, error) {
+	for range maxInterimResponses {
+		head, err := frame.ReadResponse(conn.reader, maxResponseHead)
+		if err != nil || head.Status >= 200 {
+			return head, err
+		}
+	}
+	return frame.Head{}, errors.Errorf("server sent more than %d informational responses", maxInterimResponses)
+}
+
 // readBody reads the body of a response that is not streamed. It reports whether
 // the body is complete.
 func (a *attempt) readBody() ([]byte, bool) {
-	data, err := a.body.ReadAll(maxResponseBody)
+	data, err := a.body.ReadAll(maxResponseBody, &a.exchange.memory)
 	if err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -48,6 +48,7 @@
 	attempts     int           // number of attempts so far
 	lastFailure  *fullResponse // newest failure for which a server sent a response
 	out          output
+	memory       reservation // for the bodies of responses
 }
 
 // fullResponse is a server's complete response.
@@ -57,7 +58,13 @@
 }
 
 func newExchange(c *callerConn, req request) *exchange {
-	return &exchange{relay: c.relay, caller: c, request: req}
+	return &exchange{relay: c.relay, caller: c, request: req, memory: reservation{pool: &c.relay.bodyMemory}}
+}
+
+// releaseMemory releases the memory of the bodies of the request and its responses.
+func (x *exchange) releaseMemory() {
+	x.request.memory.release()
+	x.memory.release()
 }
 
 // run handles the request and reports whether the caller's connection stays open.
@@ -83,7 +90,7 @@
 // lease before it reads the catalog, so that the catalog is at least as new as the
 // one that the lease covers.
 func (x *exchange) findRoute() *refusal {
-	leased := x.relay.Leased()
+	leased, mayDeny := x.relay.Leased(), x.relay.mayDeny()
 	c := x.relay.catalog.Load()
 	x.revision = c.Revision()
 	path, _, _ := strings.Cut(x.request.head.Target, "?")
@@ -94,14 +101,14 @@
 	case !leased && (!ok || !route.Public):
 		return &refusal{status: statusUnavailable, reason: "no_lease", retryAfter: controlRetryAfter}
 	case !ok:
-		return &refusal{status: statusNotFound, reason: "no_route"}
+		return deniedUnless(mayDeny, refusal{status: statusNotFound, reason: "no_route"})
 	}
 	x.route = route
 	var workspace catalog.Workspace
 	if c.NeedsKeys() && !route.Public {
 		workspace, ok = c.Workspace(x.requestInfo.Key)
 		if !ok {
-			return &refusal{status: statusUnauthorized, reason: "no_workspace"}
+			return deniedUnless(mayDeny, refusal{status: statusUnauthorized, reason: "no_workspace"})
 		}
 		x.forwardInfo.Workspace = workspace.Name
 	}
@@ -111,11 +118,23 @@
 	if x.requestInfo.TimeLeft > 0 {
 		x.deadline = min(x.deadline, x.request.arrivedAt+x.requestInfo.TimeLeft)
 	}
+	if x.relay.outlastsStop(x.deadline) {
+		return &refusal{status: statusUnavailable, reason: "stopping", retryAfter: minRetryAfter}
+	}
 	x.forwardInfo.LastEventID = x.requestInfo.LastEventID
 	x.setRequirements(c)
 	return nil
 }
 
+// deniedUnless returns a denial if it is certain, and otherwise a refusal that lets the caller
+// try again.
+func deniedUnless(certain bool, denial refusal) *refusal {
+	if certain {
+		return &denial
+	}
+	return &refusal{status: statusUnavailable, reason: "catalog_unconfirmed", retryAfter: minRetryAfter}
+}
+
 // stripPort returns the host without its port.
 func stripPort(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -105,7 +105,7 @@
 		if err != nil {
 			return
 		}
-		data, err := body.ReadAll(1 << 22)
+		data, err := body.ReadAll(1<<22, nil)
 		if err != nil {
 			return
 		}
@@ -187,9 +187,15 @@
 	return len(data), nil
 }
 
-// newFixture starts a relay with the routes /once/, /safe/, /stream/ and the public
+// newFixture starts a relay with the routes /once/, /safe/, /brief/, /stream/ and the public
 // route /open/, all served by the given servers.
 func newFixture(t *testing.T, servers ...*backend) *fixture {
+	t.Helper()
+	return newFixtureWith(t, testProtocol{}, 0, servers...)
+}
+
+// newFixtureWith is newFixture with another protocol and a limit of the memory for bodies.
+func newFixtureWith(t *testing.T, protocol relay.Protocol, bodyMemory int, servers ...*backend) *fixture {
 	t.Helper()
 	c, manual := clock.NewManual(1_700_000_000_000)
 	share := []catalog.Share{{Service: "s", Weight: 1}}
@@ -199,6 +205,7 @@
 			{Name: "once", Host: "h", Prefix: "/once/", RepeatPolicy: catalog.OnceOnly, Timeout: clock.Minute, Target: clock.Second, MaxPossibleRuns: 2, Shares: share},
 			{Name: "safe", Host: "h", Prefix: "/safe/", RepeatPolicy: catalog.Idempotent, Timeout: clock.Minute, Target: 30 * clock.Second, MaxPossibleRuns: 2, Shares: share},
 			{Name: "stream", Host: "h", Prefix: "/stream/", RepeatPolicy: catalog.Resumable, Stream: true, Timeout: clock.Minute, Target: clock.Second, MaxPossibleRuns: 2, Shares: share},
+			{Name: "brief", Host: "h", Prefix: "/brief/", RepeatPolicy: catalog.Idempotent, Timeout: 4 * clock.Second, Target: clock.Second, MaxPossibleRuns: 2, Shares: share},
 			{Name: "open", Host: "h", Prefix: "/open/", RepeatPolicy: catalog.Idempotent, Timeout: clock.Minute, Target: clock.Second, MaxPossibleRuns: 1, Shares: share, Public: true},
 		},
 		Workspaces: []catalog.Workspace{{Name: "w", Keys: []string{"k"}}},
@@ -207,8 +214,8 @@
 	logger, flush := event.NewWithOutput(log, "entry", event.Info)
 	t.Cleanup(flush)
 	r, release, err := relay.New(relay.Options{
-		Name: "entry", AvailabilityZone: "z", Listen: "127.0.0.1:0", Protocol: testProtocol{}, Format: fixedFormat{definition},
-		Clock: c, Logger: logger, Lease: 4 * clock.Second, Grace: 8 * clock.Second,
+		Name: "entry", AvailabilityZone: "z", Listen: "127.0.0.1:0", Protocol: protocol, Format: fixedFormat{definition},
+		Clock: c, Logger: logger, Lease: 4 * clock.Second, Grace: 8 * clock.Second, BodyMemory: bodyMemory,
 		Retry: relay.RetryLimits{Ratio: 0.2, Window: 10 * clock.Second, ExtraRetries: 50},
 	})
 	if err != nil {
@@ -254,8 +261,14 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = conn.Close() })
+	return newClient(s.t, conn)
+}
+
+// newClient returns a client that uses the given connection.
+func newClient(t *testing.T, conn net.Conn) *client {
+	t.Helper()
 	_ = conn.SetDeadline(time.Now().Add(testTimeout)) //nolint:forbidigo // Connection deadlines are wall-clock times.
-	return &client{t: s.t, conn: conn, reader: bufio.NewReader(conn)}
+	return &client{t: t, conn: conn, reader: bufio.NewReader(conn)}
 }
 
 func (c *client) send(text string) {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -20,6 +20,7 @@
 	refusals      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	streamsCut    prometheus.Counter
+	panics        prometheus.Counter
 	firstByteTime *prometheus.HistogramVec
 	totalTime     *prometheus.HistogramVec
 }
@@ -39,10 +40,13 @@
 		streamsCut: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenaslip_relay_streams_cut_total", Help: "Streams that could not be completed.",
 		}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenaslip_relay_panics_total", Help: "Connections that an unexpected error in the relay has ended.",
+		}),
 		firstByteTime: newHistogram("galenaslip_relay_first_byte_seconds", "Time from a request's arrival to the first byte of its answer."),
 		totalTime:     newHistogram("galenaslip_relay_answer_seconds", "Time from a request's arrival to the end of its answer."),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.firstByteTime, m.totalTime)
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.firstByteTime, m.totalTime)
 	m.registry.MustRegister(gauges{r})
 	return m
 }
--- a/relay/output.go
+++ b/relay/output.go
@@ -158,9 +158,13 @@
 }
 
 // cutStream ends a stream that cannot be completed. The connection closes before the
-// last chunk, so that the caller can tell that the response is incomplete.
+// last chunk, so that the caller can tell that the response is incomplete. To a caller of
+// HTTP/1.0 a closed connection would mean a complete response, so it is reset.
 func (o *output) cutStream() bool {
 	x := o.exchange
+	if x.request.head.MinorVersion == 0 {
+		x.caller.resetOnClose()
+	}
 	x.relay.metrics.streamsCut.Inc()
 	x.relay.options.Logger.Log(event.StreamCut, zap.String("request", x.requestInfo.ID), zap.String("route", x.route.Name),
 		zap.Int("runs", x.possibleRuns), zap.String("last_event", x.forwardInfo.LastEventID))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/catalog"
@@ -32,6 +34,11 @@
 	// stopInterval is the time between two checks of the connections during a stop, and
 	// the pause after a connection could not be accepted.
 	stopInterval = 20 * clock.Millisecond
+	// denialFreshness is how recently the leader must have confirmed the catalog for a request
+	// to be denied by it: a newer one may have the route or the key.
+	denialFreshness = 1500 * clock.Millisecond
+	// defaultBodyMemory is the default of Options.BodyMemory.
+	defaultBodyMemory = 64 << 20
 	// periodicCheckInterval is the time between two calls of runPeriodicChecks.
 	periodicCheckInterval = 250 * clock.Millisecond
 )
@@ -51,6 +58,9 @@
 	// Grace is the longest time that a planned stop may take.
 	Grace clock.Millis
 	Retry RetryLimits
+	// BodyMemory bounds the memory of all bodies that are held at the same time, in bytes;
+	// defaultBodyMemory when 0.
+	BodyMemory int
 }
 
 // Relay is a running relay. Its exported methods are safe for concurrent use.
@@ -63,9 +73,13 @@
 	catalog  atomic.Pointer[catalog.Catalog]
 	leaseEnd atomic.Int64 // end of the lease, in clock.Millis
 	stopping atomic.Bool  // a planned stop has begun, so the relay is not ready
+	stopAt   atomic.Int64 // when a planned stop ends at the latest, in clock.Millis; valid once closing is set
 	closing  atomic.Bool  // callers' connections are closed once they are idle
 	metrics  *metrics
 
+	bodyMemory  memoryPool    // for the bodies of requests and responses
+	acceptEnded chan struct{} // closed when no more connections are accepted
+
 	mu    sync.Mutex // guards conns
 	conns map[*callerConn]struct{}
 
@@ -85,8 +99,9 @@
 	r := &Relay{
 		options: options, clock: options.Clock, listener: listener,
 		budget: newBudget(options.Retry),
-		conns:  map[*callerConn]struct{}{},
+		conns:  map[*callerConn]struct{}{}, acceptEnded: make(chan struct{}),
 	}
+	r.bodyMemory.limit = int64(lo.CoalesceOrEmpty(options.BodyMemory, defaultBodyMemory))
 	r.fleet = newFleet(options.AvailabilityZone, options.Clock)
 	r.catalog.Store(&catalog.Catalog{})
 	r.metrics = newMetrics(r)
@@ -106,11 +121,13 @@
 // Address returns the address that the relay is bound to.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-// accept serves new connections until the listener is closed.
+// accept serves new connections until the listener is closed, or until drainBacklog has
+// ended the acceptance.
 func (r *Relay) accept() {
+	defer close(r.acceptEnded)
 	for {
 		conn, err := r.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
@@ -189,6 +206,12 @@
 // for requests with API keys.
 func (r *Relay) Leased() bool { return int64(r.clock.Now()) < r.leaseEnd.Load() }
 
+// mayDeny reports whether the catalog is recent enough to tell a caller that a route or a
+// key does not exist.
+func (r *Relay) mayDeny() bool {
+	return int64(r.clock.Now()+r.options.Lease-denialFreshness) < r.leaseEnd.Load()
+}
+
 // Ready reports whether the load balancer may open new connections to the relay.
 func (r *Relay) Ready() bool {
 	return !r.stopping.Load() && r.Leased() && r.catalog.Load().Revision() > 0
@@ -241,14 +264,39 @@
 	r.options.Logger.Log(event.ProcessStopping)
 	startedAt := r.clock.Now()
 	r.clock.Sleep(ctx, min(loadBalancerWait, r.options.Grace/2))
+	deadline := startedAt + r.options.Grace - stopTimeReserve
+	r.stopAt.Store(int64(deadline))
 	r.closing.Store(true)
-	for r.clock.Now()-startedAt < r.options.Grace-stopTimeReserve && ctx.Err() == nil {
+	r.closeConns(ctx, deadline)
+	r.drainBacklog()
+	r.closeConns(ctx, deadline)
+	_ = r.listener.Close()
+	r.options.Logger.Log(event.ProcessStopped, zap.Int("connections_cut", r.closeAll()))
+	return nil
+}
+
+// outlastsStop reports whether a new request with the given deadline could last beyond the
+// end of a planned stop, which would cut it.
+func (r *Relay) outlastsStop(deadline clock.Millis) bool {
+	return r.closing.Load() && int64(deadline) > r.stopAt.Load()
+}
+
+// closeConns closes each connection as soon as it is idle. It returns when none is left, or
+// at the deadline.
+func (r *Relay) closeConns(ctx context.Context, deadline clock.Millis) {
+	for r.clock.Now() < deadline && ctx.Err() == nil {
 		if r.forEachConn((*callerConn).closeIfIdle) == 0 {
-			break
+			return
 		}
 		r.clock.Sleep(ctx, stopInterval)
 	}
-	_ = r.listener.Close()
-	r.options.Logger.Log(event.ProcessStopped, zap.Int("connections_cut", r.closeAll()))
-	return nil
+}
+
+// drainBacklog accepts the connections that wait in the listener's backlog, and none after
+// them. Closing the listener would reset them, with the requests that they carry.
+func (r *Relay) drainBacklog() {
+	if tcp, ok := r.listener.(*net.TCPListener); ok {
+		_ = tcp.SetDeadline(r.clock.Deadline(stopInterval))
+		<-r.acceptEnded
+	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"regexp"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -341,6 +342,36 @@
 	}
 }
 
+// Guards against a relay that tells a caller that a route or a key does not exist, although a
+// catalog that it has not heard of yet may have it.
+func TestDenialNeedsRecentCatalog(t *testing.T) {
+	s := newFixture(t, newBackend(t, func(req receivedRequest) { respondOK(req, "ran") }))
+	steps := []struct {
+		name    string
+		advance clock.Millis
+		confirm bool
+		want    int // status of a request to an unknown route
+		wantKey int // status of a request with an unknown key
+	}{
+		{name: "just confirmed", advance: 1000, want: 404, wantKey: 401},
+		{name: "confirmed long ago", advance: 1000, want: 503, wantKey: 503},
+		{name: "confirmed again", confirm: true, want: 404, wantKey: 401},
+	}
+	for _, step := range steps {
+		s.manual.Advance(step.advance)
+		if step.confirm {
+			s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1})
+		}
+		c := s.client()
+		c.get("/none/", "1")
+		c.wantStatus(step.want)
+		c.send("GET /safe/ HTTP/1.1\r\nHost: h\r\nId: 2\r\nKey: unknown\r\n\r\n")
+		c.wantStatus(step.wantKey)
+		c.get("/safe/", "3")
+		c.wantStatus(200)
+	}
+}
+
 // Guards against a planned stop that cuts a running request, or that does not announce
 // to a caller that its connection closes.
 func TestStop(t *testing.T) {
@@ -382,6 +413,74 @@
 	}
 }
 
+// Guards against a request that a planned stop cuts off without an answer because it came on
+// a connection that had just been accepted, while the last connections were being closed, and
+// against one that is accepted too late to end before the stop.
+func TestStopAnswersNewConnections(t *testing.T) {
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	b := newBackend(t, func(req receivedRequest) {
+		if req.head.Target == "/once/slow" {
+			close(arrived)
+			<-proceed
+		}
+		respondOK(req, "ran")
+	})
+	s := newFixture(t, b)
+	busy := s.client()
+	busy.get("/once/slow", "busy")
+	await(t, "the arrival", arrived)
+	stopped := make(chan struct{})
+	go func() {
+		_ = s.relay.Stop(context.Background())
+		close(stopped)
+	}()
+	advance := func(delay clock.Millis) { // lets the stop and the periodic checks go on to their next waits
+		for s.manual.PendingTimers() < 2 {
+			runtime.Gosched()
+		}
+		s.manual.Advance(delay)
+		for s.manual.PendingTimers() < 2 {
+			runtime.Gosched()
+		}
+	}
+	advance(2500) // connections are being closed from now on; the busy one holds the stop up
+	// A caller that the scheduler delays before it sends is closed without an answer, so
+	// there are several tries.
+	answered := false
+	for i := 0; i < 20 && !answered; i++ {
+		c := s.client()
+		for s.relay.State().Connections < 2 {
+			runtime.Gosched()
+		}
+		advance(20)
+		advance(20)
+		if _, err := fmt.Fprintf(c.conn, "GET /brief/ HTTP/1.1\r\nHost: h\r\nId: %d\r\nKey: k\r\n\r\n", i); err != nil {
+			continue
+		}
+		head, body, err := c.read()
+		answered = err == nil && head.Status == 200 && body == "ran"
+	}
+	if !answered {
+		t.Error("no request on a new connection was answered")
+	}
+	advance(2 * clock.Second) // less than the timeout of the route is left
+	c := s.client()
+	c.get("/brief/", "late")
+	if head, _, err := c.read(); err == nil && head.Status != 503 || b.received[len(b.received)-1].head.Get("Id") == "late" {
+		t.Errorf("request that could outlast the stop: got status %d, want 503 or a closed connection, and no run", head.Status)
+	}
+	close(proceed)
+	busy.wantStatus(200)
+	for done := false; !done; {
+		s.manual.Advance(100)
+		select {
+		case <-stopped:
+			done = true
+		default:
+		}
+	}
+}
+
 // Guards against opening a connection for each request, and against reusing one that
 // the server has closed.
 func TestConnectionReuse(t *testing.T) {
--- a/relay/serverconn.go
+++ b/relay/serverconn.go
@@ -40,11 +40,11 @@
 // serverConn is a connection to a backend server. It serves one attempt at a time.
 type serverConn struct {
 	net.Conn
-	reader    *bufio.Reader
-	server    *server
-	reused    bool // the connection has served an earlier attempt
-	idleSince clock.Millis
-	idleUntil clock.Millis // when an idle connection is closed
+	reader              *bufio.Reader
+	server              *server
+	identifiesResponses bool // the latest response carried the ID of its request
+	idleSince           clock.Millis
+	idleUntil           clock.Millis // when an idle connection is closed
 }
 
 // connect returns an idle connection or opens a new one. Once-only requests get only
@@ -56,7 +56,6 @@
 			return f.dial(s, timeout)
 		}
 		if c.alive() {
-			c.reused = true
 			return c, nil
 		}
 		f.closeConn(c)
@@ -117,24 +116,44 @@
 // alive reports whether the server has neither closed an idle connection nor
 // sent bytes that belong to no request.
 func (c *serverConn) alive() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	return c.reader.Buffered() == 0 && inspectSocket(c.Conn) == socketQuiet
+}
+
+// socketState is what waits to be read from a connection.
+type socketState uint8
+
+const (
+	socketEnded  socketState = iota // the peer has closed the connection, or it has failed
+	socketQuiet                     // nothing
+	socketUnread                    // bytes
+)
+
+// inspectSocket returns what waits to be read from a connection, without reading it. The
+// connection must not have a read deadline in the past.
+func inspectSocket(conn net.Conn) socketState {
+	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return false
+		return socketEnded
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return socketEnded
 	}
-	quiet := false
+	state := socketEnded
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN //nolint:errorlint // System calls return unwrapped error numbers.
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN: //nolint:errorlint // System calls return unwrapped error numbers.
+			state = socketQuiet
+		case err == nil && n > 0:
+			state = socketUnread
+		}
 		return true
 	})
-	return err == nil && quiet
+	if err != nil {
+		return socketEnded
+	}
+	return state
 }
 
 // putIdle adds a connection to the idle ones, or closes it if it cannot be kept.
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/frame"
 )
 
 const (
@@ -56,6 +57,7 @@
 func (x *exchange) forwardEvents(a *attempt) error {
 	var pending []byte
 	buffer := make([]byte, streamBufferSize)
+	reserved := streamBufferSize // bytes of pending for which memory is reserved or that every stream has
 	for {
 		n, err := a.body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
@@ -67,7 +69,11 @@
 			x.relay.fleet.recordStreamActivity(a.server)
 		}
 		complete, partial := splitEvents(pending)
-		if ended {
+		switch {
+		case ended && a.body.EndedWithConnection() && len(partial) > 0:
+			// A server that crashes closes its connections too.
+			ended, err = false, io.ErrUnexpectedEOF
+		case ended:
 			complete, partial = pending, nil
 		}
 		if writeErr := x.writeEvents(a, complete, ended); writeErr != nil {
@@ -81,6 +87,10 @@
 			return err
 		case len(pending) > maxEventBytes:
 			return errors.Errorf("stream event is larger than %d bytes", maxEventBytes)
+		case len(pending) > reserved && !x.memory.Reserve(len(pending)):
+			return frame.ErrNoMemory
+		case len(pending) > reserved:
+			reserved += len(pending)
 		}
 	}
 }
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -1,24 +1,17 @@
 package retry_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/retry"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// TestMain fixes the seed of rapid unless the command line gives one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
 
 // Guards against more retries than the percentage of requests plus the initial retries,
 // refusal of retries within the budget, sending a once-only call again, more attempts
--- a/roster/mirror_test.go
+++ b/roster/mirror_test.go
@@ -8,8 +8,12 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
+
 // readerOf is a naive reader of a registry: it keeps the newest record of each server.
 type readerOf struct {
 	epoch, position uint64
--- a/routing/property_test.go
+++ b/routing/property_test.go
@@ -1,10 +1,8 @@
 package routing_test
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"slices"
 	"testing"
 
@@ -13,16 +11,11 @@
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/routing"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// TestMain fixes rapid's seed, so that a run can be repeated.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "4711")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { testseed.Main(m) }
 
 // referenceLoad recomputes the free slots of a server from its whole history of
 // events, as the reference for the router's incremental count.
