forecast, relay: callers that return after a refusal go ahead

A digest whose answer is still worth a third when late was refused at half of its target, and a returning caller stood behind new ones.

Change: the forecast is a package of its own without network. The bound is the target; a caller whose time left shows that it has waited before is refused again only if its answer would come after its deadline. The test of callers that all return at once fails with the former rule (6 of 20 refused again).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -62,7 +62,7 @@
 	load           float64      // requests at the server when it was chosen, this one excluded
 	loadAge        clock.Millis // age of the other entries' load report, which is included in load
 	engineWork     float64      // work at the engine when it was chosen, in equivalent prompt tokens, this prompt included
-	tooLate        bool         // no server was chosen because the request would wait too long at its engine; see pool.tooLate
+	tooLate        bool         // no server was chosen because the request would wait too long at its engine; see package forecast
 	chosenAt       clock.Millis // when the server was chosen, before the request was sent
 	firstByteSeen  bool         // recordFirstByte was called, so the prompt no longer counts as unprocessed
 	firstByteAt    clock.Millis // when the head of the response was read; 0 before
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/forecast"
 )
 
 const (
@@ -24,6 +25,9 @@
 	// lateRetryAfterTargets is the Retry-After time of a request that is refused because
 	// it would begin too late, as a multiple of the latency target.
 	lateRetryAfterTargets = 2
+	// returnedShare is the share of the route's timeout below which the time that a caller
+	// still waits shows that it has waited before.
+	returnedShare = 0.9
 	// minAttemptTime is the shortest timeout of an attempt. It keeps requests with a
 	// short target from being sent twice without need.
 	minAttemptTime = 200 * clock.Millisecond
@@ -147,8 +151,8 @@
 // prompt part belongs to this request or its session alone, so it is not shared.
 func (x *exchange) setRequirements(c *catalog.Catalog) {
 	x.requirements = requirements{
-		service: x.service, forEngine: x.route.ForEngine, promptTokens: x.requestInfo.PromptTokens, target: x.route.Target,
-		rank: x.forwardInfo.Urgency, lessUrgentRankCount: c.RankCount() - 1 - x.forwardInfo.Urgency, mayRefuseAsTooLate: c.IsLeastUrgent(x.route) && x.requestInfo.LastEventID == "",
+		service: x.service, forEngine: x.route.ForEngine, promptTokens: x.requestInfo.PromptTokens,
+		rank: x.forwardInfo.Urgency, refusable: x.refusable(c),
 	}
 	x.requirements.outputTokens = x.requestInfo.LengthHint
 	if x.requirements.outputTokens == 0 {
@@ -162,6 +166,20 @@
 	}
 }
 
+// refusable describes the request to the forecast of waits. It returns nil unless this is a
+// new request to the least urgent route: no request is refused while a less urgent route is
+// served, and a stream is not broken off.
+func (x *exchange) refusable(c *catalog.Catalog) *forecast.Request {
+	if !c.IsLeastUrgent(x.route) || x.requestInfo.LastEventID != "" {
+		return nil
+	}
+	return &forecast.Request{
+		Rank: x.forwardInfo.Urgency, LessUrgentRanks: c.RankCount() - 1 - x.forwardInfo.Urgency, Target: x.route.Target,
+		TimeLeft:  x.deadline - x.request.arrivedAt,
+		HasWaited: x.requestInfo.TimeLeft > 0 && float64(x.requestInfo.TimeLeft) < returnedShare*float64(x.route.Timeout),
+	}
+}
+
 // sendWithRetries sends the request, with retries, until the caller gets a response.
 func (x *exchange) sendWithRetries() bool {
 	x.relay.budget.countRequest(x.relay.clock.Now(), x.service)
@@ -192,7 +210,7 @@
 		return a
 	}
 	x.attempts++
-	x.requirements.mayRefuseAsTooLate = false
+	x.requirements.refusable = nil // it has been sent
 	x.forwardInfo.Server = a.server.record.Server
 	return a
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -49,9 +50,9 @@
 // pool is the state of a service that concerns all of its servers together.
 type pool struct {
 	promptWork            promptWork
-	otherEntriesLongWork  float64          // work of other entries' long prompts, in equivalent prompt tokens
-	otherEntriesShortWork float64          // work of other entries' short prompts, in equivalent prompt tokens
-	waitRates             map[int]waitRate // by urgency rank
+	otherEntriesLongWork  float64 // work of other entries' long prompts, in equivalent prompt tokens
+	otherEntriesShortWork float64 // work of other entries' short prompts, in equivalent prompt tokens
+	waits                 *forecast.Waits
 }
 
 func newFleet(zone string, c clock.Clock) *fleet {
@@ -68,7 +69,7 @@
 func (f *fleet) pool(service string) *pool {
 	p, ok := f.pools[service]
 	if !ok {
-		p = &pool{waitRates: map[int]waitRate{}}
+		p = &pool{waits: forecast.New()}
 		f.pools[service] = p
 	}
 	return p
@@ -226,18 +227,17 @@
 
 // requirements are the properties of a request that the choice of a server depends on.
 type requirements struct {
-	service             string
-	forEngine           bool         // the request goes to model engines
-	affinityPartID      string       // ID of the last prompt part that other requests may share; "" if there is none
-	promptTokens        int          // all tokens of the prompt, cached or not
-	sharedTokens        int          // prompt tokens in parts that other requests may share
-	outputTokens        int          // expected output tokens
-	decodeCost          float64      // estimated work of generating the output, in equivalent prompt tokens
-	excluded            []string     // names of servers that were already tried
-	rank                int          // urgency rank; 0 is the most urgent
-	lessUrgentRankCount int          // number of less urgent ranks
-	target              clock.Millis // latency target
-	mayRefuseAsTooLate  bool         // set for a new request to the least urgent route, unless it resumes a stream
+	service        string
+	forEngine      bool     // the request goes to model engines
+	affinityPartID string   // ID of the last prompt part that other requests may share; "" if there is none
+	promptTokens   int      // all tokens of the prompt, cached or not
+	sharedTokens   int      // prompt tokens in parts that other requests may share
+	outputTokens   int      // expected output tokens
+	decodeCost     float64  // estimated work of generating the output, in equivalent prompt tokens
+	excluded       []string // names of servers that were already tried
+	rank           int      // urgency rank; 0 is the most urgent
+	// refusable describes the request to the forecast; nil if it is not refused as too late.
+	refusable *forecast.Request
 }
 
 // pickServer chooses a server and registers the attempt there. It returns nil if all
@@ -255,7 +255,7 @@
 	if req.forEngine {
 		s = f.pickEngine(now, req, candidates)
 		a.engineWork = f.engineCost(now, s) + float64(req.promptTokens)
-		if a.tooLate = f.pool(req.service).tooLate(now, req, a.engineWork); a.tooLate {
+		if a.tooLate = req.refusable != nil && f.pool(req.service).waits.TooLate(now, *req.refusable, a.engineWork); a.tooLate {
 			return nil
 		}
 	} else {
@@ -369,7 +369,7 @@
 	if !a.firstByteSeen {
 		a.firstByteSeen = true
 		s.unprocessedTokens -= a.uncachedTokens
-		f.pool(s.record.Service).recordWait(now, a.exchange.requirements.rank, a.engineWork, now-a.chosenAt)
+		f.pool(s.record.Service).waits.Record(now, a.exchange.requirements.rank, a.engineWork, now-a.chosenAt)
 	}
 }
 
