--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// baseTargets and stepTargets bound the expected wait at an engine, as multiples of the
-	// request's latency target: a request is refused if it would wait for more than
-	// baseTargets plus stepTargets for each less urgent rank. Work that begins after its
-	// target is worth little and delays all later requests.
-	baseTargets = 1.0
+	// baseTargets and stepTargets bound the expected wait for other work at an engine, as
+	// multiples of the request's latency target: a request is refused if it would wait for
+	// more than baseTargets plus stepTargets for each less urgent rank. Work that begins
+	// after its target is worth little and delays all later requests.
+	baseTargets = 0.5
 	stepTargets = 0.5
 	// maxShareOfTimeLeft bounds the expected wait as a share of the time until the request's
 	// deadline. The rest is for the answer, which would otherwise be cut off.
@@ -37,18 +37,13 @@
 	LessUrgentRanks int          // number of less urgent ranks
 	Target          clock.Millis // latency target; 0 if there is none
 	TimeLeft        clock.Millis // time until the deadline
-	// HasWaited is set if the caller has waited before, probably because it was refused. It
-	// is refused again only if its answer would come after its deadline.
-	HasWaited bool
+	PromptTokens    int          // of the request itself
 }
 
 // longestWait returns the longest wait with which the request is not refused.
 func (r Request) longestWait() float64 {
-	longest := maxShareOfTimeLeft * float64(r.TimeLeft)
-	if r.HasWaited {
-		return longest
-	}
-	return min(longest, (baseTargets+stepTargets*float64(r.LessUrgentRanks))*float64(r.Target))
+	targets := baseTargets + stepTargets*float64(r.LessUrgentRanks)
+	return min(targets*float64(r.Target), maxShareOfTimeLeft*float64(r.TimeLeft))
 }
 
 // Waits forecasts the waits at the engines of one service. It is not safe for concurrent
@@ -83,17 +78,19 @@
 	return rate{previous + waitWeight*(sample-previous), now}
 }
 
-// TooLate reports whether a request is refused because the expected wait for its first byte
-// is too long at an engine with this much work, in equivalent prompt tokens. The most urgent
-// rank never is.
+// TooLate reports whether a request is refused because the expected wait is too long at an
+// engine with this much work, in equivalent prompt tokens, the request's prompt included. The
+// time for its own prompt is no wait: a long prompt would be refused at an idle engine. The
+// most urgent rank is never refused.
 func (w *Waits) TooLate(now clock.Millis, r Request, work float64) bool {
 	if r.Rank == 0 || r.Target == 0 {
 		return false
 	}
-	return work*w.rates[r.Rank].now(now) > r.longestWait()
+	return (work-float64(r.PromptTokens))*w.rates[r.Rank].now(now) > r.longestWait()
 }
 
-// Record records how long a request has waited for its first byte.
+// Record records how long a request has waited for its first byte. The parameter work is the
+// work at the engine when it was chosen, the request's prompt included.
 func (w *Waits) Record(now clock.Millis, rank int, work float64, wait clock.Millis) {
 	if work >= minWork {
 		w.rates[rank] = w.rates[rank].withWait(now, work, wait)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -25,9 +25,6 @@
 	// lateRetryAfterTargets is the Retry-After time of a request that is refused because
 	// it would begin too late, as a multiple of the latency target.
 	lateRetryAfterTargets = 2
-	// returnedShare is the share of the route's timeout below which the time that a caller
-	// still waits shows that it has waited before.
-	returnedShare = 0.9
 	// minAttemptTime is the shortest timeout of an attempt. It keeps requests with a
 	// short target from being sent twice without need.
 	minAttemptTime = 200 * clock.Millisecond
@@ -175,8 +172,7 @@
 	}
 	return &forecast.Request{
 		Rank: x.forwardInfo.Urgency, LessUrgentRanks: c.RankCount() - 1 - x.forwardInfo.Urgency, Target: x.route.Target,
-		TimeLeft:  x.deadline - x.request.arrivedAt,
-		HasWaited: x.requestInfo.TimeLeft > 0 && float64(x.requestInfo.TimeLeft) < returnedShare*float64(x.route.Timeout),
+		TimeLeft: x.deadline - x.request.arrivedAt, PromptTokens: x.requestInfo.PromptTokens,
 	}
 }
 
