control, roster: loads of many servers sent less often; heartbeats without a scan

A response with the loads of all servers grows with relays times servers, and each heartbeat scanned all servers for one at the same address: 48 us with 1,000 servers, 937 us with 12,000.

Change: loads are sent at no more than 2,500 a second to each entry and by each member; a response without them keeps the former ones (only for readers that understand it). The registry finds servers by address.

By the code, what is left is the start: 3,000 new servers are forwarded to the leader one by one, each a change that wakes all watches; calls that time out then open new connections (1,064 a second at each member).

--- a/control/delegate.go
+++ b/control/delegate.go
@@ -32,9 +32,12 @@
 	confirmation delegation.Confirmation
 	document     catalog.Document // newest catalog document that the leader has sent
 	mirror       *roster.Mirror   // the leader's server list
-	reported     int              // number of entries in the report that others does not contain
-	others       WatchResponse    // reports of the entries that do not watch this member
+	reported     int              // number of this member's entries in its latest report
+	others       WatchResponse    // the latest granted response, with the entries of other members alone
 	heartbeats   map[string]roster.Announcement
+
+	loadsReportedAt clock.Millis // when the latest report with loads was made
+	loadsReported   int          // number of loads in that report
 }
 
 func newDelegate(c *Control) *delegate {
@@ -62,16 +65,20 @@
 func (d *delegate) report() Report {
 	c := d.control
 	now := c.options.Clock.Now()
-	count, loads, demands := c.watchingEntries.totalsExcept(now, "")
+	count, demands := c.watchingEntries.demandsExcept(now, "")
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.reported = count
 	r := Report{
-		Loads: loads, Demands: demands, Revision: max(c.machine.Catalog().Revision, d.document.Revision), EntryCount: count,
+		LoadsKept: now-d.loadsReportedAt < loadsInterval(d.loadsReported), Demands: demands, Revision: max(c.machine.Catalog().Revision, d.document.Revision), EntryCount: count,
 		Acknowledged: c.watchingEntries.acknowledged(now, d.mirror.Epoch(), d.mirror.Position()),
 		Heartbeats:   lo.Values(d.heartbeats), MaxWait: lo.Ternary(d.delegates(), delegateWait, idleDelegateWait),
 	}
 	d.heartbeats = map[string]roster.Announcement{}
+	if !r.LoadsKept {
+		r.Loads = c.watchingEntries.loadsExcept("")
+		d.loadsReportedAt, d.loadsReported = now, len(r.Loads)
+	}
 	return r
 }
 
@@ -93,8 +100,10 @@
 	}
 	changed := d.mirror.Apply(d.control.options.Clock.Now(), response.Epoch, response.Position, response.Servers)
 	changed = changed || !wasValid || next.Revision != d.confirmation.Revision
-	d.confirmation = next
-	d.others = response
+	if response.LoadsKept {
+		response.Loads = d.others.Loads
+	}
+	d.confirmation, d.others = next, response
 	d.others.EntryCount = max(response.EntryCount-d.reported, 0)
 	d.mu.Unlock()
 	if changed {
--- a/control/delegate_test.go
+++ b/control/delegate_test.go
@@ -164,3 +164,42 @@
 		}
 	}
 }
+
+// Guards against lists of loads that grow with entries times servers: with many servers most
+// responses leave them out, and the entry is told to keep those that it has.
+func TestLoadsOfManyServersAreSentLessOften(t *testing.T) {
+	const servers = 2000
+	g := newSeededGroup(t, 3)
+	g.putCatalog("c1", 7)
+	loads := make([]control.ServerLoad, servers)
+	for i := range loads {
+		loads[i] = control.ServerLoad{Server: fmt.Sprintf("s%d", i), Requests: 1}
+	}
+	var mu sync.Mutex
+	sent, kept := 0, 0
+	watcher := func(entry string, report control.Report, update func(response control.WatchResponse)) {
+		w := control.NewWatcher(control.WatcherOptions{
+			Entry: entry, Seeds: func() []string { return []string{g.memberOptions["c1"].Listen} }, Clock: g.clock, Logger: event.Discard(),
+			Update: func(_ clock.Millis, response control.WatchResponse) { update(response) }, Report: func() control.Report { return report },
+		})
+		go w.Run(t.Context())
+	}
+	watcher("busy", control.Report{Loads: loads}, func(control.WatchResponse) {})
+	watcher("other", control.Report{}, func(response control.WatchResponse) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case response.LoadsKept && len(response.Loads) > 0:
+			t.Errorf("response that keeps loads: got %d loads, want none", len(response.Loads))
+		case response.LoadsKept:
+			kept++
+		case len(response.Loads) == servers:
+			sent++
+		}
+	})
+	g.eventually("responses with and without loads", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return sent > 1 && kept > sent
+	})
+}
--- a/control/watch.go
+++ b/control/watch.go
@@ -21,6 +21,10 @@
 	// watches are answered. Without it, each of many servers that restart together would
 	// cost one answer to each entry.
 	changeBatchInterval = 20 * clock.Millisecond
+	// maxLoadsPerSecond bounds the loads that are sent to an entry and that a member reports:
+	// with many servers they are sent less often, so that bytes and processor time do not
+	// grow with the number of servers.
+	maxLoadsPerSecond = 2500
 	// maxDirectEntries is the number of entries up to which all of them watch the leader
 	// itself. More entries watch the members near them, which costs the loads of other
 	// entries some hundred milliseconds of delay.
@@ -39,6 +43,9 @@
 	Loads    []ServerLoad    // this entry's requests in progress, one ServerLoad for each server
 	Demands  []ServiceDemand // demand at this entry, one ServiceDemand for each service
 
+	// LoadsKept is set in the request of a member that leaves Loads out: those of its earlier
+	// request still hold.
+	LoadsKept bool
 	// AcceptsDelegation is set by entries that take WatchResponse.ConfirmationAge into
 	// account. Other entries are answered by the leader alone.
 	AcceptsDelegation bool
@@ -91,6 +98,8 @@
 	Loads      []ServerLoad      // total load of all other entries, one ServerLoad for each server
 	Demands    []ServiceDemand   // total demand of all other entries, one ServiceDemand for each service
 
+	// LoadsKept is set if Loads is left out: those of an earlier response still hold.
+	LoadsKept bool
 	// ConfirmationAge is by how much the leader's confirmation is older than the entry's
 	// request. It is 0 in responses of the leader itself.
 	ConfirmationAge clock.Millis
@@ -116,13 +125,13 @@
 		response := c.watchResponse(watch, receivedAt)
 		awaitsConfirmation := !response.Granted && watch.AcceptsDelegation && response.Leader != ""
 		if !response.Granted && !awaitsConfirmation || response.hasNews(watch) {
-			return response
+			return c.withOtherEntries(watch, response)
 		}
 		select {
 		case <-changed:
 			c.collectChanges(timeout)
 		case <-timeout:
-			return c.watchResponse(watch, receivedAt)
+			return c.withOtherEntries(watch, c.watchResponse(watch, receivedAt))
 		}
 	}
 }
@@ -167,19 +176,27 @@
 			response.Delegates = c.watchingEntries.delegates(now, c.delegationMember())
 		}
 	}
-	if response.Granted {
-		c.addOtherEntries(now, watch.Entry, &response)
-	}
 	return response
 }
 
-// addOtherEntries adds the reports of all other entries to a response: to those that this
-// member has received, the response of a delegate already has those from the leader.
-func (c *Control) addOtherEntries(now clock.Millis, entry string, response *WatchResponse) {
-	count, loads, demands := c.watchingEntries.totalsExcept(now, entry)
+// withOtherEntries returns a granted response with the reports of all other entries. The
+// response of a delegate already has those that the leader has received from elsewhere.
+func (c *Control) withOtherEntries(watch WatchRequest, response WatchResponse) WatchResponse {
+	if !response.Granted {
+		return response
+	}
+	now := c.options.Clock.Now()
+	count, demands := c.watchingEntries.demandsExcept(now, watch.Entry)
 	response.EntryCount += count
-	response.Loads = sumLoads(response.Loads, loads)
 	response.Demands = sumServiceDemands(response.Demands, demands)
+	// Entries and members of the former build expect loads in each response.
+	mayKeep := watch.AcceptsDelegation || watch.Delegate != nil
+	if mayKeep && !c.watchingEntries.takeLoads(now, watch.Entry, len(response.Loads)) {
+		response.Loads, response.LoadsKept = nil, true
+		return response
+	}
+	response.Loads = sumLoads(response.Loads, c.watchingEntries.loadsExcept(watch.Entry))
+	return response
 }
 
 // newerDocument returns the document, or nil if its revision is not above the given one.
@@ -195,6 +212,11 @@
 	return delegation.Member{Address: c.options.Advertise, AvailabilityZone: c.options.AvailabilityZone}
 }
 
+// loadsInterval returns the shortest time between two lists of loads with this length.
+func loadsInterval(count int) clock.Millis {
+	return clock.Millis(count) * clock.Second / maxLoadsPerSecond
+}
+
 func (c *Control) postWatch(f fiber.Ctx) error {
 	watch, err := decodeWatch(f.Body())
 	if err != nil {
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -22,6 +22,7 @@
 	Loads    []wireLoad   `json:"loads,omitempty"`
 	Demands  []wireDemand `json:"demands,omitempty"`
 
+	LoadsKept         bool          `json:"loads_kept,omitempty"`
 	AcceptsDelegation bool          `json:"accepts_delegation,omitempty"`
 	Delegate          *wireDelegate `json:"delegate,omitempty"`
 	EntryCount        int           `json:"entries,omitempty"`
@@ -82,6 +83,7 @@
 	Loads      []wireLoad    `json:"loads,omitempty"`
 	Demands    []wireDemand  `json:"demands,omitempty"`
 
+	LoadsKept       bool           `json:"loads_kept,omitempty"`
 	ConfirmationAge clock.Millis   `json:"confirmation_age_ms,omitempty"`
 	Delegates       []wireDelegate `json:"delegates,omitempty"`
 }
@@ -90,7 +92,7 @@
 	data, err := json.Marshal(wireWatch{
 		Entry: watch.Entry, Revision: watch.Revision, Epoch: watch.Epoch, Position: watch.Position, MaxWait: watch.MaxWait,
 		Loads: toWireLoads(watch.Loads), Demands: toWireDemands(watch.Demands),
-		AcceptsDelegation: watch.AcceptsDelegation, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
+		LoadsKept: watch.LoadsKept, AcceptsDelegation: watch.AcceptsDelegation, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
 		Acknowledged: watch.Acknowledged, Heartbeats: toWireAnnouncements(watch.Heartbeats),
 	})
 	return data, errors.WithStack(err)
@@ -104,7 +106,7 @@
 	return WatchRequest{
 		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, MaxWait: w.MaxWait,
 		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
-		AcceptsDelegation: w.AcceptsDelegation, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
+		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
 		Acknowledged: w.Acknowledged, Heartbeats: fromWireAnnouncements(w.Heartbeats),
 	}, nil
 }
@@ -116,8 +118,8 @@
 		Document: (*wireDocument)(response.Document),
 		Servers:  lo.Map(response.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
 
-		ConfirmationAge: response.ConfirmationAge,
-		Delegates:       lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
+		LoadsKept: response.LoadsKept, ConfirmationAge: response.ConfirmationAge,
+		Delegates: lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
 	}
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
@@ -135,7 +137,7 @@
 		Document: (*catalog.Document)(w.Document),
 		Servers:  lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.toRecord() }),
 
-		ConfirmationAge: w.ConfirmationAge,
-		Delegates:       lo.Map(w.Delegates, func(d wireDelegate, _ int) delegation.Member { return delegation.Member(d) }),
+		LoadsKept: w.LoadsKept, ConfirmationAge: w.ConfirmationAge,
+		Delegates: lo.Map(w.Delegates, func(d wireDelegate, _ int) delegation.Member { return delegation.Member(d) }),
 	}, nil
 }
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -58,6 +58,7 @@
 type Report struct {
 	Loads        []ServerLoad
 	Demands      []ServiceDemand
+	LoadsKept    bool   // Loads is left out, see WatchRequest
 	Revision     uint64 // newest revision of the catalog that the member has itself
 	EntryCount   int
 	Acknowledged uint64
@@ -172,6 +173,7 @@
 	report := w.options.Report()
 	request := w.request
 	request.Loads, request.Demands, request.Heartbeats = report.Loads, report.Demands, report.Heartbeats
+	request.LoadsKept = report.LoadsKept
 	request.EntryCount, request.Acknowledged = report.EntryCount, report.Acknowledged
 	request.Revision = max(request.Revision, report.Revision)
 	request.MaxWait = lo.Ternary(report.MaxWait > 0, report.MaxWait, longPollWait)
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -29,6 +29,7 @@
 	epoch        uint64 // epoch of the server list that acknowledged refers to
 	acknowledged uint64 // position in the server list up to which these entries know all changes
 	delegate     *delegation.Member
+	loadsSentAt  clock.Millis // when the entry was last sent the loads of the others
 }
 
 func newEntryReport(now clock.Millis, watch WatchRequest) entryReport {
@@ -53,14 +54,36 @@
 	if w.entries == nil {
 		w.entries, w.loadTotals = map[string]entryReport{}, map[string]ServerLoad{}
 	}
+	former := w.entries[watch.Entry]
 	for name, e := range w.entries {
 		if name == watch.Entry || !e.isCurrent(now) {
 			w.addLoads(e.loads, -1)
 			delete(w.entries, name)
 		}
 	}
-	w.entries[watch.Entry] = newEntryReport(now, watch)
-	w.addLoads(watch.Loads, 1)
+	report := newEntryReport(now, watch)
+	report.loadsSentAt = former.loadsSentAt
+	if watch.LoadsKept {
+		report.loads = former.loads
+	}
+	w.entries[watch.Entry] = report
+	w.addLoads(report.loads, 1)
+}
+
+// takeLoads reports whether the entry is to be sent loads now, and records that. There are
+// otherLoads of them beside those that the entries here have reported.
+func (w *watchingEntries) takeLoads(now clock.Millis, entry string, otherLoads int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e, ok := w.entries[entry]
+	if ok && e.loadsSentAt > 0 && now-e.loadsSentAt < loadsInterval(max(otherLoads, len(w.loadTotals))) {
+		return false
+	}
+	e.loadsSentAt = now
+	if ok {
+		w.entries[entry] = e
+	}
+	return true
 }
 
 // addLoads adds loads to the totals (sign 1) or subtracts them (sign -1). The
@@ -86,22 +109,31 @@
 	return l
 }
 
-// totalsExcept returns the number of entries that watch, including the given
-// one, and the total loads and demands of all other entries.
-func (w *watchingEntries) totalsExcept(now clock.Millis, entry string) (int, []ServerLoad, []ServiceDemand) {
+// loadsExcept returns the total loads of all entries other than the given one.
+func (w *watchingEntries) loadsExcept(entry string) []ServerLoad {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	totals := w.loadTotals
-	if own := w.entries[entry].loads; len(own) > 0 {
-		totals = make(map[string]ServerLoad, len(w.loadTotals))
-		for server, total := range w.loadTotals {
-			totals[server] = total
+	own := map[string]ServerLoad{}
+	for _, l := range w.entries[entry].loads {
+		own[l.Server] = l
+	}
+	loads := make([]ServerLoad, 0, len(w.loadTotals))
+	for server, total := range w.loadTotals {
+		if l, ok := own[server]; ok {
+			total = total.plus(l, -1)
 		}
-		for _, l := range own {
-			totals[l.Server] = totals[l.Server].plus(l, -1)
+		if total.Requests > 0 {
+			loads = append(loads, total)
 		}
 	}
-	loads := lo.Filter(lo.Values(totals), func(l ServerLoad, _ int) bool { return l.Requests > 0 })
+	return loads
+}
+
+// demandsExcept returns the number of entries that watch, including the given
+// one, and the total demands of all other entries.
+func (w *watchingEntries) demandsExcept(now clock.Millis, entry string) (int, []ServiceDemand) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	entries, demands := 0, []ServiceDemand(nil)
 	for name, e := range w.entries {
 		if !e.isCurrent(now) {
@@ -115,7 +147,7 @@
 		}
 		demands = append(demands, e.demands...)
 	}
-	return entries, loads, sumServiceDemands(nil, demands)
+	return entries, sumServiceDemands(nil, demands)
 }
 
 // count returns the number of entries that watch.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -89,7 +89,9 @@
 	for _, r := range update.Servers {
 		f.applyRecord(now, r)
 	}
-	f.applyLoads(now, update.Loads)
+	if !update.LoadsKept {
+		f.applyLoads(now, update.Loads)
+	}
 	for _, d := range update.Demands {
 		p := f.pool(d.Service)
 		p.otherEntriesLongWork, p.otherEntriesShortWork = float64(d.LongPromptTokens), float64(d.ShortPromptTokens)
--- a/roster/mirror.go
+++ b/roster/mirror.go
@@ -55,6 +55,9 @@
 	if epoch != m.epoch {
 		position = 0
 	}
+	if position >= m.position {
+		return nil
+	}
 	var changed []registration
 	for _, known := range m.servers {
 		if known.changeNumber > position {
--- a/roster/registry.go
+++ b/roster/registry.go
@@ -45,13 +45,14 @@
 type Registry struct {
 	silentAfter  clock.Millis
 	servers      map[string]*registration
+	byAddress    map[string][]*registration // servers by their address; they may be gone
 	changeNumber uint64
 }
 
 // New returns an empty registry that marks a server silent after the given time
 // without an announcement.
 func New(silentAfter clock.Millis) *Registry {
-	return &Registry{silentAfter: silentAfter, servers: map[string]*registration{}}
+	return &Registry{silentAfter: silentAfter, servers: map[string]*registration{}, byAddress: map[string][]*registration{}}
 }
 
 // LastChangeNumber returns the number of the newest change, 0 if there is none.
@@ -85,6 +86,10 @@
 	}
 	previous := known.record
 	known.record, known.updatedAt = Record{Announcement: a}, now
+	if previous.Address != a.Address {
+		r.removeAddress(previous.Address, known)
+		r.byAddress[a.Address] = append(r.byAddress[a.Address], known)
+	}
 	if ok && !differs(previous, known.record) {
 		return Refreshed
 	}
@@ -124,9 +129,9 @@
 
 // superseded reports whether another server that started later has the same address.
 func (r *Registry) superseded(a Announcement) bool {
-	for _, other := range r.servers {
+	for _, other := range r.byAddress[a.Address] {
 		o := other.record.Announcement
-		if o.Server != a.Server && o.Address == a.Address && o.State != Gone && o.StartedAt > a.StartedAt {
+		if o.Server != a.Server && o.State != Gone && o.StartedAt > a.StartedAt {
 			return true
 		}
 	}
@@ -136,14 +141,24 @@
 // markOthersGone marks all other servers at the announced address as gone, unless the
 // announcing server itself is gone.
 func (r *Registry) markOthersGone(now clock.Millis, a Announcement) {
-	for _, other := range r.servers {
+	for _, other := range r.byAddress[a.Address] {
 		o := other.record.Announcement
-		if o.Server != a.Server && o.Address == a.Address && o.State != Gone && a.State != Gone {
+		if o.Server != a.Server && o.State != Gone && a.State != Gone {
 			r.markGone(now, other)
 		}
 	}
 }
 
+// removeAddress removes a server from those at an address.
+func (r *Registry) removeAddress(address string, known *registration) {
+	rest := slices.DeleteFunc(r.byAddress[address], func(other *registration) bool { return other == known })
+	if len(rest) == 0 {
+		delete(r.byAddress, address)
+		return
+	}
+	r.byAddress[address] = rest
+}
+
 // assignChangeNumber assigns the next change number to a changed record.
 func (r *Registry) assignChangeNumber(known *registration) {
 	r.changeNumber++
@@ -168,6 +183,7 @@
 		switch {
 		case known.record.State == Gone && age >= goneRetention:
 			delete(r.servers, id)
+			r.removeAddress(known.record.Address, known)
 		case known.record.State != Gone && !known.record.Silent && age >= r.silentAfter:
 			known.record.Silent = true
 			r.assignChangeNumber(known)
@@ -179,6 +195,9 @@
 // ChangedSince returns the records that changed after the change with the given number,
 // in the order of their newest changes.
 func (r *Registry) ChangedSince(changeNumber uint64) []Record {
+	if changeNumber >= r.changeNumber {
+		return nil
+	}
 	var changed []*registration
 	for _, known := range r.servers {
 		if known.changeNumber > changeNumber {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -128,3 +129,25 @@
 		t.Errorf("after a heartbeat: got %v, want one server that is not silent", changes)
 	}
 }
+
+// BenchmarkHeartbeat shows that accepting a heartbeat does not scan the other servers.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, servers := range []int{10, 1000, 12_000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			r := roster.New(clock.Minute)
+			announcements := make([]roster.Announcement, servers)
+			for i := range announcements {
+				announcements[i] = roster.Announcement{
+					Server: fmt.Sprintf("s%d", i), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), State: roster.Serving,
+				}
+			}
+			n := 0
+			for b.Loop() {
+				a := &announcements[n%servers]
+				a.Sequence++
+				r.Accept(clock.Millis(n), *a)
+				n++
+			}
+		})
+	}
+}
