control: the loads of entries that have gone end at members too

Cause: members that do not lead keep the reports of entries that have asked them, and since pass their sum to the leader. Expired reports were removed only when another entry asked. So an entry that had turned to a member for one request, at its start or after a failure, left its load there for ever: all entries took these servers for busy and refused requests.

Change: expired entries are removed whenever loads are summed up.

--- a/control/delegate.go
+++ b/control/delegate.go
@@ -76,7 +76,7 @@
 	}
 	d.heartbeats = map[string]roster.Announcement{}
 	if !r.LoadsKept {
-		r.Loads = c.watchingEntries.loadsExcept("")
+		r.Loads = c.watchingEntries.loadsExcept(now, "")
 		d.loadsReportedAt, d.loadsReported = now, len(r.Loads)
 	}
 	return r
--- a/control/delegate_test.go
+++ b/control/delegate_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -203,3 +204,34 @@
 		return sent > 1 && kept > sent
 	})
 }
+
+// Guards against loads of entries that have gone and count for ever: an entry that has once
+// asked a member that does not lead left its load in that member's reports to the leader, so
+// that all entries took the server for busy and refused requests.
+func TestLoadsOfGoneEntriesEnd(t *testing.T) {
+	g := newSeededGroup(t, 3)
+	g.putCatalog("c1", 7)
+	leader := g.leader()
+	follower := "c1"
+	if leader == follower {
+		follower = "c2"
+	}
+	watch := func(ctx context.Context, entry, seed string, load int) *watchingEntry {
+		e := &watchingEntry{watchRecorder: watchRecorder{servers: map[string]roster.State{}}}
+		w := control.NewWatcher(control.WatcherOptions{
+			Entry: entry, Seeds: func() []string { return []string{g.memberOptions[seed].Listen} }, Clock: g.clock, Logger: event.Discard(),
+			Update: e.update,
+			Report: func() control.Report {
+				return control.Report{Loads: []control.ServerLoad{{Server: "s1", Requests: load}}}
+			},
+		})
+		go w.Run(ctx)
+		return e
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	observer := watch(t.Context(), "observer", leader, 0)
+	watch(ctx, "gone", follower, 5)
+	g.eventually("the load of the other entry", func() bool { _, _, load, _ := observer.state(); return load == 5 })
+	cancel()
+	g.eventually("the end of that load", func() bool { _, entries, load, _ := observer.state(); return entries == 1 && load == 0 })
+}
--- a/control/watch.go
+++ b/control/watch.go
@@ -195,7 +195,7 @@
 		response.Loads, response.LoadsKept = nil, true
 		return response
 	}
-	response.Loads = sumLoads(response.Loads, c.watchingEntries.loadsExcept(watch.Entry))
+	response.Loads = sumLoads(response.Loads, c.watchingEntries.loadsExcept(now, watch.Entry))
 	return response
 }
 
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -55,12 +55,8 @@
 		w.entries, w.loadTotals = map[string]entryReport{}, map[string]ServerLoad{}
 	}
 	former := w.entries[watch.Entry]
-	for name, e := range w.entries {
-		if name == watch.Entry || !e.isCurrent(now) {
-			w.addLoads(e.loads, -1)
-			delete(w.entries, name)
-		}
-	}
+	w.remove(watch.Entry)
+	w.removeExpired(now)
 	report := newEntryReport(now, watch)
 	report.loadsSentAt = former.loadsSentAt
 	if watch.LoadsKept {
@@ -70,6 +66,22 @@
 	w.addLoads(report.loads, 1)
 }
 
+// removeExpired removes the entries that no longer count as watching. The caller holds the
+// lock.
+func (w *watchingEntries) removeExpired(now clock.Millis) {
+	for name, e := range w.entries {
+		if !e.isCurrent(now) {
+			w.remove(name)
+		}
+	}
+}
+
+// remove removes an entry, if it is known. The caller holds the lock.
+func (w *watchingEntries) remove(name string) {
+	w.addLoads(w.entries[name].loads, -1)
+	delete(w.entries, name)
+}
+
 // takeLoads reports whether the entry is to be sent loads now, and records that. There are
 // otherLoads of them beside those that the entries here have reported.
 func (w *watchingEntries) takeLoads(now clock.Millis, entry string, otherLoads int) bool {
@@ -110,9 +122,11 @@
 }
 
 // loadsExcept returns the total loads of all entries other than the given one.
-func (w *watchingEntries) loadsExcept(entry string) []ServerLoad {
+func (w *watchingEntries) loadsExcept(now clock.Millis, entry string) []ServerLoad {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	// Without watches, nothing else removes the entries of a member that entries have left.
+	w.removeExpired(now)
 	own := map[string]ServerLoad{}
 	for _, l := range w.entries[entry].loads {
 		own[l.Server] = l
