control: members pass reports on only while entries watch them

Cause: on small sites an entry that asked a member at its start or after a failure was answered by it once, and counted there and at the leader for the next 2 s, with its load twice.

Tests of the package pass.

--- a/control/delegate.go
+++ b/control/delegate.go
@@ -68,11 +68,16 @@
 	count, demands := c.watchingEntries.demandsExcept(now, "")
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.delegates() {
+		// Entries that ask this member are sent on to the leader, which hears from them itself.
+		d.reported = 0
+		return Report{Revision: c.machine.Catalog().Revision, MaxWait: idleDelegateWait}
+	}
 	d.reported = count
 	r := Report{
 		LoadsKept: now-d.loadsReportedAt < loadsInterval(d.loadsReported), Demands: demands, Revision: max(c.machine.Catalog().Revision, d.document.Revision), EntryCount: count,
 		Acknowledged: c.watchingEntries.acknowledged(now, d.mirror.Epoch(), d.mirror.Position()),
-		Heartbeats:   lo.Values(d.heartbeats), MaxWait: lo.Ternary(d.delegates(), delegateWait, idleDelegateWait),
+		Heartbeats:   lo.Values(d.heartbeats), MaxWait: delegateWait,
 	}
 	d.heartbeats = map[string]roster.Announcement{}
 	if !r.LoadsKept {
@@ -82,8 +87,14 @@
 	return r
 }
 
-// delegates reports whether the leader wants entries to watch members. The caller holds
-// the lock.
+// isNeeded reports whether the leader wants entries to watch members.
+func (d *delegate) isNeeded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.delegates()
+}
+
+// delegates is isNeeded for callers that hold the lock.
 func (d *delegate) delegates() bool { return len(d.others.Delegates) > 0 }
 
 // update stores a response that the leader has granted.
@@ -112,8 +123,8 @@
 }
 
 // grant completes the response to an entry's watch that was received at the given time, if
-// the leader's newest confirmation is recent enough and the entry does not know more than
-// this member.
+// entries watch members, the leader's newest confirmation is recent enough and the entry does
+// not know more than this member.
 func (d *delegate) grant(now clock.Millis, watch WatchRequest, receivedAt clock.Millis, response *WatchResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -121,7 +132,7 @@
 	if d.document.Revision > document.Revision {
 		document = d.document
 	}
-	if !d.confirmation.Valid(now) || document.Revision < d.confirmation.Revision || d.mirror.Epoch() < watch.Epoch {
+	if !d.delegates() || !d.confirmation.Valid(now) || document.Revision < d.confirmation.Revision || d.mirror.Epoch() < watch.Epoch {
 		return
 	}
 	response.Granted, response.Term, response.Revision = true, d.confirmation.Term, document.Revision
--- a/control/watch.go
+++ b/control/watch.go
@@ -123,7 +123,7 @@
 	for {
 		changed := c.changed.nextChange()
 		response := c.watchResponse(watch, receivedAt)
-		awaitsConfirmation := !response.Granted && watch.AcceptsDelegation && response.Leader != ""
+		awaitsConfirmation := !response.Granted && watch.AcceptsDelegation && response.Leader != "" && c.delegate.isNeeded()
 		if !response.Granted && !awaitsConfirmation || response.hasNews(watch) {
 			return c.withOtherEntries(watch, response)
 		}
