--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -9,8 +9,8 @@
 const (
 	// baseTargets and stepTargets bound the expected wait for other work at an engine, as
 	// multiples of the request's latency target: a request is refused if it would wait for
-	// more than baseTargets plus stepTargets for each less urgent rank. Work that begins
-	// after its target is worth little and delays all later requests.
+	// more than baseTargets plus stepTargets for each less urgent rank. A request that
+	// begins after its target is late anyway and delays all later ones.
 	baseTargets = 0.5
 	stepTargets = 0.5
 	// maxShareOfTimeLeft bounds the expected wait as a share of the time until the request's
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -246,6 +246,14 @@
 	}
 }
 
+// awaitAttemptsEnd waits until no request is sent to a server and the connections to servers
+// are idle or closed.
+func (s *fixture) awaitAttemptsEnd() {
+	for s.relay.State().Attempts > 0 {
+		runtime.Gosched()
+	}
+}
+
 // client is a caller's connection.
 type client struct {
 	t      *testing.T
--- a/relay/hostile_test.go
+++ b/relay/hostile_test.go
@@ -69,6 +69,7 @@
 					first := s.client()
 					first.get("/safe/", "1")
 					first.wantStatus(format.status)
+					s.awaitAttemptsEnd() // the second request must find the connection idle
 					if conn := <-sendCopy; moment == "between the requests" {
 						_, _ = io.WriteString(conn, stale)
 					}
