--- a/frame/frame_test.go
+++ b/frame/frame_test.go
@@ -68,14 +68,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := reader(tt.text)
-			h, err := frame.ReadResponse(r, 4096)
-			if err != nil {
-				t.Fatal(err)
-			}
-			b, err := frame.ResponseBody(r, h, "GET")
-			if err != nil {
-				t.Fatal(err)
-			}
+			b := responseBody(t, r)
 			got, err := io.ReadAll(b)
 			if string(got) != tt.body || !errors.Is(err, tt.err) {
 				t.Errorf("got %q and %v, want %q and %v", got, err, tt.body, tt.err)
@@ -122,6 +115,20 @@
 	}
 }
 
+// responseBody reads the head of a response to a GET request and returns its body.
+func responseBody(t *testing.T, r *bufio.Reader) *frame.Body {
+	t.Helper()
+	head, err := frame.ReadResponse(r, 4096)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := frame.ResponseBody(r, head, "GET")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
 // budget is memory for bodies with a number of bytes left.
 type budget struct{ left int }
 
@@ -146,16 +153,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := reader("HTTP/1.1 200 OK\r\n" + tt.fields + "\r\n\r\n" + tt.body)
-			head, err := frame.ReadResponse(r, 4096)
-			if err != nil {
-				t.Fatal(err)
-			}
-			body, err := frame.ResponseBody(r, head, "GET")
-			if err != nil {
-				t.Fatal(err)
-			}
+			body := responseBody(t, r)
 			memory := &budget{left: tt.left}
-			_, err = body.ReadAll(1<<20, memory)
+			_, err := body.ReadAll(1<<20, memory)
 			if !errors.Is(err, tt.err) {
 				t.Errorf("error: got %v, want %v", err, tt.err)
 			}
@@ -169,15 +169,7 @@
 // Guards against trailers without end.
 func TestTrailerLimit(t *testing.T) {
 	r := reader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("A: b\r\n", 10_000) + "\r\n")
-	head, err := frame.ReadResponse(r, 4096)
-	if err != nil {
-		t.Fatal(err)
-	}
-	body, err := frame.ResponseBody(r, head, "GET")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := body.ReadAll(8, nil); !errors.Is(err, frame.ErrTooLarge) {
+	if _, err := responseBody(t, r).ReadAll(8, nil); !errors.Is(err, frame.ErrTooLarge) {
 		t.Errorf("got %v, want %v", err, frame.ErrTooLarge)
 	}
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -246,6 +246,18 @@
 	}
 }
 
+// advanceUntil advances the clock in steps until done is closed.
+func (s *fixture) advanceUntil(done <-chan struct{}) {
+	for {
+		s.manual.Advance(100)
+		select {
+		case <-done:
+			return
+		default:
+		}
+	}
+}
+
 // awaitAttemptsEnd waits until no request is sent to a server and the connections to servers
 // are idle or closed.
 func (s *fixture) awaitAttemptsEnd() {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -403,14 +403,7 @@
 	}
 	close(proceed)
 	busy.wantStatus(200)
-	for done := false; !done; {
-		s.manual.Advance(100)
-		select {
-		case <-stopped:
-			done = true
-		default:
-		}
-	}
+	s.advanceUntil(stopped)
 }
 
 // Guards against a request that a planned stop cuts off without an answer because it came on
@@ -471,14 +464,7 @@
 	}
 	close(proceed)
 	busy.wantStatus(200)
-	for done := false; !done; {
-		s.manual.Advance(100)
-		select {
-		case <-stopped:
-			done = true
-		default:
-		}
-	}
+	s.advanceUntil(stopped)
 }
 
 // Guards against opening a connection for each request, and against reusing one that
