propagation, control: acknowledge a change once no relay acts on the former state in time

Cause: a catalog was acknowledged at its commit, without a look at the relays. A leaving was acknowledged once the relays of the last 2 s knew, and at once by a new leader that had heard from none, or by a frozen one that had forgotten them. A relay that does not hear of a change acts on the former state until its lease ends, 4 s after its last confirmation; the bounds are 2 to 3 s after the acknowledgement. The class of fault: a promise made to one party without knowledge of who can still break it.

Change: package propagation decides, without network, when a change is in force: all holders of leases know it, or the leases of the others end within the time that the acknowledgement allows. The leader keeps one tracker for catalogs and one for the server list; a member reports the oldest state that it or one of its entries uses. A new leader waits for the leases of its predecessor. Until then the call gets 503 and is repeated; acknowledgement_delayed (event 316) names the entries that are waited for. The lease follows from revoke, apply, drain and acknowledgement times, which members now know too. An older term can no longer reset the server list of a newer one.

Ruled out: longer waits alone (a dead relay would block each change), and a shorter lease (it would cut service at each change of leader).

--- a/control/catalog.go
+++ b/control/catalog.go
@@ -12,6 +12,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/replica"
 )
 
@@ -106,7 +107,7 @@
 }
 
 // commitCatalog commits a document to the replicated log and returns the encoded
-// answer of the state machine.
+// answer of the state machine once no entry uses an older catalog after Options.ApplyTime.
 func (c *Control) commitCatalog(ctx context.Context, d catalog.Document) ([]byte, error) {
 	data, err := c.propose(ctx, command{document: &d})
 	if err != nil {
@@ -118,9 +119,32 @@
 	}
 	c.options.Logger.Log(event.CatalogCommitted, zap.Uint64("revision", d.Revision),
 		zap.String("verdict", string(answer.Outcome)), zap.Uint64("in_force", answer.Revision))
+	if err := c.awaitCatalog(d.Revision); err != nil {
+		return nil, err
+	}
 	return data, nil
 }
 
+// awaitCatalog returns nil once no entry uses a catalog older than the revision after
+// Options.ApplyTime, and an error if some may.
+func (c *Control) awaitCatalog(revision uint64) error {
+	status := c.log.Load().Status()
+	if err := c.confirmLeading(status.Term); err != nil {
+		return unknownError("the catalog is committed, but the leader has changed")
+	}
+	c.serverRegistry.receive(status.Term, nil)
+	c.propagation.publishCatalog(c.options.Clock.Now(), revision)
+	inForce := c.awaitPropagation(func(now clock.Millis) bool {
+		return c.propagation.catalogInForce(now, revision, c.options.ApplyTime)
+	})
+	if !inForce {
+		waiting := c.propagation.waiting(c.options.Clock.Now(), revision, propagation.Version{})
+		c.options.Logger.Log(event.AcknowledgementDelayed, zap.Uint64("revision", revision), zap.Strings("entries", waiting))
+		return unknownError("the catalog is committed, but some entries may still use an older one")
+	}
+	return nil
+}
+
 // readCatalog returns the encoded document with the highest accepted revision.
 // It calls Proposer.Barrier first, which fails unless a quorum confirms that this
 // member still leads.
--- a/control/catalog_test.go
+++ b/control/catalog_test.go
@@ -12,9 +12,20 @@
 	"github.com/galenaslip/galenaslip/roster"
 )
 
+// testApplyTime is how long an entry may use a former state after a change was acknowledged,
+// in tests of acknowledgements.
+const testApplyTime = 400 * clock.Millisecond
+
+// withLease returns a configure function of newSeededGroup for entries with leases of the
+// given duration. Without it, acknowledgements do not wait for entries.
+func withLease(lease clock.Millis) func(*control.Options) {
+	return func(o *control.Options) { o.EntryLease, o.ApplyTime, o.DrainTime = lease, testApplyTime, testApplyTime }
+}
+
 // newSeededGroup starts members that know only the addresses of three seeds. The
-// seeds form the group and the others join it. It returns once all of them vote.
-func newSeededGroup(tb testing.TB, size int) *group {
+// seeds form the group and the others join it. It returns once all of them vote. The
+// configure functions change the options of each member.
+func newSeededGroup(tb testing.TB, size int, configure ...func(*control.Options)) *group {
 	tb.Helper()
 	const seeds = 3
 	g := &group{
@@ -32,6 +43,9 @@
 			Voters: 9, VoterTimeout: 4 * clock.Second, PrivateNetwork: true, Clock: g.clock, Logger: event.Discard(),
 			Seeds: func() []string { return addresses[:seeds] },
 		}
+		for _, f := range configure {
+			f(&o)
+		}
 		if i < seeds {
 			o.Members = founders
 		} else {
@@ -147,6 +161,13 @@
 	return r.revision == revision && r.servers["s1"] == state
 }
 
+// hasRevision reports whether the newest catalog has at least this revision.
+func (r *watchRecorder) hasRevision(revision uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision >= revision
+}
+
 // Guards against an entry that misses changes: those made after a change of the
 // leader, and those of a server that announces itself to another member.
 func TestWatch(t *testing.T) {
--- a/control/control.go
+++ b/control/control.go
@@ -44,6 +44,13 @@
 	// ServerTimeout is how long a backend server may send no heartbeat before it is
 	// reported to entries as silent; DefaultServerTimeout when 0.
 	ServerTimeout clock.Millis
+	// EntryLease is the duration of the leases of entries that watch, see propagation.Bounds.
+	// Acknowledgements do not wait for entries when it is 0.
+	EntryLease clock.Millis
+	// ApplyTime is how long an entry may use an older catalog after a newer one was acknowledged.
+	ApplyTime clock.Millis
+	// DrainTime is how long a server may get requests after its leaving was acknowledged.
+	DrainTime clock.Millis
 	// PrivateNetwork turns the token checks off: every request from any address is
 	// accepted.
 	PrivateNetwork      bool
@@ -79,6 +86,7 @@
 	placementController *placementController
 	serverRegistry      *serverRegistry
 	watchingEntries     watchingEntries
+	propagation         *changePropagation
 	delegate            *delegate
 	changed             *changeNotifier // notified when the answers to watches have changed
 	reported            *changeNotifier // notified when an entry has reported what it knows
@@ -107,6 +115,8 @@
 		tokens:   tokens{operator: options.OperatorToken, peer: options.PeerToken, privateNetwork: options.PrivateNetwork},
 		changed:  newChangeNotifier(),
 		reported: newChangeNotifier(),
+
+		propagation: newChangePropagation(options.EntryLease),
 	}
 	c.machine.onCatalogChange = c.changed.notify
 	c.serverRegistry = newServerRegistry(c)
--- a/control/delegate.go
+++ b/control/delegate.go
@@ -9,6 +9,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
 )
@@ -68,17 +69,17 @@
 	count, demands := c.watchingEntries.demandsExcept(now, "")
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	r := Report{Revision: max(c.machine.Catalog().Revision, d.document.Revision), MaxWait: idleDelegateWait}
+	position := propagation.Version{Term: d.mirror.Epoch(), Number: d.mirror.Position()}
+	r.AcknowledgedRevision, r.Acknowledged = c.propagation.oldestKnown(now, r.Revision, position)
 	if !d.delegates() {
 		// Entries that ask this member are sent on to the leader, which hears from them itself.
 		d.reported = 0
-		return Report{Revision: c.machine.Catalog().Revision, MaxWait: idleDelegateWait}
+		return r
 	}
 	d.reported = count
-	r := Report{
-		LoadsKept: now-d.loadsReportedAt < loadsInterval(d.loadsReported), Demands: demands, Revision: max(c.machine.Catalog().Revision, d.document.Revision), EntryCount: count,
-		Acknowledged: c.watchingEntries.acknowledged(now, d.mirror.Epoch(), d.mirror.Position()),
-		Heartbeats:   lo.Values(d.heartbeats), MaxWait: delegateWait,
-	}
+	r.LoadsKept = now-d.loadsReportedAt < loadsInterval(d.loadsReported)
+	r.Demands, r.EntryCount, r.Heartbeats, r.MaxWait = demands, count, lo.Values(d.heartbeats), delegateWait
 	d.heartbeats = map[string]roster.Announcement{}
 	if !r.LoadsKept {
 		r.Loads = c.watchingEntries.loadsExcept(now, "")
--- a/control/delegate_test.go
+++ b/control/delegate_test.go
@@ -12,6 +12,9 @@
 	"github.com/galenaslip/galenaslip/roster"
 )
 
+// entryLease is the duration of leases in tests of acknowledgements. An election takes less.
+const entryLease = 5 * clock.Second
+
 // watchingEntry is an entry that watches the group. Its lock guards the embedded recorder
 // and the fields below.
 type watchingEntry struct {
@@ -39,6 +42,19 @@
 	return e.passedOn, e.entryCount, e.load, e.confirmedAfter
 }
 
+func (e *watchingEntry) requestDelay() clock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.delay
+}
+
+// pause makes the entry send no more requests.
+func (e *watchingEntry) pause() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delay = clock.Minute
+}
+
 // watch starts entries that know only the group's seeds. Each has one request in progress
 // at server s1.
 func (g *group) watch(count int, delay clock.Millis) []*watchingEntry {
@@ -51,7 +67,7 @@
 			Entry: fmt.Sprintf("entry-%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%3), Seeds: func() []string { return seeds },
 			Clock: g.clock, Logger: event.Discard(), Update: e.update,
 			Report: func() control.Report {
-				g.clock.Sleep(g.t.Context(), e.delay)
+				g.clock.Sleep(g.t.Context(), e.requestDelay())
 				return control.Report{Loads: []control.ServerLoad{{Server: "s1", Requests: 1}}}
 			},
 		})
@@ -112,7 +128,7 @@
 func TestLeavingIsAcknowledgedOnceAllEntriesKnow(t *testing.T) {
 	for _, count := range []int{3, 48} {
 		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) {
-			g := newSeededGroup(t, 5)
+			g := newSeededGroup(t, 5, withLease(1500*clock.Millisecond))
 			server := roster.Announcement{Server: "s1", Service: "s", Address: "10.0.0.1:1", State: roster.Serving, StartedAt: 5, Sequence: 1}
 			g.putCatalog("c4", 7)
 			entries := g.watch(count, 50*clock.Millisecond)
@@ -235,3 +251,57 @@
 	cancel()
 	g.eventually("the end of that load", func() bool { _, entries, load, _ := observer.state(); return entries == 1 && load == 0 })
 }
+
+// Guards against a catalog that is acknowledged while an entry still uses an older one: with
+// entries that ask late for changes, an acknowledgement at the commit is too early.
+func TestCatalogIsAcknowledgedOnceAllEntriesUseIt(t *testing.T) {
+	for _, count := range []int{3, 48} {
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) {
+			g := newSeededGroup(t, 5, withLease(1500*clock.Millisecond))
+			g.putCatalog("c4", 7)
+			entries := g.watch(count, 50*clock.Millisecond)
+			g.eventually("all entries to use the first catalog", func() bool {
+				return allOf(entries, func(e *watchingEntry) bool {
+					_, entryCount, _, _ := e.state()
+					return entryCount == count && e.hasRevision(7)
+				})
+			})
+			for i := range uint64(5) {
+				revision := 8 + i
+				g.putCatalog(fmt.Sprintf("c%d", i+1), revision)
+				if !allOf(entries, func(e *watchingEntry) bool { return e.hasRevision(revision) }) {
+					t.Errorf("revision %d acknowledged before all entries use it", revision)
+				}
+			}
+		})
+	}
+}
+
+// Guards against changes that a new leader acknowledges because no entry has reported to it
+// yet, while entries still hold leases of the former leader and cannot learn of the change.
+func TestNewLeaderWaitsForFormerLeases(t *testing.T) {
+	g := newSeededGroup(t, 3, withLease(entryLease))
+	server := roster.Announcement{Server: "s1", Service: "s", Address: "10.0.0.1:1", State: roster.Serving, StartedAt: 5, Sequence: 1}
+	g.putCatalog("c1", 7)
+	g.eventually("an announcement", func() bool { server.Sequence++; return g.running["c1"].Announce(server) == nil })
+	entry := g.watch(1, 0)[0]
+	g.eventually("the entry to know the server", func() bool { return entry.hasSeen(7, roster.Serving) })
+	entry.pause()
+	g.crash(g.leader())
+	name := ""
+	for name = range g.running {
+		break
+	}
+	checkLeaseEnd := func(change string) {
+		acknowledgedAt := g.clock.Now()
+		_, _, _, leaseStart := entry.state()
+		if got, want := acknowledgedAt+testApplyTime, leaseStart+entryLease; got < want {
+			t.Errorf("%s acknowledged: the former state may be used until %d ms, want at least %d ms", change, got, want)
+		}
+	}
+	leaving := server.WithState(roster.Leaving)
+	g.eventually("the acknowledgement of the leaving", func() bool { leaving.Sequence++; return g.running[name].Announce(leaving) == nil })
+	checkLeaseEnd("leaving")
+	g.putCatalog(name, 8)
+	checkLeaseEnd("catalog")
+}
--- a/control/servers.go
+++ b/control/servers.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
 )
@@ -26,10 +27,6 @@
 	announceTimeout = 700 * clock.Millisecond
 	// silenceCheckInterval is how often the list is checked for silent servers.
 	silenceCheckInterval = 250 * clock.Millisecond
-	// departureTimeout bounds the wait until the entries know that a server leaves. It is
-	// below announceTimeout, so that the member that forwarded the announcement learns why
-	// it is not acknowledged. The server repeats it.
-	departureTimeout = 600 * clock.Millisecond
 )
 
 // serverRegistry holds the announcements of backend servers that the leader has
@@ -60,29 +57,39 @@
 func (s *serverRegistry) run(ctx context.Context) {
 	s.control.options.Clock.Every(ctx, silenceCheckInterval, func() {
 		s.mu.Lock()
-		changed := s.registry.CheckTimeouts(s.control.options.Clock.Now())
-		s.mu.Unlock()
-		if changed {
-			s.control.changed.notify()
+		defer s.mu.Unlock()
+		now := s.control.options.Clock.Now()
+		if s.registry.CheckTimeouts(now) {
+			s.publish(now)
 		}
 	})
 }
 
+// publish makes the changes of the registry known. The caller holds the lock.
+func (s *serverRegistry) publish(now clock.Millis) {
+	s.control.propagation.publishServers(now, propagation.Version{Term: s.epoch, Number: s.registry.LastChangeNumber()})
+	s.control.changed.notify()
+}
+
 // receive applies announcements to the registry of a leader term. It creates an
 // empty registry first when the term is new.
 func (s *serverRegistry) receive(term uint64, announcements []roster.Announcement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.control.options.Clock.Now()
+	if term < s.epoch {
+		return // the term has ended while the call was in progress
+	}
 	if s.epoch != term {
 		s.reset(term)
+		s.control.propagation.startTerm(now, s.control.machine.Catalog().Revision)
 	}
-	now := s.control.options.Clock.Now()
 	previousPosition := s.registry.LastChangeNumber()
 	for _, a := range announcements {
 		s.logChange(a, s.apply(now, a))
 	}
 	if s.registry.LastChangeNumber() != previousPosition {
-		s.control.changed.notify()
+		s.publish(now)
 	}
 }
 
@@ -114,38 +121,36 @@
 	return s.registry.ChangedSince(position), s.epoch, s.registry.LastChangeNumber()
 }
 
-// awaitDeparture waits until all entries that watch know that the given servers no longer
-// take requests, and reports whether they do. An entry that has stopped watching is no
-// longer waited for after entryTimeout.
-func (c *Control) awaitDeparture(servers []string) bool {
-	timeout, release := c.options.Clock.After(departureTimeout)
-	defer release()
-	for {
-		reported := c.reported.nextChange()
-		if c.knownToEntries(servers) {
-			return true
-		}
-		select {
-		case <-reported:
-		case <-timeout:
-			return c.knownToEntries(servers)
-		}
+// awaitDeparture returns nil once no entry sends requests to the given servers after
+// Options.DrainTime, and an error if some may.
+func (c *Control) awaitDeparture(servers []string) error {
+	position := c.serverRegistry.newestChange(servers)
+	inForce := c.awaitPropagation(func(now clock.Millis) bool {
+		return c.propagation.serversInForce(now, position, c.options.DrainTime)
+	})
+	if !inForce {
+		waiting := c.propagation.waiting(c.options.Clock.Now(), 0, position)
+		c.options.Logger.Log(event.AcknowledgementDelayed, zap.Strings("servers", servers), zap.Strings("entries", waiting))
+		return notRunError("some entries may not know yet that the server leaves")
 	}
+	return c.confirmLeading(position.Term)
 }
 
-// knownToEntries reports whether all entries that watch know the newest records of the
-// given servers.
-func (c *Control) knownToEntries(servers []string) bool {
-	change, epoch := c.serverRegistry.newestChange(servers)
-	return c.watchingEntries.acknowledged(c.options.Clock.Now(), epoch, change) >= change
+// confirmLeading returns an error unless this member still leads in the given term. What
+// entries have reported to it counts for nothing if another member has led meanwhile.
+func (c *Control) confirmLeading(term uint64) error {
+	status := c.log.Load().Status()
+	if status.Role != replica.Leader || status.LeaseRemaining <= 0 || status.Term != term {
+		return notRunError("the leader has changed")
+	}
+	return nil
 }
 
-// newestChange returns the position of the newest change of the given servers, and the
-// epoch of the list.
-func (s *serverRegistry) newestChange(servers []string) (position, epoch uint64) {
+// newestChange returns the position of the newest change of the given servers.
+func (s *serverRegistry) newestChange(servers []string) propagation.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.NewestChangeOf(servers), s.epoch
+	return propagation.Version{Term: s.epoch, Number: s.registry.NewestChangeOf(servers)}
 }
 
 // departures returns the names of the servers that no longer take requests.
@@ -185,8 +190,8 @@
 	if err := c.applyAnnouncements(announcements); err != nil {
 		return err
 	}
-	if leaving := departures(announcements); len(leaving) > 0 && !c.awaitDeparture(leaving) {
-		return notRunError("some entries do not know yet that the server leaves")
+	if leaving := departures(announcements); len(leaving) > 0 {
+		return c.awaitDeparture(leaving)
 	}
 	return nil
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -50,19 +50,20 @@
 	// account. Other entries are answered by the leader alone.
 	AcceptsDelegation bool
 	// Delegate is set in the request of a member. The fields after it are set by members.
-	Delegate     *delegation.Member
-	EntryCount   int                   // number of entries that watch the member
-	Acknowledged uint64                // position up to which all of these entries know all changes
-	Heartbeats   []roster.Announcement // heartbeats that changed nothing, received since the last request
+	Delegate             *delegation.Member
+	EntryCount           int                   // number of entries that watch the member
+	Acknowledged         uint64                // position up to which the member and all of these entries know all changes
+	AcknowledgedRevision uint64                // oldest revision of the catalog that the member or one of these entries uses
+	Heartbeats           []roster.Announcement // heartbeats that changed nothing, received since the last request
 }
 
-// acknowledged returns the position in the server list up to which everyone on whose behalf
-// the request was sent knows all changes.
-func (w WatchRequest) acknowledged() uint64 {
+// acknowledged returns the revision of the catalog and the position in the server list up to
+// which everyone on whose behalf the request was sent knows all changes.
+func (w WatchRequest) acknowledged() (revision, position uint64) {
 	if w.Delegate != nil {
-		return w.Acknowledged
+		return w.AcknowledgedRevision, w.Acknowledged
 	}
-	return w.Position
+	return w.Revision, w.Position
 }
 
 // ServiceDemand is the number of prompt tokens in recent requests to the engines of a
@@ -114,6 +115,7 @@
 func (c *Control) answerWatch(watch WatchRequest) WatchResponse {
 	receivedAt := c.options.Clock.Now()
 	c.watchingEntries.update(receivedAt, watch)
+	c.propagation.report(receivedAt, watch)
 	c.reported.notify()
 	if len(watch.Heartbeats) > 0 {
 		c.receiveHeartbeats(watch.Heartbeats)
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -28,6 +28,8 @@
 	EntryCount        int           `json:"entries,omitempty"`
 	Acknowledged      uint64        `json:"acknowledged,omitempty"`
 	Heartbeats        []wireServer  `json:"heartbeats,omitempty"`
+
+	AcknowledgedRevision uint64 `json:"acknowledged_revision,omitempty"`
 }
 
 // wireDelegate is the JSON form of delegation.Member.
@@ -93,7 +95,7 @@
 		Entry: watch.Entry, Revision: watch.Revision, Epoch: watch.Epoch, Position: watch.Position, MaxWait: watch.MaxWait,
 		Loads: toWireLoads(watch.Loads), Demands: toWireDemands(watch.Demands),
 		LoadsKept: watch.LoadsKept, AcceptsDelegation: watch.AcceptsDelegation, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
-		Acknowledged: watch.Acknowledged, Heartbeats: toWireAnnouncements(watch.Heartbeats),
+		Acknowledged: watch.Acknowledged, AcknowledgedRevision: watch.AcknowledgedRevision, Heartbeats: toWireAnnouncements(watch.Heartbeats),
 	})
 	return data, errors.WithStack(err)
 }
@@ -107,7 +109,7 @@
 		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, MaxWait: w.MaxWait,
 		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
 		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
-		Acknowledged: w.Acknowledged, Heartbeats: fromWireAnnouncements(w.Heartbeats),
+		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: fromWireAnnouncements(w.Heartbeats),
 	}, nil
 }
 
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -61,9 +61,11 @@
 	LoadsKept    bool   // Loads is left out, see WatchRequest
 	Revision     uint64 // newest revision of the catalog that the member has itself
 	EntryCount   int
-	Acknowledged uint64
+	Acknowledged uint64 // see WatchRequest
 	Heartbeats   []roster.Announcement
 	MaxWait      clock.Millis // longPollWait when 0
+
+	AcknowledgedRevision uint64 // see WatchRequest
 }
 
 // Watcher watches the control group for an entry: it sends one watch request
@@ -174,7 +176,7 @@
 	request := w.request
 	request.Loads, request.Demands, request.Heartbeats = report.Loads, report.Demands, report.Heartbeats
 	request.LoadsKept = report.LoadsKept
-	request.EntryCount, request.Acknowledged = report.EntryCount, report.Acknowledged
+	request.EntryCount, request.Acknowledged, request.AcknowledgedRevision = report.EntryCount, report.Acknowledged, report.AcknowledgedRevision
 	request.Revision = max(request.Revision, report.Revision)
 	request.MaxWait = lo.Ternary(report.MaxWait > 0, report.MaxWait, longPollWait)
 	data, err := encodeWatch(request)
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -22,14 +22,12 @@
 
 // entryReport holds what the latest WatchRequest of an entry has reported.
 type entryReport struct {
-	receivedAt   clock.Millis
-	loads        []ServerLoad
-	demands      []ServiceDemand
-	entryCount   int    // number of entries that the report stands for
-	epoch        uint64 // epoch of the server list that acknowledged refers to
-	acknowledged uint64 // position in the server list up to which these entries know all changes
-	delegate     *delegation.Member
-	loadsSentAt  clock.Millis // when the entry was last sent the loads of the others
+	receivedAt  clock.Millis
+	loads       []ServerLoad
+	demands     []ServiceDemand
+	entryCount  int // number of entries that the report stands for
+	delegate    *delegation.Member
+	loadsSentAt clock.Millis // when the entry was last sent the loads of the others
 }
 
 func newEntryReport(now clock.Millis, watch WatchRequest) entryReport {
@@ -39,7 +37,7 @@
 	}
 	return entryReport{
 		receivedAt: now, loads: watch.Loads, demands: watch.Demands, entryCount: count,
-		epoch: watch.Epoch, acknowledged: watch.acknowledged(), delegate: watch.Delegate,
+		delegate: watch.Delegate,
 	}
 }
 
@@ -192,24 +190,6 @@
 	return members
 }
 
-// acknowledged returns the position in the server list of the given epoch up to which all
-// entries that watch know all changes. It returns newest if no entry watches.
-func (w *watchingEntries) acknowledged(now clock.Millis, epoch, newest uint64) uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	position := newest
-	for _, e := range w.entries {
-		switch {
-		case !e.isCurrent(now) || e.entryCount == 0:
-		case e.epoch != epoch:
-			return 0
-		default:
-			position = min(position, e.acknowledged)
-		}
-	}
-	return position
-}
-
 // sumLoads returns the sums of two lists of loads, one element for each server.
 func sumLoads(a, b []ServerLoad) []ServerLoad {
 	if len(a) == 0 {
--- a/setting/site.go
+++ b/setting/site.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/propagation"
 )
 
 // The roles of the processes that run on the hosting platform to which package
@@ -34,6 +35,9 @@
 	MemoryMB          int
 	StopTimeout       clock.Millis // longest time of a planned stop
 	HeartbeatInterval clock.Millis // interval of the announcements of a backend server
+	// Bounds are the times within which changes must be acknowledged and be in force. The
+	// duration of the relays' leases follows from them, so relays and members need the same.
+	Bounds propagation.Bounds
 }
 
 // PeerAddress returns the address at which the member on this VM listens for other
@@ -55,9 +59,6 @@
 	Listen      string // for callers
 	ReadyListen string // for readiness checks
 	StateListen string // for metrics and the state dump; not served when empty
-	// RevokeTime is the longest time for which an API key may still work after it was
-	// revoked.
-	RevokeTime clock.Millis
 	// The next three fields are the retry budget of a service: in each RetryWindow, all
 	// relays together send at most RetryRatio times the number of requests as retries, and
 	// in addition a fixed number of them.
@@ -88,6 +89,10 @@
 	MemoryMB         int      `yaml:"memory_mb"`
 	StopS            float64  `yaml:"stop_s"`
 	HeartbeatMS      int64    `yaml:"heartbeat_ms"`
+	RevokeMS         int64    `yaml:"revoke_ms"`
+	ApplyMS          int64    `yaml:"apply_ms"`
+	DrainMS          int64    `yaml:"drain_ms"`
+	AckMS            int64    `yaml:"ack_ms"`
 }
 
 // wireRelay is Relay in YAML.
@@ -96,7 +101,6 @@
 	Listen          string   `yaml:"listen"`
 	ReadyListen     string   `yaml:"ready_listen"`
 	StateListen     string   `yaml:"state_listen"`
-	RevokeMS        int64    `yaml:"revoke_ms"`
 	RetryRatio      float64  `yaml:"retry_ratio"`
 	RetryWindowS    float64  `yaml:"retry_window_s"`
 	MaxExtraRetries int      `yaml:"retry_slack"`
@@ -112,7 +116,9 @@
 
 // defaultNode returns the values of keys that a settings file leaves out.
 func defaultNode() wireNode {
-	return wireNode{LogLevel: "info", MemoryMB: 256, StopS: 8, HeartbeatMS: 1000}
+	return wireNode{
+		LogLevel: "info", MemoryMB: 256, StopS: 8, HeartbeatMS: 1000, RevokeMS: 5000, ApplyMS: 2000, DrainMS: 2000, AckMS: 4000,
+	}
 }
 
 // secondsToMillis converts seconds to milliseconds.
@@ -123,6 +129,9 @@
 		Name: w.Name, AvailabilityZone: w.AvailabilityZone, Address: w.Address, PeerPort: w.PeerPort, Seeds: w.Seeds,
 		LogLevel: w.LogLevel, MemoryMB: w.MemoryMB, StopTimeout: secondsToMillis(w.StopS),
 		HeartbeatInterval: clock.Millis(w.HeartbeatMS),
+		Bounds: propagation.Bounds{
+			Revoke: clock.Millis(w.RevokeMS), Apply: clock.Millis(w.ApplyMS), Drain: clock.Millis(w.DrainMS), Ack: clock.Millis(w.AckMS),
+		},
 	}
 }
 
@@ -132,12 +141,12 @@
 	if err != nil {
 		return Relay{}, err
 	}
-	w := wireRelay{Node: defaultNode(), RevokeMS: 5000, RetryRatio: 0.1, RetryWindowS: 10, MaxExtraRetries: 20}
+	w := wireRelay{Node: defaultNode(), RetryRatio: 0.1, RetryWindowS: 10, MaxExtraRetries: 20}
 	if err := d.decode(&w); err != nil {
 		return Relay{}, err
 	}
 	r := Relay{
-		Node: w.Node.toSettings(), Listen: w.Listen, ReadyListen: w.ReadyListen, StateListen: w.StateListen, RevokeTime: clock.Millis(w.RevokeMS),
+		Node: w.Node.toSettings(), Listen: w.Listen, ReadyListen: w.ReadyListen, StateListen: w.StateListen,
 		RetryRatio: w.RetryRatio, RetryWindow: secondsToMillis(w.RetryWindowS), MaxExtraRetries: w.MaxExtraRetries,
 	}
 	return r, d.checkRelay(w)
@@ -177,6 +186,10 @@
 		{"memory_mb", int64(w.MemoryMB), 32, 1 << 20},
 		{"stop_s", int64(w.StopS), 1, 3600},
 		{"heartbeat_ms", w.HeartbeatMS, 50, 60_000},
+		{"revoke_ms", w.RevokeMS, int64(MinRevokeTime), 600_000},
+		{"apply_ms", w.ApplyMS, int64(MinApplyTime), 600_000},
+		{"drain_ms", w.DrainMS, int64(MinApplyTime), 600_000},
+		{"ack_ms", w.AckMS, int64(MinApplyTime), 600_000},
 	})
 }
 
@@ -206,14 +219,16 @@
 		return d.errorAt("$.retry_ratio", "retry_ratio %g or retry_window_s %g is out of range", w.RetryRatio, w.RetryWindowS)
 	}
 	return d.checkRanges([]numberRange{
-		{"revoke_ms", w.RevokeMS, int64(MinRevokeTime), 600_000},
 		{"retry_slack", int64(w.MaxExtraRetries), 0, 1_000_000},
 	})
 }
 
-// MinRevokeTime is the lowest allowed value of Relay.RevokeTime. A relay's lease is derived
-// from it and must outlast an election of the control group.
-const MinRevokeTime = 3 * clock.Second
+// The lowest allowed values of the bounds of Node.Bounds. The duration of a relay's lease is
+// derived from them and must outlast an election of the control group.
+const (
+	MinRevokeTime = 3 * clock.Second
+	MinApplyTime  = 1 * clock.Second
+)
 
 func (d document) checkGroupMember(w wireGroupMember) error {
 	if err := d.checkNode(w.Node, RoleMember); err != nil {
