relay: no attempt without a lease

The lease was checked when a request arrived, not before a retry, so a request could be sent to a server that had left, or with a revoked key, long after the lease that makes up for missed changes.

Change: each attempt of a route that is not public needs the lease. Without it the request ends as it does when no server is left.

Result: TestNoRetryWithoutLease got 2 attempts before, 1 now.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -197,10 +197,14 @@
 	}
 }
 
-// beginAttempt starts the next attempt. Its server is nil if none can be used or if
-// the request would begin too late.
+// beginAttempt starts the next attempt. Its server is nil if none can be used, if the
+// request would begin too late, or if the lease has ended: without one, the relay may not
+// know that a server leaves or that a key was revoked.
 func (x *exchange) beginAttempt() *attempt {
 	a := &attempt{exchange: x, repeatable: x.repeatable()}
+	if !x.route.Public && !x.relay.Leased() {
+		return a
+	}
 	a.server = x.relay.fleet.pickServer(x.relay.clock.Now(), x.requirements, a)
 	if a.server == nil {
 		return a
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -315,6 +315,26 @@
 	}
 }
 
+// Guards against a retry that is sent after the lease has ended: the relay may not know by
+// then that its server leaves, or that the key of the request was revoked.
+func TestNoRetryWithoutLease(t *testing.T) {
+	var s *fixture
+	lose := func(req receivedRequest) {
+		if req.head.Target == "/safe/1" {
+			s.manual.Advance(5 * clock.Second)
+		}
+		_ = req.conn.Close()
+	}
+	first, second := newBackend(t, func(req receivedRequest) { lose(req) }), newBackend(t, func(req receivedRequest) { lose(req) })
+	s = newFixture(t, first, second)
+	c := s.client()
+	c.get("/safe/1", "1")
+	c.wantStatus(502)
+	if got, want := first.count()+second.count(), 1; got != want {
+		t.Errorf("attempts: got %d, want %d", got, want)
+	}
+}
+
 // Guards against refusals with a status that does not tell the caller the cause.
 func TestRefusals(t *testing.T) {
 	b := newBackend(t, func(req receivedRequest) { respondOK(req, "ran") })
