catalog, control: entries get catalogs compressed

Cause: a watch ends after 0.7 s. A response with a catalog of 2 MB, in base64 in JSON, takes 0.9 s on a link of 25 Mbit/s and 34 of them keep the leader busy for longer. The relay gives up, asks again, and the leader sends all of it again. While this goes on the relay learns of no other change either. The class of fault: a retry that repeats work which cannot end in time (congestion collapse).

Change: the document is compressed once a revision and sent to entries that say that they accept it; entries of the former build get it as before.

Ruled out: a longer timeout alone, because relays would take longer to leave a member that no longer answers.

TestLargeCatalogIsCompressed got a response of the size of the document before and a quarter of it at most now.

--- a/control/catalog_test.go
+++ b/control/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 
@@ -197,3 +198,37 @@
 	announce(name, leaving)
 	g.eventually("the changes at the next leader", func() bool { return recorder.hasSeen(8, roster.Leaving) })
 }
+
+// Guards against a catalog of thousands of routes that never reaches the entries, because its
+// transfer takes longer than the timeout of a watch and each further try starts again. Entries
+// of the former build, which do not accept compression, get the document as it is.
+func TestLargeCatalogIsCompressed(t *testing.T) {
+	g := newSeededGroup(t, 3)
+	var body []byte
+	for i := range 7000 {
+		body = fmt.Appendf(body, `{"name":"r-%d","host":"h%d.example","prefix":"/p%d/","kind":"idempotent","timeoutMs":4000,"service":"s"},`, i, i%7, i*31)
+	}
+	document := catalog.Document{Revision: 7, Body: body}
+	g.eventually("the catalog", func() bool { _, err := g.running["c1"].PutCatalog(t.Context(), document); return err == nil })
+	leader := g.memberOptions[g.leader()].Listen
+	tests := []struct {
+		name     string
+		watch    string
+		maxBytes int
+		field    string
+	}{
+		{"new build", `{"entry":"e","accepts_compressed":true}`, len(body) / 4, "document_flate_base64"},
+		{"former build", `{"entry":"f"}`, 2 * len(body), "body_base64"},
+	}
+	for _, tt := range tests {
+		_, response := request(t, "POST", "http://"+leader+"/v1/watch", "", tt.watch)
+		if got, want := len(response), tt.maxBytes; got > want {
+			t.Errorf("%s: response to a watch: got %d bytes, want at most %d", tt.name, got, want)
+		}
+		if !strings.Contains(response, tt.field) {
+			t.Errorf("%s: response without %s", tt.name, tt.field)
+		}
+	}
+	entry := g.watch(1, 0)[0]
+	g.eventually("the catalog at an entry", func() bool { return entry.hasRevision(7) })
+}
--- a/control/control.go
+++ b/control/control.go
@@ -87,6 +87,7 @@
 	serverRegistry      *serverRegistry
 	watchingEntries     watchingEntries
 	propagation         *changePropagation
+	compressor          documentCompressor
 	delegate            *delegate
 	changed             *changeNotifier // notified when the answers to watches have changed
 	reported            *changeNotifier // notified when an entry has reported what it knows
--- a/control/watch.go
+++ b/control/watch.go
@@ -49,6 +49,8 @@
 	// AcceptsDelegation is set by entries that take WatchResponse.ConfirmationAge into
 	// account. Other entries are answered by the leader alone.
 	AcceptsDelegation bool
+	// AcceptsCompression is set by senders that can decompress WatchResponse.Document.
+	AcceptsCompression bool
 	// Delegate is set in the request of a member. The fields after it are set by members.
 	Delegate             *delegation.Member
 	EntryCount           int                   // number of entries that watch the member
@@ -224,5 +226,13 @@
 	if err != nil {
 		return invalidError(fiber.StatusBadRequest, err)
 	}
-	return respond(f)(encodeWatchResponse(c.answerWatch(watch)))
+	response := c.answerWatch(watch)
+	if response.Document == nil || !watch.AcceptsCompression {
+		return respond(f)(encodeWatchResponse(response, nil))
+	}
+	compressed, err := c.compressor.compress(*response.Document)
+	if err != nil {
+		return err
+	}
+	return respond(f)(encodeWatchResponse(response, compressed))
 }
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -9,6 +9,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -24,6 +25,7 @@
 
 	LoadsKept         bool          `json:"loads_kept,omitempty"`
 	AcceptsDelegation bool          `json:"accepts_delegation,omitempty"`
+	AcceptsCompressed bool          `json:"accepts_compressed,omitempty"`
 	Delegate          *wireDelegate `json:"delegate,omitempty"`
 	EntryCount        int           `json:"entries,omitempty"`
 	Acknowledged      uint64        `json:"acknowledged,omitempty"`
@@ -77,6 +79,7 @@
 	Term       uint64        `json:"term"`
 	Revision   uint64        `json:"revision"`
 	Document   *wireDocument `json:"document,omitempty"`
+	Compressed []byte        `json:"document_flate_base64,omitempty"` // in place of Document
 	Epoch      uint64        `json:"epoch"`
 	Position   uint64        `json:"position"`
 	Servers    []wireServer  `json:"servers,omitempty"`
@@ -94,7 +97,7 @@
 	data, err := json.Marshal(wireWatch{
 		Entry: watch.Entry, Revision: watch.Revision, Epoch: watch.Epoch, Position: watch.Position, MaxWait: watch.MaxWait,
 		Loads: toWireLoads(watch.Loads), Demands: toWireDemands(watch.Demands),
-		LoadsKept: watch.LoadsKept, AcceptsDelegation: watch.AcceptsDelegation, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
+		LoadsKept: watch.LoadsKept, AcceptsDelegation: watch.AcceptsDelegation, AcceptsCompressed: watch.AcceptsCompression, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
 		Acknowledged: watch.Acknowledged, AcknowledgedRevision: watch.AcknowledgedRevision, Heartbeats: toWireAnnouncements(watch.Heartbeats),
 	})
 	return data, errors.WithStack(err)
@@ -108,12 +111,14 @@
 	return WatchRequest{
 		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, MaxWait: w.MaxWait,
 		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
-		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
+		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, AcceptsCompression: w.AcceptsCompressed, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
 		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: fromWireAnnouncements(w.Heartbeats),
 	}, nil
 }
 
-func encodeWatchResponse(response WatchResponse) ([]byte, error) {
+// encodeWatchResponse encodes a response. If compressed is not nil, it takes the place of the
+// document's body.
+func encodeWatchResponse(response WatchResponse, compressed []byte) ([]byte, error) {
 	w := wireWatchResponse{
 		Granted: response.Granted, Leader: response.Leader, Term: response.Term, Revision: response.Revision, Epoch: response.Epoch, Position: response.Position,
 		EntryCount: response.EntryCount, Members: response.Members, Loads: toWireLoads(response.Loads), Demands: toWireDemands(response.Demands),
@@ -123,6 +128,9 @@
 		LoadsKept: response.LoadsKept, ConfirmationAge: response.ConfirmationAge,
 		Delegates: lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
 	}
+	if compressed != nil {
+		w.Document, w.Compressed = nil, compressed
+	}
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -132,11 +140,19 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return WatchResponse{}, errors.Wrap(err, "decoding the answer to a watch")
 	}
+	document := (*catalog.Document)(w.Document)
+	if w.Compressed != nil {
+		decompressed, err := catalog.Decompress(w.Revision, w.Compressed, replica.MaxCommandBytes)
+		if err != nil {
+			return WatchResponse{}, err
+		}
+		document = &decompressed
+	}
 	return WatchResponse{
 		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
 		EntryCount: w.EntryCount, Members: w.Members, Loads: fromWireLoads(w.Loads),
 		Demands:  fromWireDemands(w.Demands),
-		Document: (*catalog.Document)(w.Document),
+		Document: document,
 		Servers:  lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.toRecord() }),
 
 		LoadsKept: w.LoadsKept, ConfirmationAge: w.ConfirmationAge,
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -87,7 +87,7 @@
 func NewWatcher(options WatcherOptions) *Watcher {
 	return &Watcher{
 		options: options, peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
-		request: WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, Delegate: options.Delegate},
+		request: WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, AcceptsCompression: true, Delegate: options.Delegate},
 	}
 }
 
