control: acknowledgements do not wait for members that no entry watches

With up to 40 relays all of them watch the leader, and the other members ask for changes only once a second and with less haste.

Cause: the leader waited for the members' own reports although no relay holds a lease from them.

Change: members count only from the time at which the leader tells relays to watch them until the last lease from them has ended. At its beginning the leader waits as at the start of a term.

--- a/control/delegate_test.go
+++ b/control/delegate_test.go
@@ -305,3 +305,25 @@
 	g.putCatalog(name, 8)
 	checkLeaseEnd("catalog")
 }
+
+// Guards against acknowledgements that wait for a member although no entry watches it: with
+// few entries, a slow or silent member would delay each change by the duration of a lease.
+func TestIdleMemberDelaysNoAcknowledgement(t *testing.T) {
+	g := newSeededGroup(t, 3, withLease(entryLease))
+	g.putCatalog("c1", 7)
+	entry := g.watch(1, 0)[0]
+	g.eventually("the entry to use the catalog", func() bool { return entry.hasRevision(7) })
+	g.clock.Sleep(t.Context(), entryLease) // leases of former leaders have ended
+	leader := g.leader()
+	for name := range g.running {
+		if name != leader {
+			g.crash(name)
+			break
+		}
+	}
+	startedAt := g.clock.Now()
+	g.putCatalog(leader, 8)
+	if got, want := g.clock.Now()-startedAt, entryLease/2; got >= want {
+		t.Errorf("acknowledged after %d ms, want less than %d ms", got, want)
+	}
+}
--- a/control/propagation.go
+++ b/control/propagation.go
@@ -17,10 +17,26 @@
 	mu       sync.Mutex
 	catalogs *propagation.Tracker // by revision, which is valid in all terms
 	servers  *propagation.Tracker // by position in the server list of a term
+	lease    clock.Millis         // duration of the entries' leases
+	// delegatesUntil is when the last lease ends that a member may have granted on behalf of
+	// this one. Acknowledgements do not wait for members after it.
+	delegatesUntil clock.Millis
 }
 
 func newChangePropagation(lease clock.Millis) *changePropagation {
-	return &changePropagation{catalogs: propagation.New(lease), servers: propagation.New(lease)}
+	return &changePropagation{catalogs: propagation.New(lease), servers: propagation.New(lease), lease: lease}
+}
+
+// delegate records that members are told to answer entries on behalf of this one. When that
+// begins, the entries of the members have not reported yet.
+func (p *changePropagation) delegate(now clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now >= p.delegatesUntil {
+		p.catalogs.StartTerm(now)
+		p.servers.StartTerm(now)
+	}
+	p.delegatesUntil = now + 2*p.lease
 }
 
 // startTerm begins the term of this member as leader. The given revision is the newest one.
@@ -37,6 +53,9 @@
 	revision, position := watch.acknowledged()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if watch.Delegate != nil && now >= p.delegatesUntil {
+		return
+	}
 	p.catalogs.Report(now, watch.Entry, propagation.Version{Number: revision})
 	p.servers.Report(now, watch.Entry, propagation.Version{Term: watch.Epoch, Number: position})
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -177,6 +177,7 @@
 		response.Document = newerDocument(document, watch.Revision)
 		response.Servers, response.Epoch, response.Position = c.serverRegistry.changesSince(watch.Epoch, watch.Position)
 		if c.watchingEntries.count(now) > maxDirectEntries {
+			c.propagation.delegate(now)
 			response.Delegates = c.watchingEntries.delegates(now, c.delegationMember())
 		}
 	}
