propagation, control: the first catalog of all is acknowledged at once

Cause: the leader waited until the leases on a former catalog had ended, although there was none.

Change: the state machine tells whether a document is the first one, and the tracker counts it as in force.

--- a/catalog/machine.go
+++ b/catalog/machine.go
@@ -31,6 +31,7 @@
 type ApplyResult struct {
 	Outcome  Outcome
 	Revision uint64
+	First    bool // no document was in force before
 }
 
 // Machine is a state machine that holds the accepted document with the highest
@@ -45,8 +46,9 @@
 	if d.Revision <= m.current.Revision {
 		return ApplyResult{Outcome: Superseded, Revision: m.current.Revision}
 	}
+	first := m.current.Revision == 0
 	m.current = Document{Revision: d.Revision, Body: slices.Clone(d.Body)}
-	return ApplyResult{Outcome: Accepted, Revision: d.Revision}
+	return ApplyResult{Outcome: Accepted, Revision: d.Revision, First: first}
 }
 
 // Current returns the accepted document with the highest revision.
--- a/control/catalog.go
+++ b/control/catalog.go
@@ -26,6 +26,7 @@
 type wireApplyResult struct {
 	Outcome  catalog.Outcome `json:"verdict"`
 	Revision uint64          `json:"revision"`
+	First    bool            `json:"first,omitempty"`
 }
 
 func encodeDocument(document catalog.Document) ([]byte, error) {
@@ -119,6 +120,9 @@
 	}
 	c.options.Logger.Log(event.CatalogCommitted, zap.Uint64("revision", d.Revision),
 		zap.String("verdict", string(answer.Outcome)), zap.Uint64("in_force", answer.Revision))
+	if answer.First {
+		c.propagation.publishFirstCatalog(d.Revision)
+	}
 	if err := c.awaitCatalog(d.Revision); err != nil {
 		return nil, err
 	}
--- a/control/propagation.go
+++ b/control/propagation.go
@@ -39,13 +39,16 @@
 	p.delegatesUntil = now + 2*p.lease
 }
 
-// startTerm begins the term of this member as leader. The given revision is the newest one.
+// startTerm begins the term of this member as leader. The given revision is the newest one, 0
+// if there is none.
 func (p *changePropagation) startTerm(now clock.Millis, revision uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.catalogs.StartTerm(now)
 	p.servers.StartTerm(now)
-	p.catalogs.Publish(now, propagation.Version{Number: revision})
+	if revision > 0 {
+		p.catalogs.Publish(now, propagation.Version{Number: revision})
+	}
 }
 
 // report records what the sender of a watch knows.
@@ -67,6 +70,13 @@
 	p.catalogs.Publish(now, propagation.Version{Number: revision})
 }
 
+// publishFirstCatalog records the revision of the first catalog. No entry can use an older one.
+func (p *changePropagation) publishFirstCatalog(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.catalogs.PublishFirst(propagation.Version{Number: revision})
+}
+
 // publishServers records that no older position in the server list is granted any more.
 func (p *changePropagation) publishServers(now clock.Millis, position propagation.Version) {
 	p.mu.Lock()
--- a/propagation/tracker.go
+++ b/propagation/tracker.go
@@ -70,6 +70,11 @@
 	}
 }
 
+// PublishFirst records the first version of all. There is no older state to act on.
+func (t *Tracker) PublishFirst(version Version) {
+	t.publications = append([]publication{{version: version, at: -t.lease}}, t.publications...)
+}
+
 // OldestKnown returns the oldest version that one of the holders knows whose leases may still
 // be valid, or newest if no holder knows an older one.
 func (t *Tracker) OldestKnown(now clock.Millis, newest Version) Version {
--- a/propagation/tracker_test.go
+++ b/propagation/tracker_test.go
@@ -203,6 +203,17 @@
 			}
 		})
 	}
+	first := propagation.New(testLease)
+	first.StartTerm(published)
+	first.PublishFirst(number(1))
+	first.Report(published, "a", number(0))
+	if !first.InForce(published, number(1), testWithin) {
+		t.Error("the first version of all: got not in force, want in force")
+	}
+	first.Publish(published, number(2))
+	if first.InForce(published, number(2), testWithin) {
+		t.Error("the second version: got in force, want not")
+	}
 	tracker := propagation.New(testLease)
 	tracker.Publish(0, number(1))
 	if tracker.InForce(longAfter, number(2), testWithin) {
