quarantine: refuse requests with a part of a prompt that ends servers

Cause: a request whose server ended under it was sent to a second one, which ended too, and nothing that one relay learned reached another. The class of fault: a query of death that a retry multiplies.

Change: package quarantine takes observations and decides, without network. A part of a prompt (never the last) is a suspect when a server ends within a second after it began to answer. After three such ends, each whole answer making up for three, it is quarantined: status 400 without Retry-After, since the next server would end too. A request whose part one more end would quarantine is not repeated. Ends are judged in the order of time; those that a quarantined part explains do not count against the parts beside it. Records merge in any order; relays and members exchange them with their watches when their digests differ, so that leader and relays may be lost. One request is let through as a probe after 15 s, 30 s and so on; a whole answer or `galenaslip quarantine release` lifts it. Records are bounded.

Ruled out: the most ends first.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -51,6 +51,7 @@
 		newConfig(),
 		newControl(),
 		newState(),
+		newQuarantine(),
 		newKey(),
 		newExplain(),
 		newVersion(),
--- a/control/control.go
+++ b/control/control.go
@@ -14,6 +14,7 @@
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/replica"
 )
 
@@ -87,6 +88,7 @@
 	serverRegistry      *serverRegistry
 	watchingEntries     watchingEntries
 	propagation         *changePropagation
+	quarantine          *quarantine.Quarantine
 	compressor          documentCompressor
 	delegate            *delegate
 	changed             *changeNotifier // notified when the answers to watches have changed
@@ -117,7 +119,7 @@
 		changed:  newChangeNotifier(),
 		reported: newChangeNotifier(),
 
-		propagation: newChangePropagation(options.EntryLease),
+		propagation: newChangePropagation(options.EntryLease), quarantine: quarantine.New(quarantine.Options{Entry: options.Name}),
 	}
 	c.machine.onCatalogChange = c.changed.notify
 	c.serverRegistry = newServerRegistry(c)
--- a/control/delegate.go
+++ b/control/delegate.go
@@ -45,7 +45,7 @@
 	d := &delegate{control: c, mirror: roster.NewMirror(), heartbeats: map[string]roster.Announcement{}}
 	d.watcher = NewWatcher(WatcherOptions{
 		Entry: "member " + c.options.Advertise, Token: c.options.PeerToken, Delegate: lo.ToPtr(c.delegationMember()), Seeds: d.leader,
-		Clock: c.options.Clock, Logger: c.options.Logger, Update: d.update, Report: d.report,
+		Clock: c.options.Clock, Logger: c.options.Logger, Update: d.update, Report: d.report, Quarantine: c.quarantine,
 	})
 	return d
 }
--- /dev/null
+++ b/control/quarantine_test.go
@@ -0,0 +1,59 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/quarantine"
+)
+
+// Guards against a poison request that takes servers down at each entry in turn: what a few
+// entries have seen reaches all of them, also those that watch other members, those that
+// start later, and after the leader was lost.
+func TestQuarantineReachesAllEntries(t *testing.T) {
+	for _, count := range []int{3, 48} {
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) {
+			g := newSeededGroup(t, 3)
+			g.putCatalog("c1", 7)
+			var entries []*quarantine.Quarantine
+			start := func(name string) {
+				q := quarantine.New(quarantine.Options{Entry: name})
+				entries = append(entries, q)
+				w := control.NewWatcher(control.WatcherOptions{
+					Entry: name, Seeds: func() []string { return []string{g.memberOptions["c1"].Listen, g.memberOptions["c2"].Listen} },
+					Clock: g.clock, Logger: event.Discard(), Quarantine: q,
+					Update: func(clock.Millis, control.WatchResponse) {}, Report: func() control.Report { return control.Report{} },
+				})
+				go w.Run(t.Context())
+			}
+			for i := range count {
+				start(fmt.Sprintf("entry-%d", i))
+			}
+			allQuarantine := func(parts int) func() bool {
+				return func() bool {
+					for _, q := range entries {
+						if len(q.Quarantined(g.clock.Now())) != parts {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			end := func(part string) {
+				for i := range 3 {
+					run := quarantine.ServerRun{Server: fmt.Sprintf("%s-%d", part, i), StartedAt: 1}
+					entries[i].RecordEnd(g.clock.Now(), "s", []string{part, "own"}, run, 0)
+				}
+			}
+			end("first")
+			g.eventually("the first part to be quarantined at all entries", allQuarantine(1))
+			g.crash(g.leader())
+			start("late entry")
+			end("second")
+			g.eventually("both parts to be quarantined at all entries", allQuarantine(2))
+		})
+	}
+}
--- a/control/watch.go
+++ b/control/watch.go
@@ -7,6 +7,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
 )
@@ -51,6 +52,10 @@
 	AcceptsDelegation bool
 	// AcceptsCompression is set by senders that can decompress WatchResponse.Document.
 	AcceptsCompression bool
+	// Quarantine is what the sender knows about parts of prompts that end servers. It is left
+	// out if the latest response had the same digest.
+	Quarantine       quarantine.Report
+	QuarantineDigest uint64
 	// Delegate is set in the request of a member. The fields after it are set by members.
 	Delegate             *delegation.Member
 	EntryCount           int                   // number of entries that watch the member
@@ -101,6 +106,10 @@
 	Loads      []ServerLoad      // total load of all other entries, one ServerLoad for each server
 	Demands    []ServiceDemand   // total demand of all other entries, one ServiceDemand for each service
 
+	// Quarantine is what the member knows about parts of prompts that end servers. It is left
+	// out if the request had the same digest. Both are set without a grant, too.
+	Quarantine       quarantine.Report
+	QuarantineDigest uint64
 	// LoadsKept is set if Loads is left out: those of an earlier response still hold.
 	LoadsKept bool
 	// ConfirmationAge is by how much the leader's confirmation is older than the entry's
@@ -118,6 +127,7 @@
 	receivedAt := c.options.Clock.Now()
 	c.watchingEntries.update(receivedAt, watch)
 	c.propagation.report(receivedAt, watch)
+	c.quarantine.Merge(receivedAt, watch.Quarantine)
 	c.reported.notify()
 	if len(watch.Heartbeats) > 0 {
 		c.receiveHeartbeats(watch.Heartbeats)
@@ -228,6 +238,7 @@
 		return invalidError(fiber.StatusBadRequest, err)
 	}
 	response := c.answerWatch(watch)
+	response.QuarantineDigest, response.Quarantine = c.exchangeQuarantine(watch)
 	if response.Document == nil || !watch.AcceptsCompression {
 		return respond(f)(encodeWatchResponse(response, nil))
 	}
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -32,6 +32,9 @@
 	Heartbeats        []wireServer  `json:"heartbeats,omitempty"`
 
 	AcknowledgedRevision uint64 `json:"acknowledged_revision,omitempty"`
+
+	Quarantine       *wireQuarantine `json:"quarantine,omitempty"`
+	QuarantineDigest uint64          `json:"quarantine_digest,omitempty"`
 }
 
 // wireDelegate is the JSON form of delegation.Member.
@@ -91,6 +94,9 @@
 	LoadsKept       bool           `json:"loads_kept,omitempty"`
 	ConfirmationAge clock.Millis   `json:"confirmation_age_ms,omitempty"`
 	Delegates       []wireDelegate `json:"delegates,omitempty"`
+
+	Quarantine       *wireQuarantine `json:"quarantine,omitempty"`
+	QuarantineDigest uint64          `json:"quarantine_digest,omitempty"`
 }
 
 func encodeWatch(watch WatchRequest) ([]byte, error) {
@@ -99,6 +105,7 @@
 		Loads: toWireLoads(watch.Loads), Demands: toWireDemands(watch.Demands),
 		LoadsKept: watch.LoadsKept, AcceptsDelegation: watch.AcceptsDelegation, AcceptsCompressed: watch.AcceptsCompression, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
 		Acknowledged: watch.Acknowledged, AcknowledgedRevision: watch.AcknowledgedRevision, Heartbeats: toWireAnnouncements(watch.Heartbeats),
+		Quarantine: toWireQuarantine(watch.Quarantine), QuarantineDigest: watch.QuarantineDigest,
 	})
 	return data, errors.WithStack(err)
 }
@@ -113,6 +120,7 @@
 		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
 		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, AcceptsCompression: w.AcceptsCompressed, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
 		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: fromWireAnnouncements(w.Heartbeats),
+		Quarantine: w.Quarantine.toReport(), QuarantineDigest: w.QuarantineDigest,
 	}, nil
 }
 
@@ -126,6 +134,7 @@
 		Servers:  lo.Map(response.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
 
 		LoadsKept: response.LoadsKept, ConfirmationAge: response.ConfirmationAge,
+		Quarantine: toWireQuarantine(response.Quarantine), QuarantineDigest: response.QuarantineDigest,
 		Delegates: lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
 	}
 	if compressed != nil {
@@ -156,6 +165,7 @@
 		Servers:  lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.toRecord() }),
 
 		LoadsKept: w.LoadsKept, ConfirmationAge: w.ConfirmationAge,
+		Quarantine: w.Quarantine.toReport(), QuarantineDigest: w.QuarantineDigest,
 		Delegates: lo.Map(w.Delegates, func(d wireDelegate, _ int) delegation.Member { return delegation.Member(d) }),
 	}, nil
 }
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -48,6 +49,8 @@
 	// the time from which the lease counts: the leader has confirmed the response later. It
 	// is called from the goroutine of Run.
 	Update func(confirmedAfter clock.Millis, response WatchResponse)
+	// Quarantine is exchanged with the member that is asked.
+	Quarantine *quarantine.Quarantine
 	// Report returns what the next request reports. It is called from the goroutine of Run
 	// before each request.
 	Report func() Report
@@ -80,11 +83,15 @@
 	delegates       delegates    // members that answer on behalf of the leader
 	request         WatchRequest // the next request
 	confirmedSource string       // address that sent the latest granted response; empty after a failure
+	memberDigest    uint64       // digest of the quarantine in the latest response
 	failures        int          // watches that failed or were not granted since the latest granted one
 }
 
 // NewWatcher returns a watcher. It sends nothing until Run is called.
 func NewWatcher(options WatcherOptions) *Watcher {
+	if options.Quarantine == nil {
+		options.Quarantine = quarantine.New(quarantine.Options{Entry: options.Entry})
+	}
 	return &Watcher{
 		options: options, peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
 		request: WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, AcceptsCompression: true, Delegate: options.Delegate},
@@ -123,6 +130,8 @@
 	case len(response.Members) > 0:
 		w.memberAddresses = response.Members
 	}
+	w.options.Quarantine.Merge(w.options.Clock.Now(), response.Quarantine)
+	w.memberDigest = response.QuarantineDigest
 	if !response.Granted || response.Epoch < w.request.Epoch {
 		w.leaderAddress = response.Leader
 		w.delegates.skip(w.options.Clock.Now())
@@ -179,6 +188,11 @@
 	request.EntryCount, request.Acknowledged, request.AcknowledgedRevision = report.EntryCount, report.Acknowledged, report.AcknowledgedRevision
 	request.Revision = max(request.Revision, report.Revision)
 	request.MaxWait = lo.Ternary(report.MaxWait > 0, report.MaxWait, longPollWait)
+	now := w.options.Clock.Now()
+	request.QuarantineDigest = w.options.Quarantine.Digest(now)
+	if request.QuarantineDigest != w.memberDigest {
+		request.Quarantine = w.options.Quarantine.Report(now)
+	}
 	data, err := encodeWatch(request)
 	if err != nil {
 		return WatchResponse{}, err
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/quarantine"
 )
 
 // result is the way in which an attempt at a server ended.
@@ -56,16 +57,17 @@
 type attempt struct {
 	exchange       *exchange
 	server         *server
-	uncachedTokens int          // prompt tokens that the server probably has not cached
-	decodeCost     float64      // estimated work of generating the output, in equivalent prompt tokens (see engine.go)
-	repeatable     bool         // the request may be sent to another server if this attempt fails
-	load           float64      // requests at the server when it was chosen, this one excluded
-	loadAge        clock.Millis // age of the other entries' load report, which is included in load
-	engineWork     float64      // work at the engine when it was chosen, in equivalent prompt tokens, this prompt included
-	tooLate        bool         // no server was chosen because the request would wait too long at its engine; see package forecast
-	chosenAt       clock.Millis // when the server was chosen, before the request was sent
-	firstByteSeen  bool         // recordFirstByte was called, so the prompt no longer counts as unprocessed
-	firstByteAt    clock.Millis // when the head of the response was read; 0 before
+	uncachedTokens int                  // prompt tokens that the server probably has not cached
+	decodeCost     float64              // estimated work of generating the output, in equivalent prompt tokens (see engine.go)
+	repeatable     bool                 // the request may be sent to another server if this attempt fails
+	load           float64              // requests at the server when it was chosen, this one excluded
+	loadAge        clock.Millis         // age of the other entries' load report, which is included in load
+	engineWork     float64              // work at the engine when it was chosen, in equivalent prompt tokens, this prompt included
+	tooLate        bool                 // no server was chosen because the request would wait too long at its engine; see package forecast
+	run            quarantine.ServerRun // identifies the server until it starts again
+	chosenAt       clock.Millis         // when the server was chosen, before the request was sent
+	firstByteSeen  bool                 // recordFirstByte was called, so the prompt no longer counts as unprocessed
+	firstByteAt    clock.Millis         // when the head of the response was read; 0 before
 	result         result
 	err            error
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -50,6 +50,8 @@
 	lastFailure  *fullResponse // newest failure for which a server sent a response
 	out          output
 	memory       reservation // for the bodies of responses
+	partIDs      []string    // IDs of the parts of the prompt
+	probe        bool        // the request is let through although a part of its prompt is quarantined
 }
 
 // fullResponse is a server's complete response.
@@ -179,6 +181,9 @@
 // sendWithRetries sends the request, with retries, until the caller gets a response.
 func (x *exchange) sendWithRetries() bool {
 	x.relay.budget.countRequest(x.relay.clock.Now(), x.service)
+	if r := x.checkQuarantine(); r != nil {
+		return x.refuse(*r)
+	}
 	for {
 		a := x.beginAttempt()
 		if a.tooLate {
@@ -226,6 +231,7 @@
 func (x *exchange) makeAttempt(a *attempt) (keepOpen, done bool) {
 	x.caller.onDisconnect(a.interrupt)
 	defer func() {
+		x.recordServerEnd(a)
 		a.release()
 		x.relay.fleet.endAttempt(a.server, a)
 		x.logAttempt(a)
@@ -293,6 +299,7 @@
 		return false, false
 	}
 	a.result = resultAnswered
+	x.recordWholeAnswer(a)
 	return x.out.fullResponse(a, body), true
 }
 
@@ -312,6 +319,9 @@
 	if mayHaveRun && (x.route.RepeatPolicy == catalog.OnceOnly || x.possibleRuns >= x.route.MaxPossibleRuns) {
 		return false
 	}
+	if mayHaveRun && (x.probe || !x.relay.quarantine.MayRepeat(x.service, x.partIDs)) {
+		return false
+	}
 	return a.hasRetryGrant() || x.relay.budget.takeRetry(now, x.service, x.retryShare(a.result))
 }
 
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/forecast"
+	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -65,6 +66,13 @@
 	f.catalog = c
 }
 
+// entries returns the number of entries, this one included.
+func (f *fleet) entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entryCount
+}
+
 // pool returns the state of a service. The caller holds the lock.
 func (f *fleet) pool(service string) *pool {
 	p, ok := f.pools[service]
@@ -271,6 +279,7 @@
 	if req.affinityPartID != "" {
 		s.promptPartChosenAt[req.affinityPartID] = now
 	}
+	a.run = quarantine.ServerRun{Server: s.record.Server, StartedAt: s.record.StartedAt}
 	s.attempts[a] = struct{}{}
 	s.unprocessedTokens += a.uncachedTokens
 	a.decodeCost = req.decodeCost
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -30,7 +30,11 @@
 
 func (testProtocol) RequestInfo(h frame.Head) (relay.RequestInfo, error) {
 	timeLeft, _ := strconv.Atoi(h.Get("Time-Left"))
-	return relay.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), TimeLeft: clock.Millis(timeLeft), LastEventID: h.Get("Last-Event")}, nil
+	info := relay.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), TimeLeft: clock.Millis(timeLeft), LastEventID: h.Get("Last-Event")}
+	for id := range strings.FieldsSeq(h.Get("Parts")) {
+		info.Parts = append(info.Parts, relay.Part{ID: id, Tokens: 100})
+	}
+	return info, nil
 }
 
 func (testProtocol) Forward(h frame.Head, forwardInfo relay.ForwardInfo) []frame.Header {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -8,8 +8,10 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/quarantine"
 )
 
 // metrics holds the relay's counters and histograms. Label values come from the
@@ -62,12 +64,14 @@
 func (g gauges) Collect(out chan<- prometheus.Metric) {
 	s := g.relay.State()
 	for name, value := range map[string]float64{
-		"lease_ms":         float64(s.LeaseLeft),
-		"catalog_revision": float64(s.Revision),
-		"connections":      float64(s.Connections),
-		"attempts_running": float64(s.Attempts),
-		"servers":          float64(len(s.Servers)),
-		"log_lines_lost":   float64(g.relay.options.Logger.DroppedLines()),
+		"lease_ms":          float64(s.LeaseLeft),
+		"catalog_revision":  float64(s.Revision),
+		"connections":       float64(s.Connections),
+		"attempts_running":  float64(s.Attempts),
+		"servers":           float64(len(s.Servers)),
+		"parts_suspect":     float64(len(s.Suspects)),
+		"parts_quarantined": float64(lo.CountBy(s.Suspects, func(v quarantine.Suspect) bool { return v.Quarantined })),
+		"log_lines_lost":    float64(g.relay.options.Logger.DroppedLines()),
 	} {
 		description := prometheus.NewDesc("galenaslip_relay_"+name, "See docs/metrics.md.", nil, nil)
 		out <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value)
@@ -103,6 +107,7 @@
 	Connections int // callers' connections
 	Attempts    int // running attempts
 	Servers     []ServerState
+	Suspects    []quarantine.Suspect // parts of prompts under which servers have ended
 }
 
 // ServerState is the relay's view of one backend server. Latency is in ms.
@@ -120,6 +125,7 @@
 		Name: r.options.Name, Ready: r.Ready(), Revision: r.catalog.Load().Revision(),
 		LeaseLeft: clock.Millis(r.leaseEnd.Load()) - now, Connections: r.forEachConn(func(*callerConn) {}),
 	}
+	s.Suspects = r.quarantine.Suspects(now)
 	f := r.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,6 +151,16 @@
 	Connections int               `json:"connections"`
 	Attempts    int               `json:"attempts_running"`
 	Servers     []wireServerState `json:"servers"`
+	Suspects    []wireSuspect     `json:"suspects"`
+}
+
+// wireSuspect is the JSON form of quarantine.Suspect.
+type wireSuspect struct {
+	Service     string   `json:"service"`
+	Part        string   `json:"part"`
+	Quarantined bool     `json:"quarantined"`
+	Servers     []string `json:"servers"`
+	Answers     int      `json:"answers"`
 }
 
 // wireServerState is the JSON form of ServerState. It must have the same fields.
@@ -173,6 +189,11 @@
 	for _, v := range s.Servers {
 		w.Servers = append(w.Servers, wireServerState(v))
 	}
+	for _, v := range s.Suspects {
+		w.Suspects = append(w.Suspects, wireSuspect{
+			Service: v.Service, Part: v.Part, Quarantined: v.Quarantined, Servers: v.Servers, Answers: v.Answers,
+		})
+	}
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/quarantine"
 )
 
 // defaultLimits apply until the first catalog is loaded and where a catalog sets no
@@ -58,6 +59,9 @@
 	// Grace is the longest time that a planned stop may take.
 	Grace clock.Millis
 	Retry RetryLimits
+	// Quarantine holds what all relays know about parts of prompts that end servers; an empty
+	// one is used when nil.
+	Quarantine *quarantine.Quarantine
 	// BodyMemory bounds the memory of all bodies that are held at the same time, in bytes;
 	// defaultBodyMemory when 0.
 	BodyMemory int
@@ -77,6 +81,7 @@
 	closing  atomic.Bool  // callers' connections are closed once they are idle
 	metrics  *metrics
 
+	quarantine  *quarantine.Quarantine
 	bodyMemory  memoryPool    // for the bodies of requests and responses
 	acceptEnded chan struct{} // closed when no more connections are accepted
 
@@ -84,8 +89,9 @@
 	conns map[*callerConn]struct{}
 
 	// Values that runPeriodicChecks has logged last. Only runPeriodicChecks uses them.
-	loggedLeased  bool
-	loggedDropped uint64
+	loggedLeased     bool
+	loggedDropped    uint64
+	loggedQuarantine []quarantine.Key
 }
 
 // New starts a relay, which is not ready before the first call of Update. The returned
@@ -100,6 +106,10 @@
 		options: options, clock: options.Clock, listener: listener,
 		budget: newBudget(options.Retry),
 		conns:  map[*callerConn]struct{}{}, acceptEnded: make(chan struct{}),
+		quarantine: options.Quarantine,
+	}
+	if r.quarantine == nil {
+		r.quarantine = quarantine.New(quarantine.Options{Entry: options.Name})
 	}
 	r.bodyMemory.limit = int64(lo.CoalesceOrEmpty(options.BodyMemory, defaultBodyMemory))
 	r.fleet = newFleet(options.AvailabilityZone, options.Clock)
@@ -247,6 +257,7 @@
 		}
 		r.options.Logger.Log(e, zap.Uint64("revision", r.catalog.Load().Revision()))
 	}
+	r.logQuarantine()
 	if dropped := r.options.Logger.DroppedLines(); dropped != r.loggedDropped {
 		r.options.Logger.Log(event.LogLinesDropped, zap.Uint64("lines", dropped-r.loggedDropped))
 		r.loggedDropped = dropped
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -28,6 +28,7 @@
 	switch {
 	case err == nil:
 		a.result = resultAnswered
+		x.recordWholeAnswer(a)
 		x.logAnswer(a)
 		return x.out.finishStream(), true
 	case x.caller.isDisconnected(), errors.Is(err, errCallerWrite):
