control, relay: a relay reports only changes that it has applied

A relay that received a catalog it could not decode, as after a partial upgrade, told the leader that it knew the revision. The leader then acknowledged it while the relay used the former catalog and a former server list until its lease ended.

Cause: the watcher advanced its revision and position with each response, whether the relay had applied it or not. Server changes of such a response were lost for good.

Change: Update reports whether the response was applied; otherwise the watcher keeps its position, reports it and receives the changes again.

--- a/control/catalog_test.go
+++ b/control/catalog_test.go
@@ -143,7 +143,7 @@
 	servers  map[string]roster.State
 }
 
-func (r *watchRecorder) record(_ clock.Millis, response control.WatchResponse) {
+func (r *watchRecorder) record(_ clock.Millis, response control.WatchResponse) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if response.Document != nil {
@@ -152,6 +152,7 @@
 	for _, s := range response.Servers {
 		r.servers[s.Server] = s.State
 	}
+	return true
 }
 
 // hasSeen reports whether the newest catalog has this revision and server s1
--- a/control/delegate.go
+++ b/control/delegate.go
@@ -98,13 +98,13 @@
 // delegates is isNeeded for callers that hold the lock.
 func (d *delegate) delegates() bool { return len(d.others.Delegates) > 0 }
 
-// update stores a response that the leader has granted.
-func (d *delegate) update(askedAt clock.Millis, response WatchResponse) {
+// update stores a response that the leader has granted, and reports whether it did.
+func (d *delegate) update(askedAt clock.Millis, response WatchResponse) bool {
 	next := delegation.Confirmation{AskedAt: askedAt, Term: response.Term, Revision: response.Revision}
 	d.mu.Lock()
 	if !next.Replaces(d.confirmation) {
 		d.mu.Unlock()
-		return
+		return false
 	}
 	wasValid := d.confirmation.Valid(d.control.options.Clock.Now())
 	if response.Document != nil {
@@ -121,6 +121,7 @@
 	if changed {
 		d.control.changed.notify()
 	}
+	return true
 }
 
 // grant completes the response to an entry's watch that was received at the given time, if
--- a/control/delegate_test.go
+++ b/control/delegate_test.go
@@ -24,9 +24,16 @@
 	load           int          // load of other entries in the latest response
 	confirmedAfter clock.Millis // latest time from which the lease counts
 	delay          clock.Millis // pause before each request
+	unreadable     uint64       // revision from which on the entry cannot decode catalogs; 0 if it can
 }
 
-func (e *watchingEntry) update(confirmedAfter clock.Millis, response control.WatchResponse) {
+func (e *watchingEntry) update(confirmedAfter clock.Millis, response control.WatchResponse) bool {
+	e.mu.Lock()
+	unreadable := e.unreadable > 0 && response.Revision >= e.unreadable
+	e.mu.Unlock()
+	if unreadable {
+		return false
+	}
 	e.record(confirmedAfter, response)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -34,6 +41,7 @@
 	for _, l := range response.Loads {
 		e.load += l.Requests
 	}
+	return true
 }
 
 func (e *watchingEntry) state() (passedOn bool, entryCount, load int, confirmedAfter clock.Millis) {
@@ -42,6 +50,13 @@
 	return e.passedOn, e.entryCount, e.load, e.confirmedAfter
 }
 
+// leaseStart returns the latest time from which the lease counts.
+func (e *watchingEntry) leaseStart() clock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.confirmedAfter
+}
+
 func (e *watchingEntry) requestDelay() clock.Millis {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -197,7 +212,7 @@
 	watcher := func(entry string, report control.Report, update func(response control.WatchResponse)) {
 		w := control.NewWatcher(control.WatcherOptions{
 			Entry: entry, Seeds: func() []string { return []string{g.memberOptions["c1"].Listen} }, Clock: g.clock, Logger: event.Discard(),
-			Update: func(_ clock.Millis, response control.WatchResponse) { update(response) }, Report: func() control.Report { return report },
+			Update: func(_ clock.Millis, response control.WatchResponse) bool { update(response); return true }, Report: func() control.Report { return report },
 		})
 		go w.Run(t.Context())
 	}
@@ -292,18 +307,36 @@
 	for name = range g.running {
 		break
 	}
-	checkLeaseEnd := func(change string) {
-		acknowledgedAt := g.clock.Now()
-		_, _, _, leaseStart := entry.state()
-		if got, want := acknowledgedAt+testApplyTime, leaseStart+entryLease; got < want {
-			t.Errorf("%s acknowledged: the former state may be used until %d ms, want at least %d ms", change, got, want)
-		}
-	}
 	leaving := server.WithState(roster.Leaving)
 	g.eventually("the acknowledgement of the leaving", func() bool { leaving.Sequence++; return g.running[name].Announce(leaving) == nil })
-	checkLeaseEnd("leaving")
+	g.checkLeaseEnd(entry, "leaving")
 	g.putCatalog(name, 8)
-	checkLeaseEnd("catalog")
+	g.checkLeaseEnd(entry, "catalog")
+}
+
+// checkLeaseEnd fails the test if a change that has just been acknowledged may be unknown to an
+// entry with a lease after testApplyTime.
+func (g *group) checkLeaseEnd(entry *watchingEntry, change string) {
+	g.t.Helper()
+	acknowledgedAt := g.clock.Now()
+	if got, want := acknowledgedAt+testApplyTime, entry.leaseStart()+entryLease; got < want {
+		g.t.Errorf("%s acknowledged: the former state may be used until %d ms, want at least %d ms", change, got, want)
+	}
+}
+
+// Guards against a catalog that is acknowledged because an entry has received it, although
+// the entry cannot decode it and uses the former one until its lease ends.
+func TestCatalogThatAnEntryCannotDecode(t *testing.T) {
+	g := newSeededGroup(t, 3, withLease(entryLease))
+	g.putCatalog("c1", 7)
+	entry := g.watch(1, 0)[0]
+	g.eventually("the entry to use the catalog", func() bool { return entry.hasRevision(7) })
+	g.clock.Sleep(t.Context(), entryLease) // leases of former leaders have ended
+	entry.mu.Lock()
+	entry.unreadable = 8
+	entry.mu.Unlock()
+	g.putCatalog("c1", 8)
+	g.checkLeaseEnd(entry, "catalog")
 }
 
 // Guards against acknowledgements that wait for a member although no entry watches it: with
--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -25,7 +25,7 @@
 				w := control.NewWatcher(control.WatcherOptions{
 					Entry: name, Seeds: func() []string { return []string{g.memberOptions["c1"].Listen, g.memberOptions["c2"].Listen} },
 					Clock: g.clock, Logger: event.Discard(), Quarantine: q,
-					Update: func(clock.Millis, control.WatchResponse) {}, Report: func() control.Report { return control.Report{} },
+					Update: func(clock.Millis, control.WatchResponse) bool { return true }, Report: func() control.Report { return control.Report{} },
 				})
 				go w.Run(t.Context())
 			}
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -47,8 +47,9 @@
 	Logger           event.Logger
 	// Update is called with each response that renewed the entry's lease, and with
 	// the time from which the lease counts: the leader has confirmed the response later. It
-	// is called from the goroutine of Run.
-	Update func(confirmedAfter clock.Millis, response WatchResponse)
+	// reports whether the response was applied; otherwise the entry does not tell that it
+	// knows the changes, and receives them again. It is called from the goroutine of Run.
+	Update func(confirmedAfter clock.Millis, response WatchResponse) bool
 	// Quarantine is exchanged with the member that is asked.
 	Quarantine *quarantine.Quarantine
 	// Report returns what the next request reports. It is called from the goroutine of Run
@@ -137,15 +138,16 @@
 		w.delegates.skip(w.options.Clock.Now())
 		return response.Leader != "" && response.Leader != address
 	}
-	w.applyResponse(sentAt, address, response)
-	return true
+	return w.applyResponse(sentAt, address, response)
 }
 
-// applyResponse applies a granted response.
-func (w *Watcher) applyResponse(sentAt clock.Millis, address string, response WatchResponse) {
+// applyResponse applies a granted response and reports whether it was applied.
+func (w *Watcher) applyResponse(sentAt clock.Millis, address string, response WatchResponse) bool {
 	w.logSourceFound(address, response)
 	w.leaderAddress = lo.CoalesceOrEmpty(response.Leader, address)
-	w.options.Update(sentAt-response.ConfirmationAge, response)
+	if !w.options.Update(sentAt-response.ConfirmationAge, response) {
+		return false
+	}
 	if response.Epoch != w.request.Epoch {
 		w.request.Epoch, w.request.Position = response.Epoch, 0
 	}
@@ -155,6 +157,7 @@
 	if w.options.Delegate == nil {
 		w.delegates.set(w.options.Clock.Now(), response.Delegates)
 	}
+	return true
 }
 
 // address returns the address of the member to ask: a delegate if there are any, otherwise
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -176,21 +176,22 @@
 
 func (r *Relay) closeAll() int { return r.forEachConn(func(c *callerConn) { _ = c.conn.Close() }) }
 
-// Update applies an update from the control group. The lease begins at confirmedAfter: the
-// leader has confirmed later that the update was the newest.
-func (r *Relay) Update(confirmedAfter clock.Millis, update control.WatchResponse) {
+// Update applies an update from the control group, and reports whether it could. The lease
+// begins at confirmedAfter: the leader has confirmed later that the update was the newest.
+func (r *Relay) Update(confirmedAfter clock.Millis, update control.WatchResponse) bool {
 	if update.Document != nil && update.Document.Revision > r.catalog.Load().Revision() {
 		if !r.loadCatalog(*update.Document) {
-			return
+			return false
 		}
 	}
 	if r.catalog.Load().Revision() < update.Revision {
-		return // the update lacks the document of the newest revision
+		return false // the update lacks the document of the newest revision
 	}
 	now := r.clock.Now()
 	r.fleet.applyUpdate(now, update)
 	r.budget.setEntryCount(update.EntryCount)
 	r.leaseEnd.Store(int64(confirmedAfter + r.options.Lease))
+	return true
 }
 
 // Report returns the load and the demand that the other entries need to know of this
