quarantine: requests wait for a pending judgement; probes spread over all relays

Change: while a part has enough ends for a quarantine and the newest has not settled, requests with it are refused with 503 and told to come back when the judgement is made; it is true that they have not run. The entries' first probes are spread over a second for each entry, without a limit: with the limit of 15 s two or more of 34 relays would begin a probe before they heard of the first one.

Result: TestDeadlyPart and TestPoisonRequestIsRefused cover the pending judgement.

--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -13,8 +13,12 @@
 	Refused bool
 	// Probe is set if the request is let through although Part is quarantined.
 	Probe bool
-	Part  Key
-	Ends  int // number of servers that ended under the part
+	// Pending is set if the request must not be sent now, because the judgement on Part is
+	// pending. It is made within RetryAfter.
+	Pending    bool
+	RetryAfter clock.Millis
+	Part       Key
+	Ends       int // number of servers that ended under the part
 }
 
 // Check decides on a new request with the given parts. There are entryCount entries.
@@ -28,10 +32,13 @@
 	var verdict Verdict
 	var probed []*part
 	for _, key := range sharedParts(service, parts) {
+		p, ok := q.parts[key]
+		if ok && !judged[key] && p.isPending(now) {
+			return Verdict{Pending: true, RetryAfter: settleTime, Part: key, Ends: len(p.ends)}
+		}
 		if !judged[key] {
 			continue
 		}
-		p := q.parts[key]
 		verdict.Part, verdict.Ends = key, len(p.ends)
 		if now < p.nextProbe(key, q.entry, entryCount) {
 			verdict.Refused = true
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -296,6 +296,12 @@
 	return n
 }
 
+// isPending reports whether the part will be quarantined if nothing speaks for it until its
+// newest ends settle.
+func (p *part) isPending(now clock.Millis) bool {
+	return p.countingEnds() >= p.requiredEnds() && now-p.newestEnd() < settleTime
+}
+
 // depth returns the position of the part in the prompts of its requests.
 func (p *part) depth() int {
 	depth := 0
@@ -309,7 +315,7 @@
 // begin at different times, so that usually one of them probes.
 func (p *part) nextProbe(key Key, entry string, entryCount int) clock.Millis {
 	interval := firstProbeDelay << min(p.probe.number, maxProbeDoublings)
-	window := min(clock.Millis(max(entryCount, 1))*probeSpread, interval)
+	window := clock.Millis(max(entryCount, 1)) * probeSpread
 	hash := xxhash.Sum64String(entry + "\x00" + key.Service + "\x00" + key.Part + string(rune('0'+p.probe.number)))
 	return max(p.newestEnd(), p.probe.at) + interval + clock.Millis(hash%uint64(window))
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -57,6 +57,13 @@
 		wantQuarantined(t, q, settled)
 	}
 	q.RecordEnd(2, service, parts("system", "deadly"), run(2), 0)
+	// Until other entries have told of whole answers, requests wait for the judgement.
+	if v := q.Check(3, service, parts("system", "deadly"), 4); !v.Pending || v.Refused {
+		t.Errorf("request before the judgement: got %+v, want it to be pending", v)
+	}
+	if v := q.Check(3, service, parts("system", "other"), 4); v.Pending || v.Refused {
+		t.Errorf("other request before the judgement: got %+v, want it sent", v)
+	}
 	wantQuarantined(t, q, settled, "deadly")
 	v := q.Check(settled, service, parts("system", "deadly"), 4)
 	if got, want := v, (quarantine.Verdict{Refused: true, Part: quarantine.NewKey(service, "deadly"), Ends: 3}); got != want {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -23,6 +23,9 @@
 		x.relay.options.Logger.Log(event.QuarantineProbed, zap.String("request", x.requestInfo.ID),
 			zap.String("part", verdict.Part.Part), zap.Int("ends", verdict.Ends))
 	}
+	if verdict.Pending {
+		return &refusal{status: statusUnavailable, reason: "part_suspect", retryAfter: verdict.RetryAfter}
+	}
 	if !verdict.Refused {
 		return nil
 	}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -49,6 +49,10 @@
 	if got, want := countReceived(servers, "deadly"), 3; got != want {
 		t.Errorf("after the second request: reached %d servers, want %d", got, want)
 	}
+	c.ask("system deadly", "2-again")
+	if head, _ := c.wantStatus(503); head.Get("Retry-After") == "" {
+		t.Error("refusal before the judgement: got no Retry-After, want one")
+	}
 	s.advanceToNextCheck(clock.Second)
 	for i := range 10 {
 		c.ask("system deadly", fmt.Sprintf("3-%d", i))
