--- a/commands/failure_test.go
+++ b/commands/failure_test.go
@@ -293,7 +293,9 @@
 	return ""
 }
 
-// awaitRejoined waits until the member votes again under another identity.
+// awaitRejoined waits until the member votes again under another identity, and until the
+// membership change is committed. It has two steps, and the leader shows a member as a voter
+// from the first one on; each command is committed after the steps before it.
 func (s *site) awaitRejoined(t testing.TB, name, lostIdentity string) {
 	t.Helper()
 	eventually(t, name+" votes under a new identity", func() bool {
@@ -308,6 +310,9 @@
 		}
 		return false
 	})
+	for _, target := range []string{"8", "7"} {
+		s.runUntilOK(t, "class", "set", "c0", "--tier", "1", "--target-ms", target)
+	}
 }
 
 // damageLog flips one byte in the middle of the first log segment.
