quarantine: names that say what has changed

Cause: the fields changed and changedParts did not say what they invalidate, and a number was formatted through a rune. Change: digestChanged, judgedChanged, strconv. No other behaviour; for fewer than ten probes the hash is the same.

--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -129,9 +129,9 @@
 // judge returns the quarantined parts. The caller holds the lock.
 func (q *Quarantine) judge(now clock.Millis) map[Key]bool {
 	q.expire(now)
-	if q.changedParts || now >= q.judgedUntil {
+	if q.judgedChanged || now >= q.judgedUntil {
 		ends, settledAt := q.endedRuns(now)
-		q.judged, q.judgedUntil, q.changedParts = q.judgeRuns(ends), settledAt, false
+		q.judged, q.judgedUntil, q.judgedChanged = q.judgeRuns(ends), settledAt, false
 	}
 	return q.judged
 }
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -80,8 +80,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
-	if q.changed {
-		q.changed, q.digest = false, q.report(now).digest()
+	if q.digestChanged {
+		q.digestChanged, q.digest = false, q.report(now).digest()
 	}
 	return q.digest
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,11 +62,11 @@
 	answered *lru.Cache[Key, int] // whole answers that this process has seen, for parts without ends
 	expireAt clock.Millis         // when old records are searched for next
 
-	digest       uint64 // of all records; valid unless changed is set
-	changed      bool
-	judged       map[Key]bool // the quarantined parts; valid until judgedUntil unless changedParts is set
-	judgedUntil  clock.Millis
-	changedParts bool
+	digest        uint64 // of all records; valid unless digestChanged is set
+	digestChanged bool
+	judged        map[Key]bool // the quarantined parts; valid until judgedUntil unless judgedChanged is set
+	judgedUntil   clock.Millis
+	judgedChanged bool
 }
 
 // part holds the records of one part.
@@ -236,7 +237,7 @@
 }
 
 // markChanged makes digest and judgement be computed again. The caller holds the lock.
-func (q *Quarantine) markChanged() { q.changed, q.changedParts = true, true }
+func (q *Quarantine) markChanged() { q.digestChanged, q.judgedChanged = true, true }
 
 // expire removes the parts that have no record younger than retention. The caller holds the
 // lock.
@@ -316,7 +317,7 @@
 func (p *part) nextProbe(key Key, entry string, entryCount int) clock.Millis {
 	interval := firstProbeDelay << min(p.probe.number, maxProbeDoublings)
 	window := clock.Millis(max(entryCount, 1)) * probeSpread
-	hash := xxhash.Sum64String(entry + "\x00" + key.Service + "\x00" + key.Part + string(rune('0'+p.probe.number)))
+	hash := xxhash.Sum64String(entry + "\x00" + key.Service + "\x00" + key.Part + strconv.Itoa(p.probe.number))
 	return max(p.newestEnd(), p.probe.at) + interval + clock.Millis(hash%uint64(window))
 }
 
