relay tests: TestBodyMemory waits for the memory of the former request

Traced: the memory of a request's bodies is released after the response was written; the test sent the next request on a new connection at once, and with a goroutine that runs late four bodies of 128 KB were still counted in 512 KB. With a pause of 30 ms before the release (scratch copy, one run) the test failed.

Change: all requests go over one connection, on which the next one is handled after the release. Memory that is not given back still fails the test.

Result: passes 200 times here, and with the pause of 30 ms.

--- a/relay/hostile_test.go
+++ b/relay/hostile_test.go
@@ -254,11 +254,13 @@
 		respondOK(req, large[:len(large)>>min(3, strings.Count(req.head.Target, "h"))])
 	})
 	s := newFixtureWith(t, testProtocol{}, size/2, b)
+	// The memory of a request is released after its response was written. On one connection
+	// the next request is handled after that.
+	c := s.client()
 	for i, step := range []struct {
 		path string
 		want int
 	}{{"/safe/", 502}, {"/safe/hhh", 200}, {"/safe/", 502}, {"/safe/hhh", 200}, {"/safe/hhh", 200}, {"/safe/hhh", 200}, {"/safe/hhh", 200}, {"/safe/hhh", 200}} {
-		c := s.client()
 		c.get(step.path, fmt.Sprint(i))
 		c.wantStatus(step.want)
 	}
