propagation: the margin for clock rates comes from lease

Cause: package propagation wrote the margin of package lease again, with a constant of its own. Change: lease.WithMargin is exported and used by both; durations are the same.

--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -71,7 +71,7 @@
 // was committed before the term. Otherwise a grant could contain an older
 // configuration than one that was already granted.
 func (g *Grantor) StartTerm(now clock.Millis, term uint64) {
-	*g = Grantor{term: term, leads: true, formerLeasesExpire: now + withMargin(Duration), leases: map[string]leaseRecord{}}
+	*g = Grantor{term: term, leads: true, formerLeasesExpire: now + WithMargin(Duration), leases: map[string]leaseRecord{}}
 }
 
 // EndTerm ends the term. The grantor then grants no leases.
@@ -92,7 +92,7 @@
 		return Grant{Term: g.term, Revision: current.Revision()}
 	}
 	previous := g.leases[r.Entry].renewal
-	g.leases[r.Entry] = leaseRecord{renewal: r, expires: now + withMargin(Duration)}
+	g.leases[r.Entry] = leaseRecord{renewal: r, expires: now + WithMargin(Duration)}
 	g.removeOldLeases(now)
 	if now >= g.leasedEntries.rebuildAt || previous.toEntry() != r.toEntry() {
 		g.leasedEntries = newEntryList(now, g.Entries(now))
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -69,10 +69,10 @@
 	EntriesVersion uint64
 }
 
-// withMargin adds maxDriftPercent to a duration. The grantor waits this much
+// WithMargin adds maxDriftPercent to a duration. The grantor waits this much
 // longer before it regards a lease as expired, because its clock may run faster
 // than the holder's.
-func withMargin(d clock.Millis) clock.Millis {
+func WithMargin(d clock.Millis) clock.Millis {
 	return d + (d*maxDriftPercent+99)/100
 }
 
--- a/propagation/tracker.go
+++ b/propagation/tracker.go
@@ -4,12 +4,9 @@
 	"slices"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/lease"
 )
 
-// driftPercent is how much faster the leader's clock may run than an entry's. The leader
-// counts leases as longer by this much.
-const driftPercent = 1
-
 // Version identifies a state. Numbers of different terms are unrelated: the state of a later
 // term is the newer one.
 type Version struct {
@@ -43,9 +40,10 @@
 	publications []publication // by version; at most one older than a lease
 }
 
-// New returns a tracker for leases of the given duration.
-func New(lease clock.Millis) *Tracker {
-	return &Tracker{lease: lease + (lease*driftPercent+99)/100, reports: map[string]report{}}
+// New returns a tracker for leases of the given duration. The tracker counts them as longer
+// by the margin for clocks that run at different rates.
+func New(duration clock.Millis) *Tracker {
+	return &Tracker{lease: lease.WithMargin(duration), reports: map[string]report{}}
 }
 
 // StartTerm begins the term of a leader. Until a lease duration later there may be holders
