quarantine: no times of whole answers

Cause: the time of the newest whole answer was kept and sent with each count, and nothing read it. Change: counts alone; a count of 0 from another process adds no record.

--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -61,11 +61,10 @@
 
 // wireAnswers is the JSON form of quarantine.Answers.
 type wireAnswers struct {
-	Service string       `json:"s"`
-	Part    string       `json:"p"`
-	Entry   string       `json:"entry"`
-	Count   int          `json:"n"`
-	Age     clock.Millis `json:"age_ms"`
+	Service string `json:"s"`
+	Part    string `json:"p"`
+	Entry   string `json:"entry"`
+	Count   int    `json:"n"`
 }
 
 // wireCount is the JSON form of quarantine.Probe and of quarantine.Release.
@@ -86,7 +85,7 @@
 			return wireEnd{Service: e.Service, Part: e.Part, Server: e.Server, StartedAt: e.StartedAt, Depth: e.Depth, Age: e.Age}
 		}),
 		Answers: lo.Map(r.Answers, func(a quarantine.Answers, _ int) wireAnswers {
-			return wireAnswers{Service: a.Service, Part: a.Part, Entry: a.Entry, Count: a.Count, Age: a.Age}
+			return wireAnswers{Service: a.Service, Part: a.Part, Entry: a.Entry, Count: a.Count}
 		}),
 		Probes: lo.Map(r.Probes, func(p quarantine.Probe, _ int) wireCount {
 			return wireCount{Service: p.Service, Part: p.Part, Number: p.Number, Age: p.Age}
@@ -109,7 +108,7 @@
 			}
 		}),
 		Answers: lo.Map(w.Answers, func(a wireAnswers, _ int) quarantine.Answers {
-			return quarantine.Answers{Key: quarantine.NewKey(a.Service, a.Part), Entry: a.Entry, Count: a.Count, Age: a.Age}
+			return quarantine.Answers{Key: quarantine.NewKey(a.Service, a.Part), Entry: a.Entry, Count: a.Count}
 		}),
 		Probes: lo.Map(w.Probes, func(c wireCount, _ int) quarantine.Probe {
 			return quarantine.Probe{Key: quarantine.NewKey(c.Service, c.Part), Number: c.Number, Age: c.Age}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -45,8 +45,7 @@
 		entries := lo.Keys(p.answers)
 		slices.Sort(entries)
 		for _, entry := range entries {
-			a := p.answers[entry]
-			r.Answers = append(r.Answers, Answers{Key: key, Entry: entry, Count: a.number, Age: now - a.at})
+			r.Answers = append(r.Answers, Answers{Key: key, Entry: entry, Count: p.answers[entry]})
 		}
 		if p.probe.number > 0 {
 			r.Probes = append(r.Probes, Probe{Key: key, Number: p.probe.number, Age: now - p.probe.at})
@@ -76,7 +75,7 @@
 	}
 	for _, a := range r.Answers {
 		if p, ok := q.parts[a.Key]; ok {
-			q.addAnswers(p, a.Entry, a.Count, now-max(a.Age, 0))
+			q.addAnswers(p, a.Entry, a.Count)
 		}
 	}
 	for _, b := range r.Probes {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -74,7 +74,7 @@
 // part holds the records of one part.
 type part struct {
 	ends     map[ServerRun]endRecord
-	answers  map[string]countRecord // by entry
+	answers  map[string]int // whole answers, by entry
 	probe    countRecord
 	released countRecord
 	position uint64 // position of the newest change
@@ -152,7 +152,7 @@
 			q.answered.Add(key, min(count+1, maxAnswers))
 			continue
 		}
-		q.addAnswers(p, q.entry, min(p.answers[q.entry].number+1, maxAnswers), now)
+		q.addAnswers(p, q.entry, p.answers[q.entry]+1)
 		if probe {
 			q.release(p, now)
 		}
@@ -204,9 +204,9 @@
 	if len(q.parts) >= maxParts {
 		q.removeLeastSuspect()
 	}
-	p := &part{ends: map[ServerRun]endRecord{}, answers: map[string]countRecord{}}
+	p := &part{ends: map[ServerRun]endRecord{}, answers: map[string]int{}}
 	if count, ok := q.answered.Get(key); ok {
-		p.answers[q.entry] = countRecord{number: count}
+		p.answers[q.entry] = count
 	}
 	q.parts[key] = p
 	q.markChanged(p)
@@ -214,15 +214,15 @@
 }
 
 // addAnswers takes over the count of an entry's whole answers. The caller holds the lock.
-func (q *Quarantine) addAnswers(p *part, entry string, count int, at clock.Millis) {
+func (q *Quarantine) addAnswers(p *part, entry string, count int) {
 	known, ok := p.answers[entry]
 	if !ok && p.wholeAnswers() >= maxAnswers {
 		return
 	}
-	if known.merge(min(count, maxAnswers), at) {
+	if count = min(count, maxAnswers); count > known {
+		p.answers[entry] = count
 		q.markChanged(p)
 	}
-	p.answers[entry] = known
 }
 
 // removeLeastSuspect removes the part with the fewest ends; among these, the one whose newest
@@ -272,8 +272,8 @@
 // wholeAnswers returns the number of whole answers that all entries have seen.
 func (p *part) wholeAnswers() int {
 	count := 0
-	for _, a := range p.answers {
-		count += a.number
+	for _, n := range p.answers {
+		count += n
 	}
 	return count
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -57,7 +57,6 @@
 	Key
 	Entry string
 	Count int
-	Age   clock.Millis // time since the newest answer
 }
 
 // Probe records the newest request with the part that was let through as a probe.
