--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -335,3 +335,21 @@
 		})
 	}
 }
+
+// Guards against proper requests that are refused with status 400 after servers have ended
+// together for a reason of their own (a rack, a power line), once or several times: the first
+// part of their prompts was common to all requests there, and no answer was whole yet.
+func TestServersThatEndTogetherExplainEachOther(t *testing.T) {
+	q := newQuarantine("a")
+	for i := range 20 {
+		q.RecordEnd(clock.Millis(5*i), service, parts("system", fmt.Sprint("session-", i%8)), run(i), 100)
+	}
+	wantQuarantined(t, q, 100+settled)
+	for i := range 20 {
+		q.RecordEnd(8*clock.Second+clock.Millis(5*i), service, parts("system", fmt.Sprint("session-", i%8)), run(100+i), 100)
+	}
+	wantQuarantined(t, q, 9*clock.Second+settled)
+	if v := q.Check(9*clock.Second+settled, service, parts("system", "session-1"), 4); v.Refused {
+		t.Errorf("proper request: got %+v, want it not refused", v)
+	}
+}
