relay, quarantine: a lost connection is not the end of a server

Cause: the relay took a reset or closed connection in the middle of an answer for the end of the server. Class of fault: the failure of a connection is taken for the failure of its peer.

TestResetConnectionsAreNoEndsOfServers failed before with status 400.

Change: after a lost connection the relay opens one connection to the server. The server has ended only if its host refuses that one, or if a later run announces itself at the address within ten seconds. A server that leaves ends by its own decision and is no evidence. The connection of the check is kept for the next request; a server that refuses it gets no requests for a while. The request waits for the check, for 50 ms at most. quarantine.EndChecks needs no network; a naive version is its property. The servers of TestPoisonRequestIsRefused only closed a connection, which is no end any more: they now close their listener and all connections, as an ending process does; all its counts are as before.

Result: the test passes 300 times in a row; relay and platform tests pass.

--- a/event/relay.go
+++ b/event/relay.go
@@ -22,5 +22,6 @@
 	QuarantineEnded       = define(438, "quarantine_ended", Info, "Requests with this part of a prompt are sent again.")
 	QuarantineProbed      = define(439, "quarantine_probed", Info, "A request was sent although a part of its prompt is quarantined, to find out whether servers still end under it.")
 	QuarantineReleased    = define(440, "quarantine_released", Info, "An operator has ended the quarantine of a part of prompts.")
+	ServerEnded           = define(441, "server_ended", Warn, "A backend server has ended while requests ran on it: nothing listens at its address, or a later run announces itself there.")
 	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
 )
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
@@ -46,6 +47,7 @@
 	serverListEpoch   uint64           // identifies the control leader's server list; another value means a new list
 	serverListEpochAt clock.Millis     // when this relay received the first update of that list
 	entryCount        int              // number of entries, this one included
+	endChecks         *quarantine.EndChecks
 }
 
 // pool is the state of a service that concerns all of its servers together.
@@ -56,8 +58,11 @@
 	waits                 *forecast.Waits
 }
 
-func newFleet(zone string, c clock.Clock) *fleet {
-	return &fleet{zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entryCount: assumedEntries}
+func newFleet(zone string, c clock.Clock, logger event.Logger) *fleet {
+	return &fleet{
+		zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entryCount: assumedEntries,
+		endChecks: quarantine.NewEndChecks(c, logServerEnd(logger)),
+	}
 }
 
 func (f *fleet) setCatalog(c catalog.Catalog) {
@@ -169,6 +174,9 @@
 		f.resetServer(known)
 	}
 	known.record, known.listedByLeader, known.listedAt = r, true, now
+	if r.State != roster.Gone {
+		f.endChecks.ServerAnnounced(known.run(), r.Address)
+	}
 }
 
 // resumesServing reports whether a record would make a server take requests again that has
@@ -279,7 +287,7 @@
 	if req.affinityPartID != "" {
 		s.promptPartChosenAt[req.affinityPartID] = now
 	}
-	a.run = quarantine.ServerRun{Server: s.record.Server, StartedAt: s.record.StartedAt}
+	a.run = s.run()
 	s.attempts[a] = struct{}{}
 	s.unprocessedTokens += a.uncachedTokens
 	a.decodeCost = req.decodeCost
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/quarantine"
 )
@@ -42,14 +43,32 @@
 	}
 }
 
-// recordServerEnd records that the server may have ended under the request: it closed the
-// connection in the middle of its answer.
+// maxEndCheckWait is the longest time that a request waits for the check whether its server has
+// ended, before it is sent to another one or the caller, who may come again at once, is told.
+const maxEndCheckWait = 50 * clock.Millisecond
+
+// recordServerEnd has it checked whether the server has ended under the request, after the
+// connection was lost in the middle of the answer, and records that if so.
 func (x *exchange) recordServerEnd(a *attempt) {
 	if a.result != resultFailed || a.body == nil || a.wasInterrupted() || !endedByServer(a.err) {
 		return
 	}
-	now := x.relay.clock.Now()
-	x.relay.quarantine.RecordEnd(now, x.service, x.partIDs, a.run, now-a.firstByteAt)
+	r := x.relay
+	address, serving := r.fleet.servingAddress(a.server)
+	if !serving {
+		return
+	}
+	now := r.clock.Now()
+	check := func() quarantine.Listening { return r.fleet.checkListening(a.server, a.run) }
+	checked := r.fleet.endChecks.ConnectionLost(a.run, address, check, func() {
+		r.quarantine.RecordEnd(now, x.service, x.partIDs, a.run, now-a.firstByteAt)
+	})
+	waited, stop := r.clock.After(maxEndCheckWait)
+	defer stop()
+	select {
+	case <-checked:
+	case <-waited:
+	}
 }
 
 // endedByServer reports whether an error means that the server has closed the connection.
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -10,15 +10,28 @@
 	"github.com/galenaslip/galenaslip/frame"
 )
 
-// breakOffUnder returns a response function of servers that end when they begin to answer a
-// request with the given part, and answer all others whole.
-func breakOffUnder(part string) func(req receivedRequest) {
-	return func(req receivedRequest) {
+// newEndingBackend returns a server that ends when it begins to answer a request with the given
+// part, and answers all others whole.
+func newEndingBackend(t *testing.T, part string) *backend {
+	t.Helper()
+	var b *backend
+	b = newBackend(t, func(req receivedRequest) {
 		if !strings.Contains(req.head.Get("Parts"), part) {
 			respondOK(req, "whole")
 			return
 		}
 		write(req, "HTTP/1.1 200 OK\r\nId: "+req.head.Get("Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid: 1\ndat")
+		b.end()
+	})
+	return b
+}
+
+// end closes the server's listener and its connections, as the end of its process does.
+func (b *backend) end() {
+	_ = b.listener.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, req := range b.received {
 		_ = req.conn.Close()
 	}
 }
@@ -33,7 +46,7 @@
 func TestPoisonRequestIsRefused(t *testing.T) {
 	var servers []*backend
 	for range 5 {
-		servers = append(servers, newBackend(t, breakOffUnder("deadly")))
+		servers = append(servers, newEndingBackend(t, "deadly"))
 	}
 	s := newFixture(t, servers...)
 	c := s.client()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -112,7 +112,7 @@
 		r.quarantine = quarantine.New(quarantine.Options{Entry: options.Name})
 	}
 	r.bodyMemory.limit = int64(lo.CoalesceOrEmpty(options.BodyMemory, defaultBodyMemory))
-	r.fleet = newFleet(options.AvailabilityZone, options.Clock)
+	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger)
 	r.catalog.Store(&catalog.Catalog{})
 	r.metrics = newMetrics(r)
 	r.leaseEnd.Store(-1)
--- a/relay/server.go
+++ b/relay/server.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -72,6 +73,11 @@
 	}
 }
 
+// run identifies the server until it starts again.
+func (s *server) run() quarantine.ServerRun {
+	return quarantine.ServerRun{Server: s.record.Server, StartedAt: s.record.StartedAt}
+}
+
 // decay returns value after exponential decay over the given age.
 func decay(value float64, age, halfLife clock.Millis) float64 {
 	return value * math.Exp2(-float64(max(age, 0))/float64(halfLife))
