platform: names of servers cannot add header fields

What callers saw: an announcement under the path of a name with an encoded line break was acknowledged. Entries send the name of the chosen server in a header field, so that each request to that address carried the fields that the name held. A leaving without a name, or with a name of any length, was stored and passed on to all entries as well.

Cause: the name comes from the path of the call, and nothing checked it but for being empty; leavings were not checked at all.

Change: a name has 1 to 128 visible ASCII characters, for leavings too.

--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -2,12 +2,16 @@
 
 import (
 	"net/netip"
+	"strings"
 
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
 )
 
+// maxNameBytes bounds the name of a server.
+const maxNameBytes = 128
+
 // State is the state of a server, as it announces it.
 type State string
 
@@ -40,10 +44,17 @@
 	return a
 }
 
-// Validate returns an error if the announcement does not describe a usable server.
+// Validate returns an error if the announcement does not describe a usable server. The
+// departure of a server needs nothing but its name.
 func (a Announcement) Validate() error {
-	if a.Server == "" || a.Service == "" {
-		return errors.Errorf("an announcement needs server and service, got %q and %q", a.Server, a.Service)
+	if !validServerName(a.Server) {
+		return errors.Errorf("server %.60q: a name has 1 to %d visible ASCII characters", a.Server, maxNameBytes)
+	}
+	if a.State == Gone {
+		return nil
+	}
+	if a.Service == "" {
+		return errors.Errorf("server %q: the service is missing", a.Server)
 	}
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		return errors.Errorf("server %q: address %q is not an IP number with a port", a.Server, a.Address)
@@ -57,6 +68,13 @@
 	return nil
 }
 
+// validServerName reports whether a server can have this name. Entries send it in a header
+// field, where a line break would begin another field.
+func validServerName(name string) bool {
+	invalid := func(r rune) bool { return r <= ' ' || r > '~' }
+	return name != "" && len(name) <= maxNameBytes && strings.IndexFunc(name, invalid) < 0
+}
+
 // isNewerThan reports whether a is newer than b. Both must be of the same server.
 func (a Announcement) isNewerThan(b Announcement) bool {
 	if a.StartedAt != b.StartedAt {
