roster: announcements out of range describe no server

What callers saw: an announcement of another writer became a server that requests were sent to. With 2^63-1 slots it was the cheapest of all servers and drew requests to itself; port 0, an unspecified address and a multicast address cannot be a server; a sequence of 2^64-1 and a start of 2^63 (read as 2^63-1 on arm64, refused on x86-64) outranked the sound server of that name for good; a zone of a megabyte was passed on to all entries with each list.

Cause: announcements were checked for negative numbers only.

Addresses are checked by package endpoint.

--- /dev/null
+++ b/endpoint/endpoint.go
@@ -0,0 +1,21 @@
+package endpoint
+
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// Validate returns an error unless the address is the IP address and port of one server.
+// Connecting to an unspecified address would reach this machine itself.
+func Validate(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Port() == 0 {
+		return errors.Errorf("address %.60q is not an IP address with a port from 1 to 65535", address)
+	}
+	ip := a.Addr().Unmap()
+	if ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "" {
+		return errors.Errorf("address %.60q is not that of one machine", address)
+	}
+	return nil
+}
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -1,16 +1,22 @@
 package roster
 
 import (
-	"net/netip"
 	"strings"
 
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/endpoint"
 )
 
-// maxNameBytes bounds the name of a server.
-const maxNameBytes = 128
+// Limits of an announcement. Any process may send one, and it is passed on to all entries.
+const (
+	maxNameBytes = 128
+	maxSlots     = 1 << 16
+	maxWarmUp    = 24 * clock.Hour
+	maxStart     = 1 << 42 // Unix time in ms, in the year 2109
+	maxSequence  = 1 << 62 // above the present time in nanoseconds
+)
 
 // State is the state of a server, as it announces it.
 type State string
@@ -50,22 +56,21 @@
 	if !validServerName(a.Server) {
 		return errors.Errorf("server %.60q: a name has 1 to %d visible ASCII characters", a.Server, maxNameBytes)
 	}
-	if a.State == Gone {
+	switch {
+	case a.State == Gone:
 		return nil
+	case a.State != Serving && a.State != Leaving:
+		return errors.Errorf("server %q: state %.60q is unknown", a.Server, a.State)
+	case a.Service == "" || len(a.Service) > maxNameBytes || len(a.AvailabilityZone) > maxNameBytes:
+		return errors.Errorf("server %q: service %.60q or availability zone %.60q is empty or too long", a.Server, a.Service, a.AvailabilityZone)
+	case a.Slots < 0 || a.Slots > maxSlots:
+		return errors.Errorf("server %q: %d slots: want 0 to %d", a.Server, a.Slots, maxSlots)
+	case a.WarmupLeft < 0 || a.WarmupLeft > maxWarmUp:
+		return errors.Errorf("server %q: cold time %d ms: want 0 to %d", a.Server, a.WarmupLeft, maxWarmUp)
+	case a.StartedAt < 0 || a.StartedAt > maxStart || a.Sequence > maxSequence:
+		return errors.Errorf("server %q: start %d or sequence %d is out of range", a.Server, a.StartedAt, a.Sequence)
 	}
-	if a.Service == "" {
-		return errors.Errorf("server %q: the service is missing", a.Server)
-	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return errors.Errorf("server %q: address %q is not an IP number with a port", a.Server, a.Address)
-	}
-	if a.State != Serving && a.State != Leaving && a.State != Gone {
-		return errors.Errorf("server %q: state %q is unknown", a.Server, a.State)
-	}
-	if a.Slots < 0 || a.WarmupLeft < 0 || a.StartedAt < 0 {
-		return errors.Errorf("server %q: slots %d, cold time %d ms or start %d is negative", a.Server, a.Slots, a.WarmupLeft, a.StartedAt)
-	}
-	return nil
+	return errors.Wrapf(endpoint.Validate(a.Address), "server %q", a.Server)
 }
 
 // validServerName reports whether a server can have this name. Entries send it in a header
