control: an odd server costs its own record alone

What callers saw: a relay or member stopped following the group as long as one record in the list of servers had a field of another type or a number too large for it: each update was dropped as a whole, so that the lease ended. A member refused all announcements and the whole watch of another member for the same reason, and stored and passed on servers without a name, with an unknown state, port 0 or 2^63-1 slots when another member handed them over.

Cause: lists of servers were decoded as a whole, and what came from other processes of the group was taken as checked.

Evidence: without the change TestWatcherLeavesOutOddServers fails in all 19 cases: in 8 of them got servers "no update" and 0 refused, want "s1 s2" and 1 and in 11 the odd server is handed to the entry. TestMemberLeavesOutOddServers loses the sound servers of 8 messages on both paths and lists the odd ones; TestOddAnnouncementIsNotAcknowledged gets status 204 in 11 cases, and no error for port 0.

Change: an element that cannot be decoded or does not pass Validate is left out wherever servers come in. Event 317 server_refused reports it, at most once in ten seconds with the number left out between (event.Limiter), and counters of members and relays count it.

--- a/control/api_test.go
+++ b/control/api_test.go
@@ -204,10 +204,21 @@
 	})
 }
 
-// Guards against a panic or an endless loop on arbitrary bytes from a peer.
+// Guards against a panic or an endless loop on arbitrary bytes from a peer, and against a
+// server that is taken over from them although it cannot be used.
 func FuzzWatch(f *testing.F) {
 	f.Add([]byte(`{"entry":"e","loads":[{"s":"a","r":1}],"delegate":{"address":"10.0.0.1:1"},"heartbeats":[{"server":"s"}]}`))
 	f.Add([]byte(`{"granted":true,"document":{"revision":1,"body_base64":"e30="},"servers":[{"server":"s","state":"serving"}],"delegates":[{}]}`))
 	f.Add([]byte(`{"loads":null,"heartbeats":[null],"delegate":[]}`))
-	f.Fuzz(func(_ *testing.T, data []byte) { control.DecodeWatchMessages(data) })
+	for _, tt := range oddServers {
+		f.Add([]byte("[" + tt.json + "]"))
+		f.Add([]byte(`{"entry":"e","heartbeats":[` + tt.json + `],"servers":[` + tt.json + `]}`))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, a := range control.DecodeWatchMessages(data) {
+			if err := a.Validate(); err != nil {
+				t.Errorf("%s: got server %+v, but %v", data, a, err)
+			}
+		}
+	})
 }
--- a/control/control.go
+++ b/control/control.go
@@ -93,6 +93,7 @@
 	delegate            *delegate
 	changed             *changeNotifier // notified when the answers to watches have changed
 	reported            *changeNotifier // notified when an entry has reported what it knows
+	refusalLog          *event.Limiter  // for servers that are left out as invalid
 	stopping            atomic.Bool
 	cancel              context.CancelFunc
 	tasks               sync.WaitGroup
@@ -119,6 +120,8 @@
 		changed:  newChangeNotifier(),
 		reported: newChangeNotifier(),
 
+		refusalLog: event.NewLimiter(options.Logger, refusalLogInterval),
+
 		propagation: newChangePropagation(options.EntryLease), quarantine: quarantine.New(quarantine.Options{Entry: options.Name}),
 	}
 	c.machine.onCatalogChange = c.changed.notify
--- a/control/delegate.go
+++ b/control/delegate.go
@@ -107,6 +107,7 @@
 		return false
 	}
 	wasValid := d.confirmation.Valid(d.control.options.Clock.Now())
+	d.control.metrics.serversRefused.Add(float64(response.Refused.Count))
 	if response.Document != nil {
 		d.document = *response.Document
 	}
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/placement"
+	"github.com/galenaslip/galenaslip/roster"
 )
 
 // OrderBlockedByLease tries to deliver an order of a term to an engine and
@@ -17,9 +18,18 @@
 	return errors.Is(err, errLeaseExpired)
 }
 
-// DecodeWatchMessages decodes data as each of the messages of a watch.
-func DecodeWatchMessages(data []byte) {
-	_, _ = decodeWatch(data)
-	_, _ = decodeWatchResponse(data)
-	_, _ = decodeAnnouncements(data)
+// DecodeWatchMessages decodes data as each of the messages that carry servers. It returns the
+// servers in them.
+func DecodeWatchMessages(data []byte) []roster.Announcement {
+	watch, _ := decodeWatch(data)
+	response, _ := decodeWatchResponse(data)
+	servers, refused, err := decodeAnnouncements(data)
+	if err != nil && len(servers)+refused.Count > 0 {
+		panic("a list that cannot be decoded has servers")
+	}
+	servers = append(servers, watch.Heartbeats...)
+	for _, r := range response.Servers {
+		servers = append(servers, r.Announcement)
+	}
+	return servers
 }
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -14,14 +14,15 @@
 // metrics holds the counters of the process and the registry that also serves
 // its gauges.
 type metrics struct {
-	registry      *prometheus.Registry
-	requests      *prometheus.CounterVec
-	unauthorized  prometheus.Counter
-	forwarded     prometheus.Counter
-	renewals      prometheus.Counter
-	ordersSent    *prometheus.CounterVec
-	ordersRefused *prometheus.CounterVec
-	ordersDone    *prometheus.CounterVec
+	registry       *prometheus.Registry
+	requests       *prometheus.CounterVec
+	unauthorized   prometheus.Counter
+	forwarded      prometheus.Counter
+	renewals       prometheus.Counter
+	ordersSent     *prometheus.CounterVec
+	ordersRefused  *prometheus.CounterVec
+	ordersDone     *prometheus.CounterVec
+	serversRefused prometheus.Counter
 }
 
 func newMetrics(c *Control) *metrics {
@@ -41,14 +42,15 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenaslip_control_requests_total", Help: "Requests by path.",
 		}, []string{"path"}),
-		unauthorized:  counter("unauthorized_total", "Requests refused for a missing or wrong token."),
-		forwarded:     counter("forwarded_total", "Requests forwarded to the leader."),
-		renewals:      counter("renewals_total", "Lease renewals answered."),
-		ordersSent:    counterByKind("orders_sent_total", "Orders written to an engine, repetitions included."),
-		ordersRefused: counterByKind("orders_refused_total", "Orders refused for a stale fencing token."),
-		ordersDone:    counterByKind("orders_done_total", "Orders whose effect a report has shown."),
+		unauthorized:   counter("unauthorized_total", "Requests refused for a missing or wrong token."),
+		forwarded:      counter("forwarded_total", "Requests forwarded to the leader."),
+		serversRefused: counter("servers_refused_total", "Announcements and records of backend servers left out as invalid."),
+		renewals:       counter("renewals_total", "Lease renewals answered."),
+		ordersSent:     counterByKind("orders_sent_total", "Orders written to an engine, repetitions included."),
+		ordersRefused:  counterByKind("orders_refused_total", "Orders refused for a stale fencing token."),
+		ordersDone:     counterByKind("orders_done_total", "Orders whose effect a report has shown."),
 	}
-	m.registry.MustRegister(m.requests, m.unauthorized, m.forwarded, m.renewals)
+	m.registry.MustRegister(m.requests, m.unauthorized, m.forwarded, m.renewals, m.serversRefused)
 	m.registry.MustRegister(m.ordersSent, m.ordersRefused, m.ordersDone)
 	m.registerGauges(c)
 	return m
--- a/control/servers.go
+++ b/control/servers.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/pkg/errors"
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -171,6 +169,10 @@
 // once all entries know. Entries receive it in the responses to their watches. A heartbeat
 // without news is passed on later, together with others.
 func (c *Control) Announce(announcement roster.Announcement) error {
+	if err := announcement.Validate(); err != nil {
+		c.RefuseAnnouncement(err)
+		return invalidError(fiber.StatusBadRequest, err)
+	}
 	if c.delegate.acceptHeartbeat(announcement) {
 		return nil
 	}
@@ -211,62 +213,28 @@
 }
 
 func (c *Control) postServers(f fiber.Ctx) error {
-	announcements, err := decodeAnnouncements(f.Body())
+	announcements, refused, err := decodeAnnouncements(f.Body())
 	if err != nil {
 		return invalidError(fiber.StatusBadRequest, err)
 	}
+	c.recordRefused(refused)
+	if len(announcements) == 0 && refused.Count > 0 {
+		return invalidError(fiber.StatusBadRequest, refused.Cause)
+	}
 	if err := c.acknowledgeAnnouncements(announcements); err != nil {
 		return err
 	}
 	return f.SendStatus(fiber.StatusNoContent)
 }
 
-// wireServer is the JSON form of a roster.Record and of a roster.Announcement.
-type wireServer struct {
-	Server           string       `json:"server"`
-	Service          string       `json:"service,omitempty"`
-	Address          string       `json:"address,omitempty"`
-	AvailabilityZone string       `json:"availability_zone,omitempty"`
-	Slots            int          `json:"slots,omitempty"`
-	State            roster.State `json:"state"`
-	WarmupLeft       clock.Millis `json:"cold_left_ms,omitempty"`
-	StartedAt        int64        `json:"started_ms,omitempty"`
-	Sequence         uint64       `json:"sequence,omitempty"`
-	Silent           bool         `json:"silent,omitempty"`
-}
-
-func toWireServer(r roster.Record) wireServer {
-	announcement := r.Announcement
-	return wireServer{
-		Server: announcement.Server, Service: announcement.Service, Address: announcement.Address, AvailabilityZone: announcement.AvailabilityZone, Slots: announcement.Slots,
-		State: announcement.State, WarmupLeft: announcement.WarmupLeft, StartedAt: announcement.StartedAt, Sequence: announcement.Sequence, Silent: r.Silent,
-	}
-}
-
-func (w wireServer) toRecord() roster.Record {
-	return roster.Record{Silent: w.Silent, Announcement: roster.Announcement{
-		Server: w.Server, Service: w.Service, Address: w.Address, AvailabilityZone: w.AvailabilityZone, Slots: w.Slots,
-		State: w.State, WarmupLeft: w.WarmupLeft, StartedAt: w.StartedAt, Sequence: w.Sequence,
-	}}
+// recordRefused counts and logs servers that were left out.
+func (c *Control) recordRefused(refused RefusedServers) {
+	c.metrics.serversRefused.Add(float64(refused.Count))
+	refused.log(c.options.Clock.Now(), c.refusalLog)
 }
 
-func encodeAnnouncements(announcements []roster.Announcement) ([]byte, error) {
-	data, err := json.Marshal(toWireAnnouncements(announcements))
-	return data, errors.WithStack(err)
-}
-
-func toWireAnnouncements(announcements []roster.Announcement) []wireServer {
-	return lo.Map(announcements, func(a roster.Announcement, _ int) wireServer { return toWireServer(roster.Record{Announcement: a}) })
-}
-
-func fromWireAnnouncements(wire []wireServer) []roster.Announcement {
-	return lo.Map(wire, func(w wireServer, _ int) roster.Announcement { return w.toRecord().Announcement })
-}
-
-func decodeAnnouncements(data []byte) ([]roster.Announcement, error) {
-	var wire []wireServer
-	if err := json.Unmarshal(data, &wire); err != nil {
-		return nil, errors.Wrap(err, "decoding announcements")
-	}
-	return fromWireAnnouncements(wire), nil
+// RefuseAnnouncement counts and logs an announcement that was refused before it reached the
+// group.
+func (c *Control) RefuseAnnouncement(cause error) {
+	c.recordRefused(RefusedServers{Count: 1, Cause: cause})
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -62,6 +62,7 @@
 	Acknowledged         uint64                // position up to which the member and all of these entries know all changes
 	AcknowledgedRevision uint64                // oldest revision of the catalog that the member or one of these entries uses
 	Heartbeats           []roster.Announcement // heartbeats that changed nothing, received since the last request
+	RefusedHeartbeats    RefusedServers        // heartbeats that were left out when the request was decoded
 }
 
 // acknowledged returns the revision of the catalog and the position in the server list up to
@@ -101,6 +102,7 @@
 	Epoch      uint64            // epoch of the server list; positions of other epochs are invalid
 	Position   uint64            // position in the server list after these changes
 	Servers    []roster.Record   // servers that changed since the entry's position
+	Refused    RefusedServers    // servers that were left out when the response was decoded
 	EntryCount int               // number of entries that watch
 	Members    []string          // addresses of the control members
 	Loads      []ServerLoad      // total load of all other entries, one ServerLoad for each server
@@ -237,6 +239,7 @@
 	if err != nil {
 		return invalidError(fiber.StatusBadRequest, err)
 	}
+	c.recordRefused(watch.RefusedHeartbeats)
 	response := c.answerWatch(watch)
 	response.Quarantine, response.QuarantinePosition = c.quarantine.Report(c.options.Clock.Now(), watch.QuarantineKnown)
 	if response.Document == nil || !watch.AcceptsCompression {
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -30,7 +30,7 @@
 	Delegate          *wireDelegate `json:"delegate,omitempty"`
 	EntryCount        int           `json:"entries,omitempty"`
 	Acknowledged      uint64        `json:"acknowledged,omitempty"`
-	Heartbeats        []wireServer  `json:"heartbeats,omitempty"`
+	Heartbeats        wireServers   `json:"heartbeats,omitempty"`
 
 	AcknowledgedRevision uint64 `json:"acknowledged_revision,omitempty"`
 
@@ -86,7 +86,7 @@
 	Compressed []byte        `json:"document_flate_base64,omitempty"` // in place of Document
 	Epoch      uint64        `json:"epoch"`
 	Position   uint64        `json:"position"`
-	Servers    []wireServer  `json:"servers,omitempty"`
+	Servers    wireServers   `json:"servers,omitempty"`
 	EntryCount int           `json:"entries"`
 	Members    []string      `json:"members"`
 	Loads      []wireLoad    `json:"loads,omitempty"`
@@ -116,11 +116,12 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return WatchRequest{}, errors.Wrap(err, "decoding a watch")
 	}
+	heartbeats, refused := fromWireAnnouncements(w.Heartbeats)
 	return WatchRequest{
 		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, MaxWait: w.MaxWait,
 		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
 		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, AcceptsCompression: w.AcceptsCompressed, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
-		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: fromWireAnnouncements(w.Heartbeats),
+		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: heartbeats, RefusedHeartbeats: refused,
 		Quarantine: w.Quarantine.toReport(), QuarantineKnown: quarantine.Position(w.QuarantineKnown),
 	}, nil
 }
@@ -158,12 +159,14 @@
 		}
 		document = &decompressed
 	}
+	servers, refused := fromWireServers(w.Servers)
 	return WatchResponse{
 		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
 		EntryCount: w.EntryCount, Members: w.Members, Loads: fromWireLoads(w.Loads),
 		Demands:  fromWireDemands(w.Demands),
 		Document: document,
-		Servers:  lo.Map(w.Servers, func(s wireServer, _ int) roster.Record { return s.toRecord() }),
+		Servers:  servers,
+		Refused:  refused,
 
 		LoadsKept: w.LoadsKept, ConfirmationAge: w.ConfirmationAge,
 		Quarantine: w.Quarantine.toReport(), QuarantinePosition: quarantine.Position(w.QuarantinePosition),
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -85,6 +85,7 @@
 	request         WatchRequest // the next request
 	confirmedSource string       // address that sent the latest granted response; empty after a failure
 	quarantine      quarantineExchange
+	refusalLog      *event.Limiter
 	failures        int // watches that failed or were not granted since the latest granted one
 }
 
@@ -95,7 +96,8 @@
 	}
 	return &Watcher{
 		options: options, quarantine: quarantineExchange{quarantine: options.Quarantine}, peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
-		request: WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, AcceptsCompression: true, Delegate: options.Delegate},
+		refusalLog: event.NewLimiter(options.Logger, refusalLogInterval),
+		request:    WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, AcceptsCompression: true, Delegate: options.Delegate},
 	}
 }
 
@@ -131,6 +133,7 @@
 	case len(response.Members) > 0:
 		w.memberAddresses = response.Members
 	}
+	response.Refused.log(w.options.Clock.Now(), w.refusalLog)
 	w.quarantine.apply(w.options.Clock.Now(), response)
 	if !response.Granted || response.Epoch < w.request.Epoch {
 		w.leaderAddress = response.Leader
--- a/event/control.go
+++ b/event/control.go
@@ -18,5 +18,6 @@
 	LeaderReachable        = define(313, "leader_found", Info, "The control leader answers again.")
 	AcknowledgementDelayed = define(316, "acknowledgement_delayed", Warn, "A change is not acknowledged yet, because these entries may still act on the former state.")
 	HeartbeatsDropped      = define(314, "heartbeats_dropped", Warn, "Heartbeats that another member acknowledged came to a member that does not lead.")
+	ServerRefused          = define(317, "server_refused", Warn, "Announcements or records of backend servers describe no usable server and were left out; at most one line in ten seconds.")
 	DelegateChanged        = define(315, "delegate_changed", Info, "An entry watches another control member.")
 )
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -17,14 +17,15 @@
 // metrics holds the relay's counters and histograms. Label values come from the
 // catalog and from fixed sets, never from callers, so that their number is bounded.
 type metrics struct {
-	registry      *prometheus.Registry
-	answers       *prometheus.CounterVec
-	refusals      *prometheus.CounterVec
-	attempts      *prometheus.CounterVec
-	streamsCut    prometheus.Counter
-	panics        prometheus.Counter
-	firstByteTime *prometheus.HistogramVec
-	totalTime     *prometheus.HistogramVec
+	registry       *prometheus.Registry
+	answers        *prometheus.CounterVec
+	refusals       *prometheus.CounterVec
+	attempts       *prometheus.CounterVec
+	streamsCut     prometheus.Counter
+	panics         prometheus.Counter
+	serversRefused prometheus.Counter
+	firstByteTime  *prometheus.HistogramVec
+	totalTime      *prometheus.HistogramVec
 }
 
 func newMetrics(r *Relay) *metrics {
@@ -45,10 +46,13 @@
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenaslip_relay_panics_total", Help: "Connections that an unexpected error in the relay has ended.",
 		}),
+		serversRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenaslip_relay_servers_refused_total", Help: "Records of backend servers left out as invalid.",
+		}),
 		firstByteTime: newHistogram("galenaslip_relay_first_byte_seconds", "Time from a request's arrival to the first byte of its answer."),
 		totalTime:     newHistogram("galenaslip_relay_answer_seconds", "Time from a request's arrival to the end of its answer."),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.firstByteTime, m.totalTime)
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.serversRefused, m.firstByteTime, m.totalTime)
 	m.registry.MustRegister(gauges{r})
 	return m
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -188,6 +188,7 @@
 		return false // the update lacks the document of the newest revision
 	}
 	now := r.clock.Now()
+	r.metrics.serversRefused.Add(float64(update.Refused.Count))
 	r.fleet.applyUpdate(now, update)
 	r.budget.setEntryCount(update.EntryCount)
 	r.leaseEnd.Store(int64(confirmedAfter + r.options.Lease))
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -70,7 +70,10 @@
 	case a.StartedAt < 0 || a.StartedAt > maxStart || a.Sequence > maxSequence:
 		return errors.Errorf("server %q: start %d or sequence %d is out of range", a.Server, a.StartedAt, a.Sequence)
 	}
-	return errors.Wrapf(endpoint.Validate(a.Address), "server %q", a.Server)
+	if err := endpoint.Validate(a.Address); err != nil {
+		return errors.Wrapf(err, "server %q", a.Server)
+	}
+	return nil
 }
 
 // validServerName reports whether a server can have this name. Entries send it in a header
