--- a/control/server_codec.go
+++ b/control/server_codec.go
@@ -27,7 +27,7 @@
 // log writes the event for refused servers, if there are any.
 func (r RefusedServers) log(now clock.Millis, limiter *event.Limiter) {
 	if r.Count > 0 {
-		limiter.Log(now, event.ServerRefused, zap.Int("servers", r.Count), zap.String("cause", fmt.Sprintf("%.300v", r.Cause)))
+		limiter.Log(now, event.ServerRefused, zap.Int("servers", r.Count), zap.String("cause", fmt.Sprintf("%.300s", r.Cause.Error())))
 	}
 }
 
--- a/control/servers_test.go
+++ b/control/servers_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -148,6 +149,28 @@
 	}
 }
 
+// Guards against a log that a refused server fills with its own text.
+func TestRefusalIsLoggedShortly(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	logger, flush := event.NewWithOutput(&out, "c1", event.Warn)
+	c, release, err := control.New(control.Options{Name: "c1", Listen: "127.0.0.1:0", Folder: t.TempDir(), Clock: clock.New(), Logger: logger})
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + c.Address()
+	waitForLeader(t, url)
+	odd := strings.Replace(soundServer("odd", 9), `"slots":4`, `"slots":`+strings.Repeat("9", 100_000), 1)
+	for range 100 {
+		request(t, "POST", url+"/v1/servers", "", "["+odd+"]")
+	}
+	release()
+	flush()
+	if got, want := strings.Count(out.String(), event.ServerRefused.Name()), 1; got < want || out.Len() > 10_000 {
+		t.Errorf("got %d lines about refused servers in a log of %d bytes, want at least %d in at most 10000 bytes", got, out.Len(), want)
+	}
+}
+
 // waitForLeader waits until the member at a URL leads.
 func waitForLeader(t *testing.T, url string) {
 	t.Helper()
