roster, relay: a sound server is not kept out for good

What callers saw: one announcement of another writer under the name of a sound server, with a sequence number or a start time beyond the server's own, kept that server out until the next change of the leader, at relays for good: its own announcements were acknowledged and ignored. One for its address, from a later start, did the same.

Cause: an older announcement never replaced a newer one, however long that one was the last. The values are within their ranges, and no announcement proves who has sent it.

Change: an announcement keeps older ones out for a minute, as a departure did already. Relays let an older record replace one that is silent or gone after 30 s. Within these times the order is as before (TestDelayedAnnouncementIsIgnored, TestServerStateFollowsTheLeader).

Open: a writer that goes on sending under the name of a sound server still keeps it out.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -32,6 +32,10 @@
 	// promptPartRetention is how long a server is assumed to keep a prompt part cached.
 	// Gone servers are remembered for the same time.
 	promptPartRetention = 60 * clock.Second
+	// recordOrderRetention is how long the record of a server that is silent or gone keeps
+	// older ones out. Members that answer on behalf of the leader are behind one another for
+	// less than a lease; package roster accepts an older announcement only after a minute.
+	recordOrderRetention = 30 * clock.Second
 )
 
 // fleet holds the backend servers and what is known about them. Methods that
@@ -162,15 +166,24 @@
 		r.Announcement = known.record.WithState(roster.Gone)
 	}
 	previous := known.record
-	if r.StartedAt < previous.StartedAt || r.StartedAt == previous.StartedAt && resumesServing(previous, r) {
+	if known.outranks(now, r) {
 		return
 	}
-	if r.StartedAt > previous.StartedAt || r.Address != previous.Address {
+	if r.StartedAt != previous.StartedAt || r.Address != previous.Address {
 		f.resetServer(known)
 	}
 	known.record, known.listedByLeader, known.listedAt = r, true, now
 }
 
+// outranks reports whether a record must be ignored, because the known one is from a later
+// time. It no longer is once the control leader accepts older announcements again.
+func (s *server) outranks(now clock.Millis, r roster.Record) bool {
+	if (s.record.Silent || s.record.State == roster.Gone) && now-s.listedAt >= recordOrderRetention {
+		return false
+	}
+	return r.StartedAt < s.record.StartedAt || r.StartedAt == s.record.StartedAt && resumesServing(s.record, r)
+}
+
 // resumesServing reports whether a record would make a server take requests again that has
 // left, or that leaves and has not announced anything since. Such a record is out of date:
 // members that answer on behalf of the leader may be behind one another.
--- a/roster/registry.go
+++ b/roster/registry.go
@@ -11,6 +11,11 @@
 // from it is recognized as stale.
 const goneRetention = 60 * clock.Second
 
+// orderRetention is how long the newest announcement of a server keeps older ones out. Delayed
+// announcements arrive sooner. If the server's own ones are still older after that time, the
+// newest has come from another writer.
+const orderRetention = 60 * clock.Second
+
 // Record is the registry's knowledge of a server.
 type Record struct {
 	Announcement
@@ -74,10 +79,7 @@
 // that started later replaces the other.
 func (r *Registry) Accept(now clock.Millis, a Announcement) AcceptResult {
 	known, ok := r.servers[a.Server]
-	if ok && (!a.isNewerThan(known.record.Announcement) || returnsWithoutRestart(known.record, a)) {
-		return Stale
-	}
-	if a.State != Gone && r.superseded(a) {
+	if ok && known.outranks(now, a) || a.State != Gone && r.superseded(now, a) {
 		return Stale
 	}
 	if !ok {
@@ -98,6 +100,15 @@
 	return Changed
 }
 
+// outranks reports whether an announcement of the same server must be ignored, because the
+// newest one is from a later time.
+func (k *registration) outranks(now clock.Millis, a Announcement) bool {
+	if now-k.updatedAt >= orderRetention {
+		return false
+	}
+	return !a.isNewerThan(k.record.Announcement) || returnsWithoutRestart(k.record, a)
+}
+
 // returnsWithoutRestart reports whether a gone server announces itself again without
 // having restarted, which is not allowed.
 func returnsWithoutRestart(known Record, a Announcement) bool {
@@ -128,10 +139,10 @@
 }
 
 // superseded reports whether another server that started later has the same address.
-func (r *Registry) superseded(a Announcement) bool {
+func (r *Registry) superseded(now clock.Millis, a Announcement) bool {
 	for _, other := range r.byAddress[a.Address] {
 		o := other.record.Announcement
-		if o.Server != a.Server && o.State != Gone && o.StartedAt > a.StartedAt {
+		if o.Server != a.Server && o.State != Gone && o.StartedAt > a.StartedAt && now-other.updatedAt < orderRetention {
 			return true
 		}
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -151,3 +151,55 @@
 		})
 	}
 }
+
+// Guards against a sound server that stays out for good, because another writer has once sent
+// an announcement under its name or for its address that outranks all of its own.
+func TestSoundServerReturns(t *testing.T) {
+	const sequence, start = 1 << 62, 1 << 42
+	sound := server("a", 7, 10)
+	tests := []struct {
+		name string
+		odd  roster.Announcement
+	}{
+		{"sequence near the maximum", server("a", 7, sequence)},
+		{"leaving with a sequence near the maximum", server("a", 7, sequence).WithState(roster.Leaving)},
+		{"start far in the future", server("a", start, 1)},
+		{"other server at the address", server("b", start, sequence)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := roster.New(4 * clock.Second)
+			r.Accept(0, sound)
+			r.Accept(1, tt.odd)
+			returnedAt := clock.Millis(0)
+			for now := clock.Second; now < 5*clock.Minute && returnedAt == 0; now += clock.Second {
+				r.CheckTimeouts(now)
+				sound.Sequence++
+				if r.Accept(now, sound) != roster.Stale {
+					returnedAt = now
+				}
+			}
+			if got, want := returnedAt, 61*clock.Second; got == 0 || got > want {
+				t.Errorf("the sound server counts again after %d ms, want at most %d (0: never)", got, want)
+			}
+			if got, want := states(r)["a"], roster.Serving; got != want {
+				t.Errorf("state: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a delayed announcement that makes a server usable again which has stopped
+// sending, or that has announced meanwhile that it leaves.
+func TestDelayedAnnouncementIsIgnored(t *testing.T) {
+	r := roster.New(4 * clock.Second)
+	r.Accept(0, server("a", 7, 2).WithState(roster.Leaving))
+	for now := clock.Second; now < clock.Minute; now += clock.Second {
+		r.CheckTimeouts(now)
+		for _, delayed := range []roster.Announcement{server("a", 7, 1), server("a", 6, 90), server("b", 6, 90)} {
+			if got, want := r.Accept(now, delayed), roster.Stale; got != want {
+				t.Errorf("%s at %d ms: got %d, want %d", delayed.Server, now, got, want)
+			}
+		}
+	}
+}
