backend: an odd record costs itself, not the whole digest

What callers saw: an entry no longer followed another entry as long as one record of its digest described no usable server, for example with a number too large for its field. Announcements with port 0, an unspecified address or a line break in the name were accepted. Each refused one was logged with the sender's text in full.

Cause: DecodeDigest ended at the first record that it could not decode or that was invalid, and the pull failed as a whole. Addresses and names were checked less strictly than for the servers of HTTP routes.

Change: records that cannot be decoded or are invalid are left out, counted (galenaslip_entry_servers_refused_total, at members the counter of control) and logged as event 408, at most once in ten seconds. Names and addresses are checked by package endpoint for both kinds of servers. A digest without odd records is decoded as before.

--- a/backend/announcement.go
+++ b/backend/announcement.go
@@ -1,13 +1,13 @@
 package backend
 
 import (
-	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/endpoint"
 )
 
 // State says whether a server accepts new work.
@@ -303,7 +303,7 @@
 
 func (s *stableFields) validate() error {
 	switch {
-	case !validName(s.server):
+	case !endpoint.ValidName(s.server):
 		return errors.Errorf("invalid server %q", s.server)
 	case s.kind != Engine && s.kind != Service:
 		return errors.Errorf("invalid kind %q: want %q or %q", s.kind, Engine, Service)
@@ -323,8 +323,7 @@
 			return errors.Errorf("invalid model or service %q", n)
 		}
 	}
-	_, err := netip.ParseAddrPort(s.address)
-	return errors.Wrapf(err, "invalid address %q", s.address)
+	return endpoint.Validate(s.address)
 }
 
 func validateEvents(events []CacheEvent) error {
--- a/backend/digest.go
+++ b/backend/digest.go
@@ -54,6 +54,21 @@
 	inFlight map[string]int
 	waiting  []Demand
 	load     loadDelta
+	refused  refusedRecords
+}
+
+// refusedRecords counts the records of a digest that were left out when it was decoded, because
+// they describe no usable server.
+type refusedRecords struct {
+	count int
+	cause error // why the first of them was left out
+}
+
+func (r *refusedRecords) add(cause error) {
+	if r.count == 0 {
+		r.cause = cause
+	}
+	r.count++
 }
 
 // digestRecord is a record in a digest. A record whose stableFields is nil is called a
@@ -80,6 +95,10 @@
 // RecordCount returns the number of announcement records.
 func (d Digest) RecordCount() int { return len(d.records) }
 
+// Refused returns the number of records that were left out when the digest was decoded, and
+// why the first of them was.
+func (d Digest) Refused() (int, error) { return d.refused.count, d.refused.cause }
+
 // InFlight returns the number of the sender's running requests by server. If the digest
 // contains a load delta, only changed servers are included. The caller must not modify
 // the map.
--- a/backend/digest_codec.go
+++ b/backend/digest_codec.go
@@ -190,38 +190,77 @@
 
 // DecodeDigest parses and validates a digest.
 func DecodeDigest(data []byte) (Digest, error) {
-	var w wireDigest
-	if err := json.Unmarshal(data, &w); err != nil {
+	w, refused, err := decodeWireDigest(data)
+	if err != nil {
 		return Digest{}, errors.Wrap(err, "decode digest")
 	}
-	d := Digest{entry: w.Entry, version: Version{counters: w.Version}, inFlight: w.InFlight}
+	d := Digest{entry: w.Entry, version: Version{counters: w.Version}, inFlight: w.InFlight, refused: refused}
 	if !validName(w.Entry) {
 		return Digest{}, errors.Errorf("decode digest: invalid entry %q", w.Entry)
 	}
-	if err := d.addRecords(w); err != nil {
-		return Digest{}, errors.Wrap(err, "decode digest")
-	}
+	d.addRecords(w)
 	return d, errors.Wrap(d.addLoad(w), "decode digest")
 }
 
-func (d *Digest) addRecords(w wireDigest) error {
-	for _, f := range w.Full {
-		e, err := fromWireRecord(f)
-		if err != nil {
-			return err
+// rawDigest is a wireDigest whose records are not decoded yet.
+type rawDigest struct {
+	wireDigest
+	Full    []json.RawMessage            `json:"full"`
+	Refresh map[string][]json.RawMessage `json:"refresh"`
+}
+
+// decodeWireDigest decodes a digest without the records that cannot be decoded. It decodes
+// records one by one only if the digest cannot be decoded at once, which is faster.
+func decodeWireDigest(data []byte) (wireDigest, refusedRecords, error) {
+	var w wireDigest
+	var refused refusedRecords
+	if json.Unmarshal(data, &w) == nil {
+		return w, refused, nil
+	}
+	var raw rawDigest
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return wireDigest{}, refused, err
+	}
+	w = raw.wireDigest
+	w.Full, w.Refresh = decodeElements[wireRecord](raw.Full, &refused), map[string][]wireRefresh{}
+	for origin, elements := range raw.Refresh {
+		w.Refresh[origin] = decodeElements[wireRefresh](elements, &refused)
+	}
+	return w, refused, nil
+}
+
+// decodeElements returns the elements of a list that can be decoded.
+func decodeElements[T any](elements []json.RawMessage, refused *refusedRecords) []T {
+	decoded := make([]T, 0, len(elements))
+	for _, e := range elements {
+		var element T
+		if err := json.Unmarshal(e, &element); err != nil {
+			refused.add(err)
+			continue
 		}
-		d.records = append(d.records, e)
+		decoded = append(decoded, element)
+	}
+	return decoded
+}
+
+// addRecords adds the records that describe a usable server.
+func (d *Digest) addRecords(w wireDigest) {
+	for _, f := range w.Full {
+		d.addRecord(fromWireRecord(f))
 	}
 	for _, origin := range sortedKeys(w.Refresh) {
 		for _, f := range w.Refresh[origin] {
-			e, err := fromWireRefresh(origin, f)
-			if err != nil {
-				return err
-			}
-			d.records = append(d.records, e)
+			d.addRecord(fromWireRefresh(origin, f))
 		}
 	}
-	return nil
+}
+
+func (d *Digest) addRecord(r digestRecord, err error) {
+	if err != nil {
+		d.refused.add(err)
+		return
+	}
+	d.records = append(d.records, r)
 }
 
 func fromWireRecord(w wireRecord) (digestRecord, error) {
@@ -252,7 +291,7 @@
 	if e.age < 0 || e.age > maxAge {
 		return digestRecord{}, errors.Errorf("invalid age %d of server %q", e.age, e.server)
 	}
-	placeholder := stableFields{server: e.server, kind: Engine, role: Generate, slots: 1, address: "0.0.0.0:0"}
+	placeholder := stableFields{server: e.server, kind: Engine, role: Generate, slots: 1, address: "127.0.0.1:1"}
 	a := Announcement{stableFields: &placeholder, state: e.state, load: e.load, events: e.events}
 	return e, a.validate()
 }
--- a/backend/fuzz_test.go
+++ b/backend/fuzz_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/backend"
@@ -33,6 +34,9 @@
 }
 
 func FuzzAnnouncement(f *testing.F) {
+	for _, tt := range oddAnnouncements {
+		f.Add([]byte(strings.Replace(announcementText("odd"), tt.old, tt.replacement, 1)))
+	}
 	fuzz(f, backend.DecodeAnnouncement, backend.EncodeAnnouncement,
 		`{"server":"engine-7","incarnation":1,"sequence":12,"state":"serving","kind":"engine","address":"10.0.0.7:9000","models":["m"],"slots":16,"load":{"age_ms":400,"running":5,"tokens_per_second":800},"cache_events":[{"sequence":9,"kind":"stored","hash":"ff"}]}`)
 }
@@ -46,6 +50,7 @@
 }
 
 func FuzzDigest(f *testing.F) {
+	f.Add([]byte(`{"entry":"e","full":[null,7,{"announcement":{"slots":1e400}}],"refresh":{"e/1":[{},["s",4],["s",4,99,7,1e400,500,3,0,10,800]]},"load":{}}`))
 	fuzz(f, backend.DecodeDigest, backend.EncodeDigest,
 		`{"entry":"e","version":{"e/1":5},"refresh":{"e/1":[["s",4,99,7,100,500,3,0,10,800,[{"sequence":9,"kind":"cleared"}]]]},"in_flight":{"s":3},"waiting":[{"pool":"model:m","tier":1,"waiting":2,"oldest_ms":5}],"load":{"origin":"e/1","from":3,"to":9,"started":{"s":[[8,"id",4]]},"ended":[2]}}`,
 		`{"entry":"e","version":{},"full":[{"origin":"e/1","counter":1,"age_ms":3,"announcement":{"server":"s","state":"leaving","kind":"service","address":"[::1]:1","services":["ledger"],"slots":1,"load":{}}}]}`)
--- a/control/placement.go
+++ b/control/placement.go
@@ -147,6 +147,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "decoding the digest from %s", address)
 	}
+	if count, cause := digest.Refused(); count > 0 {
+		p.control.recordRefused(RefusedServers{Count: count, Cause: cause})
+	}
 	now := p.now()
 	p.registry.Merge(now, digest, now-startedAt)
 	return nil
--- a/endpoint/doc.go
+++ b/endpoint/doc.go
@@ -1,3 +1,3 @@
-// Package endpoint checks the addresses under which backend servers say that they can be
-// reached, before a process stores them or connects to them.
+// Package endpoint checks the names and addresses under which backend servers announce
+// themselves, before a process stores them, sends them on or connects to them.
 package endpoint
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"fmt"
+
 	"github.com/gofiber/fiber/v3"
 	"go.uber.org/zap"
 
@@ -13,12 +15,15 @@
 // announceInterval is the interval at which servers are asked to announce themselves.
 const announceInterval = 1 * clock.Second
 
+// refusalLogInterval is the shortest time between two log lines about refused servers.
+const refusalLogInterval = 10 * clock.Second
+
 // handleAnnouncement serves POST /v1/announcements.
 func (e *Entry) handleAnnouncement(c fiber.Ctx) error {
 	a, err := backend.DecodeAnnouncement(c.BodyRaw())
 	if err != nil {
-		e.options.Logger.Log(event.AnnouncementRefused, zap.String("address", c.IP()), zap.Error(err))
-		return invalid(outcome.ReasonInvalidRequest, "", err.Error()).write(c)
+		e.recordRefused(c.IP(), 1, err)
+		return invalid(outcome.ReasonInvalidRequest, "", excerpt(err)).write(c)
 	}
 	answers := make(chan backend.AnnouncementResponse, 1)
 	ok := e.dispatcher.trySend(func(now clock.Millis) { answers <- e.dispatcher.acceptAnnouncement(now, e.challenger, a) })
@@ -34,6 +39,17 @@
 	}
 }
 
+// recordRefused counts and logs announcements and records of servers that were left out, and
+// the address that has sent them.
+func (e *Entry) recordRefused(address string, count int, cause error) {
+	e.metrics.serversRefused.Add(float64(count))
+	e.refusalLog.Log(e.options.Clock.Now(), event.AnnouncementRefused,
+		zap.String("address", address), zap.Int("servers", count), zap.String("cause", excerpt(cause)))
+}
+
+// excerpt returns the beginning of an error message, which may quote the sender's data.
+func excerpt(err error) string { return fmt.Sprintf("%.300s", err.Error()) }
+
 // sendEncoded returns a function that takes the result of an encoder. It sends body
 // as JSON; if err is not nil, it sends nothing and returns err.
 func sendEncoded(c fiber.Ctx) func(body []byte, err error) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,8 +37,9 @@
 	closeCollector  func() // stops collector after it has counted all queued samples
 	budget          *budget
 	metrics         *metrics
-	stopping        atomic.Bool // a stop has begun, so /readyz fails
-	refusingNewWork atomic.Bool // new requests are refused
+	refusalLog      *event.Limiter // for servers that are left out as invalid
+	stopping        atomic.Bool    // a stop has begun, so /readyz fails
+	refusingNewWork atomic.Bool    // new requests are refused
 	stopped         chan struct{}
 	searchSemaphore chan struct{} // semaphore that limits the concurrent stream searches
 	releaseOnce     sync.Once
@@ -107,6 +108,7 @@
 		closeClient:     closeClient,
 		challenger:      backend.NewChallenger(options.Name, incarnation),
 		budget:          newBudget(options.RetryPercentage, incarnation),
+		refusalLog:      event.NewLimiter(options.Logger, refusalLogInterval),
 		stopped:         make(chan struct{}),
 		searchSemaphore: make(chan struct{}, maxParallelSearches),
 		ctx:             ctx,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -16,6 +16,7 @@
 	pullFailures         prometheus.Counter
 	droppedAnnouncements prometheus.Counter
 	refusedInboxFull     prometheus.Counter
+	serversRefused       prometheus.Counter
 }
 
 func newMetrics(e *Entry) *metrics {
@@ -26,6 +27,7 @@
 	m.pullFailures = m.counter("pull_failures_total", "Pulls from other entries that failed.")
 	m.droppedAnnouncements = m.counter("dropped_announcements_total", "Announcements dropped because the dispatcher's inbox was full.")
 	m.refusedInboxFull = m.counter("refused_inbox_full_total", "Requests refused because the dispatcher's inbox was full.")
+	m.serversRefused = m.counter("servers_refused_total", "Announcements and records of backend servers left out as invalid.")
 	m.gauge("inbox", "Messages in the dispatcher's inbox.", func() float64 { return float64(len(e.dispatcher.inbox)) })
 	m.gauge("lease_ms", "Remaining time of the configuration lease.", func() float64 { return float64(e.leases.remaining()) })
 	m.gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(e.leases.configuration().Revision()) })
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -55,6 +55,9 @@
 		}
 		return
 	}
+	if count, cause := digest.Refused(); count > 0 {
+		e.recordRefused(address, count, cause)
+	}
 	e.dispatcher.send(ctx, func(now clock.Millis) {
 		// The digest's age includes the time that this function waited in the inbox.
 		e.dispatcher.mergeDigest(now, address, digest, now-began)
--- a/event/entry.go
+++ b/event/entry.go
@@ -10,5 +10,5 @@
 	CancelFailed        = define(405, "cancel_failed", Warn, "A request could not be cancelled at its engine.")
 	EndAttemptFailed    = define(406, "settle_failed", Error, "The outcome of an at-most-once call could not be recorded.")
 	PeerUnreachable     = define(407, "peer_unreachable", Warn, "No digest was received from another entry.")
-	AnnouncementRefused = define(408, "announcement_refused", Warn, "A backend server's announcement is invalid.")
+	AnnouncementRefused = define(408, "announcement_refused", Warn, "Announcements or records of backend servers describe no usable server and were left out; at most one line in ten seconds.")
 )
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -1,8 +1,6 @@
 package roster
 
 import (
-	"strings"
-
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -11,7 +9,7 @@
 
 // Limits of an announcement. Any process may send one, and it is passed on to all entries.
 const (
-	maxNameBytes = 128
+	maxTextBytes = 128 // of a service and an availability zone
 	maxSlots     = 1 << 16
 	maxWarmUp    = 24 * clock.Hour
 	maxStart     = 1 << 42 // Unix time in ms, in the year 2109
@@ -53,15 +51,15 @@
 // Validate returns an error if the announcement does not describe a usable server. The
 // departure of a server needs nothing but its name.
 func (a Announcement) Validate() error {
-	if !validServerName(a.Server) {
-		return errors.Errorf("server %.60q: a name has 1 to %d visible ASCII characters", a.Server, maxNameBytes)
+	if !endpoint.ValidName(a.Server) {
+		return errors.Errorf("server %.60q: a name has 1 to %d visible ASCII characters", a.Server, endpoint.MaxNameBytes)
 	}
 	switch {
 	case a.State == Gone:
 		return nil
 	case a.State != Serving && a.State != Leaving:
 		return errors.Errorf("server %q: state %.60q is unknown", a.Server, a.State)
-	case a.Service == "" || len(a.Service) > maxNameBytes || len(a.AvailabilityZone) > maxNameBytes:
+	case a.Service == "" || len(a.Service) > maxTextBytes || len(a.AvailabilityZone) > maxTextBytes:
 		return errors.Errorf("server %q: service %.60q or availability zone %.60q is empty or too long", a.Server, a.Service, a.AvailabilityZone)
 	case a.Slots < 0 || a.Slots > maxSlots:
 		return errors.Errorf("server %q: %d slots: want 0 to %d", a.Server, a.Slots, maxSlots)
@@ -76,13 +74,6 @@
 	return nil
 }
 
-// validServerName reports whether a server can have this name. Entries send it in a header
-// field, where a line break would begin another field.
-func validServerName(name string) bool {
-	invalid := func(r rune) bool { return r <= ' ' || r > '~' }
-	return name != "" && len(name) <= maxNameBytes && strings.IndexFunc(name, invalid) < 0
-}
-
 // isNewerThan reports whether a is newer than b. Both must be of the same server.
 func (a Announcement) isNewerThan(b Announcement) bool {
 	if a.StartedAt != b.StartedAt {
