--- a/catalog/build.go
+++ b/catalog/build.go
@@ -106,7 +106,7 @@
 	case r.MaxPossibleRuns < 1:
 		return errors.Errorf("route %q: %d attempts are not possible", r.Name, r.MaxPossibleRuns)
 	}
-	total := 0
+	total := 0.0 // a sum of integers could overflow
 	for _, s := range r.Shares {
 		if _, ok := c.services[s.Service]; !ok {
 			return errors.Errorf("route %q: service %q is unknown", r.Name, s.Service)
@@ -114,10 +114,10 @@
 		if s.Weight < 0 {
 			return errors.Errorf("route %q: weight %d of service %q is negative", r.Name, s.Weight, s.Service)
 		}
-		total += s.Weight
+		total += float64(s.Weight)
 	}
 	if total <= 0 {
-		return errors.Errorf("route %q: the weights add up to %d", r.Name, total)
+		return errors.Errorf("route %q: the weights add up to %g", r.Name, total)
 	}
 	return nil
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -148,8 +148,8 @@
 // services. Evenly distributed points give each service requests in proportion to its
 // weight.
 func (r Route) ChooseService(point float64) string {
-	total := lo.SumBy(r.Shares, func(s Share) int { return s.Weight })
-	remaining := point * float64(total)
+	total := lo.SumBy(r.Shares, func(s Share) float64 { return float64(s.Weight) })
+	remaining := point * total
 	for _, s := range r.Shares {
 		remaining -= float64(s.Weight)
 		if remaining < 0 {
