relay: the number of entries is bounded

What callers saw: with an absurd number of entries in an update, which is a sum of what others report, the next request with a quarantined part ended in a panic and its connection was closed.

Cause: the number multiplies a time, the product overflowed to 0, and a hash is reduced by it.

Change: a relay counts at most 100,000 entries.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -38,6 +38,9 @@
 	recordOrderRetention = 30 * clock.Second
 )
 
+// maxEntries bounds the number of entries that an update reports. The number multiplies times.
+const maxEntries = 100_000
+
 // fleet holds the backend servers and what is known about them. Methods that
 // other types call acquire the lock; for the others, the caller must hold it.
 type fleet struct {
@@ -91,7 +94,7 @@
 func (f *fleet) applyUpdate(now clock.Millis, update control.WatchResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entryCount = max(update.EntryCount, 1)
+	f.entryCount = min(max(update.EntryCount, 1), maxEntries)
 	if update.Epoch != f.serverListEpoch {
 		f.serverListEpoch, f.serverListEpochAt = update.Epoch, now
 		for _, s := range f.servers {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -99,3 +99,18 @@
 		})
 	}
 }
+
+// Guards against a number of entries that overflows where it multiplies a time: the product
+// became 0 and requests with a quarantined part ended in a division by it.
+func TestNumberOfEntriesIsBounded(t *testing.T) {
+	s := newFixture(t)
+	tests := []struct{ reported, want int }{
+		{-1, 1}, {0, 1}, {300, 300}, {1 << 61, 100_000}, {1<<63 - 1, 100_000},
+	}
+	for _, tt := range tests {
+		s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: tt.reported})
+		if got := s.relay.State().Entries; got != tt.want {
+			t.Errorf("%d entries: got %d, want %d", tt.reported, got, tt.want)
+		}
+	}
+}
