--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -33,8 +33,15 @@
 	// promptPartRetention is how long a server is assumed to keep a prompt part cached.
 	// Gone servers are remembered for the same time.
 	promptPartRetention = 60 * clock.Second
+	// recordOrderRetention is how long the record of a server that is silent or gone keeps
+	// older ones out. Members that answer on behalf of the leader are behind one another for
+	// less than a lease; package roster accepts an older announcement only after a minute.
+	recordOrderRetention = 30 * clock.Second
 )
 
+// maxEntries bounds the number of entries that an update reports. The number multiplies times.
+const maxEntries = 100_000
+
 // fleet holds the backend servers and what is known about them. Methods that
 // other types call acquire the lock; for the others, the caller must hold it.
 type fleet struct {
@@ -105,7 +112,7 @@
 func (f *fleet) applyUpdate(now clock.Millis, update control.WatchResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entryCount = max(update.EntryCount, 1)
+	f.entryCount = min(max(update.EntryCount, 1), maxEntries)
 	if update.Epoch != f.serverListEpoch {
 		f.serverListEpoch, f.serverListEpochAt = update.Epoch, now
 		for _, s := range f.servers {
@@ -180,10 +187,10 @@
 		r.Announcement = known.record.WithState(roster.Gone)
 	}
 	previous := known.record
-	if r.StartedAt < previous.StartedAt || r.StartedAt == previous.StartedAt && resumesServing(previous, r) {
+	if known.outranks(now, r) {
 		return
 	}
-	if r.StartedAt > previous.StartedAt || r.Address != previous.Address {
+	if r.StartedAt != previous.StartedAt || r.Address != previous.Address {
 		f.resetServer(known)
 	}
 	known.record, known.listedByLeader, known.listedAt = r, true, now
@@ -192,6 +199,15 @@
 	}
 }
 
+// outranks reports whether a record must be ignored, because the known one is from a later
+// time. It no longer is once the control leader accepts older announcements again.
+func (s *server) outranks(now clock.Millis, r roster.Record) bool {
+	if (s.record.Silent || s.record.State == roster.Gone) && now-s.listedAt >= recordOrderRetention {
+		return false
+	}
+	return r.StartedAt < s.record.StartedAt || r.StartedAt == s.record.StartedAt && resumesServing(s.record, r)
+}
+
 // resumesServing reports whether a record would make a server take requests again that has
 // left, or that leaves and has not announced anything since. Such a record is out of date:
 // members that answer on behalf of the leader may be behind one another.
