relay: a refusal without an ID counts for its own request only

Callers saw: a once-only request that a server had run was answered with 503 ("not run"), or it ran at a second server. A server that sends no IDs in its refusals had written an earlier refusal once more on a kept connection.

Cause: an answer without an ID was accepted on each connection whose latest answer had none, and on a new connection also after an answer to another request.

Evidence without the fix: TestSecondCopyOfARefusal fails in 20 of 120 cases (all formats, copy written after the next request, refusals without IDs): "request that ran: got status 503, want 200 or 502", "runs of a once-only request: got 2, want 1". TestRefusalWithoutIDAfterAnotherAnswer: "got status 503, want 502", "arrivals of a once-only request: got 2, want 1".

Change: an answer without an ID is accepted only as the first one on its connection, which is closed afterwards. Otherwise the outcome is unknown: 502, and no second server for a once-only request. A request without an ID gets a new connection.

Result: both tests pass, and so does go test ./relay.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -135,7 +135,7 @@
 func (a *attempt) send(data []byte, onceOnly bool, deadline clock.Millis) bool {
 	x := a.exchange
 	now := x.relay.clock.Now()
-	conn, err := x.relay.fleet.connect(a.server, onceOnly, deadline-now)
+	conn, err := a.connect(onceOnly, deadline-now)
 	if err != nil {
 		a.setResult(resultUnreachable, err)
 		return false
@@ -152,6 +152,16 @@
 	return a.readHead(conn)
 }
 
+// connect returns a connection to the server. A request without an ID gets a new one, because
+// only the first response on a connection can be matched without an ID.
+func (a *attempt) connect(onceOnly bool, timeout clock.Millis) (*serverConn, error) {
+	fleet := a.exchange.relay.fleet
+	if a.exchange.requestInfo.ID == "" {
+		return fleet.dial(a.server, timeout)
+	}
+	return fleet.connect(a.server, onceOnly, timeout)
+}
+
 var errInterrupted = errors.New("the attempt was interrupted")
 
 // write sends the request. A long request is written in its own goroutine while
@@ -181,7 +191,9 @@
 }
 
 // readHead reads the head of the response to the request. It skips, up to a limit, responses
-// that carry the ID of another request.
+// that carry the ID of another request. A response without an ID may be a copy of an earlier
+// one, so it is accepted only as the first response on the connection, which is not kept
+// afterwards.
 func (a *attempt) readHead(conn *serverConn) bool {
 	x := a.exchange
 	for stray := 0; ; {
@@ -196,11 +208,11 @@
 			a.failAfterSend(err)
 			return false
 		}
-		if responseInfo.ID == "" && conn.identifiesResponses {
-			// It may be a copy of an earlier response.
-			a.failAfterSend(errors.New("server sent a response without the ID that its earlier ones had"))
+		if responseInfo.ID == "" && conn.hasResponse {
+			a.failAfterSend(errors.New("server sent a response without an ID after an earlier response"))
 			return false
 		}
+		conn.hasResponse = true
 		if responseInfo.ID != "" && responseInfo.ID != x.requestInfo.ID {
 			stray++
 			if stray > maxStrayResponses || body.EndsWithConnection() {
@@ -213,9 +225,8 @@
 			}
 			continue
 		}
-		conn.identifiesResponses = responseInfo.ID != ""
 		a.firstByteAt = x.relay.clock.Now()
-		a.reusable = stray == 0 && !head.ClosesConnection() && !body.EndsWithConnection()
+		a.reusable = responseInfo.ID != "" && stray == 0 && !head.ClosesConnection() && !body.EndsWithConnection()
 		a.head, a.responseInfo, a.body = head, responseInfo, body
 		x.relay.fleet.recordLoad(a.server, responseInfo)
 		return true
--- /dev/null
+++ b/relay/kept_connection_test.go
@@ -0,0 +1,156 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/frame"
+)
+
+// refusalFormats are the ways in which a server frames a refusal. Each text has a place for
+// the ID field.
+var refusalFormats = []struct{ name, method, text string }{
+	{"503", "GET", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n"},
+	{"503 with a body", "GET", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n%sContent-Length: 4\r\n\r\nbusy"},
+	{"503 chunked", "GET", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n%sTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n"},
+	{"503 after an interim answer", "GET", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 503 Busy\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n"},
+	{"429", "GET", "HTTP/1.1 429 Too Many\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n"},
+	{"421 with a body", "GET", "HTTP/1.1 421 Other\r\nNot-Run: 1\r\n%sContent-Length: 5\r\n\r\nother"},
+	{"400", "GET", "HTTP/1.1 400 Bad\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n"},
+	{"204", "GET", "HTTP/1.1 204 No Content\r\nNot-Run: 1\r\n%s\r\n"},
+	{"304", "GET", "HTTP/1.1 304 Not Modified\r\nNot-Run: 1\r\n%sContent-Length: 4\r\n\r\n"},
+	{"HEAD", "HEAD", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n%sContent-Length: 4\r\n\r\n"},
+}
+
+// idField returns the header field with a request's ID, or nothing if the ID is empty.
+func idField(id string) string {
+	if id == "" {
+		return ""
+	}
+	return "Id: " + id + "\r\n"
+}
+
+// respondAs runs the request and answers it with the given ID field.
+func respondAs(req receivedRequest, id string) {
+	body := "own"
+	if req.head.Method == http.MethodHead {
+		body = ""
+	}
+	write(req, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: 3\r\n\r\n%s", idField(id), body))
+}
+
+// readStatus reads the response to a request with the given method and returns its status.
+func readStatus(t *testing.T, c *client, method string) int {
+	t.Helper()
+	head, err := frame.ReadResponse(c.reader, 1<<16)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := frame.ResponseBody(c.reader, head, method)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		t.Fatal(err)
+	}
+	return head.Status
+}
+
+// arrivals returns how many requests with the ID the servers have received.
+func arrivals(id string, servers ...*backend) int {
+	n := 0
+	for _, b := range servers {
+		b.mu.Lock()
+		for _, req := range b.received {
+			if req.head.Get("Id") == id {
+				n++
+			}
+		}
+		b.mu.Unlock()
+	}
+	return n
+}
+
+// Guards against a second copy of a refusal that counts for the next request on a kept
+// connection: the server has run that once-only request, but the request goes to a second
+// server, or its caller is told that it did not run. The copy has the earlier request's ID or
+// none, and the server sends IDs in its refusals, in its answers, in both or in neither.
+func TestSecondCopyOfARefusal(t *testing.T) {
+	moments := []string{"with the refusal", "between the requests", "after the next request"}
+	ids := []struct{ name, refusal, copied, answer string }{
+		{"IDs", "1", "1", "2"},
+		{"copy without ID", "1", "", "2"},
+		{"refusals without ID", "", "", "2"},
+		{"no IDs", "", "", ""},
+	}
+	for _, format := range refusalFormats {
+		for _, moment := range moments {
+			for _, id := range ids {
+				t.Run(format.name+"/"+moment+"/"+id.name, func(t *testing.T) {
+					stale := fmt.Sprintf(format.text, idField(id.copied))
+					// A server that has answered 421 gets no more requests.
+					earlier := fmt.Sprintf(strings.Replace(format.text, " 421 ", " 503 ", 1), idField(id.refusal))
+					sendCopy := make(chan net.Conn, 2)
+					var kept sync.Map // connections on which the first request was refused
+					respond := func(req receivedRequest) {
+						if req.head.Get("Id") != "1" {
+							if _, ok := kept.Load(req.conn); ok && moment == "after the next request" {
+								write(req, stale)
+							}
+							respondAs(req, id.answer)
+							return
+						}
+						if moment == "with the refusal" {
+							earlier += stale
+						}
+						write(req, earlier)
+						kept.Store(req.conn, true)
+						sendCopy <- req.conn
+					}
+					one, two := newBackend(t, respond), newBackend(t, respond)
+					s := newFixture(t, one, two)
+					first := s.client()
+					first.send(format.method + " /once/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\n\r\n")
+					if got, want := readStatus(t, first, format.method), 503; got != want {
+						t.Fatalf("refused request: got status %d, want %d", got, want)
+					}
+					s.awaitAttemptsEnd() // the second request must find the connections idle
+					for range 2 {
+						if conn := <-sendCopy; moment == "between the requests" {
+							_, _ = io.WriteString(conn, stale)
+						}
+					}
+					second := s.client()
+					second.send(format.method + " /once/ HTTP/1.1\r\nHost: h\r\nId: 2\r\nKey: k\r\n\r\n")
+					if got := readStatus(t, second, format.method); got != 200 && got != 502 {
+						t.Errorf("request that ran: got status %d, want 200 or 502", got)
+					}
+					if got, want := arrivals("2", one, two), 1; got != want {
+						t.Errorf("runs of a once-only request: got %d, want %d", got, want)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a refusal without an ID that counts for a request on a new connection although
+// an answer to another request came before it: it may belong to yet another one.
+func TestRefusalWithoutIDAfterAnotherAnswer(t *testing.T) {
+	respond := func(req receivedRequest) {
+		write(req, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nstray")
+		notRun(req)
+	}
+	one, two := newBackend(t, respond), newBackend(t, respond)
+	c := newFixture(t, one, two).client()
+	c.get("/once/", "1")
+	c.wantStatus(502)
+	if got, want := one.count()+two.count(), 1; got != want {
+		t.Errorf("arrivals of a once-only request: got %d, want %d", got, want)
+	}
+}
--- a/relay/serverconn.go
+++ b/relay/serverconn.go
@@ -40,11 +40,11 @@
 // serverConn is a connection to a backend server. It serves one attempt at a time.
 type serverConn struct {
 	net.Conn
-	reader              *bufio.Reader
-	server              *server
-	identifiesResponses bool // the latest response carried the ID of its request
-	idleSince           clock.Millis
-	idleUntil           clock.Millis // when an idle connection is closed
+	reader      *bufio.Reader
+	server      *server
+	hasResponse bool // a response was read from it
+	idleSince   clock.Millis
+	idleUntil   clock.Millis // when an idle connection is closed
 }
 
 // connect returns an idle connection or opens a new one. Once-only requests get only
