relay: the end of a skipped answer does not depend on another request's method

Callers saw: a once-only request that a server had run was answered with 503 ("not run"). The server had written an earlier answer once more; bytes of its body, which another caller may choose, were read as the answer to this request.

Cause: an answer with the ID of another request was skipped by the framing rules of this request's method. After a HEAD request, or before one, that is the wrong place: an answer to HEAD has a length and no body.

Evidence without the fix: TestAnswerToAnotherMethod fails in both cases (GET before HEAD, HEAD before GET): "request 2, which ran: got status 503, want 200 or 502".

Change: skipped answers are read as answers to GET, and a connection is not kept after a HEAD request, so that no skipped answer can be one to HEAD. The search for the own answer is a function of its own.

Result: the test passes in both cases, and so does go test ./relay.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"strconv"
 	"sync"
 
@@ -190,47 +191,69 @@
 	a.setResult(resultFailed, err)
 }
 
-// readHead reads the head of the response to the request. It skips, up to a limit, responses
-// that carry the ID of another request. A response without an ID may be a copy of an earlier
-// one, so it is accepted only as the first response on the connection, which is not kept
-// afterwards.
+// readHead reads the head of the response to the request and reports whether it has.
 func (a *attempt) readHead(conn *serverConn) bool {
 	x := a.exchange
-	for stray := 0; ; {
-		head, err := readFinalHead(conn)
-		if err != nil {
-			a.failAfterSend(err)
-			return false
-		}
-		responseInfo := x.relay.options.Protocol.ResponseInfo(head)
-		body, err := frame.ResponseBody(conn.reader, head, x.request.head.Method)
+	head, strays, err := a.findHead(conn)
+	if err != nil {
+		a.failAfterSend(err)
+		return false
+	}
+	body, err := frame.ResponseBody(conn.reader, head, x.request.head.Method)
+	if err != nil {
+		a.failAfterSend(err)
+		return false
+	}
+	a.firstByteAt = x.relay.clock.Now()
+	a.head, a.responseInfo, a.body = head, x.relay.options.Protocol.ResponseInfo(head), body
+	a.reusable = strays == 0 && a.responseInfo.ID != "" && x.request.head.Method != http.MethodHead &&
+		!head.ClosesConnection() && !body.EndsWithConnection()
+	x.relay.fleet.recordLoad(a.server, a.responseInfo)
+	return true
+}
+
+// findHead reads responses up to the one to the request and returns its head. It skips, up to
+// a limit, responses that carry the ID of another request, and returns their number. A
+// response without an ID may be a copy of an earlier one, so it is accepted only as the first
+// response on the connection, which is not kept afterwards.
+func (a *attempt) findHead(conn *serverConn) (head frame.Head, strays int, err error) {
+	x := a.exchange
+	for {
+		head, err = readFinalHead(conn)
 		if err != nil {
-			a.failAfterSend(err)
-			return false
+			return head, strays, err
 		}
-		if responseInfo.ID == "" && conn.hasResponse {
-			a.failAfterSend(errors.New("server sent a response without an ID after an earlier response"))
-			return false
+		id := x.relay.options.Protocol.ResponseInfo(head).ID
+		if id == "" && conn.hasResponse {
+			return head, strays, errors.New("server sent a response without an ID after an earlier response")
 		}
 		conn.hasResponse = true
-		if responseInfo.ID != "" && responseInfo.ID != x.requestInfo.ID {
-			stray++
-			if stray > maxStrayResponses || body.EndsWithConnection() {
-				a.failAfterSend(errors.New("server sent responses to other requests"))
-				return false
-			}
-			if _, err := body.ReadAll(maxResponseBody, &x.memory); err != nil {
-				a.failAfterSend(err)
-				return false
-			}
-			continue
+		if id == "" || id == x.requestInfo.ID {
+			return head, strays, nil
+		}
+		strays++
+		if strays > maxStrayResponses {
+			return head, strays, errors.New("server sent responses to other requests")
 		}
-		a.firstByteAt = x.relay.clock.Now()
-		a.reusable = responseInfo.ID != "" && stray == 0 && !head.ClosesConnection() && !body.EndsWithConnection()
-		a.head, a.responseInfo, a.body = head, responseInfo, body
-		x.relay.fleet.recordLoad(a.server, responseInfo)
-		return true
+		if err := a.skipBody(conn, head); err != nil {
+			return head, strays, err
+		}
+	}
+}
+
+// skipBody reads the body of a response to another request. Responses to HEAD have none
+// whatever their head says, but no connection is kept after a HEAD request, so this response
+// answers another method.
+func (a *attempt) skipBody(conn *serverConn, head frame.Head) error {
+	body, err := frame.ResponseBody(conn.reader, head, http.MethodGet)
+	if err != nil {
+		return err
+	}
+	if body.EndsWithConnection() {
+		return errors.New("server sent a response to another request that ends with the connection")
 	}
+	_, err = body.ReadAll(maxResponseBody, &a.exchange.memory)
+	return err
 }
 
 // readFinalHead reads the head of a response. It skips informational responses, up to a
--- a/relay/kept_connection_test.go
+++ b/relay/kept_connection_test.go
@@ -154,3 +154,50 @@
 		t.Errorf("arrivals of a once-only request: got %d, want %d", got, want)
 	}
 }
+
+// Guards against an answer to another request whose end depends on the method of that request:
+// bytes of a body, which another caller may have chosen, would be read as the answer to this
+// request.
+func TestAnswerToAnotherMethod(t *testing.T) {
+	const (
+		length = 100 // of the body of the first answer
+		forged = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: 2\r\nContent-Length: 0\r\n\r\n"
+	)
+	head := func(id string, length int) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n", id, length)
+	}
+	getBody := forged + strings.Repeat("x", length-len(forged))
+	// If the copy of the answer to HEAD is taken for one with a body, that takes the beginning
+	// of the own answer, and the rest is read as an answer.
+	ownLength := length - len(head("2", length)) + len(forged)
+	ownBody := strings.Repeat("x", ownLength-len(forged)) + forged
+	tests := []struct{ first, second, answer, next string }{
+		{first: "GET", second: "HEAD", answer: head("1", length) + getBody, next: head("2", length)},
+		{first: "HEAD", second: "GET", answer: head("1", length), next: head("2", ownLength) + ownBody},
+	}
+	for _, tt := range tests {
+		t.Run(tt.first+" before "+tt.second, func(t *testing.T) {
+			var kept sync.Map // the connection of the first request
+			b := newBackend(t, func(req receivedRequest) {
+				if req.head.Get("Id") == "1" {
+					kept.Store(req.conn, true)
+					write(req, tt.answer)
+					return
+				}
+				if _, ok := kept.Load(req.conn); ok {
+					write(req, tt.answer)
+				}
+				write(req, tt.next)
+			})
+			s := newFixture(t, b)
+			for i, method := range []string{tt.first, tt.second} {
+				c := s.client()
+				c.send(fmt.Sprintf("%s /once/ HTTP/1.1\r\nHost: h\r\nId: %d\r\nKey: k\r\n\r\n", method, i+1))
+				if got := readStatus(t, c, method); got != 200 && got != 502 {
+					t.Errorf("request %d, which ran: got status %d, want 200 or 502", i+1, got)
+				}
+				s.awaitAttemptsEnd()
+			}
+		})
+	}
+}
