relay: bytes that a server sent before the request are no answer to it

Callers saw: a request that had reached a server was answered with 503 ("not run"), because the server had sent a refusal on the connection before it got the request.

Cause: a new connection was not looked at before the request was written, and a kept one only when it was chosen, before the request was encoded.

Change: the request is encoded after the connection was chosen, and the connection is looked at directly before the write. One that has ended or brought bytes counts as unreachable: nothing was sent, and the request may go to another server. What arrives between that look and the write cannot be told from an early answer; docs/design.md, 3.10, has the rule.

The cost of the look (one system call a request) was not measured.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -27,7 +27,8 @@
 	// resultWrongServer means that a server with another name answered at the address
 	// and did not run the request.
 	resultWrongServer
-	// resultUnreachable means that no connection could be opened, so nothing was sent.
+	// resultUnreachable means that no connection could be opened, or that it ended or
+	// brought bytes before the request was written, so nothing was sent.
 	resultUnreachable
 	// resultFailed means that the request was sent, may have run, and has no usable
 	// response.
@@ -133,7 +134,7 @@
 
 // send gets a connection, writes the request and reads the head of the response.
 // It reports whether it has read a head, so that the body can follow.
-func (a *attempt) send(data []byte, onceOnly bool, deadline clock.Millis) bool {
+func (a *attempt) send(forwardInfo ForwardInfo, onceOnly bool, deadline clock.Millis) bool {
 	x := a.exchange
 	now := x.relay.clock.Now()
 	conn, err := a.connect(onceOnly, deadline-now)
@@ -146,6 +147,11 @@
 		return false
 	}
 	_ = conn.SetDeadline(x.relay.clock.Deadline(deadline - x.relay.clock.Now()))
+	data := x.encodeRequest(forwardInfo)
+	if !conn.alive() && !a.wasInterrupted() {
+		a.setResult(resultUnreachable, errNotQuiet)
+		return false
+	}
 	if err := a.write(conn, data); err != nil {
 		a.failAfterSend(err)
 		return false
@@ -163,7 +169,10 @@
 	return fleet.connect(a.server, onceOnly, timeout)
 }
 
-var errInterrupted = errors.New("the attempt was interrupted")
+var (
+	errInterrupted = errors.New("the attempt was interrupted")
+	errNotQuiet    = errors.New("the server closed the connection, or sent bytes on it, before the request was written")
+)
 
 // write sends the request. A long request is written in its own goroutine while
 // the response is read, because a server may respond before it has read the
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -242,7 +242,7 @@
 	}
 	x.forwardInfo.TimeLeft = x.deadline - now
 	onceOnly := x.route.RepeatPolicy == catalog.OnceOnly
-	if !a.send(x.encodeRequest(x.forwardInfo), onceOnly, x.attemptDeadline(a, now)) {
+	if !a.send(x.forwardInfo, onceOnly, x.attemptDeadline(a, now)) {
 		return x.afterFailure(a)
 	}
 	x.relay.fleet.recordFirstByte(a.server, a)
--- a/relay/kept_connection_test.go
+++ b/relay/kept_connection_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/relay"
 )
 
 // refusalFormats are the ways in which a server frames a refusal. Each text has a place for
@@ -201,3 +203,43 @@
 		})
 	}
 }
+
+// waitingProtocol is a relay.Protocol that lets the test delay a request after its connection
+// to the server is open and before it is written.
+type waitingProtocol struct {
+	testProtocol
+	ready <-chan struct{} // receives when a request may be written
+}
+
+func (p waitingProtocol) Forward(h frame.Head, forwardInfo relay.ForwardInfo) []frame.Header {
+	<-p.ready
+	return p.testProtocol.Forward(h, forwardInfo)
+}
+
+// Guards against bytes that a server sent before it got the request and that count as the
+// answer to it. The request was not written, so it may go to another server.
+func TestRefusalBeforeTheRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	ready, arrived := make(chan struct{}, 1), make(chan bool, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		ready <- struct{}{}
+		_, err = frame.ReadRequest(bufio.NewReader(conn), 1<<16)
+		arrived <- err == nil
+	}()
+	c := newFixtureWith(t, waitingProtocol{ready: ready}, 0, &backend{listener: listener}).client()
+	c.get("/once/", "1")
+	c.wantStatus(503)
+	if <-arrived {
+		t.Error("a request that was called not run has reached the server")
+	}
+}
