relay: an error answer never stands in a stream that has begun

Callers saw: a stream broke off, the server that was asked to resume it answered with another status than 200, and head and text of that answer stood in the middle of the stream. To a caller of HTTP/1.0 the stream then looked complete.

Cause: the answer was forwarded as if nothing had been sent. Only some of the ways that end a request checked whether a stream had begun.

Change: output.send is the only way to write a complete response, and output.sendEvents the only way to begin a stream. Each writes the head once; after the head of a stream, send cuts the stream and does not count the response. An answer with another status that is asked to resume a stream counts as a failed attempt. The checks in giveUp and timeOut are gone. Answers to HEAD are now logged and counted as the others are.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -292,7 +292,7 @@
 	case a.responseInfo.NotRun:
 		a.setResult(resultNotRun, nil)
 		return false, false
-	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status):
+	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status) || x.out.headSent: // no other status resumes a stream
 		x.possibleRuns++
 		a.setResult(resultFailed, nil)
 		x.lastFailure = &fullResponse{attempt: a, body: body}
@@ -335,14 +335,13 @@
 	return 1
 }
 
-// giveUp sends the final response to a request that no attempt has completed.
+// giveUp sends the final response to a request that no attempt has completed, or cuts its
+// stream.
 func (x *exchange) giveUp() bool {
 	now := x.relay.clock.Now()
 	switch {
 	case x.caller.isDisconnected():
 		return x.abandon()
-	case x.out.headSent:
-		return x.out.cutStream()
 	case x.lastFailure != nil && !guaranteesNotRun(x.lastFailure.attempt.head.Status):
 		return x.out.fullResponse(x.lastFailure.attempt, x.lastFailure.body)
 	case x.possibleRuns > 0 && now >= x.deadline:
@@ -353,12 +352,9 @@
 	return x.refuse(refusal{status: statusUnavailable, reason: "no_server", retryAfter: x.retryAfter()})
 }
 
-// timeOut ends a request whose deadline has passed.
+// timeOut ends a request whose deadline has passed, or cuts its stream.
 func (x *exchange) timeOut(a *attempt) bool {
 	a.result = resultAbandoned
-	if x.out.headSent {
-		return x.out.cutStream()
-	}
 	if x.possibleRuns == 0 {
 		return x.refuse(refusal{status: statusUnavailable, reason: "timeout_unsent"})
 	}
--- a/relay/output.go
+++ b/relay/output.go
@@ -56,23 +56,24 @@
 	err        error   // cause, for the log
 }
 
-// output writes the response to the caller.
+// output writes the response to the caller. The head is written once, by send or by
+// sendEvents: a complete response cannot follow the beginning of a stream.
 type output struct {
 	exchange   *exchange
 	closeAfter bool // the connection closes after the response
-	headSent   bool // the head of a streamed response was sent
+	headSent   bool // the head of the response was sent
 }
 
-// refuse counts, logs and sends a refusal. It reports whether the connection stays open.
-func (x *exchange) refuse(r refusal) bool {
-	x.relay.metrics.refusals.WithLabelValues(r.reason, strconv.Itoa(r.status)).Inc()
-	x.logRefusal(r)
-	return x.out.refuse(r)
+// message is a complete response.
+type message struct {
+	head    frame.Head
+	headers []frame.Header
+	body    []byte
+	record  func() // counts and logs the response; called if it is sent
 }
 
 // refuse sends a refusal and reports whether the connection stays open.
-func (o *output) refuse(r refusal) bool {
-	x := o.exchange
+func (x *exchange) refuse(r refusal) bool {
 	headers := x.relay.options.Protocol.Refusal(x.requestInfo)
 	if r.retryAfter > 0 {
 		seconds := strconv.FormatFloat(float64(r.retryAfter)/float64(clock.Second), 'f', 3, 64)
@@ -80,7 +81,10 @@
 	}
 	body := []byte(`{"error":{"code":"` + r.reason + `"}}` + "\n")
 	headers = append(headers, frame.Header{Name: "Content-Type", Value: "application/json"})
-	return o.sendMessage(frame.Head{Status: r.status, Reason: http.StatusText(r.status)}, headers, body)
+	return x.out.send(message{
+		head: frame.Head{Status: r.status, Reason: http.StatusText(r.status)}, headers: withLength(r.status, headers, body),
+		body: body, record: func() { x.recordRefusal(r) },
+	})
 }
 
 // fullResponse forwards a server's complete response to the caller and reports
@@ -89,37 +93,54 @@
 	headers := a.head.EndToEnd()
 	if o.exchange.request.head.Method == http.MethodHead && a.head.Has("Content-Length") {
 		headers = append(headers, frame.Header{Name: "Content-Length", Value: a.head.Get("Content-Length")})
-		return o.send(a.head, headers, nil)
+	} else {
+		headers = withLength(a.head.Status, headers, body)
 	}
-	o.exchange.logAnswer(a)
-	return o.sendMessage(a.head, headers, body)
+	return o.send(message{head: a.head, headers: headers, body: body, record: func() { o.exchange.logAnswer(a) }})
 }
 
-// sendMessage sends a response with a body. It leaves the body out if the request has
-// the method HEAD.
-func (o *output) sendMessage(head frame.Head, headers []frame.Header, body []byte) bool {
-	if head.Status != http.StatusNoContent && head.Status != http.StatusNotModified {
-		headers = append(headers, frame.Header{Name: "Content-Length", Value: strconv.Itoa(len(body))})
+// withLength returns the header fields with the length of the body, if a response with the
+// status may have one.
+func withLength(status int, headers []frame.Header, body []byte) []frame.Header {
+	if status == http.StatusNoContent || status == http.StatusNotModified {
+		return headers
 	}
-	if o.exchange.request.head.Method == http.MethodHead {
-		body = nil
-	}
-	return o.send(head, headers, body)
+	return append(headers, frame.Header{Name: "Content-Length", Value: strconv.Itoa(len(body))})
 }
 
-// send writes a response and reports whether the connection stays open.
-func (o *output) send(head frame.Head, headers []frame.Header, body []byte) bool {
+// send writes a complete response and reports whether the connection stays open. It leaves
+// the body out if the request has the method HEAD. If a streamed response has begun, it writes
+// nothing and cuts the stream.
+func (o *output) send(m message) bool {
+	if o.headSent {
+		return o.cutStream()
+	}
+	o.headSent = true
+	m.record()
 	if o.closeAfter {
-		headers = append(headers, frame.Header{Name: "Connection", Value: "close"})
+		m.headers = append(m.headers, frame.Header{Name: "Connection", Value: "close"})
 	}
-	data := make([]byte, 0, 512+len(body))
-	data = head.Append(data, headers)
-	err := o.exchange.caller.write(append(data, body...))
+	if o.exchange.request.head.Method == http.MethodHead {
+		m.body = nil
+	}
+	data := make([]byte, 0, 512+len(m.body))
+	data = m.head.Append(data, m.headers)
+	err := o.exchange.caller.write(append(data, m.body...))
 	return err == nil && !o.closeAfter
 }
 
-// beginStream writes the head of a streamed response together with its first events.
-func (o *output) beginStream(a *attempt, events []byte) error {
+// sendEvents writes events of a streamed response, after its head unless that was sent.
+func (o *output) sendEvents(a *attempt, events []byte) error {
+	data := make([]byte, 0, 1024+len(events))
+	if !o.headSent {
+		o.headSent = true
+		data = a.head.Append(data, o.streamHeaders(a))
+	}
+	return o.exchange.caller.write(o.appendEvents(data, events))
+}
+
+// streamHeaders returns the header fields of a streamed response.
+func (o *output) streamHeaders(a *attempt) []frame.Header {
 	headers := a.head.EndToEnd()
 	if o.exchange.request.head.MinorVersion == 0 {
 		o.closeAfter = true // HTTP/1.0 has no chunks: closing the connection ends the stream
@@ -129,13 +150,7 @@
 	if o.closeAfter {
 		headers = append(headers, frame.Header{Name: "Connection", Value: "close"})
 	}
-	o.headSent = true
-	return o.exchange.caller.write(o.appendEvents(a.head.Append(make([]byte, 0, 1024+len(events)), headers), events))
-}
-
-// events sends further events of a stream.
-func (o *output) events(events []byte) error {
-	return o.exchange.caller.write(o.appendEvents(make([]byte, 0, len(events)+16), events))
+	return headers
 }
 
 // appendEvents appends events to data, as one chunk unless the caller uses HTTP/1.0.
@@ -171,7 +186,9 @@
 	return false
 }
 
-func (x *exchange) logRefusal(r refusal) {
+// recordRefusal records a refusal in the metrics and the log.
+func (x *exchange) recordRefusal(r refusal) {
+	x.relay.metrics.refusals.WithLabelValues(r.reason, strconv.Itoa(r.status)).Inc()
 	x.relay.options.Logger.Log(event.RequestRefused, zap.String("request", x.requestInfo.ID), zap.String("route", x.route.Name),
 		zap.Int("status", r.status), zap.String("reason", r.reason), zap.Int("sends", x.attempts), zap.Int("runs", x.possibleRuns),
 		zap.Int64("age_ms", int64(x.relay.clock.Now()-x.request.arrivedAt)),
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -106,10 +106,7 @@
 	if id, ok := lastEventID(events); ok {
 		x.forwardInfo.LastEventID = id
 	}
-	if !x.out.headSent {
-		return x.out.beginStream(a, events)
-	}
-	return x.out.events(events)
+	return x.out.sendEvents(a, events)
 }
 
 // splitEvents returns the complete events at the beginning of data and the partial
