relay: a resumed stream is checked against the events that the caller has

Callers saw: a stream broke off, another server was asked to resume it, and its answer with status 200 was appended whatever it held: the text of an error, events left out or sent twice, the rest of a partial event, or nothing. The stream then ended as if it were complete.

Cause: only events at the beginning of the answer with a numeric ID that the caller had were dropped; everything else was forwarded. A stream without IDs was resumed from its beginning. Repeated events were dropped without a limit, and also from a server's whole answer to a caller that resumes a stream itself.

Change: eventFilter drops what the caller has, up to 16 MiB, and fails the attempt if the rest does not continue it: other content type or encoding, a first event without an ID, a gap where the IDs had none, a partial event at the end, an end before the newest event that the caller has. A stream whose newest event has no numeric ID is cut. Events are split in time linear in their size.

A stream whose IDs had no gap before it broke off, and then have one, is cut: nothing tells this from an event that is missing.

The cost for each event was not measured.

--- a/relay/broken_stream_test.go
+++ b/relay/broken_stream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,7 @@
 	whole      bool
 }{
 	{name: "rest", text: withLength(streamHead, "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"), whole: true},
+	{name: "rest after comments", text: withLength(streamHead, ": wait\n\n: wait\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"), whole: true},
 	{name: "all events", text: asChunk(streamHead, wholeStream), whole: true},
 	{name: "404", text: withLength("HTTP/1.1 404 Not Found\r\nId: 1\r\n", "unknown stream")},
 	{name: "404 chunked", text: asChunk("HTTP/1.1 404 Not Found\r\nId: 1\r\n", "unknown stream")},
@@ -49,6 +51,22 @@
 	{name: "302", text: withLength("HTTP/1.1 302 Found\r\nId: 1\r\nLocation: /\r\n", "")},
 	{name: "304", text: "HTTP/1.1 304 Not Modified\r\nId: 1\r\n\r\n"},
 	{name: "no HTTP", text: "what\r\n\r\n"},
+	{name: "200 of another type", text: withLength("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: application/json\r\n", `{"error":"unknown stream"}`)},
+	{name: "200 of another type with events", text: withLength("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/plain\r\n", "id: 3\ndata: error\n\n")},
+	{name: "200 encoded", text: withLength(streamHead+"Content-Encoding: br\r\n", "id: 3\ndata: xyz\n\n")},
+	{name: "200 without events", text: withLength(streamHead, `{"error":"unknown stream"}`)},
+	{name: "200 until close without events", text: streamHead + "\r\nunknown stream"},
+	{name: "200 with empty body", text: withLength(streamHead, "")},
+	{name: "200 without chunks", text: streamHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+	{name: "event without ID", text: withLength(streamHead, "event: error\ndata: unknown stream\n\n")},
+	{name: "event without a numeric ID", text: withLength(streamHead, "id: x\ndata: unknown stream\n\n")},
+	{name: "partial event first", text: withLength(streamHead, "ta: c\n\nid: 4\ndata: d\n\n")},
+	{name: "partial event last", text: withLength(streamHead, "id: 3\ndata: c\n\nid: 4\nda")},
+	{name: "partial event after all others", text: withLength(streamHead, "id: 3\ndata: c\n\nid: 4\ndata: d\n\nid: 5")},
+	{name: "event left out first", text: withLength(streamHead, "id: 4\ndata: d\n\n")},
+	{name: "event left out later", text: withLength(streamHead, "id: 3\ndata: c\n\nid: 5\ndata: e\n\n")},
+	{name: "end before the last event sent", text: withLength(streamHead, "id: 1\ndata: a\n\n")},
+	{name: "event again later", text: withLength(streamHead, "id: 3\ndata: c\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"), whole: true},
 }
 
 // readBody returns the body of a response and the error that ends it. A caller of HTTP/1.0
@@ -104,6 +122,65 @@
 	}
 }
 
+// Guards against a stream that cannot be resumed because its server numbers events with gaps.
+func TestResumedStreamWithGaps(t *testing.T) {
+	const first, rest = "id: 5\ndata: a\n\nid: 10\ndata: b\n\n", "id: 15\ndata: c\n\nid: 30\ndata: d\n\n"
+	respond := func(req receivedRequest) {
+		if req.head.Get("From-Event") != "" {
+			write(req, withLength(streamHead, rest))
+			return
+		}
+		write(req, streamHead+"Content-Length: 1000\r\n\r\n"+first)
+		_ = req.conn.Close()
+	}
+	c := newFixture(t, newBackend(t, respond), newBackend(t, respond)).client()
+	c.get("/stream/", "1")
+	if got, err := readBody(t, c); err != nil || got != first+rest {
+		t.Errorf("got %q and %v, want %q", got, err, first+rest)
+	}
+}
+
+// Guards against events that the caller gets twice: a stream whose newest event has no numeric
+// ID cannot be resumed after it, so it is broken off.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	for _, events := range []string{"data: a\n\n", "id: x\ndata: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"} {
+		t.Run(events, func(t *testing.T) {
+			respond := func(req receivedRequest) {
+				write(req, streamHead+"Content-Length: 1000\r\n\r\n"+events)
+				_ = req.conn.Close()
+			}
+			one, two := newBackend(t, respond), newBackend(t, respond)
+			c := newFixture(t, one, two).client()
+			c.get("/stream/", "1")
+			if got, err := readBody(t, c); !errors.Is(err, io.ErrUnexpectedEOF) || got != events {
+				t.Errorf("got %q and %v, want %q and %v", got, err, events, io.ErrUnexpectedEOF)
+			}
+			if got, want := one.count()+two.count(), 1; got != want {
+				t.Errorf("arrivals: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// Guards against an answer that the relay changes: a server that a caller asks to resume a
+// stream begins it with an event that the caller has, after another server has failed.
+func TestStreamResumedByTheCallerIsUnchanged(t *testing.T) {
+	const events = "id: 12\ndata: a\n\nid: 13\ndata: b\n\n"
+	var failed atomic.Bool
+	respond := func(req receivedRequest) {
+		if failed.CompareAndSwap(false, true) {
+			_ = req.conn.Close()
+			return
+		}
+		write(req, withLength(streamHead, events))
+	}
+	c := newFixture(t, newBackend(t, respond), newBackend(t, respond)).client()
+	c.send("GET /stream/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\nLast-Event: 12\r\n\r\n")
+	if got, err := readBody(t, c); err != nil || got != events {
+		t.Errorf("got %q and %v, want %q", got, err, events)
+	}
+}
+
 // Guards against bytes without end from the server that is asked to resume a stream: the relay
 // closes the connection to it after a bounded number of bytes, and the caller sees a broken
 // stream.
@@ -116,6 +193,9 @@
 		{name: "error text", start: "HTTP/1.1 404 Not Found\r\nId: 1\r\n\r\n", repeated: "x", maxBytes: 16 << 20},
 		{name: "refusal text", start: "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\n\r\n", repeated: "x", maxBytes: 16 << 20},
 		{name: "event", start: streamHead + "\r\nid: 3\ndata: ", repeated: "x", maxBytes: 1 << 20},
+		{name: "events again", start: streamHead + "\r\n", repeated: "id: 1\ndata: a\n\n", maxBytes: 16 << 20},
+		{name: "comments", start: streamHead + "\r\n", repeated: ": wait\n\n", maxBytes: 16 << 20},
+		{name: "empty lines", start: streamHead + "\r\n", repeated: "\n", maxBytes: 16 << 20},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -49,9 +49,10 @@
 	attempts     int           // number of attempts so far
 	lastFailure  *fullResponse // newest failure for which a server sent a response
 	out          output
-	memory       reservation // for the bodies of responses
-	partIDs      []string    // IDs of the parts of the prompt
-	probe        bool        // the request is let through although a part of its prompt is quarantined
+	position     streamPosition // of the caller, if the response is streamed
+	memory       reservation    // for the bodies of responses
+	partIDs      []string       // IDs of the parts of the prompt
+	probe        bool           // the request is let through although a part of its prompt is quarantined
 }
 
 // fullResponse is a server's complete response.
--- a/relay/output.go
+++ b/relay/output.go
@@ -60,8 +60,9 @@
 // sendEvents: a complete response cannot follow the beginning of a stream.
 type output struct {
 	exchange   *exchange
-	closeAfter bool // the connection closes after the response
-	headSent   bool // the head of the response was sent
+	closeAfter bool       // the connection closes after the response
+	headSent   bool       // the head of the response was sent
+	streamHead frame.Head // head of the server that began the stream
 }
 
 // message is a complete response.
@@ -133,7 +134,7 @@
 func (o *output) sendEvents(a *attempt, events []byte) error {
 	data := make([]byte, 0, 1024+len(events))
 	if !o.headSent {
-		o.headSent = true
+		o.headSent, o.streamHead = true, a.head
 		data = a.head.Append(data, o.streamHeaders(a))
 	}
 	return o.exchange.caller.write(o.appendEvents(data, events))
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"strconv"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -24,7 +23,7 @@
 // complete events only, so that another server can resume the stream after the last
 // one. Its results are those of makeAttempt.
 func (x *exchange) forwardStream(a *attempt) (keepOpen, done bool) {
-	err := x.forwardEvents(a)
+	err := x.forwardResponseEvents(a)
 	switch {
 	case err == nil:
 		a.result = resultAnswered
@@ -40,7 +39,7 @@
 	if x.relay.clock.Now() >= x.deadline {
 		return x.timeOut(a), true
 	}
-	if x.out.headSent && x.route.RepeatPolicy != catalog.Resumable {
+	if x.out.headSent && (x.route.RepeatPolicy != catalog.Resumable || x.position.unplaced) {
 		return x.out.cutStream(), true
 	}
 	if x.out.headSent {
@@ -53,9 +52,23 @@
 // errCallerWrite marks errors of writing to the caller.
 var errCallerWrite = errors.New("writing to the caller failed")
 
-// forwardEvents forwards events until the stream ends. It returns nil if the stream
-// is complete.
-func (x *exchange) forwardEvents(a *attempt) error {
+// forwardResponseEvents forwards the events of a response. If the caller has a part of the
+// stream, the response must continue that.
+func (x *exchange) forwardResponseEvents(a *attempt) error {
+	if !x.out.headSent {
+		x.position = newStreamPosition(x.requestInfo.LastEventID)
+		return x.forwardEvents(a, &eventFilter{})
+	}
+	filter, err := newEventFilter(x.position, x.out.streamHead, a.head)
+	if err != nil {
+		return err
+	}
+	return x.forwardEvents(a, &filter)
+}
+
+// forwardEvents forwards the events that pass the filter until the stream ends. It returns
+// nil if the stream is complete.
+func (x *exchange) forwardEvents(a *attempt, filter *eventFilter) error {
 	var pending []byte
 	buffer := make([]byte, streamBufferSize)
 	reserved := streamBufferSize // bytes of pending for which memory is reserved or that every stream has
@@ -74,16 +87,16 @@
 		case ended && a.body.EndedWithConnection() && len(partial) > 0:
 			// A server that crashes closes its connections too.
 			ended, err = false, io.ErrUnexpectedEOF
-		case ended:
+		case ended && !filter.resumes:
 			complete, partial = pending, nil
 		}
-		if writeErr := x.writeEvents(a, complete, ended); writeErr != nil {
-			return errors.Wrap(errCallerWrite, writeErr.Error())
+		if err := x.writeEvents(a, filter, complete, ended); err != nil {
+			return err
 		}
 		pending = append(pending[:0], partial...)
 		switch {
 		case ended:
-			return nil
+			return filter.end(partial)
 		case err != nil:
 			return err
 		case len(pending) > maxEventBytes:
@@ -96,17 +109,22 @@
 	}
 }
 
-// writeEvents sends events that the caller does not have yet. It sends the head of
-// the response before the first events, or at the end of a stream without events.
-func (x *exchange) writeEvents(a *attempt, events []byte, ended bool) error {
-	events = x.dropSeenEvents(events)
+// writeEvents sends the events that pass the filter. It sends the head of the response
+// before the first events, or at the end of a stream without events.
+func (x *exchange) writeEvents(a *attempt, filter *eventFilter, events []byte, ended bool) error {
+	events, err := filter.pass(events)
+	if err != nil {
+		return err
+	}
 	if len(events) == 0 && (!ended || x.out.headSent) {
 		return nil
 	}
-	if id, ok := lastEventID(events); ok {
-		x.forwardInfo.LastEventID = id
+	x.position.add(events)
+	x.forwardInfo.LastEventID = x.position.lastID
+	if err := x.out.sendEvents(a, events); err != nil {
+		return errors.Wrap(errCallerWrite, err.Error())
 	}
-	return x.out.sendEvents(a, events)
+	return nil
 }
 
 // splitEvents returns the complete events at the beginning of data and the partial
@@ -125,46 +143,17 @@
 // eventLength returns the length of the first event in data including its empty line,
 // or -1 if the event is incomplete.
 func eventLength(data []byte) int {
-	lf, crlf := bytes.Index(data, []byte("\n\n")), bytes.Index(data, []byte("\r\n\r\n"))
+	lf := bytes.Index(data, []byte("\n\n"))
+	before := data
+	if lf >= 0 {
+		before = data[:lf+1]
+	}
+	crlf := bytes.Index(before, []byte("\r\n\r\n"))
 	switch {
-	case crlf >= 0 && (lf < 0 || crlf < lf):
+	case crlf >= 0:
 		return crlf + 4
 	case lf >= 0:
 		return lf + 2
 	}
 	return -1
 }
-
-// lastEventID returns the ID of the newest event that has one, and whether there is
-// one.
-func lastEventID(events []byte) (string, bool) {
-	id, found := "", false
-	for line := range bytes.Lines(events) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id, found = string(bytes.TrimSpace(value)), true
-		}
-	}
-	return id, found
-}
-
-// dropSeenEvents removes events that the caller already has, because a server that
-// resumes a stream may repeat the last ones. It expects numeric event IDs.
-func (x *exchange) dropSeenEvents(events []byte) []byte {
-	seen, err := strconv.ParseUint(x.forwardInfo.LastEventID, 10, 64)
-	if err != nil || x.possibleRuns == 0 {
-		return events
-	}
-	for len(events) > 0 {
-		n := eventLength(events)
-		if n < 0 {
-			return events
-		}
-		id, ok := lastEventID(events[:n])
-		number, err := strconv.ParseUint(id, 10, 64)
-		if !ok || err != nil || number > seen {
-			return events
-		}
-		events = events[n:]
-	}
-	return events
-}
