relay: no chunks follow the answer to a HEAD request on a streamed route

Callers saw: after a HEAD request on a streamed route, the next answer on the connection began with bytes that are no answer.

Cause: the answer was forwarded as a stream, with the last chunk as its end.

Evidence without the fix: TestHeadOnStreamedRoute: "got invalid status line: malformed message, want a response with status 200".

Change: an answer to HEAD is forwarded as one without a body, and without a length if the server gave none.

Result: the test passes, and so does go test ./relay.

--- a/relay/broken_stream_test.go
+++ b/relay/broken_stream_test.go
@@ -221,3 +221,24 @@
 		})
 	}
 }
+
+// Guards against bytes that are no answer after the answer to a HEAD request on a streamed
+// route: the next request on the connection gets its own answer.
+func TestHeadOnStreamedRoute(t *testing.T) {
+	b := newBackend(t, func(req receivedRequest) {
+		if req.head.Method == "HEAD" {
+			write(req, streamHead+"Transfer-Encoding: chunked\r\n\r\n")
+			return
+		}
+		respondOK(req, "own")
+	})
+	c := newFixture(t, b).client()
+	c.send("HEAD /stream/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\n\r\n")
+	if got, want := readStatus(t, c, "HEAD"), 200; got != want {
+		t.Errorf("HEAD: got status %d, want %d", got, want)
+	}
+	c.get("/safe/", "2")
+	if _, got := c.wantStatus(200); got != "own" {
+		t.Errorf("next request: got %q, want %q", got, "own")
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"time"
 
@@ -247,7 +248,7 @@
 		return x.afterFailure(a)
 	}
 	x.relay.fleet.recordFirstByte(a.server, a)
-	if x.route.Stream && a.head.Status == statusOK {
+	if x.route.Stream && a.head.Status == statusOK && x.request.head.Method != http.MethodHead {
 		return x.forwardStream(a)
 	}
 	return x.forwardResponse(a)
--- a/relay/output.go
+++ b/relay/output.go
@@ -92,10 +92,11 @@
 // whether the connection stays open.
 func (o *output) fullResponse(a *attempt, body []byte) bool {
 	headers := a.head.EndToEnd()
-	if o.exchange.request.head.Method == http.MethodHead && a.head.Has("Content-Length") {
-		headers = append(headers, frame.Header{Name: "Content-Length", Value: a.head.Get("Content-Length")})
-	} else {
+	switch {
+	case o.exchange.request.head.Method != http.MethodHead:
 		headers = withLength(a.head.Status, headers, body)
+	case a.head.Has("Content-Length"):
+		headers = append(headers, frame.Header{Name: "Content-Length", Value: a.head.Get("Content-Length")})
 	}
 	return o.send(message{head: a.head, headers: headers, body: body, record: func() { o.exchange.logAnswer(a) }})
 }
