frame: the state of a connection without reading from it

No change of behaviour. Change: inspectSocket of package relay is frame.InspectSocket, so that package engine can use it too. Result: the tests of relay and frame pass.

--- a/relay/connection.go
+++ b/relay/connection.go
@@ -167,7 +167,7 @@
 		return false
 	}
 	c.setReadDeadline(c.relay.limits().HeaderTimeout)
-	return inspectSocket(c.conn) == socketUnread
+	return frame.InspectSocket(c.conn) == frame.SocketUnread
 }
 
 // setReadDeadline makes reads fail after the given time.
--- a/relay/serverconn.go
+++ b/relay/serverconn.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/frame"
 )
 
 const (
@@ -116,44 +117,7 @@
 // alive reports whether the server has neither closed an idle connection nor
 // sent bytes that belong to no request.
 func (c *serverConn) alive() bool {
-	return c.reader.Buffered() == 0 && inspectSocket(c.Conn) == socketQuiet
-}
-
-// socketState is what waits to be read from a connection.
-type socketState uint8
-
-const (
-	socketEnded  socketState = iota // the peer has closed the connection, or it has failed
-	socketQuiet                     // nothing
-	socketUnread                    // bytes
-)
-
-// inspectSocket returns what waits to be read from a connection, without reading it. The
-// connection must not have a read deadline in the past.
-func inspectSocket(conn net.Conn) socketState {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return socketEnded
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return socketEnded
-	}
-	state := socketEnded
-	err = raw.Read(func(fd uintptr) bool {
-		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case err == unix.EAGAIN: //nolint:errorlint // System calls return unwrapped error numbers.
-			state = socketQuiet
-		case err == nil && n > 0:
-			state = socketUnread
-		}
-		return true
-	})
-	if err != nil {
-		return socketEnded
-	}
-	return state
+	return c.reader.Buffered() == 0 && frame.InspectSocket(c.Conn) == frame.SocketQuiet
 }
 
 // putIdle adds a connection to the idle ones, or closes it if it cannot be kept.
