--- a/relay/broken_stream_test.go
+++ b/relay/broken_stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -226,7 +227,7 @@
 // route: the next request on the connection gets its own answer.
 func TestHeadOnStreamedRoute(t *testing.T) {
 	b := newBackend(t, func(req receivedRequest) {
-		if req.head.Method == "HEAD" {
+		if req.head.Method == http.MethodHead {
 			write(req, streamHead+"Transfer-Encoding: chunked\r\n\r\n")
 			return
 		}
