engine: an answer on a connection in use again needs the ID of its call

Callers saw: the answer to another call, or "not run" for a call that the server had run. The server had written an earlier answer or refusal once more on a connection that the client used again.

Cause: the client took the first answer that it read for the answer to its call, also bytes that had arrived while the connection was idle.

Change: a connection is used again only if the answer carried the ID of its call, for calls with IDs only, and if no bytes have arrived on it; an answer on it without that ID is malformed, so the outcome is unknown. Each connection is looked at before a call is written. A refusal that carries another ID says nothing about the call. Calls without an ID (orders, cancels, calls between entries) share connections among themselves as before, with the look before the write. The stand-in echoes X-Request-Id; docs/design.md, 3.7, asks it of all servers.

A server that does not echo the ID now gets one call per connection; what that costs was not measured.

--- a/engine/call.go
+++ b/engine/call.go
@@ -40,15 +40,17 @@
 		return Answer{}, failure
 	}
 	answer := Answer{Status: e.response.StatusCode(), Headers: endToEndHeaders(e.response), Body: body}
-	if answer.Status == fasthttp.StatusServiceUnavailable && hasNotRunHeader(e.response) {
+	if answer.Status == fasthttp.StatusServiceUnavailable && e.statesNotRun() {
 		return answer, &Failure{Kind: Refused, Address: r.Address, Status: answer.Status, Body: body, NotRun: true}
 	}
 	return answer, nil
 }
 
-// hasNotRunHeader reports whether the server states that it has not run the call.
-func hasNotRunHeader(r *fasthttp.Response) bool {
-	return string(r.Header.Peek(HeaderNotRun)) == "true"
+// statesNotRun reports whether the server states that it has not run this call.
+func (e *exchange) statesNotRun() bool {
+	id := string(e.response.Header.Peek(HeaderRequestID))
+	belongs := e.id == "" || id == "" || id == e.id
+	return belongs && string(e.response.Header.Peek(HeaderNotRun)) == "true"
 }
 
 // endToEndHeaders returns the headers of a response that may be forwarded.
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -92,7 +92,7 @@
 		Address: e.address,
 		Status:  status,
 		Body:    body,
-		NotRun:  hasNotRunHeader(e.response),
+		NotRun:  e.statesNotRun(),
 	}
 }
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -88,10 +88,21 @@
 	BeforeWrite func() error
 }
 
+// id returns the request ID, or an empty string if the call has none.
+func (r Request) id() string {
+	for _, h := range r.Headers {
+		if h.Name == HeaderRequestID {
+			return h.Value
+		}
+	}
+	return ""
+}
+
 // exchange is a call whose response header has been read.
 type exchange struct {
 	client       *Client
 	address      string
+	id           string // request ID of the call; empty if it has none
 	conn         *connection
 	response     *fasthttp.Response
 	stopWatching func() bool // stops watching the context; false if it has ended already
@@ -101,7 +112,8 @@
 // open sends a request and reads the response header. The connection is closed when ctx
 // ends.
 func (c *Client) open(ctx context.Context, r Request) (*exchange, *Failure) {
-	conn, err := c.pool.get(ctx, r.Address, r.NewConnection)
+	id := r.id()
+	conn, err := c.pool.get(ctx, poolKey{r.Address, id != ""}, r.NewConnection)
 	if err != nil {
 		return nil, notSentFailure(r.Address, err)
 	}
@@ -112,14 +124,32 @@
 		_ = conn.Close()
 		return nil, classifyError(r.Address, conn, err)
 	}
-	return &exchange{client: c, address: r.Address, conn: conn, response: response, stopWatching: stopWatching}, nil
+	e := &exchange{client: c, address: r.Address, id: id, conn: conn, response: response, stopWatching: stopWatching}
+	if conn.reused && !e.hasOwnID() {
+		e.close()
+		return nil, &Failure{Kind: Malformed, Address: r.Address, Cause: errors.New("the answer is not marked as that to this call")}
+	}
+	return e, nil
+}
+
+// hasOwnID reports whether the response carries the ID of the call, if that has one. Without
+// it, a response on a connection that was used before may be a copy of an earlier one.
+func (e *exchange) hasOwnID() bool {
+	return e.id == "" || string(e.response.Header.Peek(HeaderRequestID)) == e.id
 }
 
+// errNotQuiet means that nothing was sent on a connection, because it has ended or the server
+// has sent bytes that belong to no call.
+var errNotQuiet = errors.New("the server closed the connection, or sent bytes on it, before the call")
+
 func (c *Client) send(conn *connection, r Request) (*fasthttp.Response, error) {
 	readTimeout := cmp.Or(r.ReadTimeout, c.options.ReadTimeout)
 	if err := conn.prepare(readTimeout); err != nil {
 		return nil, err
 	}
+	if !conn.isQuiet() {
+		return nil, errNotQuiet
+	}
 	if r.BeforeWrite != nil {
 		if err := r.BeforeWrite(); err != nil {
 			return nil, err
@@ -170,14 +200,14 @@
 	return body, nil
 }
 
-// close returns the connection to the pool when the whole response was read, and
-// otherwise closes it.
+// close returns the connection to the pool when the whole response was read and belongs to
+// the call, and otherwise closes it.
 func (e *exchange) close() {
 	notCancelled := e.stopWatching()
-	reusable := notCancelled && e.bodyRead && !e.response.ConnectionClose()
+	reusable := notCancelled && e.bodyRead && e.hasOwnID() && !e.response.ConnectionClose()
 	_ = e.response.CloseBodyStream()
 	if reusable {
-		e.client.pool.put(e.address, e.conn)
+		e.client.pool.put(poolKey{e.address, e.id != ""}, e.conn)
 		return
 	}
 	_ = e.conn.Close()
--- a/engine/connection.go
+++ b/engine/connection.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/frame"
 )
 
 const readBufferSize = 4096
@@ -30,6 +31,15 @@
 	return connection
 }
 
+// isQuiet reports whether the peer has neither closed the connection nor sent bytes that were
+// not read.
+func (c *connection) isQuiet() bool {
+	if c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	return frame.InspectSocket(c.Conn) == frame.SocketQuiet
+}
+
 // prepare resets the connection for a new call. It sets the timeout of reads and the
 // deadline of writes.
 func (c *connection) prepare(readTimeout clock.Millis) error {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -110,6 +110,10 @@
 		{name: "too large", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000), afterAnswer: keepOpen, want: engine.Malformed, requests: 1},
 		{name: "error status", answer: "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", streamed: true, afterAnswer: keepOpen, want: engine.Refused, requests: 1},
 		{name: "not run by the server's word", answer: "HTTP/1.1 503 X\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n", afterAnswer: keepOpen, want: engine.Refused, notRun: true, requests: 1},
+		{
+			name: "not run by the answer to another call", answer: "HTTP/1.1 503 X\r\nX-Not-Run: true\r\nX-Request-Id: other\r\nContent-Length: 0\r\n\r\n",
+			streamed: true, afterAnswer: keepOpen, want: engine.Refused, requests: 1,
+		},
 		{name: "refused before the first byte", answer: ok, afterAnswer: keepOpen, failBeforeWrite: true, want: engine.NotSent, notRun: true},
 	}
 	for _, tt := range tests {
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -8,16 +8,23 @@
 	"github.com/galenaslip/galenaslip/clock"
 )
 
-// pool keeps idle connections by address. A connection that was idle for too long is
-// closed instead of reused, because one whose peer has gone silent looks healthy. It is
-// safe for concurrent use.
+// poolKey selects the connections that a call may use. Calls with an ID share none with those
+// without: on their connections each answer has carried the ID of its call.
+type poolKey struct {
+	address string
+	hasID   bool // the calls have request IDs
+}
+
+// pool keeps idle connections. A connection that was idle for too long is closed instead of
+// reused, because one whose peer has gone silent looks healthy, and so is one on which bytes
+// have arrived that belong to no call. It is safe for concurrent use.
 type pool struct {
 	clock           clock.Clock
 	connectTimeout  clock.Millis
 	maxIdleTime     clock.Millis
 	maxPerAddress   int
 	mu              sync.Mutex
-	idleConnections map[string][]*connection
+	idleConnections map[poolKey][]*connection
 	closed          bool
 }
 
@@ -27,21 +34,21 @@
 		connectTimeout:  options.ConnectTimeout,
 		maxIdleTime:     options.PoolIdleTimeout,
 		maxPerAddress:   options.PoolSize,
-		idleConnections: map[string][]*connection{},
+		idleConnections: map[poolKey][]*connection{},
 	}
 }
 
 // get returns an idle connection. It opens a new one when there is none or forceNew is
 // set.
-func (p *pool) get(ctx context.Context, address string, forceNew bool) (*connection, error) {
+func (p *pool) get(ctx context.Context, key poolKey, forceNew bool) (*connection, error) {
 	if !forceNew {
-		if c := p.popIdle(address); c != nil {
+		if c := p.popIdle(key); c != nil {
 			c.reused = true
 			return c, nil
 		}
 	}
 	d := net.Dialer{Timeout: p.connectTimeout.Duration()}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := d.DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, err
 	}
@@ -50,36 +57,36 @@
 
 // popIdle removes the most recently used idle connection that is not too old and
 // returns it, or nil when there is none.
-func (p *pool) popIdle(address string) *connection {
+func (p *pool) popIdle(key poolKey) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	idleConnections := p.idleConnections[address]
+	idleConnections := p.idleConnections[key]
 	for len(idleConnections) > 0 {
 		last := len(idleConnections) - 1
 		c := idleConnections[last]
 		idleConnections = idleConnections[:last]
-		p.idleConnections[address] = idleConnections
-		if now-c.idleSince < p.maxIdleTime {
+		p.idleConnections[key] = idleConnections
+		if now-c.idleSince < p.maxIdleTime && c.isQuiet() {
 			return c
 		}
 		_ = c.Close()
 	}
-	delete(p.idleConnections, address)
+	delete(p.idleConnections, key)
 	return nil
 }
 
 // put keeps a connection for reuse. It closes the connection instead when the pool is
 // full or closed, or when unread bytes are left on it.
-func (p *pool) put(address string, c *connection) {
+func (p *pool) put(key poolKey, c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idleConnections[address]) >= p.maxPerAddress || c.reader.Buffered() > 0 {
+	if p.closed || len(p.idleConnections[key]) >= p.maxPerAddress || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
 	c.idleSince = p.clock.Now()
-	p.idleConnections[address] = append(p.idleConnections[address], c)
+	p.idleConnections[key] = append(p.idleConnections[key], c)
 }
 
 func (p *pool) close() {
--- a/standin/server.go
+++ b/standin/server.go
@@ -24,7 +24,17 @@
 }
 
 func newApp() *fiber.App {
-	return fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ReadBufferSize: 64 << 10, Immutable: true})
+	app := fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ReadBufferSize: 64 << 10, Immutable: true})
+	app.Use(echoRequestID)
+	return app
+}
+
+// echoRequestID sends the ID of a request with its answer.
+func echoRequestID(c fiber.Ctx) error {
+	if id := c.Get("X-Request-Id"); id != "" {
+		c.Set("X-Request-Id", id)
+	}
+	return c.Next()
 }
 
 func listen(app *fiber.App, address string) (*server, error) {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -46,6 +46,9 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if got, want := answer.Header.Get("X-Request-Id"), "r-1"; got != want {
+		t.Errorf("%s: got the request ID %q in the answer, want %q", path, got, want)
+	}
 	text, err := io.ReadAll(answer.Body)
 	if err != nil {
 		t.Fatal(err)
