relay: a server that sends IDs must send one with each answer

Callers saw: a once-only request ran at two servers, or was answered with 503 ("not run"), where a server had written an earlier refusal without its ID on a new connection.

Cause: the first answer on a new connection counted without an ID, also from a server that had sent IDs before.

Evidence without the fix: TestRefusalWithoutIDFromServerWithIDs: "got status 503, want 502", "arrivals of a once-only request: got 2, want 1".

Change: once a server has sent an ID, an answer without one to a request that has an ID says nothing about the request, on a new connection too.

Result: the test passes, and so does go test ./relay.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -224,7 +224,8 @@
 // findHead reads responses up to the one to the request and returns its head. It skips, up to
 // a limit, responses that carry the ID of another request, and returns their number. A
 // response without an ID may be a copy of an earlier one, so it is accepted only as the first
-// response on the connection, which is not kept afterwards.
+// response on the connection, which is not kept afterwards, and only from a server that has
+// not sent IDs, unless the request has none.
 func (a *attempt) findHead(conn *serverConn) (head frame.Head, strays int, err error) {
 	x := a.exchange
 	for {
@@ -233,11 +234,15 @@
 			return head, strays, err
 		}
 		id := x.relay.options.Protocol.ResponseInfo(head).ID
-		if id == "" && conn.hasResponse {
-			return head, strays, errors.New("server sent a response without an ID after an earlier response")
-		}
+		isFirst := !conn.hasResponse
 		conn.hasResponse = true
-		if id == "" || id == x.requestInfo.ID {
+		switch {
+		case id == "" && isFirst && (x.requestInfo.ID == "" || !a.server.sendsIDs.Load()):
+			return head, strays, nil
+		case id == "":
+			return head, strays, errors.New("server sent a response without an ID that may be to another request")
+		case id == x.requestInfo.ID:
+			a.server.sendsIDs.Store(true)
 			return head, strays, nil
 		}
 		strays++
--- a/relay/kept_connection_test.go
+++ b/relay/kept_connection_test.go
@@ -243,3 +243,28 @@
 		t.Error("a request that was called not run has reached the server")
 	}
 }
+
+// Guards against a refusal that a faulty server sends once more on another connection: a server
+// that sends IDs must send one with each answer to a request that has one.
+func TestRefusalWithoutIDFromServerWithIDs(t *testing.T) {
+	respond := func(req receivedRequest) {
+		id := req.head.Get("Id")
+		if id == "1" {
+			write(req, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nConnection: close\r\n"+idField(id)+"Content-Length: 0\r\n\r\n")
+			return
+		}
+		notRun(req)
+	}
+	one, two := newBackend(t, respond), newBackend(t, respond)
+	s := newFixture(t, one, two)
+	first := s.client()
+	first.get("/once/", "1")
+	first.wantStatus(503)
+	s.awaitAttemptsEnd()
+	second := s.client()
+	second.get("/once/", "2")
+	second.wantStatus(502)
+	if got, want := arrivals("2", one, two), 1; got != want {
+		t.Errorf("arrivals of a once-only request: got %d, want %d", got, want)
+	}
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -64,6 +65,7 @@
 	blockedUntil                  clock.Millis // no connection is opened before this time
 	unresponsive                  bool         // the server sends no bytes although attempts wait for it
 	wrongServer                   bool         // a server with another name answers at the address
+	sendsIDs                      atomic.Bool  // a response has carried the ID of its request; not guarded by the lock
 }
 
 func newServer(r roster.Record) *server {
