entry: an engine's error never stands in a stream, and no other end completes it

Callers saw: a chat stream broke off and the next engine answered with an error. Its text stood in the stream as data, or in the message of the error event; or the stream ended with [DONE] although its end was missing. A stream that the caller resumed on another connection held tokens twice.

Cause: any JSON object counted as a chunk, also {"error": ...}. A finish reason counted at any position. Resumed streams were forwarded without a look at error events, finish reasons and positions. 400 for the rest of an answer that another engine had begun went to the caller as the fault of its request.

Change: data with neither choices nor usage is no chunk. An answer that ends before the newest token of the caller counts as broken off. A resumed stream drops tokens that the caller has, ends with the entry's own error event after an engine's, and is complete only after a finish reason. An error status for the rest of an answer sends it to another engine.

Not looked at: gaps in the positions of chunks, since one chunk may hold several tokens.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -188,10 +188,13 @@
 
 // classifyStatus returns the result of an attempt that the engine answered with an
 // error status. 400, 413, 415 and 422 mean that the request is invalid and go to the
-// caller; after any other status another server is tried. An engine that answers with
-// an error status has generated nothing.
+// caller, unless another engine has begun the answer; after any other status another
+// server is tried. An engine that answers with an error status has generated nothing.
 func (t *chatTask) classifyStatus(f *engine.Failure) attemptResult {
 	t.problem = notRun(outcome.ReasonBackendRefused, f.Error())
+	if t.transcript.Position() > 0 {
+		return attemptDeclined
+	}
 	switch f.Status {
 	case 400, 413, 415, 422:
 		t.problem = invalid(outcome.ReasonBackendRefused, "", f.Error()+": "+string(f.Body)).withStatus(f.Status)
@@ -248,6 +251,12 @@
 	return attemptComplete
 }
 
+// endsBefore reports whether a chunk ends an answer before the given position, so that it ends
+// another answer than the one that has reached the position.
+func endsBefore(c stream.Chunk, position int) bool {
+	return c.Finish != "" && c.Position > 0 && c.Position < position
+}
+
 // forwardChunk adds a chunk to the transcript and sends it to the caller. It
 // returns an empty result when the stream goes on.
 func (t *chatTask) forwardChunk(data []byte) attemptResult {
@@ -260,6 +269,10 @@
 		t.problem = unknown(outcome.ReasonAnswerIncomplete, "the engine cancelled the answer")
 		return attemptServerLost
 	}
+	if endsBefore(c, t.transcript.Position()) {
+		t.problem = unknown(outcome.ReasonAnswerIncomplete, "the engine ended its answer before its newest token")
+		return attemptServerLost
+	}
 	if !t.transcript.Add(c) {
 		return ""
 	}
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -188,6 +188,7 @@
 	messages chan message
 	ctx      context.Context
 	cancel   context.CancelFunc
+	finished bool // the engine has sent a finish reason
 }
 
 func newStreamForwarder(e *Entry, id string, location streamLocation, position int) *streamForwarder {
@@ -252,8 +253,10 @@
 		case err != nil:
 			return false
 		case e.Comment:
+		case e.Name == "error":
+			return f.emit(message{problem: unknown(outcome.ReasonBackendLost, "the engine ended its answer with an error")})
 		case string(e.Data) == stream.Done:
-			return f.emit(message{done: true})
+			return f.finished && f.emit(message{done: true})
 		default:
 			if more, ended := f.forwardChunk(e); !more {
 				return ended
@@ -262,8 +265,8 @@
 	}
 }
 
-// forwardChunk sends a chunk to the caller. It returns whether to read on, and if not,
-// whether the stream has ended.
+// forwardChunk sends a chunk to the caller unless the caller has its text. It returns whether
+// to read on, and if not, whether the stream has ended.
 func (f *streamForwarder) forwardChunk(e stream.Event) (more, ended bool) {
 	c, err := stream.ParseChunk(e.Data)
 	switch {
@@ -272,7 +275,15 @@
 	case c.Finish == finishCancelled:
 		return false, f.emit(message{problem: unknown(outcome.ReasonAnswerIncomplete, "the engine cancelled the answer")})
 	}
-	f.stream.position.Store(max(f.stream.position.Load(), int64(c.Position)))
+	position := int(f.stream.position.Load())
+	switch {
+	case endsBefore(c, position):
+		return false, false
+	case c.Text != "" && c.Position > 0 && c.Position <= position:
+		return true, false
+	}
+	f.finished = f.finished || c.Finish != ""
+	f.stream.position.Store(int64(max(position, c.Position)))
 	return f.emit(message{data: stream.AppendEvent(nil, "", e.Data)}), false
 }
 
--- a/stream/chunk.go
+++ b/stream/chunk.go
@@ -54,12 +54,16 @@
 	TotalTokens      int `json:"total_tokens"`
 }
 
-// ParseChunk decodes the data of one event of a chat stream.
+// ParseChunk decodes the data of one event of a chat stream. Data with neither choices nor usage
+// is no chunk: some engines send an error in place of one.
 func ParseChunk(data []byte) (Chunk, error) {
 	var wire chunkWire
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return Chunk{}, errors.Wrap(err, "decode chunk")
 	}
+	if wire.Choices == nil && wire.Usage == nil {
+		return Chunk{}, errors.New("event has neither choices nor usage")
+	}
 	c := Chunk{ID: wire.ID, Model: wire.Model, Position: wire.Position}
 	if wire.Usage != nil {
 		c.Usage = Usage{PromptTokens: wire.Usage.PromptTokens, CompletionTokens: wire.Usage.CompletionTokens}
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -134,3 +134,25 @@
 		t.Error("an answer with a tool call counts as continuable")
 	}
 }
+
+// Guards against an error that an engine sends in place of a chunk and that reaches the caller
+// as a part of the answer.
+func TestErrorIsNoChunk(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		data  string
+		valid bool
+	}{
+		{data: `{"error":{"message":"out of memory"}}`},
+		{data: `{}`},
+		{data: `"text"`},
+		{data: `{"choices":[],"usage":{"prompt_tokens":1}}`, valid: true},
+		{data: `{"usage":{"prompt_tokens":1}}`, valid: true},
+		{data: `{"choices":[{"delta":{"content":"a"}}]}`, valid: true},
+	}
+	for _, tt := range tests {
+		if _, err := stream.ParseChunk([]byte(tt.data)); (err == nil) != tt.valid {
+			t.Errorf("%s: got %v, want a valid chunk: %v", tt.data, err, tt.valid)
+		}
+	}
+}
