relay: two requests with the same ID do not follow each other on a connection

Callers saw: a request that a server ran was answered with 503 ("not run") or ran at a second server, where a caller had used its request ID again and the server had written its earlier refusal once more.

Cause: an answer is matched by the ID of the request, which callers choose.

Evidence without the fix: TestSecondCopyForTheSameID: "got status 503, want 200", "arrivals: got 4, want 3".

Change: a kept connection remembers the ID of its latest request; a request with that ID gets a new connection.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -160,13 +160,22 @@
 }
 
 // connect returns a connection to the server. A request without an ID gets a new one, because
-// only the first response on a connection can be matched without an ID.
+// only the first response on a connection can be matched without an ID. So does a request with
+// the same ID as the one before it on the connection.
 func (a *attempt) connect(onceOnly bool, timeout clock.Millis) (*serverConn, error) {
-	fleet := a.exchange.relay.fleet
-	if a.exchange.requestInfo.ID == "" {
+	fleet, id := a.exchange.relay.fleet, a.exchange.requestInfo.ID
+	if id == "" {
 		return fleet.dial(a.server, timeout)
 	}
-	return fleet.connect(a.server, onceOnly, timeout)
+	conn, err := fleet.connect(a.server, onceOnly, timeout)
+	if err == nil && conn.requestID == id {
+		fleet.closeConn(conn)
+		conn, err = fleet.dial(a.server, timeout)
+	}
+	if err == nil {
+		conn.requestID = id
+	}
+	return conn, err
 }
 
 var (
--- a/relay/kept_connection_test.go
+++ b/relay/kept_connection_test.go
@@ -268,3 +268,32 @@
 		t.Errorf("arrivals of a once-only request: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a copy of a refusal that counts for the next request because that has the same
+// ID: a caller may use an ID again.
+func TestSecondCopyForTheSameID(t *testing.T) {
+	var kept sync.Map // connections on which the first request was refused
+	respond := func(req receivedRequest) {
+		if req.head.Target == "/once/first" {
+			kept.Store(req.conn, true)
+			write(req, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		if _, ok := kept.Load(req.conn); ok {
+			write(req, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		respondAs(req, "1")
+	}
+	one, two := newBackend(t, respond), newBackend(t, respond)
+	s := newFixture(t, one, two)
+	first := s.client()
+	first.get("/once/first", "1")
+	first.wantStatus(503)
+	s.awaitAttemptsEnd()
+	second := s.client()
+	second.get("/once/second", "1")
+	second.wantStatus(200)
+	if got, want := one.count()+two.count(), 3; got != want {
+		t.Errorf("arrivals: got %d, want %d", got, want)
+	}
+}
--- a/relay/serverconn.go
+++ b/relay/serverconn.go
@@ -43,7 +43,8 @@
 	net.Conn
 	reader      *bufio.Reader
 	server      *server
-	hasResponse bool // a response was read from it
+	hasResponse bool   // a response was read from it
+	requestID   string // ID of the latest request
 	idleSince   clock.Millis
 	idleUntil   clock.Millis // when an idle connection is closed
 }
