--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,7 @@
 	attempts     int           // number of attempts so far
 	lastFailure  *fullResponse // newest failure for which a server sent a response
 	out          output
+	position     streamPosition // of the caller, if the response is streamed
 	memory       reservation    // for the bodies of responses
 	partIDs      []string       // IDs of the parts of the prompt
 	probe        bool           // the request is let through although a part of its prompt is quarantined
@@ -247,11 +249,11 @@
 	}
 	x.forwardInfo.TimeLeft = x.deadline - now
 	onceOnly := x.route.RepeatPolicy == catalog.OnceOnly
-	if !a.send(x.encodeRequest(x.forwardInfo), onceOnly, x.attemptDeadline(a, now)) {
+	if !a.send(x.forwardInfo, onceOnly, x.attemptDeadline(a, now)) {
 		return x.afterFailure(a)
 	}
 	x.relay.fleet.recordFirstByte(a.server, a)
-	if x.route.Stream && a.head.Status == statusOK {
+	if x.route.Stream && a.head.Status == statusOK && x.request.head.Method != http.MethodHead {
 		return x.forwardStream(a)
 	}
 	return x.forwardResponse(a)
@@ -297,7 +299,7 @@
 	case a.responseInfo.NotRun:
 		a.setResult(resultNotRun, nil)
 		return false, false
-	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status):
+	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status) || x.out.headSent: // no other status resumes a stream
 		x.possibleRuns++
 		a.setResult(resultFailed, nil)
 		x.lastFailure = &fullResponse{attempt: a, body: body}
@@ -347,14 +349,13 @@
 	return 1
 }
 
-// giveUp sends the final response to a request that no attempt has completed.
+// giveUp sends the final response to a request that no attempt has completed, or cuts its
+// stream.
 func (x *exchange) giveUp() bool {
 	now := x.relay.clock.Now()
 	switch {
 	case x.caller.isDisconnected():
 		return x.abandon()
-	case x.out.headSent:
-		return x.out.cutStream()
 	case x.lastFailure != nil && !guaranteesNotRun(x.lastFailure.attempt.head.Status):
 		return x.out.fullResponse(x.lastFailure.attempt, x.lastFailure.body)
 	case x.possibleRuns > 0 && now >= x.deadline:
@@ -365,12 +366,9 @@
 	return x.refuse(refusal{status: statusUnavailable, reason: "no_server", retryAfter: x.retryAfter()})
 }
 
-// timeOut ends a request whose deadline has passed.
+// timeOut ends a request whose deadline has passed, or cuts its stream.
 func (x *exchange) timeOut(a *attempt) bool {
 	a.result = resultAbandoned
-	if x.out.headSent {
-		return x.out.cutStream()
-	}
 	if x.possibleRuns == 0 {
 		return x.refuse(refusal{status: statusUnavailable, reason: "timeout_unsent"})
 	}
