quarantine, relay, control: a request that ends servers is known by path, caller and body

Cause: only parts of prompts were judged, and only where an answer had begun. Plain calls have no parts; a request with a prompt of its own has none that others share. Class of fault: the subject that is judged is wider or narrower than the cause.

Evidence: TestDeadlyRequestIsRefused failed before (7 and 8 of 8 servers ended, over once-only, idempotent and streamed routes); with this change 3 end and further ones are answered 400.

Change: a request has a digest of workspace, method, host, target and body (begin and end of a long one), computed when a server ended under it or while any request is suspect. It is judged beside the parts of its prompt, with the same records, weights and trials, and goes first where it explains the same ends: a part is certain only if different requests ended servers with it. Requests that waited at a server count only if it had just begun no other answer there. A trial counts only if no other suspect was at that server. Requests that lost two servers are not sent to a third one until a trial, one at a time over all relays but for the time that news takes, has survived. Operators see and release requests as "request:DIGEST". Counts from peers are bounded, so that one of 2^63-1 cannot make the next probe overflow.

Tests: TestPoisonRequestIsRefused gives each of its requests a path of its own, as they would be the same request otherwise; its state dump has the two requests beside the two parts. Records of ends in other tests say that an answer had begun. TestReportsHoldWhatIsNew uses 300 ends, because 256 parts are kept now. New property TestDeadlyRequestIsFoundInTraffic: 3 to 90 servers, begun and plain answers, ends by chance beside it: sent at most three times later than three seconds after its third end, and no sound request refused. The property of deadly parts checks sound requests too. Result: all pass, relay, control, commands and event tests too.

--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -51,15 +51,37 @@
 	Releases  []wireCount       `json:"releases,omitempty"`
 }
 
+// wireKey is the JSON form of quarantine.Key. Former builds know keys of parts only: they take
+// the digest of a request for the ID of a part, which no prompt has.
+type wireKey struct {
+	Service string `json:"s"`
+	ID      string `json:"p"`
+	Request bool   `json:"whole,omitempty"`
+}
+
+func toWireKey(k quarantine.Key) wireKey {
+	return wireKey{Service: k.Service, ID: k.ID, Request: k.Kind == quarantine.KindRequest}
+}
+
+func (w wireKey) toKey() quarantine.Key {
+	if w.Request {
+		return quarantine.NewRequestKey(w.Service, w.ID)
+	}
+	return quarantine.NewKey(w.Service, w.ID)
+}
+
 // wireEnd is the JSON form of quarantine.End.
 type wireEnd struct {
-	Service   string       `json:"s"`
-	Part      string       `json:"p"`
+	wireKey
 	Server    string       `json:"server"`
 	StartedAt int64        `json:"started_ms"`
 	Depth     int          `json:"d,omitempty"`
+	Waiting   bool         `json:"waiting,omitempty"` // former builds send ends of begun answers only
 	Repeated  bool         `json:"repeated,omitempty"`
 	Trial     bool         `json:"trial,omitempty"`
+	Request   string       `json:"request,omitempty"`
+	Several   bool         `json:"several,omitempty"`
+	AtServer  clock.Millis `json:"at_server_ms,omitempty"`
 	Age       clock.Millis `json:"age_ms"`
 }
 
@@ -73,18 +95,16 @@
 
 // wireSurvivals is the JSON form of quarantine.Survivals.
 type wireSurvivals struct {
-	Service string `json:"s"`
-	Part    string `json:"p"`
-	Entry   string `json:"entry"`
-	Count   int    `json:"n"`
+	wireKey
+	Entry string `json:"entry"`
+	Count int    `json:"n"`
 }
 
 // wireCount is the JSON form of quarantine.Trial, quarantine.Probe and quarantine.Release.
 type wireCount struct {
-	Service string       `json:"s"`
-	Part    string       `json:"p"`
-	Number  int          `json:"n"`
-	Age     clock.Millis `json:"age_ms"`
+	wireKey
+	Number int          `json:"n"`
+	Age    clock.Millis `json:"age_ms"`
 }
 
 // toWireQuarantine returns nil for an empty report.
@@ -95,24 +115,24 @@
 	return &wireQuarantine{
 		Ends: lo.Map(r.Ends, func(e quarantine.End, _ int) wireEnd {
 			return wireEnd{
-				Service: e.Service, Part: e.Part, Server: e.Server, StartedAt: e.StartedAt, Depth: e.Depth,
-				Repeated: e.Repeated, Trial: e.Trial, Age: e.Age,
+				wireKey: toWireKey(e.Key), Server: e.Server, StartedAt: e.StartedAt, Depth: e.Depth, Waiting: !e.Begun,
+				Repeated: e.Repeated, Trial: e.Trial, Request: e.Request, Several: e.Several, AtServer: e.AtServer, Age: e.Age,
 			}
 		}),
 		Servers: lo.Map(r.Servers, func(e quarantine.EndedServer, _ int) wireEndedServer {
 			return wireEndedServer{Service: e.Service, Server: e.Server, StartedAt: e.StartedAt, Age: e.Age}
 		}),
 		Survivals: lo.Map(r.Survivals, func(v quarantine.Survivals, _ int) wireSurvivals {
-			return wireSurvivals{Service: v.Service, Part: v.Part, Entry: v.Entry, Count: v.Count}
+			return wireSurvivals{wireKey: toWireKey(v.Key), Entry: v.Entry, Count: v.Count}
 		}),
 		Trials: lo.Map(r.Trials, func(t quarantine.Trial, _ int) wireCount {
-			return wireCount{Service: t.Service, Part: t.Part, Number: t.Number, Age: t.Age}
+			return wireCount{wireKey: toWireKey(t.Key), Number: t.Number, Age: t.Age}
 		}),
 		Probes: lo.Map(r.Probes, func(p quarantine.Probe, _ int) wireCount {
-			return wireCount{Service: p.Service, Part: p.Part, Number: p.Number, Age: p.Age}
+			return wireCount{wireKey: toWireKey(p.Key), Number: p.Number, Age: p.Age}
 		}),
 		Releases: lo.Map(r.Releases, func(l quarantine.Release, _ int) wireCount {
-			return wireCount{Service: l.Service, Part: l.Part, Number: l.Number, Age: l.Age}
+			return wireCount{wireKey: toWireKey(l.Key), Number: l.Number, Age: l.Age}
 		}),
 	}
 }
@@ -124,8 +144,9 @@
 	return quarantine.Report{
 		Ends: lo.Map(w.Ends, func(e wireEnd, _ int) quarantine.End {
 			return quarantine.End{
-				Key: quarantine.NewKey(e.Service, e.Part), ServerRun: quarantine.ServerRun{Server: e.Server, StartedAt: e.StartedAt},
-				Depth: e.Depth, Repeated: e.Repeated, Trial: e.Trial, Age: e.Age,
+				Key: e.toKey(), ServerRun: quarantine.ServerRun{Server: e.Server, StartedAt: e.StartedAt},
+				Depth: e.Depth, Begun: !e.Waiting, Repeated: e.Repeated, Trial: e.Trial,
+				Request: e.Request, Several: e.Several, AtServer: e.AtServer, Age: e.Age,
 			}
 		}),
 		Servers: lo.Map(w.Servers, func(e wireEndedServer, _ int) quarantine.EndedServer {
@@ -134,16 +155,16 @@
 			}
 		}),
 		Survivals: lo.Map(w.Survivals, func(v wireSurvivals, _ int) quarantine.Survivals {
-			return quarantine.Survivals{Key: quarantine.NewKey(v.Service, v.Part), Entry: v.Entry, Count: v.Count}
+			return quarantine.Survivals{Key: v.toKey(), Entry: v.Entry, Count: v.Count}
 		}),
 		Trials: lo.Map(w.Trials, func(c wireCount, _ int) quarantine.Trial {
-			return quarantine.Trial{Key: quarantine.NewKey(c.Service, c.Part), Number: c.Number, Age: c.Age}
+			return quarantine.Trial{Key: c.toKey(), Number: c.Number, Age: c.Age}
 		}),
 		Probes: lo.Map(w.Probes, func(c wireCount, _ int) quarantine.Probe {
-			return quarantine.Probe{Key: quarantine.NewKey(c.Service, c.Part), Number: c.Number, Age: c.Age}
+			return quarantine.Probe{Key: c.toKey(), Number: c.Number, Age: c.Age}
 		}),
 		Releases: lo.Map(w.Releases, func(c wireCount, _ int) quarantine.Release {
-			return quarantine.Release{Key: quarantine.NewKey(c.Service, c.Part), Number: c.Number, Age: c.Age}
+			return quarantine.Release{Key: c.toKey(), Number: c.Number, Age: c.Age}
 		}),
 	}
 }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -57,7 +57,8 @@
 	// repeated is set if a request lost one server and, sent again after that, another one. So
 	// two of the ends came one after the other.
 	repeated bool
-	trial    bool // the end is that of a trial, which is a round of its own
+	trial    bool         // the end is that of a trial, which is a round of its own
+	lastAt   clock.Millis // of the newest end
 }
 
 // count returns how many ends of the round came one after another.
@@ -69,19 +70,36 @@
 }
 
 // roundsOf groups ends, which are in the order of time.
-func roundsOf(ends []suspectEnd) []round {
+func roundsOf(kind Kind, ends []suspectEnd) []round {
 	var rounds []round
 	for _, e := range ends {
-		if len(rounds) == 0 || e.trial || rounds[len(rounds)-1].trial || e.at-rounds[len(rounds)-1].at >= roundTime {
+		if len(rounds) == 0 || e.beginsRound(kind, rounds[len(rounds)-1]) {
 			rounds = append(rounds, round{at: e.at, trial: e.trial})
 		}
 		r := &rounds[len(rounds)-1]
 		r.ends++
-		r.repeated = r.repeated || e.repeated
+		r.lastAt = e.at
+		r.repeated = r.repeated || e.repeated && kind == KindPart
 	}
 	return rounds
 }
 
+// beginsRound reports whether an end does not belong to the same round as those before. A
+// request as a whole that was sent after the last end came one after the other in any case.
+func (e suspectEnd) beginsRound(kind Kind, last round) bool {
+	return e.trial || last.trial || e.at-last.at >= roundTime || kind == KindRequest && e.sentAt >= last.lastAt
+}
+
+// areOfOneRequest reports whether all ends are those of the same request.
+func areOfOneRequest(ends []suspectEnd) bool {
+	for _, e := range ends {
+		if e.several || e.request == "" || e.request != ends[0].request {
+			return false
+		}
+	}
+	return true
+}
+
 // timeline holds when the servers of a service ended, in the order of time.
 type timeline []clock.Millis
 
@@ -106,7 +124,7 @@
 
 // evidence is what speaks against a part.
 type evidence struct {
-	ends      float64      // number of ends one after another
+	ends      float64      // number of ends one after another; for a request, of all ends
 	score     float64      // the same, weighed by the chance of each: each counts from 0 to 1
 	certain   bool         // the score reached the required one, and a trial has ended its server
 	certainAt clock.Millis // since when
@@ -114,15 +132,22 @@
 
 // weigh returns the evidence of ends under a part, which are in the order of time. The timeline
 // all has the ends of all servers of the service; own has those of the servers that ended under
-// the part.
-func weigh(ends []suspectEnd, all, own timeline, serverCount int, required float64) evidence {
+// the part. Ends of one request alone make its parts suspect, but they are certain evidence
+// against the request only.
+func weigh(kind Kind, ends []suspectEnd, all, own timeline, serverCount int, required float64) evidence {
 	var result evidence
+	if kind == KindRequest {
+		result.ends = float64(len(ends))
+	}
+	attributable := kind == KindRequest || !areOfOneRequest(ends)
 	tried := false
-	for _, r := range roundsOf(ends) {
-		result.ends += r.count()
+	for _, r := range roundsOf(kind, ends) {
+		if kind == KindPart {
+			result.ends += r.count()
+		}
 		result.score += weight(chance(r.at, all, own, serverCount)) * r.count()
 		tried = tried || r.trial
-		if !result.certain && tried && result.score >= required-scoreTolerance {
+		if !result.certain && attributable && tried && result.score >= required-scoreTolerance {
 			result.certain, result.certainAt = true, r.at
 		}
 	}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -46,7 +46,10 @@
 		}
 		for _, run := range sortedRuns(p.ends) {
 			end := p.ends[run]
-			r.Ends = append(r.Ends, End{Key: key, ServerRun: run, Depth: end.depth, Repeated: end.repeated, Trial: end.trial, Age: now - end.at})
+			r.Ends = append(r.Ends, End{
+				Key: key, ServerRun: run, Depth: end.depth, Begun: end.begun, Repeated: end.repeated, Trial: end.trial,
+				Request: end.request, Several: end.several, AtServer: end.at - end.sentAt, Age: now - end.at,
+			})
 		}
 		entries := lo.Keys(p.survivals)
 		slices.Sort(entries)
@@ -72,6 +75,15 @@
 	return runs
 }
 
+// record returns the record of a reported end.
+func (e End) record(now clock.Millis) endRecord {
+	at := now - max(e.Age, 0)
+	return endRecord{
+		depth: e.Depth, at: at, sentAt: at - max(e.AtServer, 0), begun: e.Begun, repeated: e.Repeated, trial: e.Trial,
+		request: e.Request, several: e.Several,
+	}
+}
+
 // Merge takes over the records of a report. Reports can be merged in any order and more than
 // once. Records without an end of a server are left out.
 func (q *Quarantine) Merge(now clock.Millis, r Report) {
@@ -84,7 +96,7 @@
 	}
 	for _, e := range r.Ends {
 		if e.Age < retention {
-			q.addEnd(e.Key, e.ServerRun, endRecord{depth: e.Depth, at: now - max(e.Age, 0), repeated: e.Repeated, trial: e.Trial})
+			q.addEnd(e.Key, e.ServerRun, e.record(now))
 		}
 	}
 	for _, v := range r.Survivals {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,11 +16,8 @@
 
 const (
 	// minEnds is the number of servers that must end under a part one after another before it is
-	// quarantined, at least one of them under a trial.
+	// quarantined, at least one of them under a trial. From one less, the part is suspect.
 	minEnds = 3
-	// suspectShare is the share of the score for a quarantine from which a part is suspect. It
-	// makes two ends one after another enough.
-	suspectShare = 0.4
 	// endsPerSurvival is the number of further ends that each survival makes up for.
 	endsPerSurvival = 3
 	// maxSurvivals is the number of survivals from which a part is never quarantined.
@@ -59,9 +56,10 @@
 
 // Limits of what is kept, whatever callers send.
 const (
-	maxParts         = 128
+	maxParts         = 256
 	maxEndsPerPart   = 16
 	maxServers       = 512  // ended servers
+	maxWaiting       = 32   // requests that waited at one ended server and are suspects
 	maxKnownSurvived = 4096 // parts without ends whose survivals are remembered
 	// maxPartsPerRequest is the number of parts of a request that are looked at.
 	maxPartsPerRequest = 16
@@ -80,17 +78,19 @@
 
 	mu       sync.Mutex
 	parts    map[Key]*part
+	requests int // number of keys of whole requests in parts
 	servers  map[ServerRun]serverEnd
 	counts   map[string]int       // number of servers, by service
 	survived *lru.Cache[Key, int] // survivals that this process has seen, for parts without ends
 	expireAt clock.Millis         // when old records are searched for next
 
-	position      uint64    // number of changes of records so far
-	judged        judgement // valid until its end unless judgedChanged is set
+	position      uint64             // number of changes of records so far
+	begun         map[ServerRun]bool // runs that ended just after they had begun to answer a request; set with judged
+	judged        judgement          // valid until its end unless judgedChanged is set
 	judgedChanged bool
 }
 
-// part holds the records of one part.
+// part holds the records of one part or request.
 type part struct {
 	ends      map[ServerRun]endRecord
 	survivals map[string]int // by entry
@@ -100,23 +100,39 @@
 	position  uint64 // position of the newest change
 }
 
-// endRecord is the end of a server as evidence against a part.
+// endRecord is the end of a server as evidence against a part or a request.
 type endRecord struct {
 	depth    int
 	at       clock.Millis
+	sentAt   clock.Millis // when the request was sent to the server
+	begun    bool
 	repeated bool
 	trial    bool
+	request  string // short digest of one of the requests
+	several  bool   // several different requests
 }
 
 // merge returns the record of two reports of the same end.
 func (e endRecord) merge(other endRecord) endRecord {
-	return endRecord{depth: max(e.depth, other.depth), at: min(e.at, other.at), repeated: e.repeated || other.repeated, trial: e.trial || other.trial}
+	return endRecord{
+		depth: max(e.depth, other.depth), at: min(e.at, other.at), sentAt: min(e.sentAt, other.sentAt),
+		begun: e.begun || other.begun, repeated: e.repeated || other.repeated, trial: e.trial || other.trial,
+		request: min(e.request, other.request), several: e.several || other.several || e.request != other.request,
+	}
+}
+
+// isNews reports whether the record tells more than a former one of the same end. Earlier times
+// alone do not: they differ with the way that a report took.
+func (e endRecord) isNews(former endRecord) bool {
+	e.at, e.sentAt = former.at, former.sentAt
+	return e != former
 }
 
 // serverEnd is the end of a server, whatever ran on it.
 type serverEnd struct {
 	service  string
 	at       clock.Millis
+	waiting  int    // requests that waited there and are held to be suspects by this process
 	position uint64 // position of the newest change
 }
 
@@ -126,8 +142,14 @@
 	at     clock.Millis
 }
 
+// maxCount bounds a number from another process, so that it can grow further.
+const maxCount = 1 << 20
+
 // merge takes over a higher number, or an earlier time for the same one.
 func (c *countRecord) merge(number int, at clock.Millis) bool {
+	if number > maxCount {
+		return false
+	}
 	if number > c.number {
 		c.number, c.at = number, at
 		return true
@@ -164,11 +186,14 @@
 type Subject struct {
 	Service string
 	Parts   []string // IDs of the parts of the prompt, in order
+	// Digest returns the digest of the request; see Digest. It is called only when it is needed.
+	// If it is nil, the request is not judged as a whole.
+	Digest func() string
 }
 
-// keys returns the keys of the parts that may be quarantined. The last part belongs to one
+// partKeys returns the keys of the parts that may be quarantined. The last part belongs to one
 // request or session alone, so nothing can be learned about it.
-func (s Subject) keys() []Key {
+func (s Subject) partKeys() []Key {
 	if len(s.Parts) < 2 {
 		return nil
 	}
@@ -180,28 +205,73 @@
 	return keys
 }
 
+// digest returns the digest of the request, or "".
+func (s Subject) digest() string {
+	if s.Digest == nil {
+		return ""
+	}
+	return s.Digest()
+}
+
+// keys returns the keys of the parts and, if requests are suspect at all, that of the request
+// itself, which comes last because it is the most specific one. The caller holds the lock.
+func (q *Quarantine) keys(s Subject) []Key {
+	keys := s.partKeys()
+	if q.requests == 0 {
+		return keys
+	}
+	if digest := s.digest(); digest != "" {
+		keys = append(keys, NewRequestKey(s.Service, digest))
+	}
+	return keys
+}
+
 // Loss describes how a request was lost when its server ended.
 type Loss struct {
 	At        clock.Millis // when the connection was lost
-	Answering clock.Millis // how long the server had been answering
+	Sent      clock.Millis // when the request was sent to the server
+	Begun     bool         // the server had begun to answer
+	Answering clock.Millis // how long it had been answering
 	Repeated  bool         // the request had lost another server that ended, and was sent here after that
-	Tried     Key          // the part of which the request was a trial; zero if it was none
+	Tried     Key          // the part or request of which this was a trial; zero if it was none
 }
 
-// RecordEnd records that a server ended while it answered a request. A server that had been
-// answering for SurvivalTime ended for another reason.
+// RecordEnd records that a server ended while a request ran on it or waited there. A server that
+// had been answering for SurvivalTime ended for another reason.
 func (q *Quarantine) RecordEnd(s Subject, run ServerRun, loss Loss) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.addServer(s.Service, run, loss.At)
-	if loss.Answering > SurvivalTime {
+	if loss.Answering > SurvivalTime || !loss.Begun && !q.addWaiting(run) {
 		return
 	}
-	for depth, key := range s.keys() {
-		q.addEnd(key, run, endRecord{depth: depth, at: loss.At, repeated: loss.Repeated, trial: key == loss.Tried})
+	digest := s.digest()
+	end := endRecord{at: loss.At, sentAt: loss.Sent, begun: loss.Begun, repeated: loss.Repeated, request: digest[:min(len(digest), shortDigestLength)]}
+	if loss.Begun {
+		for depth, key := range s.partKeys() {
+			end.depth, end.trial = depth, key == loss.Tried
+			q.addEnd(key, run, end)
+		}
+	}
+	if digest != "" {
+		key := NewRequestKey(s.Service, digest)
+		end.depth, end.trial = maxPartsPerRequest, key == loss.Tried
+		q.addEnd(key, run, end)
 	}
 }
 
+// addWaiting counts a request that waited at a server that has ended, and reports whether it may
+// be held to be a suspect. The caller holds the lock.
+func (q *Quarantine) addWaiting(run ServerRun) bool {
+	e, ok := q.servers[run]
+	if !ok || e.waiting >= maxWaiting {
+		return false
+	}
+	e.waiting++
+	q.servers[run] = e
+	return true
+}
+
 // RecordServerEnd records that a server has ended, without a request that was lost there. The
 // time is that at which it became known.
 func (q *Quarantine) RecordServerEnd(now clock.Millis, service string, run ServerRun) {
@@ -215,11 +285,10 @@
 func (q *Quarantine) RecordSurvival(now clock.Millis, s Subject, probe bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, key := range s.keys() {
+	for _, key := range q.keys(s) {
 		p, ok := q.parts[key]
 		if !ok {
-			count, _ := q.survived.Get(key)
-			q.survived.Add(key, min(count+1, maxSurvivals))
+			q.rememberSurvival(key)
 			continue
 		}
 		q.addSurvivals(p, q.entry, p.survivals[q.entry]+1)
@@ -229,6 +298,16 @@
 	}
 }
 
+// rememberSurvival counts a survival of a part without ends. Those of whole requests are not
+// remembered, because few requests come again. The caller holds the lock.
+func (q *Quarantine) rememberSurvival(key Key) {
+	if key.Kind == KindRequest {
+		return
+	}
+	count, _ := q.survived.Get(key)
+	q.survived.Add(key, min(count+1, maxSurvivals))
+}
+
 // Release ends the quarantine of a part: ends before now no longer count. It reports whether
 // the part is known.
 func (q *Quarantine) Release(now clock.Millis, key Key) bool {
@@ -276,8 +355,7 @@
 	}
 	merged := known.merge(end)
 	p.ends[run] = merged
-	// An earlier time alone is no news: it differs with the way that the report took.
-	if merged.depth != known.depth || merged.repeated != known.repeated || merged.trial != known.trial {
+	if merged.isNews(known) {
 		q.markChanged(p)
 	}
 	q.judgedChanged = q.judgedChanged || merged != known
@@ -314,10 +392,22 @@
 		p.survivals[q.entry] = count
 	}
 	q.parts[key] = p
+	if key.Kind == KindRequest {
+		q.requests++
+	}
 	q.markChanged(p)
 	return p
 }
 
+// remove removes the records of a part. The caller holds the lock.
+func (q *Quarantine) remove(key Key) {
+	delete(q.parts, key)
+	if key.Kind == KindRequest {
+		q.requests--
+	}
+	q.judgedChanged = true
+}
+
 // addSurvivals takes over the count of an entry's survivals. The caller holds the lock.
 func (q *Quarantine) addSurvivals(p *part, entry string, count int) {
 	known, ok := p.survivals[entry]
@@ -341,7 +431,7 @@
 			least, fewest, oldest = key, n, newest
 		}
 	}
-	delete(q.parts, least)
+	q.remove(least)
 }
 
 // markChanged records a change of a part's records. The caller holds the lock.
@@ -360,8 +450,7 @@
 	maps.DeleteFunc(q.servers, func(_ ServerRun, e serverEnd) bool { return now-e.at >= serverRetention })
 	for key, p := range q.parts {
 		if now-max(p.newestEnd(), p.trial.at, p.probe.at, p.released.at) >= retention {
-			delete(q.parts, key)
-			q.judgedChanged = true
+			q.remove(key)
 		}
 	}
 }
@@ -405,10 +494,21 @@
 // offset returns a time shorter than window by which an entry's trials or probes of a part begin
 // later. The entries begin at different times, so that usually one of them sends one.
 func offset(key Key, entry string, number int, window clock.Millis) clock.Millis {
-	hash := xxhash.Sum64String(entry + "\x00" + key.Service + "\x00" + key.Part + strconv.Itoa(number))
+	hash := xxhash.Sum64String(entry + "\x00" + key.Service + "\x00" + key.Text() + strconv.Itoa(number))
 	return clock.Millis(hash % uint64(window))
 }
 
+// countingEnds returns the number of ends since the newest release.
+func (p *part) countingEnds() int {
+	n := 0
+	for _, end := range p.ends {
+		if p.counts(end) {
+			n++
+		}
+	}
+	return n
+}
+
 // counts reports whether an end is newer than the newest release.
 func (p *part) counts(end endRecord) bool {
 	return p.released.number == 0 || end.at > p.released.at
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 
 	"github.com/galenaslip/galenaslip/clock"
 )
@@ -12,10 +13,25 @@
 // the IDs, so longer ones are kept as a hash that cannot be forged.
 const maxPartIDLength = 80
 
-// Key identifies a part of prompts to the servers of a service.
+// Kind tells what a Key identifies.
+type Kind uint8
+
+// The kinds, from the least specific one.
+const (
+	// KindPart is a part of prompts, which different requests share.
+	KindPart Kind = iota
+	// KindRequest is a whole request: its path, caller and body.
+	KindRequest
+)
+
+// requestPrefix begins the text form of the key of a request.
+const requestPrefix = "request:"
+
+// Key identifies a part of prompts, or a request, to the servers of a service.
 type Key struct {
 	Service string
-	Part    string
+	Kind    Kind
+	ID      string // of the part, or the digest of the request
 }
 
 // NewKey returns the key of a part.
@@ -24,12 +40,35 @@
 		sum := sha256.Sum256([]byte(part))
 		part = "sha256-" + hex.EncodeToString(sum[:])
 	}
-	return Key{Service: service, Part: part}
+	return Key{Service: service, ID: part}
+}
+
+// NewRequestKey returns the key of a request with the given digest; see Digest.
+func NewRequestKey(service, digest string) Key {
+	key := NewKey(service, digest)
+	key.Kind = KindRequest
+	return key
+}
+
+// ParseKey returns the key that has a text form.
+func ParseKey(service, text string) Key {
+	if digest, ok := strings.CutPrefix(text, requestPrefix); ok {
+		return NewRequestKey(service, digest)
+	}
+	return NewKey(service, text)
+}
+
+// Text returns the form of the key, without the service, that logs and commands use.
+func (k Key) Text() string {
+	if k.Kind == KindRequest {
+		return requestPrefix + k.ID
+	}
+	return k.ID
 }
 
 // compare orders keys.
 func (k Key) compare(other Key) int {
-	return cmp.Or(cmp.Compare(k.Service, other.Service), cmp.Compare(k.Part, other.Part))
+	return cmp.Or(cmp.Compare(k.Service, other.Service), cmp.Compare(k.Kind, other.Kind), cmp.Compare(k.ID, other.ID))
 }
 
 // ServerRun identifies a server from its start to its end.
@@ -43,13 +82,17 @@
 	return cmp.Or(cmp.Compare(r.Server, other.Server), cmp.Compare(r.StartedAt, other.StartedAt))
 }
 
-// End records that a server ended just after it had begun to answer a request with the part.
+// End records that a server ended while a request with the part ran on it or waited there.
 type End struct {
 	Key
 	ServerRun
 	Depth    int          // position of the part in the prompt, from 0
+	Begun    bool         // the server had just begun to answer the request
 	Repeated bool         // the request had lost another server that ended, and was sent here after that
 	Trial    bool         // the request was sent as a trial
+	Request  string       // short digest of one of the requests with the part
+	Several  bool         // several different requests with the part were there
+	AtServer clock.Millis // how long the request had been at the server
 	Age      clock.Millis // time since the end
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -38,26 +38,27 @@
 
 // exchange is one request of a caller together with its attempts and its response.
 type exchange struct {
-	relay        *Relay
-	caller       *callerConn
-	request      request
-	requestInfo  RequestInfo
-	route        catalog.Route
-	service      string
-	forwardInfo  ForwardInfo
-	requirements requirements
-	revision     uint64 // revision of the catalog that the request was routed by
-	deadline     clock.Millis
-	possibleRuns int           // number of attempts in which a server may have run the request
-	attempts     int           // number of attempts so far
-	lastFailure  *fullResponse // newest failure for which a server sent a response
-	out          output
-	position     streamPosition // of the caller, if the response is streamed
-	memory       reservation    // for the bodies of responses
-	partIDs      []string       // IDs of the parts of the prompt
-	probe        bool           // the request is let through although a part of its prompt is quarantined
-	tried        quarantine.Key // the suspect part of its prompt of which the request is a trial; zero if it is none
-	serverEnded  atomic.Bool    // a server has ended under the request
+	relay         *Relay
+	caller        *callerConn
+	request       request
+	requestInfo   RequestInfo
+	route         catalog.Route
+	service       string
+	forwardInfo   ForwardInfo
+	requirements  requirements
+	revision      uint64 // revision of the catalog that the request was routed by
+	deadline      clock.Millis
+	possibleRuns  int           // number of attempts in which a server may have run the request
+	attempts      int           // number of attempts so far
+	lastFailure   *fullResponse // newest failure for which a server sent a response
+	out           output
+	position      streamPosition // of the caller, if the response is streamed
+	memory        reservation    // for the bodies of responses
+	partIDs       []string       // IDs of the parts of the prompt
+	probe         bool           // the request is let through although a part of its prompt is quarantined
+	tried         quarantine.Key // the suspect part of its prompt of which the request is a trial; zero if it is none
+	serverEnded   atomic.Bool    // a server has ended under the request
+	requestDigest string         // identifies requests with the same path, caller and body; "" until it is needed
 }
 
 // fullResponse is a server's complete response.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -197,7 +197,7 @@
 	}
 	for _, v := range s.Suspects {
 		w.Suspects = append(w.Suspects, wireSuspect{
-			Service: v.Service, Part: v.Part, Quarantined: v.Quarantined, Servers: v.Servers, Answers: v.Survivals,
+			Service: v.Service, Part: v.Text(), Quarantined: v.Quarantined, Servers: v.Servers, Answers: v.Survivals,
 			Score: v.Score, Required: v.Required,
 		})
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -16,7 +16,17 @@
 
 // subject returns what the quarantine looks at in the request.
 func (x *exchange) subject() quarantine.Subject {
-	return quarantine.Subject{Service: x.service, Parts: x.partIDs}
+	return quarantine.Subject{Service: x.service, Parts: x.partIDs, Digest: x.digest}
+}
+
+// digest returns the digest of the request. The caller is the workspace; requests to public
+// routes have none.
+func (x *exchange) digest() string {
+	if x.requestDigest == "" {
+		head := x.request.head
+		x.requestDigest = quarantine.Digest(x.forwardInfo.Workspace, head.Method, stripPort(head.Get("Host")), head.Target, x.request.body)
+	}
+	return x.requestDigest
 }
 
 // checkQuarantine returns a refusal if a part of the request's prompt is quarantined or suspect.
@@ -28,11 +38,11 @@
 	if verdict.Trial {
 		x.tried = verdict.Part
 		x.relay.options.Logger.Log(event.SuspectTried, zap.String("request", x.requestInfo.ID),
-			zap.String("part", verdict.Part.Part), zap.Int("ends", verdict.Ends))
+			zap.String("part", verdict.Part.Text()), zap.Int("ends", verdict.Ends))
 	}
 	if verdict.Probe {
 		x.relay.options.Logger.Log(event.QuarantineProbed, zap.String("request", x.requestInfo.ID),
-			zap.String("part", verdict.Part.Part), zap.Int("ends", verdict.Ends))
+			zap.String("part", verdict.Part.Text()), zap.Int("ends", verdict.Ends))
 	}
 	if verdict.Pending {
 		return &refusal{status: statusUnavailable, reason: "part_suspect", retryAfter: verdict.RetryAfter}
@@ -41,7 +51,7 @@
 		return nil
 	}
 	// The caller is not told to come back: the request would end the next server too.
-	err := errors.Errorf("servers ended under part %q of the prompt: %d", verdict.Part.Part, verdict.Ends)
+	err := errors.Errorf("servers ended under %q: %d", verdict.Part.Text(), verdict.Ends)
 	return &refusal{status: statusBadRequest, reason: "quarantined", err: err}
 }
 
@@ -67,9 +77,9 @@
 const maxEndCheckWait = 50 * clock.Millisecond
 
 // recordServerEnd has it checked whether the server has ended under the request, after the
-// connection was lost in the middle of the answer, and records that if so.
+// connection was lost, and records that if so.
 func (x *exchange) recordServerEnd(a *attempt) {
-	if a.result != resultFailed || a.body == nil || a.wasInterrupted() || !endedByServer(a.err) {
+	if a.result != resultFailed || a.wasInterrupted() || !endedByServer(a.err) {
 		return
 	}
 	r := x.relay
@@ -78,7 +88,12 @@
 		return
 	}
 	now := r.clock.Now()
-	subject, loss := x.subject(), quarantine.Loss{At: now, Answering: now - a.firstByteAt, Repeated: x.serverEnded.Load(), Tried: x.tried}
+	loss := quarantine.Loss{At: now, Sent: a.chosenAt, Begun: a.body != nil, Repeated: x.serverEnded.Load(), Tried: x.tried}
+	if loss.Begun {
+		loss.Answering = now - a.firstByteAt
+	}
+	subject := x.subject()
+	x.digest() // now, because the function below may run later, in another goroutine
 	check := func() quarantine.Listening { return r.fleet.checkListening(a.server, a.run) }
 	checked := r.fleet.endChecks.ConnectionLost(a.run, address, check, func() {
 		x.serverEnded.Store(true)
@@ -117,19 +132,19 @@
 	added, ended := lo.Difference(parts, r.loggedQuarantine)
 	for _, key := range added {
 		suspect := r.quarantine.Suspect(r.clock.Now(), key)
-		r.options.Logger.Log(event.PartQuarantined, zap.String("service", key.Service), zap.String("part", key.Part),
+		r.options.Logger.Log(event.PartQuarantined, zap.String("service", key.Service), zap.String("part", key.Text()),
 			zap.Strings("servers", suspect.Servers), zap.Int("answers", suspect.Survivals), zap.Float64("score", suspect.Score))
 	}
 	for _, key := range ended {
-		r.options.Logger.Log(event.QuarantineEnded, zap.String("service", key.Service), zap.String("part", key.Part))
+		r.options.Logger.Log(event.QuarantineEnded, zap.String("service", key.Service), zap.String("part", key.Text()))
 	}
 	r.loggedQuarantine = parts
 }
 
-// ReleasePart ends the quarantine of a part at all entries and reports whether the part is
-// known.
+// ReleasePart ends the quarantine of a part, or of a request by the text form of its key, at all
+// entries and reports whether it is known.
 func (r *Relay) ReleasePart(service, part string) bool {
-	known := r.quarantine.Release(r.clock.Now(), quarantine.NewKey(service, part))
+	known := r.quarantine.Release(r.clock.Now(), quarantine.ParseKey(service, part))
 	r.options.Logger.Log(event.QuarantineReleased, zap.String("service", service), zap.String("part", part), zap.Bool("known", known))
 	return known
 }
