relay: no requests to a server that says in an answer that it leaves

What callers saw: a server says in all its answers that it leaves, some seconds before its announcement is known everywhere. Requests were sent there until then, again once a late record of the same run listed it as serving, and were cut when the server stopped. Cause: the relay did not read the field of the answer. Change: the state of each server has what it has said (package withdrawal). Such a server is no candidate any more: for no new request, retry or resumed stream. A request that was chosen for it and not yet sent goes elsewhere (result withdrawn). Its idle connections are closed, also those of servers that announce their departure; what runs there goes on. A later start ends this. Any complete head on the server's connections counts, but not a 421. A gone server that had said so is remembered for 10 minutes. If all servers leave, the request is refused with 503 servers_leaving and Retry-After. Event 446, gauge servers_leaving, says_leaving in the dump. Connections that were used in an earlier run of a server are not kept either. Evidence: on the code without the change all tests of relay/withdrawal_test.go fail, among them TestLeavingByAnswerHoldsForTheRun ("requests received: got 4, want 1"), TestNoRetryAtLeavingServer (got 6, want 1), TestRequestIsNotSentAfterTheServerWithdraws (got 2, want 1), TestIdleConnectionsOfLeavingServerAreClosed (open connections: got 3, want 0). Each of these rules removed alone fails a test: retention, the check before sending, the check of kept connections, the closing of idle ones, 421, the later start.

--- a/event/relay.go
+++ b/event/relay.go
@@ -22,5 +22,6 @@
 	QuarantineEnded       = define(438, "quarantine_ended", Info, "Requests with this part of a prompt are sent again.")
 	QuarantineProbed      = define(439, "quarantine_probed", Info, "A request was sent although a part of its prompt is quarantined, to find out whether servers still end under it.")
 	QuarantineReleased    = define(440, "quarantine_released", Info, "An operator has ended the quarantine of a part of prompts.")
+	ServerLeaving         = define(446, "server_leaving", Info, "A backend server has said in an answer that it leaves; this relay sends it no more requests.")
 	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,12 +28,15 @@
 	resultWrongServer
 	// resultUnreachable means that no connection could be opened, so nothing was sent.
 	resultUnreachable
+	// resultWithdrawn means that the server has said, before the request was sent, that it
+	// wants no requests, so nothing was sent.
+	resultWithdrawn
 	// resultFailed means that the request was sent, may have run, and has no usable
 	// response.
 	resultFailed
 )
 
-var resultNames = [...]string{"abandoned", "answered", "not_run", "stranger", "unreachable", "failed"}
+var resultNames = [...]string{"abandoned", "answered", "not_run", "stranger", "unreachable", "withdrawn", "failed"}
 
 // String returns the name that logs and metrics use for the result.
 func (r result) String() string { return resultNames[r] }
@@ -144,6 +147,10 @@
 		a.setResult(resultAbandoned, errInterrupted)
 		return false
 	}
+	if !x.relay.fleet.accepts(a.server) {
+		a.setResult(resultWithdrawn, errWithdrawn)
+		return false
+	}
 	_ = conn.SetDeadline(x.relay.clock.Deadline(deadline - x.relay.clock.Now()))
 	if err := a.write(conn, data); err != nil {
 		a.failAfterSend(err)
@@ -201,6 +208,7 @@
 			a.failAfterSend(errors.New("server sent a response without the ID that its earlier ones had"))
 			return false
 		}
+		x.recordLeaving(a, head, responseInfo)
 		if responseInfo.ID != "" && responseInfo.ID != x.requestInfo.ID {
 			stray++
 			if stray > maxStrayResponses || body.EndsWithConnection() {
@@ -273,7 +281,7 @@
 		return
 	}
 	_ = conn.SetDeadline(noDeadline)
-	fleet.putIdle(conn, a.responseInfo.IdleTimeout)
+	fleet.putIdle(conn, a.run.StartedAt, a.responseInfo.IdleTimeout)
 }
 
 // encodeRequest returns the bytes of the request for the server.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -312,7 +312,7 @@
 		return false
 	}
 	x.requirements.excluded = append(x.requirements.excluded, a.server.record.Server)
-	if a.result == resultUnreachable {
+	if a.result == resultUnreachable || a.result == resultWithdrawn {
 		return true // nothing reached a server
 	}
 	mayHaveRun := x.possibleRuns > 0 && a.result != resultNotRun && a.result != resultWrongServer
@@ -350,7 +350,7 @@
 	case x.possibleRuns > 0:
 		return x.refuse(refusal{status: statusBadGateway, reason: "server_lost"})
 	}
-	return x.refuse(refusal{status: statusUnavailable, reason: "no_server", retryAfter: x.retryAfter()})
+	return x.refuse(x.noServer())
 }
 
 // timeOut ends a request whose deadline has passed.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -30,7 +30,7 @@
 	// to control.
 	silentGrace = 3 * clock.Second
 	// promptPartRetention is how long a server is assumed to keep a prompt part cached.
-	// Gone servers are remembered for the same time.
+	// Gone servers are remembered for the same time, unless they have said that they leave.
 	promptPartRetention = 60 * clock.Second
 )
 
@@ -168,7 +168,11 @@
 	if r.StartedAt > previous.StartedAt || r.Address != previous.Address {
 		f.resetServer(known)
 	}
+	known.followRun(previous, r)
 	known.record, known.listedByLeader, known.listedAt = r, true, now
+	if r.State != roster.Serving {
+		known.discardIdle()
+	}
 }
 
 // resumesServing reports whether a record would make a server take requests again that has
@@ -205,7 +209,7 @@
 		if !s.listedByLeader && now-f.serverListEpochAt > unlistedGrace {
 			s.record.Silent = true
 		}
-		if s.record.State == roster.Gone && len(s.attempts) == 0 && now-s.listedAt > promptPartRetention {
+		if s.record.State == roster.Gone && len(s.attempts) == 0 && now-s.listedAt > s.goneRetention() {
 			delete(f.servers, name)
 		}
 	}
@@ -289,11 +293,11 @@
 
 // usableServers returns the servers that may get the request, in an order that is the
 // same at every entry. It returns silent or unresponsive servers only if there are no
-// others. The caller holds the lock.
+// others, and never one that has said that it wants no requests. The caller holds the lock.
 func (f *fleet) usableServers(now clock.Millis, req requirements) []*server {
 	var responsive, fallback []*server
 	for _, s := range f.servers {
-		if s.record.Service != req.service || s.record.State != roster.Serving || s.wrongServer || s.blockedUntil > now ||
+		if s.record.Service != req.service || s.record.State != roster.Serving || !s.withdrawal.Accepts(now) || s.wrongServer || s.blockedUntil > now ||
 			lo.Contains(req.excluded, s.record.Server) || !f.hasFreeConnection(s) {
 			continue
 		}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -43,7 +43,7 @@
 }
 
 func (testProtocol) ResponseInfo(h frame.Head) relay.ResponseInfo {
-	return relay.ResponseInfo{ID: h.Get("Id"), NotRun: h.Has("Not-Run")}
+	return relay.ResponseInfo{ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving")}
 }
 
 func (testProtocol) Refusal(c relay.RequestInfo) []frame.Header {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/roster"
 )
 
 // metrics holds the relay's counters and histograms. Label values come from the
@@ -69,6 +70,7 @@
 		"connections":       float64(s.Connections),
 		"attempts_running":  float64(s.Attempts),
 		"servers":           float64(len(s.Servers)),
+		"servers_leaving":   float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.SaysLeaving && !v.gone() })),
 		"parts_suspect":     float64(len(s.Suspects)),
 		"parts_quarantined": float64(lo.CountBy(s.Suspects, func(v quarantine.Suspect) bool { return v.Quarantined })),
 		"log_lines_lost":    float64(g.relay.options.Logger.DroppedLines()),
@@ -116,8 +118,11 @@
 	Silent, Unresponsive, WrongServer               bool
 	Attempts, OpenConnections, IdleConnections      int
 	OtherEntriesRequests, FailureShare, MeanLatency float64
+	SaysLeaving                                     bool // the server has said in an answer that it leaves
 }
 
+func (s ServerState) gone() bool { return s.State == string(roster.Gone) }
+
 // State returns a snapshot of the relay's state.
 func (r *Relay) State() State {
 	now := r.clock.Now()
@@ -136,6 +141,7 @@
 			Server: name, Service: v.record.Service, Address: v.record.Address, State: string(v.record.State),
 			Silent: v.record.Silent, Unresponsive: v.unresponsive, WrongServer: v.wrongServer, Attempts: len(v.attempts), OpenConnections: v.openConns,
 			IdleConnections: len(v.idle), OtherEntriesRequests: v.otherEntriesRequests, FailureShare: v.failureShare(now), MeanLatency: v.meanLatency(now),
+			SaysLeaving: v.withdrawal.Leaving(),
 		})
 	}
 	return s
@@ -178,6 +184,7 @@
 	OtherEntriesRequests float64 `json:"others_requests"`
 	FailureShare         float64 `json:"failure_share"`
 	MeanLatency          float64 `json:"mean_latency_ms"`
+	SaysLeaving          bool    `json:"says_leaving"`
 }
 
 // EncodeState returns the JSON form of a state.
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -58,6 +58,8 @@
 	// IdleTimeout is how long the server keeps an idle connection open; 0 if it does
 	// not send it.
 	IdleTimeout clock.Millis
+	// Leaving is set if the server says that it leaves and wants no more requests.
+	Leaving bool
 }
 
 // Load is the load that a backend server reports, as numbers of requests.
--- a/relay/server.go
+++ b/relay/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/withdrawal"
 )
 
 const (
@@ -64,11 +65,13 @@
 	blockedUntil                  clock.Millis // no connection is opened before this time
 	unresponsive                  bool         // the server sends no bytes although attempts wait for it
 	wrongServer                   bool         // a server with another name answers at the address
+	withdrawal                    withdrawal.State
 }
 
 func newServer(r roster.Record) *server {
 	return &server{
-		record: r, nameHash: xxhash.Sum64String(r.Server), attempts: map[*attempt]struct{}{}, promptPartChosenAt: map[string]clock.Millis{},
+		withdrawal: withdrawal.State{}.WithRun(uint64(r.StartedAt)),
+		record:     r, nameHash: xxhash.Sum64String(r.Server), attempts: map[*attempt]struct{}{}, promptPartChosenAt: map[string]clock.Millis{},
 	}
 }
 
--- a/relay/serverconn.go
+++ b/relay/serverconn.go
@@ -157,8 +157,9 @@
 }
 
 // putIdle adds a connection to the idle ones, or closes it if it cannot be kept.
-// The parameter idle is the server's idle timeout, or 0 if it is unknown.
-func (f *fleet) putIdle(c *serverConn, idle clock.Millis) {
+// The parameter idle is the server's idle timeout, or 0 if it is unknown. The parameter run is
+// the start time of the server's run when the connection was opened or used last.
+func (f *fleet) putIdle(c *serverConn, run int64, idle clock.Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, now := c.server, f.clock.Now()
@@ -167,7 +168,7 @@
 	} else {
 		idle -= idleMargin
 	}
-	if idle <= 0 || len(s.idle) >= maxIdleConns || f.servers[s.record.Server] != s {
+	if idle <= 0 || len(s.idle) >= maxIdleConns || f.servers[s.record.Server] != s || !s.keepsConnections(run) {
 		c.discard()
 		return
 	}
--- /dev/null
+++ b/relay/withdrawal.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/withdrawal"
+)
+
+// errWithdrawn means that the server has said, after it was chosen and before the request was
+// sent, that it wants no requests.
+var errWithdrawn = errors.New("the server has said that it wants no requests")
+
+// leavingRetention is how long a server that has said that it leaves is remembered after it is
+// gone, so that a late announcement of the same run does not bring it back.
+const leavingRetention = 10 * clock.Minute
+
+// recordLeaving records that the server leaves if it says so in a response. Any complete head
+// counts, also that of a late response to an earlier request: a server that leaves does not
+// come back in the same run. A misdirected request was answered by another server.
+func (x *exchange) recordLeaving(a *attempt, head frame.Head, responseInfo ResponseInfo) {
+	if !responseInfo.Leaving || head.Status == statusMisdirected {
+		return
+	}
+	if x.relay.fleet.recordLeaving(a) {
+		x.relay.options.Logger.Log(event.ServerLeaving, zap.String("server", a.server.record.Server),
+			zap.Int64("started_at", a.run.StartedAt), zap.String("request", x.requestInfo.ID))
+	}
+}
+
+// recordLeaving records that the server of an attempt leaves, and closes its idle connections.
+// It reports whether that was unknown.
+func (f *fleet) recordLeaving(a *attempt) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := a.server
+	known := s.withdrawal.Leaving()
+	s.withdrawal = s.withdrawal.WithLeaving(uint64(a.run.StartedAt))
+	if known || !s.withdrawal.Leaving() {
+		return false
+	}
+	s.discardIdle()
+	return true
+}
+
+// followRun updates what a server has said when a record tells its run. A server of which no
+// start time is known is another one if its address is another one. The caller holds the lock.
+func (s *server) followRun(previous, next roster.Record) {
+	if next.StartedAt == 0 && previous.StartedAt == 0 && next.Address != previous.Address {
+		s.withdrawal = withdrawal.State{}
+	}
+	s.withdrawal = s.withdrawal.WithRun(uint64(next.StartedAt))
+}
+
+// keepsConnections reports whether a connection that was used in the given run of the server
+// may be kept for later requests. The caller holds the lock.
+func (s *server) keepsConnections(run int64) bool {
+	return run == s.record.StartedAt && s.record.State == roster.Serving && !s.withdrawal.Leaving()
+}
+
+// goneRetention returns how long the server is remembered after it is gone. The caller holds
+// the lock.
+func (s *server) goneRetention() clock.Millis {
+	if s.withdrawal.Leaving() {
+		return leavingRetention
+	}
+	return promptPartRetention
+}
+
+// accepts reports whether a server that was chosen may still get the request.
+func (f *fleet) accepts(s *server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.withdrawal.Accepts(f.clock.Now())
+}
+
+// nextAcceptance returns the earliest time from which a server of a service may get requests.
+// The time is not later than now if one may get requests as far as the servers have said. It
+// returns false if all servers have said that they leave. Unusable servers do not count; if
+// there are no others, it returns now.
+func (f *fleet) nextAcceptance(now clock.Millis, service string) (clock.Millis, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var states []withdrawal.State
+	for _, s := range f.servers {
+		if s.record.Service == service && s.record.State == roster.Serving && !s.wrongServer {
+			states = append(states, s.withdrawal)
+		}
+	}
+	if len(states) == 0 {
+		return now, true
+	}
+	return withdrawal.NextAcceptance(now, states)
+}
+
+// noServer returns the refusal of a request for which no server was found. The request is not
+// held until a server takes requests again: the caller may find another entry that may send it
+// sooner, and one that has little time left learns at once that the request has not run.
+func (x *exchange) noServer() refusal {
+	now := x.relay.clock.Now()
+	r := refusal{status: statusUnavailable, reason: "no_server", retryAfter: x.retryAfter()}
+	if _, found := x.relay.fleet.nextAcceptance(now, x.service); !found {
+		// Servers that replace those that leave announce themselves within a heartbeat.
+		r.reason = "servers_leaving"
+	}
+	return r
+}
