relay: no requests during the pause that a server asks for

What callers saw: a server that refuses a request with 503 and Retry-After got the next requests at once, and refused them too; callers lost the time and the retries. Cause: the relay did not read Retry-After of a server. Change: the server is no candidate until that time and 1% more has passed (clock rates of the two sides), also not when the others fail, and a request that was chosen for it is not sent. Of several ends the latest counts; a success does not end the pause, a later start does. Only 503 as the answer to the request itself counts, with or without the guarantee that it has not run. If all servers of a service are in a pause, the request is refused at once with 503 servers_paused; Retry-After is the earliest end and a random time of up to a quarter of it (100 ms to 1 s), so that callers do not return together. Event 447, gauge servers_paused, pause_left_ms in the state dump.

--- a/event/relay.go
+++ b/event/relay.go
@@ -23,5 +23,6 @@
 	QuarantineProbed      = define(439, "quarantine_probed", Info, "A request was sent although a part of its prompt is quarantined, to find out whether servers still end under it.")
 	QuarantineReleased    = define(440, "quarantine_released", Info, "An operator has ended the quarantine of a part of prompts.")
 	ServerLeaving         = define(446, "server_leaving", Info, "A backend server has said in an answer that it leaves; this relay sends it no more requests.")
+	ServerPaused          = define(447, "server_paused", Info, "A backend server has refused a request and asked for a pause; this relay sends it no requests for that time.")
 	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
 )
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -246,6 +246,7 @@
 		return x.afterFailure(a)
 	}
 	x.relay.fleet.recordFirstByte(a.server, a)
+	x.recordPause(a)
 	if x.route.Stream && a.head.Status == statusOK {
 		return x.forwardStream(a)
 	}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -43,7 +43,8 @@
 }
 
 func (testProtocol) ResponseInfo(h frame.Head) relay.ResponseInfo {
-	return relay.ResponseInfo{ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving")}
+	pause, _ := strconv.Atoi(h.Get("Pause"))
+	return relay.ResponseInfo{ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving"), RetryAfter: clock.Millis(pause)}
 }
 
 func (testProtocol) Refusal(c relay.RequestInfo) []frame.Header {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -71,6 +71,7 @@
 		"attempts_running":  float64(s.Attempts),
 		"servers":           float64(len(s.Servers)),
 		"servers_leaving":   float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.SaysLeaving && !v.gone() })),
+		"servers_paused":    float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.PauseLeft > 0 && !v.gone() })),
 		"parts_suspect":     float64(len(s.Suspects)),
 		"parts_quarantined": float64(lo.CountBy(s.Suspects, func(v quarantine.Suspect) bool { return v.Quarantined })),
 		"log_lines_lost":    float64(g.relay.options.Logger.DroppedLines()),
@@ -118,7 +119,8 @@
 	Silent, Unresponsive, WrongServer               bool
 	Attempts, OpenConnections, IdleConnections      int
 	OtherEntriesRequests, FailureShare, MeanLatency float64
-	SaysLeaving                                     bool // the server has said in an answer that it leaves
+	SaysLeaving                                     bool         // the server has said in an answer that it leaves
+	PauseLeft                                       clock.Millis // how long the server has asked for no requests
 }
 
 func (s ServerState) gone() bool { return s.State == string(roster.Gone) }
@@ -141,7 +143,7 @@
 			Server: name, Service: v.record.Service, Address: v.record.Address, State: string(v.record.State),
 			Silent: v.record.Silent, Unresponsive: v.unresponsive, WrongServer: v.wrongServer, Attempts: len(v.attempts), OpenConnections: v.openConns,
 			IdleConnections: len(v.idle), OtherEntriesRequests: v.otherEntriesRequests, FailureShare: v.failureShare(now), MeanLatency: v.meanLatency(now),
-			SaysLeaving: v.withdrawal.Leaving(),
+			SaysLeaving: v.withdrawal.Leaving(), PauseLeft: v.withdrawal.PauseLeft(now),
 		})
 	}
 	return s
@@ -171,20 +173,21 @@
 
 // wireServerState is the JSON form of ServerState. It must have the same fields.
 type wireServerState struct {
-	Server               string  `json:"server"`
-	Service              string  `json:"service"`
-	Address              string  `json:"address"`
-	State                string  `json:"state"`
-	Silent               bool    `json:"silent"`
-	Unresponsive         bool    `json:"dark"`
-	WrongServer          bool    `json:"stranger"`
-	Attempts             int     `json:"attempts"`
-	OpenConnections      int     `json:"open_connections"`
-	IdleConnections      int     `json:"idle_connections"`
-	OtherEntriesRequests float64 `json:"others_requests"`
-	FailureShare         float64 `json:"failure_share"`
-	MeanLatency          float64 `json:"mean_latency_ms"`
-	SaysLeaving          bool    `json:"says_leaving"`
+	Server               string       `json:"server"`
+	Service              string       `json:"service"`
+	Address              string       `json:"address"`
+	State                string       `json:"state"`
+	Silent               bool         `json:"silent"`
+	Unresponsive         bool         `json:"dark"`
+	WrongServer          bool         `json:"stranger"`
+	Attempts             int          `json:"attempts"`
+	OpenConnections      int          `json:"open_connections"`
+	IdleConnections      int          `json:"idle_connections"`
+	OtherEntriesRequests float64      `json:"others_requests"`
+	FailureShare         float64      `json:"failure_share"`
+	MeanLatency          float64      `json:"mean_latency_ms"`
+	SaysLeaving          bool         `json:"says_leaving"`
+	PauseLeft            clock.Millis `json:"pause_left_ms"`
 }
 
 // EncodeState returns the JSON form of a state.
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -60,6 +60,9 @@
 	IdleTimeout clock.Millis
 	// Leaving is set if the server says that it leaves and wants no more requests.
 	Leaving bool
+	// RetryAfter is how long the server wants no requests, if it refuses this one for now; 0
+	// if it does not say.
+	RetryAfter clock.Millis
 }
 
 // Load is the load that a backend server reports, as numbers of requests.
--- a/relay/withdrawal.go
+++ b/relay/withdrawal.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"math/rand/v2"
+
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/roster"
 	"github.com/galenaslip/galenaslip/withdrawal"
 )
@@ -19,6 +23,10 @@
 // gone, so that a late announcement of the same run does not bring it back.
 const leavingRetention = 10 * clock.Minute
 
+// pauseJitterShare is the share of the time until a server takes requests again over which the
+// return of callers is spread.
+const pauseJitterShare = 0.25
+
 // recordLeaving records that the server leaves if it says so in a response. Any complete head
 // counts, also that of a late response to an earlier request: a server that leaves does not
 // come back in the same run. A misdirected request was answered by another server.
@@ -32,6 +40,17 @@
 	}
 }
 
+// recordPause records that the server wants no requests for some time if its response to the
+// request says so. A late response to an earlier request does not count: its time may be over.
+func (x *exchange) recordPause(a *attempt) {
+	if a.head.Status != statusUnavailable || a.responseInfo.RetryAfter <= 0 {
+		return
+	}
+	x.relay.fleet.recordPause(a)
+	x.relay.options.Logger.Log(event.ServerPaused, zap.String("server", a.server.record.Server),
+		zap.Int64("pause_ms", int64(a.responseInfo.RetryAfter)), zap.String("request", x.requestInfo.ID))
+}
+
 // recordLeaving records that the server of an attempt leaves, and closes its idle connections.
 // It reports whether that was unknown.
 func (f *fleet) recordLeaving(a *attempt) bool {
@@ -47,6 +66,15 @@
 	return true
 }
 
+// recordPause records the pause that the server of an attempt has asked for. The pause is
+// longer by the margin for clock rates, because the server measures it by its own clock.
+func (f *fleet) recordPause(a *attempt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	end := a.firstByteAt + lease.WithMargin(a.responseInfo.RetryAfter)
+	a.server.withdrawal = a.server.withdrawal.WithPause(uint64(a.run.StartedAt), end)
+}
+
 // followRun updates what a server has said when a record tells its run. A server of which no
 // start time is known is another one if its address is another one. The caller holds the lock.
 func (s *server) followRun(previous, next roster.Record) {
@@ -103,9 +131,20 @@
 func (x *exchange) noServer() refusal {
 	now := x.relay.clock.Now()
 	r := refusal{status: statusUnavailable, reason: "no_server", retryAfter: x.retryAfter()}
-	if _, found := x.relay.fleet.nextAcceptance(now, x.service); !found {
+	at, found := x.relay.fleet.nextAcceptance(now, x.service)
+	switch {
+	case !found:
 		// Servers that replace those that leave announce themselves within a heartbeat.
 		r.reason = "servers_leaving"
+	case at > now:
+		r.reason, r.retryAfter = "servers_paused", withPauseJitter(at-now)
 	}
 	return r
 }
+
+// withPauseJitter returns the Retry-After time for a pause: never less than the pause, and
+// spread so that the callers do not all come back at its end.
+func withPauseJitter(pause clock.Millis) clock.Millis {
+	spread := lo.Clamp(clock.Millis(pauseJitterShare*float64(pause)), minRetryAfter, maxRetryAfter)
+	return pause + rand.N(spread+1)
+}
--- a/relay/withdrawal_test.go
+++ b/relay/withdrawal_test.go
@@ -46,9 +46,9 @@
 	}}})
 }
 
-// wantReason sends a request and fails the test unless the relay refuses it for the reason and
-// tells when to come back.
-func (s *fixture) wantReason(reason string) {
+// wantReason sends a request and fails the test unless the relay refuses it for the reason. It
+// returns the Retry-After time.
+func (s *fixture) wantReason(reason string) clock.Millis {
 	s.t.Helper()
 	c := s.client()
 	c.get("/safe/", "refused")
@@ -56,9 +56,11 @@
 	if want := `"` + reason + `"`; !strings.Contains(body, want) {
 		s.t.Errorf("refusal: got %s, want reason %s", strings.TrimSpace(body), want)
 	}
-	if _, err := strconv.ParseFloat(head.Get("Retry-After"), 64); err != nil {
+	seconds, err := strconv.ParseFloat(head.Get("Retry-After"), 64)
+	if err != nil {
 		s.t.Errorf("Retry-After: got %v", err)
 	}
+	return clock.Millis(seconds * float64(clock.Second))
 }
 
 // wantServed sends a request and fails the test unless a server answers it with status 200.
@@ -270,6 +272,7 @@
 func TestRequestIsNotSentAfterTheServerWithdraws(t *testing.T) {
 	tests := []struct{ name, fields, reason string }{
 		{"leaving", "Not-Run: 1\r\nLeaving: 1\r\n", "servers_leaving"},
+		{"pause", pauseFields(testPause), "servers_paused"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
