--- a/relay/withdrawal_test.go
+++ b/relay/withdrawal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -289,3 +290,46 @@
 		})
 	}
 }
+
+// Guards against connections that are kept open to a server that has announced its departure, or
+// that were opened to an earlier run of a server and would carry requests for the later one.
+func TestConnectionsFollowTheRecord(t *testing.T) {
+	tests := []struct {
+		name      string
+		state     roster.State
+		startedAt int64
+		want      int
+	}{
+		{"same run", roster.Serving, 1, 2},
+		{"leaving", roster.Leaving, 1, 0},
+		{"later run", roster.Serving, 2, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			release := make(chan struct{})
+			b := newBackend(t, func(req receivedRequest) {
+				if req.head.Get("Id") == "under way" {
+					<-release
+				}
+				respond(req, 200, "")
+			})
+			s := newFixture(t, b)
+			c := s.client()
+			c.get("/safe/", "under way")
+			for b.count() == 0 {
+				runtime.Gosched()
+			}
+			s.wantServed("idle")
+			for s.relay.State().Servers[0].IdleConnections == 0 {
+				runtime.Gosched()
+			}
+			s.list(1, b, tt.state, tt.startedAt, 2)
+			close(release)
+			c.wantStatus(200)
+			s.awaitAttemptsEnd()
+			if got := s.relay.State().Servers[0].OpenConnections; got != tt.want {
+				t.Errorf("open connections: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
