entry: servers that say in answers that they leave or want a pause

What callers saw: an entry sent requests to an engine or service that had said in its answers that it leaves, until its announcement came, and to one that had refused a call with Retry-After, which refused the next ones too. Cause: the product's own interface had no such fields, and Retry-After was not read. Change: the header X-Leaving and the standard Retry-After of a 503 (docs/backend.md). Package engine reads them and passes them on with Hooks, which also hold BeforeWrite. The dispatcher keeps what each run of a server has said (package withdrawal) and treats such a server like one with a planned stop. If all servers of a pool are in a pause, waiting requests are refused with 503 and its earliest end instead of after Timeouts.NoServer. Events 446 and 447, two gauges, says_leaving and pause_left_ms in the state dump. The stand-ins send both: faults says_leaving and refuse, and X-Leaving while they stop. Evidence: with the change of the dispatcher taken out, TestServerThatSaysItLeavesGetsNoWork, TestPausedService and TestPausedEngine fail: the entry never stops using the server ("condition not met within 20s").

--- a/engine/chat.go
+++ b/engine/chat.go
@@ -21,18 +21,18 @@
 }
 
 // Chat sends a chat request, with stream set in the body, and returns the streamed
-// answer. id is the request id. beforeWrite may be nil; see Request.BeforeWrite.
-func (c *Client) Chat(ctx context.Context, address, id string, body []byte, beforeWrite func() error) (*Stream, error) {
-	return c.stream(ctx, chatRequest(address, id, body, beforeWrite))
+// answer. id is the request id.
+func (c *Client) Chat(ctx context.Context, address, id string, body []byte, hooks Hooks) (*Stream, error) {
+	return c.stream(ctx, chatRequest(address, id, body, hooks))
 }
 
 // ChatUnstreamed sends a chat request and returns the body of an answer that is not streamed.
 // No byte arrives while the engine generates such an answer, so readTimeout has to cover
 // the whole generation.
 func (c *Client) ChatUnstreamed(
-	ctx context.Context, address, id string, body []byte, readTimeout clock.Millis, beforeWrite func() error,
+	ctx context.Context, address, id string, body []byte, readTimeout clock.Millis, hooks Hooks,
 ) ([]byte, error) {
-	r := chatRequest(address, id, body, beforeWrite)
+	r := chatRequest(address, id, body, hooks)
 	r.ReadTimeout = readTimeout
 	answer, err := c.Call(ctx, r)
 	if err == nil && answer.Status != fasthttp.StatusOK {
@@ -41,7 +41,7 @@
 	return answer.Body, err
 }
 
-func chatRequest(address, id string, body []byte, beforeWrite func() error) Request {
+func chatRequest(address, id string, body []byte, hooks Hooks) Request {
 	return Request{
 		Method:  fasthttp.MethodPost,
 		Address: address,
@@ -50,8 +50,8 @@
 			{Name: HeaderRequestID, Value: id},
 			{Name: fasthttp.HeaderContentType, Value: "application/json"},
 		},
-		Body:        body,
-		BeforeWrite: beforeWrite,
+		Body:  body,
+		Hooks: hooks,
 	}
 }
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -16,6 +16,7 @@
 const (
 	HeaderRequestID = "X-Request-Id"
 	HeaderNotRun    = "X-Not-Run"
+	HeaderLeaving   = "X-Leaving" // "true": the server leaves and wants no more requests
 )
 
 const writeBufferSize = 4096
@@ -83,9 +84,16 @@
 	NewConnection bool
 	// ReadTimeout is the longest time without a byte. Zero selects Options.ReadTimeout.
 	ReadTimeout clock.Millis
+	Hooks
+}
+
+// Hooks are functions that run during a call. Each may be nil.
+type Hooks struct {
 	// BeforeWrite runs after the connection is established and before the first byte is
 	// written. If it returns an error, the call ends without sending anything.
 	BeforeWrite func() error
+	// OnWithdrawal gets what the header of the response says about not taking requests.
+	OnWithdrawal func(w Withdrawal)
 }
 
 // exchange is a call whose response header has been read.
@@ -112,6 +120,9 @@
 		_ = conn.Close()
 		return nil, classifyError(r.Address, conn, err)
 	}
+	if r.OnWithdrawal != nil {
+		r.OnWithdrawal(withdrawalOf(response))
+	}
 	return &exchange{client: c, address: r.Address, conn: conn, response: response, stopWatching: stopWatching}, nil
 }
 
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -137,10 +137,10 @@
 
 func callAndRead(c *engine.Client, address string, streamed bool, beforeWrite func() error) error {
 	if !streamed {
-		_, err := c.Call(context.Background(), engine.Request{Method: "POST", Address: address, Path: "/", Body: []byte("x"), BeforeWrite: beforeWrite})
+		_, err := c.Call(context.Background(), engine.Request{Method: "POST", Address: address, Path: "/", Body: []byte("x"), Hooks: engine.Hooks{BeforeWrite: beforeWrite}})
 		return err
 	}
-	s, err := c.Chat(context.Background(), address, "r-1", []byte("{}"), beforeWrite)
+	s, err := c.Chat(context.Background(), address, "r-1", []byte("{}"), engine.Hooks{BeforeWrite: beforeWrite})
 	if err != nil {
 		return err
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -120,7 +120,7 @@
 		t.problem = invalid(outcome.ReasonInvalidRequest, "", err.Error())
 		return attemptRejected
 	}
-	t.wholeBody, err = t.entry.client.ChatUnstreamed(ctx, a.address, t.callerRequest.id, body, t.entry.options.Timeouts.WholeAnswer, t.checkLease)
+	t.wholeBody, err = t.entry.client.ChatUnstreamed(ctx, a.address, t.callerRequest.id, body, t.entry.options.Timeouts.WholeAnswer, t.hooks(a))
 	if err != nil {
 		return t.classifyFailure(ctx, a, err)
 	}
@@ -135,7 +135,7 @@
 		t.problem = invalid(outcome.ReasonInvalidRequest, "", err.Error())
 		return nil, attemptRejected
 	}
-	s, err := t.entry.client.Chat(ctx, a.address, t.callerRequest.id, body, t.checkLease)
+	s, err := t.entry.client.Chat(ctx, a.address, t.callerRequest.id, body, t.hooks(a))
 	if err == nil {
 		t.mayHaveRun = true
 		return s, ""
@@ -143,6 +143,11 @@
 	return nil, t.classifyFailure(ctx, a, err)
 }
 
+// hooks returns the functions that run during the call of an attempt.
+func (t *chatTask) hooks(a assignment) engine.Hooks {
+	return engine.Hooks{BeforeWrite: t.checkLease, OnWithdrawal: t.entry.onWithdrawal(a)}
+}
+
 // checkLease returns an error when the request must not be sent for lack of a lease.
 // It runs immediately before the first byte of the request is written. A request that
 // was already sent to a server may continue without a lease.
--- a/entry/debug.go
+++ b/entry/debug.go
@@ -44,6 +44,9 @@
 	AgeMS   int64  `json:"age_ms"`
 	Running int    `json:"running"`
 	Slots   int    `json:"slots"`
+	// SaysLeaving and PauseLeftMS are what the server has said in its answers.
+	SaysLeaving bool  `json:"says_leaving"`
+	PauseLeftMS int64 `json:"pause_left_ms"`
 }
 
 // wireSlot is the state of the slot leases of one server. It has the fields of
@@ -129,6 +132,7 @@
 		return wireServer{
 			Server: s.Server(), Address: s.Address(), Usable: s.Usable, State: string(s.State()),
 			AgeMS: int64(s.Age), Running: s.Load().Running, Slots: s.Slots(),
+			SaysLeaving: d.withdrawals[s.Server()].Leaving(), PauseLeftMS: int64(d.withdrawals[s.Server()].PauseLeft(now)),
 		}
 	})
 	for name, p := range d.pools {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/routing"
+	"github.com/galenaslip/galenaslip/withdrawal"
 )
 
 const (
@@ -26,7 +27,7 @@
 )
 
 // dispatcher queues requests and assigns them to backend servers. Only its goroutine
-// may use the fields from registry to unreachable; the atomic fields after them are
+// may use the fields from registry to withdrawals; the atomic fields after them are
 // read by other goroutines.
 type dispatcher struct {
 	options       Options
@@ -44,10 +45,13 @@
 	estimates     *estimates
 	plannedStops  map[string]clock.Millis        // when each planned server stop was first seen, by its identifier
 	unreachable   map[string]announcementVersion // last announcement of each unreachable server
+	withdrawals   map[string]withdrawal.State    // what servers have said about not taking requests, by name
 	// demand is the demand for each model, which the lease renewal reports.
 	demand       atomic.Pointer[[]lease.Demand]
 	waitingCount atomic.Int64
 	runningCount atomic.Int64
+	leavingCount atomic.Int64 // servers that have said in an answer that they leave
+	pausedCount  atomic.Int64 // servers that have asked for a pause
 }
 
 // job is the dispatcher's record of one request: whether it waits or runs, at which
@@ -89,6 +93,7 @@
 		estimates:     newEstimates(),
 		plannedStops:  map[string]clock.Millis{},
 		unreachable:   map[string]announcementVersion{},
+		withdrawals:   map[string]withdrawal.State{},
 	}
 	d.queue, d.router = newPolicy(options, registry, d.estimates)
 	d.slots = newSlotKeeper(d, epoch)
@@ -337,7 +342,10 @@
 	p := d.pool(item.Pool)
 	p.waiting.remove(j)
 	p.running.add(j)
-	j.callerRequest.assigned <- assignment{server: server, address: choice.Server.Address(), priority: choice.Priority, assignedAt: now}
+	j.callerRequest.assigned <- assignment{
+		server: server, incarnation: choice.Server.Incarnation(), address: choice.Server.Address(),
+		priority: choice.Priority, assignedAt: now,
+	}
 	return true
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -29,6 +29,8 @@
 	m.gauge("inbox", "Messages in the dispatcher's inbox.", func() float64 { return float64(len(e.dispatcher.inbox)) })
 	m.gauge("lease_ms", "Remaining time of the configuration lease.", func() float64 { return float64(e.leases.remaining()) })
 	m.gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(e.leases.configuration().Revision()) })
+	m.gauge("servers_leaving", "Backend servers that have said in an answer that they leave.", func() float64 { return float64(e.dispatcher.leavingCount.Load()) })
+	m.gauge("servers_paused", "Backend servers that have refused a request and asked for a pause.", func() float64 { return float64(e.dispatcher.pausedCount.Load()) })
 	m.gauge("waiting", "Waiting requests.", func() float64 { return float64(e.dispatcher.waitingCount.Load()) })
 	m.gauge("running", "Running requests.", func() float64 { return float64(e.dispatcher.runningCount.Load()) })
 	return m
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -109,7 +109,8 @@
 }
 
 // refuseWithoutServer refuses the waiting requests of a pool that has had no usable
-// server for Timeouts.NoServer.
+// server for Timeouts.NoServer. If all of its servers are in a pause that they have asked for,
+// the requests are refused at once, because the end of the pause is known.
 func (d *dispatcher) refuseWithoutServer(now clock.Millis, name string, p *poolState) {
 	if d.registry.PoolSize(now, name) > 0 {
 		p.hadServer = true
@@ -117,14 +118,15 @@
 		p.lastRefused = nil
 		return
 	}
-	if now-p.lastUsable < d.options.Timeouts.NoServer {
+	pause := d.pauseOf(now, name)
+	if pause == 0 && now-p.lastUsable < d.options.Timeouts.NoServer {
 		return
 	}
 	for id, j := range p.waiting.jobs {
 		p.recordRefusal(now, j.callerRequest.class.Tier())
 		d.queue.Remove(id)
 		d.dropJob(j)
-		j.callerRequest.assigned <- assignment{rejection: notRun(outcome.ReasonNoServer, "no backend server is available")}
+		j.callerRequest.assigned <- assignment{rejection: notRun(outcome.ReasonNoServer, "no backend server is available").withPause(pause)}
 	}
 }
 
@@ -136,14 +138,15 @@
 	p.lastRefused[tier] = now
 }
 
-// applyStops excludes servers with a planned stop and unreachable servers from new
-// work. It moves the streams of a stopping server shortly before its grace period ends.
+// applyStops excludes servers with a planned stop, unreachable servers and those that want no
+// requests from new work. It moves the streams of a stopping server shortly before its grace period ends.
 func (d *dispatcher) applyStops(now clock.Millis) {
 	plannedStops := lo.Filter(d.leases.configuration().Stops(), func(s configuration.Stop, _ int) bool {
 		return s.Kind() == configuration.StopServer
 	})
 	names := lo.Map(plannedStops, func(s configuration.Stop, _ int) string { return s.Name() })
-	d.registry.SetPlannedStops(now, append(names, d.unreachableServers(now)...))
+	names = append(names, d.unreachableServers(now)...)
+	d.registry.SetPlannedStops(now, append(names, d.withdrawnServers(now)...))
 	stillPlanned := map[string]clock.Millis{}
 	for _, s := range plannedStops {
 		firstSeen, ok := d.plannedStops[s.ID()]
--- a/entry/service.go
+++ b/entry/service.go
@@ -257,7 +257,7 @@
 		Body:          s.body,
 		NewConnection: s.once != nil || s.attempts > 1,
 		ReadTimeout:   s.entry.options.Timeouts.Call,
-		BeforeWrite:   s.beforeWrite,
+		Hooks:         engine.Hooks{BeforeWrite: s.beforeWrite, OnWithdrawal: s.entry.onWithdrawal(a)},
 	})
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return answer, errors.WithMessage(err, "the call's time is over")
--- a/entry/work.go
+++ b/entry/work.go
@@ -38,11 +38,12 @@
 // assignment is a decision of the dispatcher: the server that a request was assigned
 // to, or the problem for which it was refused.
 type assignment struct {
-	server     string
-	address    string
-	priority   int // for the engine's own queue
-	assignedAt clock.Millis
-	rejection  *problem
+	server      string
+	incarnation uint64 // of the server
+	address     string
+	priority    int // for the engine's own queue
+	assignedAt  clock.Millis
+	rejection   *problem
 }
 
 func newCallerRequest(id, workspace, pool string, c class.Class, now clock.Millis) *callerRequest {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -57,8 +57,10 @@
 	return e.server.address()
 }
 
-// Stop announces the departure, waits for running sequences and then stops the engine.
+// Stop announces the departure, says so in all answers, waits for running sequences and then
+// stops the engine.
 func (e *Engine) Stop(ctx context.Context) error {
+	e.activeFaults.apply(Fault{Kind: SaysLeaving})
 	e.announcer.announceDeparture()
 	err := e.server.stop(ctx)
 	e.release()
@@ -77,7 +79,7 @@
 // Fault starts a fault. The kind Recover ends all faults.
 func (e *Engine) Fault(f Fault) {
 	e.options.Logger.Log(event.StandinFaultSwitched, zap.String("server", e.options.Name), zap.String("kind", string(f.Kind)))
-	e.activeFaults.apply(f.Kind)
+	e.activeFaults.apply(f)
 	switch f.Kind {
 	case Slow:
 		e.setFaultFactor(max(f.Factor, 1))
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -18,11 +18,16 @@
 	Stall FaultKind = "stall"
 	// LateReports multiplies the age of the announced load values by Factor.
 	LateReports FaultKind = "late_reports"
+	// SaysLeaving adds to each answer that the server leaves. It goes on with its announcements.
+	SaysLeaving FaultKind = "says_leaving"
+	// Refuse refuses each call as not run and asks for a pause of Factor seconds.
+	Refuse FaultKind = "refuse"
 	// Recover ends every fault.
 	Recover FaultKind = "recover"
 )
 
-// Fault is the body of POST /stand-in/fault. Factor applies to Slow and LateReports.
+// Fault is the body of POST /stand-in/fault. Factor applies to Slow,
+// LateReports and Refuse.
 type Fault struct {
 	Kind   FaultKind `json:"kind"`
 	Factor float64   `json:"factor"`
@@ -32,6 +37,9 @@
 type faults struct {
 	mu      sync.Mutex
 	crashed bool
+	leaving bool          // answers say that the server leaves
+	pause   float64       // seconds of the pause that refusals ask for; 0 if calls are not refused
+	refused int           // calls refused because of pause
 	silence chan struct{} // non-nil while silent; closed on recovery
 	stall   chan struct{} // closed by Stall and then replaced; a stream keeps the channel that was current when it started
 }
@@ -40,10 +48,14 @@
 	return &faults{stall: make(chan struct{})}
 }
 
-func (f *faults) apply(kind FaultKind) {
+func (f *faults) apply(fault Fault) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch kind {
+	switch fault.Kind {
+	case SaysLeaving:
+		f.leaving = true
+	case Refuse:
+		f.pause = fault.Factor
 	case Crash:
 		f.crashed = true
 	case Silent:
@@ -54,7 +66,7 @@
 		close(f.stall)
 		f.stall = make(chan struct{})
 	case Recover:
-		f.crashed = false
+		f.crashed, f.leaving, f.pause = false, false, 0
 		if f.silence != nil {
 			close(f.silence)
 			f.silence = nil
@@ -69,6 +81,31 @@
 	return f.crashed || f.silence != nil
 }
 
+// saysLeaving reports whether answers say that the server leaves.
+func (f *faults) saysLeaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving
+}
+
+// refuse counts a call that is refused and returns the pause to ask for in seconds, or 0 if
+// calls are not refused.
+func (f *faults) refuse() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.pause > 0 {
+		f.refused++
+	}
+	return f.pause
+}
+
+// refusedCalls returns the number of calls that were refused to ask for a pause.
+func (f *faults) refusedCalls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
 // stallSignal returns the channel that is closed to stall a stream that starts now.
 func (f *faults) stallSignal() chan struct{} {
 	f.mu.Lock()
--- a/standin/server.go
+++ b/standin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -104,8 +105,8 @@
 	return c.Conn.Close()
 }
 
-// faultMiddleware applies the faults Crash and Silent to all calls except those to the
-// stand-in's control interface.
+// faultMiddleware applies the faults Crash, Silent, SaysLeaving and Refuse to all calls except
+// those to the stand-in's control interface.
 func faultMiddleware(f *faults, closing <-chan struct{}) fiber.Handler {
 	return func(c fiber.Ctx) error {
 		if strings.HasPrefix(c.Path(), "/stand-in/") {
@@ -114,6 +115,14 @@
 		if !f.waitWhileSilent(nil, closing) {
 			return c.RequestCtx().Conn().Close()
 		}
+		if f.saysLeaving() {
+			c.Set("X-Leaving", "true")
+		}
+		if pause := f.refuse(); pause > 0 {
+			c.Set("X-Not-Run", "true")
+			c.Set(fiber.HeaderRetryAfter, strconv.FormatFloat(pause, 'f', -1, 64))
+			return sendError(c, fiber.StatusServiceUnavailable, "not run, pause")
+		}
 		return c.Next()
 	}
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -66,8 +66,9 @@
 	return s.server.address()
 }
 
-// Stop announces the departure, waits for running calls and then stops the service.
+// Stop announces the departure and says so in all answers, waits for running calls and then stops the service.
 func (s *Service) Stop(ctx context.Context) error {
+	s.activeFaults.apply(Fault{Kind: SaysLeaving})
 	s.announcer.announceDeparture()
 	err := s.server.stop(ctx)
 	s.release()
@@ -86,7 +87,7 @@
 // Fault starts a fault. The kind Recover ends all faults.
 func (s *Service) Fault(f Fault) {
 	s.options.Logger.Log(event.StandinFaultSwitched, zap.String("server", s.options.Name), zap.String("kind", string(f.Kind)))
-	s.activeFaults.apply(f.Kind)
+	s.activeFaults.apply(f)
 	switch f.Kind {
 	case CloseBefore, CloseAfter, NotRun:
 		s.setNextFault(f.Kind)
@@ -186,13 +187,14 @@
 type ServiceState struct {
 	Runs    map[string]int `json:"runs"`
 	Lookups int            `json:"lookups"`
+	Refused int            `json:"refused"` // calls refused by the fault Refuse
 }
 
 // State returns the counters, for tests and the load command.
 func (s *Service) State() ServiceState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return ServiceState{Runs: maps.Clone(s.runsByKey), Lookups: s.lookups}
+	return ServiceState{Runs: maps.Clone(s.runsByKey), Lookups: s.lookups, Refused: s.activeFaults.refusedCalls()}
 }
 
 func (s *Service) sendState(c fiber.Ctx) error {
