--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"strconv"
 	"sync"
 
@@ -26,7 +27,8 @@
 	// resultWrongServer means that a server with another name answered at the address
 	// and did not run the request.
 	resultWrongServer
-	// resultUnreachable means that no connection could be opened, so nothing was sent.
+	// resultUnreachable means that no connection could be opened, or that it ended or
+	// brought bytes before the request was written, so nothing was sent.
 	resultUnreachable
 	// resultWithdrawn means that the server has said, before the request was sent, that it
 	// wants no requests, so nothing was sent.
@@ -71,6 +73,7 @@
 	chosenAt       clock.Millis         // when the server was chosen, before the request was sent
 	firstByteSeen  bool                 // recordFirstByte was called, so the prompt no longer counts as unprocessed
 	firstByteAt    clock.Millis         // when the head of the response was read; 0 before
+	survived       bool                 // the quarantine knows that the request has not ended its server
 	result         result
 	err            error
 
@@ -135,10 +138,10 @@
 
 // send gets a connection, writes the request and reads the head of the response.
 // It reports whether it has read a head, so that the body can follow.
-func (a *attempt) send(data []byte, onceOnly bool, deadline clock.Millis) bool {
+func (a *attempt) send(forwardInfo ForwardInfo, onceOnly bool, deadline clock.Millis) bool {
 	x := a.exchange
 	now := x.relay.clock.Now()
-	conn, err := x.relay.fleet.connect(a.server, onceOnly, deadline-now)
+	conn, err := a.connect(onceOnly, deadline-now)
 	if err != nil {
 		a.setResult(resultUnreachable, err)
 		return false
@@ -147,11 +150,16 @@
 		a.setResult(resultAbandoned, errInterrupted)
 		return false
 	}
+	_ = conn.SetDeadline(x.relay.clock.Deadline(deadline - x.relay.clock.Now()))
+	data := x.encodeRequest(forwardInfo)
+	if !conn.alive() && !a.wasInterrupted() {
+		a.setResult(resultUnreachable, errNotQuiet)
+		return false
+	}
 	if !x.relay.fleet.accepts(a.server) {
 		a.setResult(resultWithdrawn, errWithdrawn)
 		return false
 	}
-	_ = conn.SetDeadline(x.relay.clock.Deadline(deadline - x.relay.clock.Now()))
 	if err := a.write(conn, data); err != nil {
 		a.failAfterSend(err)
 		return false
@@ -159,7 +167,29 @@
 	return a.readHead(conn)
 }
 
-var errInterrupted = errors.New("the attempt was interrupted")
+// connect returns a connection to the server. A request without an ID gets a new one, because
+// only the first response on a connection can be matched without an ID. So does a request with
+// the same ID as the one before it on the connection.
+func (a *attempt) connect(onceOnly bool, timeout clock.Millis) (*serverConn, error) {
+	fleet, id := a.exchange.relay.fleet, a.exchange.requestInfo.ID
+	if id == "" {
+		return fleet.dial(a.server, timeout)
+	}
+	conn, err := fleet.connect(a.server, onceOnly, timeout)
+	if err == nil && conn.requestID == id {
+		fleet.closeConn(conn)
+		conn, err = fleet.dial(a.server, timeout)
+	}
+	if err == nil {
+		conn.requestID = id
+	}
+	return conn, err
+}
+
+var (
+	errInterrupted = errors.New("the attempt was interrupted")
+	errNotQuiet    = errors.New("the server closed the connection, or sent bytes on it, before the request was written")
+)
 
 // write sends the request. A long request is written in its own goroutine while
 // the response is read, because a server may respond before it has read the
@@ -187,47 +217,77 @@
 	a.setResult(resultFailed, err)
 }
 
-// readHead reads the head of the response to the request. It skips, up to a limit, responses
-// that carry the ID of another request.
+// readHead reads the head of the response to the request and reports whether it has.
 func (a *attempt) readHead(conn *serverConn) bool {
 	x := a.exchange
-	for stray := 0; ; {
-		head, err := readFinalHead(conn)
+	head, strays, err := a.findHead(conn)
+	if err != nil {
+		a.failAfterSend(err)
+		return false
+	}
+	body, err := frame.ResponseBody(conn.reader, head, x.request.head.Method)
+	if err != nil {
+		a.failAfterSend(err)
+		return false
+	}
+	a.firstByteAt = x.relay.clock.Now()
+	a.head, a.responseInfo, a.body = head, x.relay.options.Protocol.ResponseInfo(head), body
+	a.reusable = strays == 0 && a.responseInfo.ID != "" && x.request.head.Method != http.MethodHead &&
+		!head.ClosesConnection() && !body.EndsWithConnection()
+	x.relay.fleet.recordLoad(a.server, a.responseInfo)
+	x.recordLeaving(a, head, a.responseInfo)
+	return true
+}
+
+// findHead reads responses up to the one to the request and returns its head. It skips, up to
+// a limit, responses that carry the ID of another request, and returns their number. A
+// response without an ID may be a copy of an earlier one, so it is accepted only as the first
+// response on the connection, which is not kept afterwards, and only from a server that has
+// not sent IDs, unless the request has none.
+func (a *attempt) findHead(conn *serverConn) (head frame.Head, strays int, err error) {
+	x := a.exchange
+	for {
+		head, err = readFinalHead(conn)
 		if err != nil {
-			a.failAfterSend(err)
-			return false
+			return head, strays, err
 		}
 		responseInfo := x.relay.options.Protocol.ResponseInfo(head)
-		body, err := frame.ResponseBody(conn.reader, head, x.request.head.Method)
-		if err != nil {
-			a.failAfterSend(err)
-			return false
-		}
-		if responseInfo.ID == "" && conn.identifiesResponses {
-			// It may be a copy of an earlier response.
-			a.failAfterSend(errors.New("server sent a response without the ID that its earlier ones had"))
-			return false
+		id := responseInfo.ID
+		isFirst := !conn.hasResponse
+		conn.hasResponse = true
+		switch {
+		case id == "" && isFirst && (x.requestInfo.ID == "" || !a.server.sendsIDs.Load()):
+			return head, strays, nil
+		case id == "":
+			return head, strays, errors.New("server sent a response without an ID that may be to another request")
+		case id == x.requestInfo.ID:
+			a.server.sendsIDs.Store(true)
+			return head, strays, nil
 		}
 		x.recordLeaving(a, head, responseInfo)
-		if responseInfo.ID != "" && responseInfo.ID != x.requestInfo.ID {
-			stray++
-			if stray > maxStrayResponses || body.EndsWithConnection() {
-				a.failAfterSend(errors.New("server sent responses to other requests"))
-				return false
-			}
-			if _, err := body.ReadAll(maxResponseBody, &x.memory); err != nil {
-				a.failAfterSend(err)
-				return false
-			}
-			continue
+		strays++
+		if strays > maxStrayResponses {
+			return head, strays, errors.New("server sent responses to other requests")
 		}
-		conn.identifiesResponses = responseInfo.ID != ""
-		a.firstByteAt = x.relay.clock.Now()
-		a.reusable = stray == 0 && !head.ClosesConnection() && !body.EndsWithConnection()
-		a.head, a.responseInfo, a.body = head, responseInfo, body
-		x.relay.fleet.recordLoad(a.server, responseInfo)
-		return true
+		if err := a.skipBody(conn, head); err != nil {
+			return head, strays, err
+		}
+	}
+}
+
+// skipBody reads the body of a response to another request. Responses to HEAD have none
+// whatever their head says, but no connection is kept after a HEAD request, so this response
+// answers another method.
+func (a *attempt) skipBody(conn *serverConn, head frame.Head) error {
+	body, err := frame.ResponseBody(conn.reader, head, http.MethodGet)
+	if err != nil {
+		return err
+	}
+	if body.EndsWithConnection() {
+		return errors.New("server sent a response to another request that ends with the connection")
 	}
+	_, err = body.ReadAll(maxResponseBody, &a.exchange.memory)
+	return err
 }
 
 // readFinalHead reads the head of a response. It skips informational responses, up to a
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -2,12 +2,15 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/forecast"
+	"github.com/galenaslip/galenaslip/quarantine"
 )
 
 const (
@@ -49,9 +52,12 @@
 	attempts     int           // number of attempts so far
 	lastFailure  *fullResponse // newest failure for which a server sent a response
 	out          output
-	memory       reservation // for the bodies of responses
-	partIDs      []string    // IDs of the parts of the prompt
-	probe        bool        // the request is let through although a part of its prompt is quarantined
+	position     streamPosition // of the caller, if the response is streamed
+	memory       reservation    // for the bodies of responses
+	partIDs      []string       // IDs of the parts of the prompt
+	probe        bool           // the request is let through although a part of its prompt is quarantined
+	tried        quarantine.Key // the suspect part of its prompt of which the request is a trial; zero if it is none
+	serverEnded  atomic.Bool    // a server has ended under the request
 }
 
 // fullResponse is a server's complete response.
@@ -232,6 +238,7 @@
 	x.caller.onDisconnect(a.interrupt)
 	defer func() {
 		x.recordServerEnd(a)
+		x.recordRefusedConnection(a)
 		a.release()
 		x.relay.fleet.endAttempt(a.server, a)
 		x.logAttempt(a)
@@ -242,12 +249,12 @@
 	}
 	x.forwardInfo.TimeLeft = x.deadline - now
 	onceOnly := x.route.RepeatPolicy == catalog.OnceOnly
-	if !a.send(x.encodeRequest(x.forwardInfo), onceOnly, x.attemptDeadline(a, now)) {
+	if !a.send(x.forwardInfo, onceOnly, x.attemptDeadline(a, now)) {
 		return x.afterFailure(a)
 	}
 	x.relay.fleet.recordFirstByte(a.server, a)
 	x.recordPause(a)
-	if x.route.Stream && a.head.Status == statusOK {
+	if x.route.Stream && a.head.Status == statusOK && x.request.head.Method != http.MethodHead {
 		return x.forwardStream(a)
 	}
 	return x.forwardResponse(a)
@@ -293,14 +300,14 @@
 	case a.responseInfo.NotRun:
 		a.setResult(resultNotRun, nil)
 		return false, false
-	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status):
+	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status) || x.out.headSent: // no other status resumes a stream
 		x.possibleRuns++
 		a.setResult(resultFailed, nil)
 		x.lastFailure = &fullResponse{attempt: a, body: body}
 		return false, false
 	}
 	a.result = resultAnswered
-	x.recordWholeAnswer(a)
+	x.recordSurvival(a)
 	return x.out.fullResponse(a, body), true
 }
 
@@ -320,12 +327,19 @@
 	if mayHaveRun && (x.route.RepeatPolicy == catalog.OnceOnly || x.possibleRuns >= x.route.MaxPossibleRuns) {
 		return false
 	}
-	if mayHaveRun && (x.probe || !x.relay.quarantine.MayRepeat(x.service, x.partIDs)) {
+	if mayHaveRun && !x.mayRepeatAfterLoss(now) {
 		return false
 	}
 	return a.hasRetryGrant() || x.relay.budget.takeRetry(now, x.service, x.retryShare(a.result))
 }
 
+// mayRepeatAfterLoss reports whether the request may be sent to another server after it has lost
+// one: it must not take the next one down as well.
+func (x *exchange) mayRepeatAfterLoss(now clock.Millis) bool {
+	isTrial := x.probe || x.tried != (quarantine.Key{})
+	return !isTrial && x.relay.quarantine.MayRepeat(now, x.subject())
+}
+
 // retryShare returns the part of the retry budget that a retry may use up. Refused
 // requests, except those of tier 0, get only a part, because the next server may be
 // full too. The rest is kept for requests that were lost with their server.
@@ -336,14 +350,13 @@
 	return 1
 }
 
-// giveUp sends the final response to a request that no attempt has completed.
+// giveUp sends the final response to a request that no attempt has completed, or cuts its
+// stream.
 func (x *exchange) giveUp() bool {
 	now := x.relay.clock.Now()
 	switch {
 	case x.caller.isDisconnected():
 		return x.abandon()
-	case x.out.headSent:
-		return x.out.cutStream()
 	case x.lastFailure != nil && !guaranteesNotRun(x.lastFailure.attempt.head.Status):
 		return x.out.fullResponse(x.lastFailure.attempt, x.lastFailure.body)
 	case x.possibleRuns > 0 && now >= x.deadline:
@@ -354,12 +367,9 @@
 	return x.refuse(x.noServer())
 }
 
-// timeOut ends a request whose deadline has passed.
+// timeOut ends a request whose deadline has passed, or cuts its stream.
 func (x *exchange) timeOut(a *attempt) bool {
 	a.result = resultAbandoned
-	if x.out.headSent {
-		return x.out.cutStream()
-	}
 	if x.possibleRuns == 0 {
 		return x.refuse(refusal{status: statusUnavailable, reason: "timeout_unsent"})
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -112,7 +112,7 @@
 		r.quarantine = quarantine.New(quarantine.Options{Entry: options.Name})
 	}
 	r.bodyMemory.limit = int64(lo.CoalesceOrEmpty(options.BodyMemory, defaultBodyMemory))
-	r.fleet = newFleet(options.AvailabilityZone, options.Clock)
+	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger)
 	r.catalog.Store(&catalog.Catalog{})
 	r.metrics = newMetrics(r)
 	r.leaseEnd.Store(-1)
@@ -188,6 +188,7 @@
 		return false // the update lacks the document of the newest revision
 	}
 	now := r.clock.Now()
+	r.metrics.serversRefused.Add(float64(update.Refused.Count))
 	r.fleet.applyUpdate(now, update)
 	r.budget.setEntryCount(update.EntryCount)
 	r.leaseEnd.Store(int64(confirmedAfter + r.options.Lease))
@@ -250,6 +251,7 @@
 // dropped log lines.
 func (r *Relay) runPeriodicChecks() {
 	r.fleet.runPeriodicChecks(r.clock.Now())
+	r.quarantine.SetServerCounts(r.fleet.serverCounts())
 	if leased := r.Leased(); leased != r.loggedLeased {
 		r.loggedLeased = leased
 		e := event.LeaseLost
--- a/relay/server.go
+++ b/relay/server.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
 	"github.com/galenaslip/galenaslip/withdrawal"
 )
@@ -65,7 +67,9 @@
 	blockedUntil                  clock.Millis // no connection is opened before this time
 	unresponsive                  bool         // the server sends no bytes although attempts wait for it
 	wrongServer                   bool         // a server with another name answers at the address
+	sendsIDs                      atomic.Bool  // a response has carried the ID of its request; not guarded by the lock
 	withdrawal                    withdrawal.State
+	formerWithdrawal              withdrawal.State // that of the run before, in case the record of the present run was wrong
 }
 
 func newServer(r roster.Record) *server {
@@ -75,6 +79,11 @@
 	}
 }
 
+// run identifies the server until it starts again.
+func (s *server) run() quarantine.ServerRun {
+	return quarantine.ServerRun{Server: s.record.Server, StartedAt: s.record.StartedAt}
+}
+
 // decay returns value after exponential decay over the given age.
 func decay(value float64, age, halfLife clock.Millis) float64 {
 	return value * math.Exp2(-float64(max(age, 0))/float64(halfLife))
--- a/relay/withdrawal.go
+++ b/relay/withdrawal.go
@@ -75,13 +75,22 @@
 	a.server.withdrawal = a.server.withdrawal.WithPause(uint64(a.run.StartedAt), end)
 }
 
-// followRun updates what a server has said when a record tells its run. A server of which no
-// start time is known is another one if its address is another one. The caller holds the lock.
+// followRun updates what a server has said when an accepted record tells its run. A record of
+// an earlier run shows that the one of the later run was wrong: what was said in the earlier run
+// holds again. A server of which no start time is known is another one if its address is another
+// one. The caller holds the lock.
 func (s *server) followRun(previous, next roster.Record) {
-	if next.StartedAt == 0 && previous.StartedAt == 0 && next.Address != previous.Address {
+	run := uint64(next.StartedAt)
+	switch {
+	case next.StartedAt == 0 && previous.StartedAt == 0 && next.Address != previous.Address:
 		s.withdrawal = withdrawal.State{}
+	case next.StartedAt > previous.StartedAt:
+		s.formerWithdrawal, s.withdrawal = s.withdrawal, s.withdrawal.WithRun(run)
+	case next.StartedAt < previous.StartedAt && s.formerWithdrawal.Run() == run:
+		s.withdrawal = s.formerWithdrawal
+	case next.StartedAt < previous.StartedAt:
+		s.withdrawal = withdrawal.State{}.WithRun(run)
 	}
-	s.withdrawal = s.withdrawal.WithRun(uint64(next.StartedAt))
 }
 
 // keepsConnections reports whether a connection that was used in the given run of the server
--- a/withdrawal/state.go
+++ b/withdrawal/state.go
@@ -40,6 +40,9 @@
 	return s
 }
 
+// Run returns the newest run of the server that is known.
+func (s State) Run() uint64 { return s.run }
+
 // Accepts reports whether the server may get requests.
 func (s State) Accepts(now clock.Millis) bool { return !s.leaving && now >= s.pauseEnd }
 
