--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -30,12 +30,15 @@
 	// resultUnreachable means that no connection could be opened, or that it ended or
 	// brought bytes before the request was written, so nothing was sent.
 	resultUnreachable
+	// resultWithdrawn means that the server has said, before the request was sent, that it
+	// wants no requests, so nothing was sent.
+	resultWithdrawn
 	// resultFailed means that the request was sent, may have run, and has no usable
 	// response.
 	resultFailed
 )
 
-var resultNames = [...]string{"abandoned", "answered", "not_run", "stranger", "unreachable", "failed"}
+var resultNames = [...]string{"abandoned", "answered", "not_run", "stranger", "unreachable", "withdrawn", "failed"}
 
 // String returns the name that logs and metrics use for the result.
 func (r result) String() string { return resultNames[r] }
@@ -153,6 +156,10 @@
 		a.setResult(resultUnreachable, errNotQuiet)
 		return false
 	}
+	if !x.relay.fleet.accepts(a.server) {
+		a.setResult(resultWithdrawn, errWithdrawn)
+		return false
+	}
 	if err := a.write(conn, data); err != nil {
 		a.failAfterSend(err)
 		return false
@@ -228,6 +235,7 @@
 	a.reusable = strays == 0 && a.responseInfo.ID != "" && x.request.head.Method != http.MethodHead &&
 		!head.ClosesConnection() && !body.EndsWithConnection()
 	x.relay.fleet.recordLoad(a.server, a.responseInfo)
+	x.recordLeaving(a, head, a.responseInfo)
 	return true
 }
 
@@ -243,7 +251,8 @@
 		if err != nil {
 			return head, strays, err
 		}
-		id := x.relay.options.Protocol.ResponseInfo(head).ID
+		responseInfo := x.relay.options.Protocol.ResponseInfo(head)
+		id := responseInfo.ID
 		isFirst := !conn.hasResponse
 		conn.hasResponse = true
 		switch {
@@ -255,6 +264,7 @@
 			a.server.sendsIDs.Store(true)
 			return head, strays, nil
 		}
+		x.recordLeaving(a, head, responseInfo)
 		strays++
 		if strays > maxStrayResponses {
 			return head, strays, errors.New("server sent responses to other requests")
@@ -331,7 +341,7 @@
 		return
 	}
 	_ = conn.SetDeadline(noDeadline)
-	fleet.putIdle(conn, a.responseInfo.IdleTimeout)
+	fleet.putIdle(conn, a.run.StartedAt, a.responseInfo.IdleTimeout)
 }
 
 // encodeRequest returns the bytes of the request for the server.
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -27,7 +27,7 @@
 	conn, err := f.dial(s, dialTimeout)
 	switch {
 	case err == nil:
-		f.putIdle(conn, 0)
+		f.putIdle(conn, run.StartedAt, 0)
 		return quarantine.ListeningYes
 	case errors.Is(err, syscall.ECONNREFUSED):
 		f.recordRefusedConnection(s, run)
@@ -60,5 +60,5 @@
 func (f *fleet) servingAddress(s *server) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return s.record.Address, s.record.State == roster.Serving
+	return s.record.Address, s.record.State == roster.Serving && !s.withdrawal.Leaving()
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -9,6 +9,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/withdrawal"
 )
 
 const (
@@ -67,11 +68,14 @@
 	unresponsive                  bool         // the server sends no bytes although attempts wait for it
 	wrongServer                   bool         // a server with another name answers at the address
 	sendsIDs                      atomic.Bool  // a response has carried the ID of its request; not guarded by the lock
+	withdrawal                    withdrawal.State
+	formerWithdrawal              withdrawal.State // that of the run before, in case the record of the present run was wrong
 }
 
 func newServer(r roster.Record) *server {
 	return &server{
-		record: r, nameHash: xxhash.Sum64String(r.Server), attempts: map[*attempt]struct{}{}, promptPartChosenAt: map[string]clock.Millis{},
+		withdrawal: withdrawal.State{}.WithRun(uint64(r.StartedAt)),
+		record:     r, nameHash: xxhash.Sum64String(r.Server), attempts: map[*attempt]struct{}{}, promptPartChosenAt: map[string]clock.Millis{},
 	}
 }
 
