--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -36,37 +36,37 @@
 func (q *Quarantine) Check(now clock.Millis, s Subject, entryCount int) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.parts) == 0 {
+	if len(q.suspects) == 0 {
 		return Verdict{}
 	}
 	judged := q.judge(now)
 	var verdict Verdict
-	var probed []*part
-	var tried *part
+	var probed []*suspectRecord
+	var tried *suspectRecord
 	for _, key := range q.keys(s) {
-		p, ok := q.parts[key]
-		if !ok || !judged.isSuspect(key, p) {
+		record, ok := q.suspects[key]
+		if !ok || !judged.isSuspect(key, record) {
 			continue
 		}
-		verdict.Part, verdict.Ends = key, len(p.ends)
+		verdict.Part, verdict.Ends = key, len(record.ends)
 		switch {
-		case judged.quarantined[key] && now < p.nextProbe(key, q.entry, entryCount):
+		case judged.quarantined[key] && now < record.nextProbe(key, q.entry, entryCount):
 			verdict.Refused = true
 			return verdict
 		case judged.quarantined[key]:
-			probed = append(probed, p)
-		case judged.evidence[key].certain || now < p.nextTrial(key, q.entry):
+			probed = append(probed, record)
+		case judged.evidence[key].certain || now < record.nextTrial(key, q.entry):
 			verdict.Pending, verdict.RetryAfter = true, pendingRetryAfter
 		default:
-			tried = p
+			tried = record
 		}
 	}
 	if verdict.Pending {
 		return verdict
 	}
-	for _, p := range probed {
-		p.probe = countRecord{number: p.probe.number + 1, at: now}
-		q.markChanged(p)
+	for _, record := range probed {
+		record.probe = countRecord{number: record.probe.number + 1, at: now}
+		q.markChanged(record)
 	}
 	if tried != nil {
 		tried.trial = countRecord{number: tried.trial.number + 1, at: now}
@@ -81,13 +81,13 @@
 func (q *Quarantine) MayRepeat(now clock.Millis, s Subject) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.parts) == 0 {
+	if len(q.suspects) == 0 {
 		return true
 	}
 	judged := q.judge(now)
 	for _, key := range q.keys(s) {
-		p, ok := q.parts[key]
-		if ok && judged.isSuspect(key, p) {
+		record, ok := q.suspects[key]
+		if ok && judged.isSuspect(key, record) {
 			return false
 		}
 	}
@@ -140,18 +140,18 @@
 
 // suspect is Suspect for callers that hold the lock.
 func (q *Quarantine) suspect(now clock.Millis, key Key) Suspect {
-	p, ok := q.parts[key]
+	record, ok := q.suspects[key]
 	if !ok {
 		return Suspect{Key: key}
 	}
 	judged := q.judge(now)
 	var servers []string
-	for _, run := range sortedRuns(p.ends) {
+	for _, run := range sortedRuns(record.ends) {
 		servers = append(servers, run.Server)
 	}
 	return Suspect{
-		Key: key, Servers: servers, Survivals: p.survivalCount(), Score: judged.evidence[key].score,
-		Required: p.requiredScore(), Quarantined: judged.quarantined[key],
+		Key: key, Servers: servers, Survivals: record.survivalCount(), Score: judged.evidence[key].score,
+		Required: record.requiredScore(), Quarantined: judged.quarantined[key],
 	}
 }
 
@@ -166,8 +166,8 @@
 
 // isSuspect reports whether a part is quarantined or suspect. Here ends count in full, also
 // those that others explain: a suspicion costs a sound request little, and a trial clears it.
-func (j judgement) isSuspect(key Key, p *part) bool {
-	return j.quarantined[key] || j.evidence[key].ends >= p.requiredScore()-1
+func (j judgement) isSuspect(key Key, record *suspectRecord) bool {
+	return j.quarantined[key] || j.evidence[key].ends >= record.requiredScore()-1
 }
 
 // judge returns the judgement at a time. The caller holds the lock.
@@ -190,21 +190,21 @@
 			break
 		}
 		j.quarantined[key] = true
-		for run := range q.parts[key].ends {
+		for run := range q.suspects[key].ends {
 			explained[run] = true
 		}
 	}
 	unexplained, all := q.timelines(explained), q.timelines(nil)
-	for key, p := range q.parts {
+	for key, record := range q.suspects {
 		if j.quarantined[key] {
-			j.evidence[key] = q.weigh(key, p, now, nil, all)
+			j.evidence[key] = q.weigh(key, record, now, nil, all)
 			continue
 		}
-		e := q.weigh(key, p, now, explained, unexplained)
+		e := q.weigh(key, record, now, explained, unexplained)
 		if key.Kind == KindRequest {
 			// Another request may have been taken for the cause that this one is, so all ends count
 			// for the suspicion.
-			e.ends = q.weigh(key, p, now, nil, all).ends
+			e.ends = q.weigh(key, record, now, nil, all).ends
 		}
 		j.evidence[key] = e
 	}
@@ -215,8 +215,8 @@
 // The caller holds the lock.
 func (q *Quarantine) begunRuns() map[ServerRun]bool {
 	begun := map[ServerRun]bool{}
-	for _, p := range q.parts {
-		for run, end := range p.ends {
+	for _, record := range q.suspects {
+		for run, end := range record.ends {
 			if end.begun {
 				begun[run] = true
 			}
@@ -226,9 +226,9 @@
 }
 
 // weigh returns the evidence against a part until a time. The caller holds the lock.
-func (q *Quarantine) weigh(key Key, p *part, until clock.Millis, explained map[ServerRun]bool, timelines map[string]timeline) evidence {
-	ends := q.suspectEnds(key, p, until, explained)
-	return weigh(key.Kind, ends, timelines[key.Service], q.timelineOf(ends), q.counts[key.Service], p.requiredScore())
+func (q *Quarantine) weigh(key Key, record *suspectRecord, until clock.Millis, explained map[ServerRun]bool, timelines map[string]timeline) evidence {
+	ends := q.suspectEnds(key, record, until, explained)
+	return weigh(key.Kind, ends, timelines[key.Service], q.timelineOf(ends), q.counts[key.Service], record.requiredScore())
 }
 
 // candidate is a part whose guilt is certain.
@@ -245,11 +245,11 @@
 	timelines := q.timelines(explained)
 	var candidates []candidate
 	first := maxTime
-	for key, p := range q.parts {
+	for key, record := range q.suspects {
 		if quarantined[key] {
 			continue
 		}
-		e := q.weigh(key, p, now-settleTime, explained, timelines)
+		e := q.weigh(key, record, now-settleTime, explained, timelines)
 		if e.certain {
 			candidates = append(candidates, candidate{key: key, evidence: e})
 			first = min(first, e.certainAt)
@@ -265,10 +265,10 @@
 // suspectEnds returns the ends until a time that count against the part and that no quarantined
 // part explains, in the order of time. A request that waited at its server does not count if the
 // server had just begun to answer another one. The caller holds the lock.
-func (q *Quarantine) suspectEnds(key Key, p *part, until clock.Millis, explained map[ServerRun]bool) []suspectEnd {
+func (q *Quarantine) suspectEnds(key Key, record *suspectRecord, until clock.Millis, explained map[ServerRun]bool) []suspectEnd {
 	var ends []suspectEnd
-	for run, end := range p.ends {
-		if end.at <= until && p.counts(end) && !explained[run] && (end.begun || !q.begun[run]) {
+	for run, end := range record.ends {
+		if end.at <= until && record.counts(end) && !explained[run] && (end.begun || !q.begun[run]) {
 			end.trial = end.trial && q.isOnlySuspect(key, run, end)
 			ends = append(ends, suspectEnd{endRecord: end, run: run})
 		}
@@ -281,12 +281,12 @@
 // was at a server that ended under a trial of the part. It may have been the cause as well. The
 // caller holds the lock.
 func (q *Quarantine) isOnlySuspect(key Key, run ServerRun, trial endRecord) bool {
-	for other, p := range q.parts {
-		end, ok := p.ends[run]
+	for other, record := range q.suspects {
+		end, ok := record.ends[run]
 		if !ok || other == key || end.request == trial.request && !end.several {
 			continue
 		}
-		if float64(p.countingEnds()) >= p.requiredScore()-1 {
+		if float64(record.countingEnds()) >= record.requiredScore()-1 {
 			return false
 		}
 	}
@@ -328,8 +328,8 @@
 			next = min(next, e.at+settleTime)
 		}
 	}
-	for _, p := range q.parts {
-		for _, end := range p.ends {
+	for _, record := range q.suspects {
+		for _, end := range record.ends {
 			if end.at+settleTime > now {
 				next = min(next, end.at+settleTime)
 			}
@@ -343,7 +343,7 @@
 // survivals. Of parts that always come together, the later one in the prompt is more specific, so
 // that less is refused. The caller holds the lock.
 func (q *Quarantine) compareCandidates(a, b candidate) int {
-	pa, pb := q.parts[a.key], q.parts[b.key]
+	pa, pb := q.suspects[a.key], q.suspects[b.key]
 	return cmp.Or(
 		cmp.Compare(b.rank(), a.rank()), cmp.Compare(pa.survivalCount(), pb.survivalCount()),
 		cmp.Compare(pb.depth(), pa.depth()), a.key.compare(b.key),
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -40,30 +40,30 @@
 		}
 	}
 	for _, key := range q.sortedKeys() {
-		p := q.parts[key]
-		if p.position <= number {
+		record := q.suspects[key]
+		if record.position <= number {
 			continue
 		}
-		for _, run := range sortedRuns(p.ends) {
-			end := p.ends[run]
+		for _, run := range sortedRuns(record.ends) {
+			end := record.ends[run]
 			r.Ends = append(r.Ends, End{
 				Key: key, ServerRun: run, Depth: end.depth, Begun: end.begun, Repeated: end.repeated, Trial: end.trial,
 				Request: end.request, Several: end.several, AtServer: end.at - end.sentAt, Age: now - end.at,
 			})
 		}
-		entries := lo.Keys(p.survivals)
+		entries := lo.Keys(record.survivals)
 		slices.Sort(entries)
 		for _, entry := range entries {
-			r.Survivals = append(r.Survivals, Survivals{Key: key, Entry: entry, Count: p.survivals[entry]})
+			r.Survivals = append(r.Survivals, Survivals{Key: key, Entry: entry, Count: record.survivals[entry]})
 		}
-		if p.trial.number > 0 {
-			r.Trials = append(r.Trials, Trial{Key: key, Number: p.trial.number, Age: now - p.trial.at})
+		if record.trial.number > 0 {
+			r.Trials = append(r.Trials, Trial{Key: key, Number: record.trial.number, Age: now - record.trial.at})
 		}
-		if p.probe.number > 0 {
-			r.Probes = append(r.Probes, Probe{Key: key, Number: p.probe.number, Age: now - p.probe.at})
+		if record.probe.number > 0 {
+			r.Probes = append(r.Probes, Probe{Key: key, Number: record.probe.number, Age: now - record.probe.at})
 		}
-		if p.released.number > 0 {
-			r.Releases = append(r.Releases, Release{Key: key, Number: p.released.number, Age: now - p.released.at})
+		if record.released.number > 0 {
+			r.Releases = append(r.Releases, Release{Key: key, Number: record.released.number, Age: now - record.released.at})
 		}
 	}
 	return r
@@ -100,23 +100,23 @@
 		}
 	}
 	for _, v := range r.Survivals {
-		if p, ok := q.parts[v.Key]; ok {
-			q.addSurvivals(p, v.Entry, v.Count)
+		if record, ok := q.suspects[v.Key]; ok {
+			q.addSurvivals(record, v.Entry, v.Count)
 		}
 	}
 	for _, t := range r.Trials {
-		if p, ok := q.parts[t.Key]; ok && p.trial.merge(t.Number, now-max(t.Age, 0)) {
-			q.markChanged(p)
+		if record, ok := q.suspects[t.Key]; ok && record.trial.merge(t.Number, now-max(t.Age, 0)) {
+			q.markChanged(record)
 		}
 	}
 	for _, b := range r.Probes {
-		if p, ok := q.parts[b.Key]; ok && p.probe.merge(b.Number, now-max(b.Age, 0)) {
-			q.markChanged(p)
+		if record, ok := q.suspects[b.Key]; ok && record.probe.merge(b.Number, now-max(b.Age, 0)) {
+			q.markChanged(record)
 		}
 	}
 	for _, l := range r.Releases {
-		if p, ok := q.parts[l.Key]; ok && p.released.merge(l.Number, now-max(l.Age, 0)) {
-			q.markChanged(p)
+		if record, ok := q.suspects[l.Key]; ok && record.released.merge(l.Number, now-max(l.Age, 0)) {
+			q.markChanged(record)
 		}
 	}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,10 +5,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -56,7 +54,7 @@
 
 // Limits of what is kept, whatever callers send.
 const (
-	maxParts         = 256
+	maxSuspects      = 256
 	maxEndsPerPart   = 16
 	maxServers       = 512  // ended servers
 	maxWaiting       = 32   // requests that waited at one ended server and are suspects
@@ -77,8 +75,8 @@
 	instance uint64
 
 	mu       sync.Mutex
-	parts    map[Key]*part
-	requests int // number of keys of whole requests in parts
+	suspects map[Key]*suspectRecord
+	requests int // number of keys of whole requests in suspects
 	servers  map[ServerRun]serverEnd
 	counts   map[string]int       // number of servers, by service
 	survived *lru.Cache[Key, int] // survivals that this process has seen, for parts without ends
@@ -90,44 +88,6 @@
 	judgedChanged bool
 }
 
-// part holds the records of one part or request.
-type part struct {
-	ends      map[ServerRun]endRecord
-	survivals map[string]int // by entry
-	trial     countRecord
-	probe     countRecord
-	released  countRecord
-	position  uint64 // position of the newest change
-}
-
-// endRecord is the end of a server as evidence against a part or a request.
-type endRecord struct {
-	depth    int
-	at       clock.Millis
-	sentAt   clock.Millis // when the request was sent to the server
-	begun    bool
-	repeated bool
-	trial    bool
-	request  string // short digest of one of the requests
-	several  bool   // several different requests
-}
-
-// merge returns the record of two reports of the same end.
-func (e endRecord) merge(other endRecord) endRecord {
-	return endRecord{
-		depth: max(e.depth, other.depth), at: min(e.at, other.at), sentAt: min(e.sentAt, other.sentAt),
-		begun: e.begun || other.begun, repeated: e.repeated || other.repeated, trial: e.trial || other.trial,
-		request: min(e.request, other.request), several: e.several || other.several || e.request != other.request,
-	}
-}
-
-// isNews reports whether the record tells more than a former one of the same end. Earlier times
-// alone do not: they differ with the way that a report took.
-func (e endRecord) isNews(former endRecord) bool {
-	e.at, e.sentAt = former.at, former.sentAt
-	return e != former
-}
-
 // serverEnd is the end of a server, whatever ran on it.
 type serverEnd struct {
 	service  string
@@ -136,30 +96,6 @@
 	position uint64 // position of the newest change
 }
 
-// countRecord is a number that only grows, and when this process learned of its newest value.
-type countRecord struct {
-	number int
-	at     clock.Millis
-}
-
-// maxCount bounds a number from another process, so that it can grow further.
-const maxCount = 1 << 20
-
-// merge takes over a higher number, or an earlier time for the same one.
-func (c *countRecord) merge(number int, at clock.Millis) bool {
-	if number > maxCount {
-		return false
-	}
-	if number > c.number {
-		c.number, c.at = number, at
-		return true
-	}
-	if number == c.number {
-		c.at = min(c.at, at)
-	}
-	return false
-}
-
 // New returns an empty quarantine.
 func New(options Options) *Quarantine {
 	survived, err := lru.New[Key, int](maxKnownSurvived)
@@ -167,7 +103,7 @@
 		panic(err) // cannot happen: the size is positive
 	}
 	return &Quarantine{
-		entry: options.Entry, instance: 1 + rand.Uint64N(math.MaxUint64), parts: map[Key]*part{},
+		entry: options.Entry, instance: 1 + rand.Uint64N(math.MaxUint64), suspects: map[Key]*suspectRecord{},
 		servers: map[ServerRun]serverEnd{}, counts: map[string]int{}, survived: survived,
 	}
 }
@@ -286,14 +222,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, key := range q.keys(s) {
-		p, ok := q.parts[key]
+		record, ok := q.suspects[key]
 		if !ok {
 			q.rememberSurvival(key)
 			continue
 		}
-		q.addSurvivals(p, q.entry, p.survivals[q.entry]+1)
+		q.addSurvivals(record, q.entry, record.survivals[q.entry]+1)
 		if probe {
-			q.release(p, now)
+			q.release(record, now)
 		}
 	}
 }
@@ -313,17 +249,17 @@
 func (q *Quarantine) Release(now clock.Millis, key Key) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	p, ok := q.parts[key]
+	record, ok := q.suspects[key]
 	if ok {
-		q.release(p, now)
+		q.release(record, now)
 	}
 	return ok
 }
 
 // release records a release. The caller holds the lock.
-func (q *Quarantine) release(p *part, now clock.Millis) {
-	p.released = countRecord{number: p.released.number + 1, at: now}
-	q.markChanged(p)
+func (q *Quarantine) release(record *suspectRecord, now clock.Millis) {
+	record.released = countRecord{number: record.released.number + 1, at: now}
+	q.markChanged(record)
 }
 
 // addServer adds the end of a server, whatever ran on it. The caller holds the lock.
@@ -343,65 +279,65 @@
 
 // addEnd adds the end of a server as evidence against a part. The caller holds the lock.
 func (q *Quarantine) addEnd(key Key, run ServerRun, end endRecord) {
-	p := q.part(key)
-	known, ok := p.ends[run]
+	record := q.suspectRecord(key)
+	known, ok := record.ends[run]
 	if !ok {
-		if len(p.ends) >= maxEndsPerPart && !p.removeEndFor(end) {
+		if len(record.ends) >= maxEndsPerPart && !record.removeEndFor(end) {
 			return
 		}
-		p.ends[run] = end
-		q.markChanged(p)
+		record.ends[run] = end
+		q.markChanged(record)
 		return
 	}
 	merged := known.merge(end)
-	p.ends[run] = merged
+	record.ends[run] = merged
 	if merged.isNews(known) {
-		q.markChanged(p)
+		q.markChanged(record)
 	}
 	q.judgedChanged = q.judgedChanged || merged != known
 }
 
 // removeEndFor removes the newest end that is not that of a trial, to keep another one in its
 // place, and reports whether it has. Ends of trials are kept, because a quarantine needs one.
-func (p *part) removeEndFor(end endRecord) bool {
+func (r *suspectRecord) removeEndFor(end endRecord) bool {
 	if !end.trial {
 		return false
 	}
 	var newest ServerRun
 	found := false
-	for run, other := range p.ends {
-		if !other.trial && (!found || other.at > p.ends[newest].at) {
+	for run, other := range r.ends {
+		if !other.trial && (!found || other.at > r.ends[newest].at) {
 			newest, found = run, true
 		}
 	}
-	delete(p.ends, newest)
+	delete(r.ends, newest)
 	return found
 }
 
-// part returns the records of a part. If there are none it adds the part, and removes another
+// suspectRecord returns the records of a part. If there are none it adds them, and removes those of another
 // one when there are too many. The caller holds the lock.
-func (q *Quarantine) part(key Key) *part {
-	if p, ok := q.parts[key]; ok {
-		return p
+func (q *Quarantine) suspectRecord(key Key) *suspectRecord {
+	if record, ok := q.suspects[key]; ok {
+		return record
 	}
-	if len(q.parts) >= maxParts {
+	if len(q.suspects) >= maxSuspects {
 		q.removeLeastSuspect()
 	}
-	p := &part{ends: map[ServerRun]endRecord{}, survivals: map[string]int{}}
+	record := &suspectRecord{ends: map[ServerRun]endRecord{}, survivals: map[string]int{}}
 	if count, ok := q.survived.Get(key); ok {
-		p.survivals[q.entry] = count
+		record.survivals[q.entry] = count
 	}
-	q.parts[key] = p
+	q.suspects[key] = record
 	if key.Kind == KindRequest {
 		q.requests++
 	}
-	q.markChanged(p)
-	return p
+	q.markChanged(record)
+	return record
 }
 
 // remove removes the records of a part. The caller holds the lock.
 func (q *Quarantine) remove(key Key) {
-	delete(q.parts, key)
+	delete(q.suspects, key)
 	if key.Kind == KindRequest {
 		q.requests--
 	}
@@ -409,14 +345,14 @@
 }
 
 // addSurvivals takes over the count of an entry's survivals. The caller holds the lock.
-func (q *Quarantine) addSurvivals(p *part, entry string, count int) {
-	known, ok := p.survivals[entry]
-	if !ok && p.survivalCount() >= maxSurvivals {
+func (q *Quarantine) addSurvivals(record *suspectRecord, entry string, count int) {
+	known, ok := record.survivals[entry]
+	if !ok && record.survivalCount() >= maxSurvivals {
 		return
 	}
 	if count = min(count, maxSurvivals); count > known {
-		p.survivals[entry] = count
-		q.markChanged(p)
+		record.survivals[entry] = count
+		q.markChanged(record)
 	}
 }
 
@@ -425,9 +361,9 @@
 func (q *Quarantine) removeLeastSuspect() {
 	var least Key
 	fewest, oldest := maxEndsPerPart+1, clock.Millis(0)
-	for key, p := range q.parts {
-		newest := p.newestEnd()
-		if n := len(p.ends); n < fewest || n == fewest && (newest < oldest || newest == oldest && key.compare(least) < 0) {
+	for key, record := range q.suspects {
+		newest := record.newestEnd()
+		if n := len(record.ends); n < fewest || n == fewest && (newest < oldest || newest == oldest && key.compare(least) < 0) {
 			least, fewest, oldest = key, n, newest
 		}
 	}
@@ -435,9 +371,9 @@
 }
 
 // markChanged records a change of a part's records. The caller holds the lock.
-func (q *Quarantine) markChanged(p *part) {
+func (q *Quarantine) markChanged(record *suspectRecord) {
 	q.position++
-	p.position, q.judgedChanged = q.position, true
+	record.position, q.judgedChanged = q.position, true
 }
 
 // expire removes the parts that have no record younger than retention. The caller holds the
@@ -448,92 +384,17 @@
 	}
 	q.expireAt = now + expiryInterval
 	maps.DeleteFunc(q.servers, func(_ ServerRun, e serverEnd) bool { return now-e.at >= serverRetention })
-	for key, p := range q.parts {
-		if now-max(p.newestEnd(), p.trial.at, p.probe.at, p.released.at) >= retention {
+	for key, record := range q.suspects {
+		if now-max(record.newestEnd(), record.trial.at, record.probe.at, record.released.at) >= retention {
 			q.remove(key)
 		}
 	}
 }
 
-// newestEnd returns the time of the newest end.
-func (p *part) newestEnd() clock.Millis {
-	newest := clock.Millis(0)
-	for _, end := range p.ends {
-		newest = max(newest, end.at)
-	}
-	return newest
-}
-
-// survivalCount returns the number of survivals that all entries have seen.
-func (p *part) survivalCount() int {
-	count := 0
-	for _, n := range p.survivals {
-		count += n
-	}
-	return count
-}
-
-// requiredScore returns the score of ends from which the part is quarantined.
-func (p *part) requiredScore() float64 {
-	survivals := p.survivalCount()
-	if survivals >= maxSurvivals {
-		return maxEndsPerPart + 1
-	}
-	return float64(minEnds + endsPerSurvival*survivals)
-}
-
-// nextTrial returns when the given entry may send the next trial of the part.
-func (p *part) nextTrial(key Key, entry string) clock.Millis {
-	if p.trial.number == 0 {
-		return 0
-	}
-	interval := trialInterval << min(p.trial.number-1, maxTrialDoublings)
-	return p.trial.at + interval + offset(key, entry, p.trial.number, trialSpread)
-}
-
-// offset returns a time shorter than window by which an entry's trials or probes of a part begin
-// later. The entries begin at different times, so that usually one of them sends one.
-func offset(key Key, entry string, number int, window clock.Millis) clock.Millis {
-	hash := xxhash.Sum64String(entry + "\x00" + key.Service + "\x00" + key.Text() + strconv.Itoa(number))
-	return clock.Millis(hash % uint64(window))
-}
-
-// countingEnds returns the number of ends since the newest release.
-func (p *part) countingEnds() int {
-	n := 0
-	for _, end := range p.ends {
-		if p.counts(end) {
-			n++
-		}
-	}
-	return n
-}
-
-// counts reports whether an end is newer than the newest release.
-func (p *part) counts(end endRecord) bool {
-	return p.released.number == 0 || end.at > p.released.at
-}
-
-// depth returns the position of the part in the prompts of its requests.
-func (p *part) depth() int {
-	depth := 0
-	for _, end := range p.ends {
-		depth = max(depth, end.depth)
-	}
-	return depth
-}
-
-// nextProbe returns when the given entry may let the next probe of a part through.
-func (p *part) nextProbe(key Key, entry string, entryCount int) clock.Millis {
-	interval := firstProbeDelay << min(p.probe.number, maxProbeDoublings)
-	window := clock.Millis(max(entryCount, 1)) * probeSpread
-	return max(p.newestEnd(), p.probe.at) + interval + offset(key, entry, p.probe.number, window)
-}
-
 // sortedKeys returns the keys of all parts in order. The caller holds the lock.
 func (q *Quarantine) sortedKeys() []Key {
-	keys := make([]Key, 0, len(q.parts))
-	for key := range q.parts {
+	keys := make([]Key, 0, len(q.suspects))
+	for key := range q.suspects {
 		keys = append(keys, key)
 	}
 	slices.SortFunc(keys, Key.compare)
--- /dev/null
+++ b/quarantine/suspect.go
@@ -0,0 +1,146 @@
+package quarantine
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// suspectRecord holds the records of one part or request.
+type suspectRecord struct {
+	ends      map[ServerRun]endRecord
+	survivals map[string]int // by entry
+	trial     countRecord
+	probe     countRecord
+	released  countRecord
+	position  uint64 // position of the newest change
+}
+
+// endRecord is the end of a server as evidence against a part or a request.
+type endRecord struct {
+	depth    int
+	at       clock.Millis
+	sentAt   clock.Millis // when the request was sent to the server
+	begun    bool
+	repeated bool
+	trial    bool
+	request  string // short digest of one of the requests
+	several  bool   // several different requests
+}
+
+// merge returns the record of two reports of the same end.
+func (e endRecord) merge(other endRecord) endRecord {
+	return endRecord{
+		depth: max(e.depth, other.depth), at: min(e.at, other.at), sentAt: min(e.sentAt, other.sentAt),
+		begun: e.begun || other.begun, repeated: e.repeated || other.repeated, trial: e.trial || other.trial,
+		request: min(e.request, other.request), several: e.several || other.several || e.request != other.request,
+	}
+}
+
+// isNews reports whether the record tells more than a former one of the same end. Earlier times
+// alone do not: they differ with the way that a report took.
+func (e endRecord) isNews(former endRecord) bool {
+	e.at, e.sentAt = former.at, former.sentAt
+	return e != former
+}
+
+// countRecord is a number that only grows, and when this process learned of its newest value.
+type countRecord struct {
+	number int
+	at     clock.Millis
+}
+
+// maxCount bounds a number from another process, so that it can grow further.
+const maxCount = 1 << 20
+
+// merge takes over a higher number, or an earlier time for the same one.
+func (c *countRecord) merge(number int, at clock.Millis) bool {
+	if number > maxCount {
+		return false
+	}
+	if number > c.number {
+		c.number, c.at = number, at
+		return true
+	}
+	if number == c.number {
+		c.at = min(c.at, at)
+	}
+	return false
+}
+
+// newestEnd returns the time of the newest end.
+func (r *suspectRecord) newestEnd() clock.Millis {
+	newest := clock.Millis(0)
+	for _, end := range r.ends {
+		newest = max(newest, end.at)
+	}
+	return newest
+}
+
+// survivalCount returns the number of survivals that all entries have seen.
+func (r *suspectRecord) survivalCount() int {
+	count := 0
+	for _, n := range r.survivals {
+		count += n
+	}
+	return count
+}
+
+// requiredScore returns the score of ends from which the part is quarantined.
+func (r *suspectRecord) requiredScore() float64 {
+	survivals := r.survivalCount()
+	if survivals >= maxSurvivals {
+		return maxEndsPerPart + 1
+	}
+	return float64(minEnds + endsPerSurvival*survivals)
+}
+
+// nextTrial returns when the given entry may send the next trial of the part.
+func (r *suspectRecord) nextTrial(key Key, entry string) clock.Millis {
+	if r.trial.number == 0 {
+		return 0
+	}
+	interval := trialInterval << min(r.trial.number-1, maxTrialDoublings)
+	return r.trial.at + interval + offset(key, entry, r.trial.number, trialSpread)
+}
+
+// offset returns a time shorter than window by which an entry's trials or probes of a part begin
+// later. The entries begin at different times, so that usually one of them sends one.
+func offset(key Key, entry string, number int, window clock.Millis) clock.Millis {
+	hash := xxhash.Sum64String(entry + "\x00" + key.Service + "\x00" + key.Text() + strconv.Itoa(number))
+	return clock.Millis(hash % uint64(window))
+}
+
+// countingEnds returns the number of ends since the newest release.
+func (r *suspectRecord) countingEnds() int {
+	n := 0
+	for _, end := range r.ends {
+		if r.counts(end) {
+			n++
+		}
+	}
+	return n
+}
+
+// counts reports whether an end is newer than the newest release.
+func (r *suspectRecord) counts(end endRecord) bool {
+	return r.released.number == 0 || end.at > r.released.at
+}
+
+// depth returns the position of the part in the prompts of its requests.
+func (r *suspectRecord) depth() int {
+	depth := 0
+	for _, end := range r.ends {
+		depth = max(depth, end.depth)
+	}
+	return depth
+}
+
+// nextProbe returns when the given entry may let the next probe of a part through.
+func (r *suspectRecord) nextProbe(key Key, entry string, entryCount int) clock.Millis {
+	interval := firstProbeDelay << min(r.probe.number, maxProbeDoublings)
+	window := clock.Millis(max(entryCount, 1)) * probeSpread
+	return max(r.newestEnd(), r.probe.at) + interval + offset(key, entry, r.probe.number, window)
+}
