control: send announcements to the leader in batches

Cause: a member forwarded each announcement that is not a mere refresh to the leader in a call of its own. Failed calls closed all idle connections, so that the next ones opened new ones.

Evidence: TestAnnouncementsReachTheLeaderInBatches with single calls: "calls that the leader received for 400 servers: got 400, want 1 to 40".

Change: announcements wait in roster.Queue, in which the newest one of a server replaces an older one where the list of servers comes out the same. A member sends them in batches of at most 500, one at a time and at most one each 50 ms, to the new path /v1/servers/batch. The leader applies a batch at once and returns the position of its departures. A departure is acknowledged after a second call, /v1/servers/in-force, that waits as before until all entries know the position and confirms the leader's term. A full queue refuses calls with 503. A leader that does not know the path gets single calls; calls of former members are served as before.

With departures acknowledged right after the batch, TestLeavingIsAcknowledgedOnceAllEntriesKnow fails.

--- a/control/control.go
+++ b/control/control.go
@@ -91,6 +91,7 @@
 	quarantine          *quarantine.Quarantine
 	compressor          documentCompressor
 	delegate            *delegate
+	forwarder           *announcementForwarder
 	changed             *changeNotifier // notified when the answers to watches have changed
 	reported            *changeNotifier // notified when an entry has reported what it knows
 	stopping            atomic.Bool
@@ -133,6 +134,7 @@
 	c.leaderTasks = newLeaderTasks(c)
 	c.placementController = newPlacementController(c)
 	c.delegate = newDelegate(c)
+	c.forwarder = newAnnouncementForwarder(c)
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
 	if err := c.openLog(); err != nil {
@@ -147,6 +149,7 @@
 	c.startTask(func() { c.maintainMembership(ctx) })
 	c.startTask(func() { c.serverRegistry.run(ctx) })
 	c.startTask(func() { c.delegate.run(ctx) })
+	c.startTask(func() { c.forwarder.run(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
 	return c, c.release, nil
 }
--- a/control/peers.go
+++ b/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -112,11 +113,23 @@
 	}
 	status := response.StatusCode()
 	if status >= fiber.StatusBadRequest {
-		return status, nil, errors.Errorf("calling %s%s: status %d: %s", address, path, status, slices.Clone(response.Body()))
+		return status, nil, statusError{address + path, status, string(response.Body())}
 	}
 	return status, slices.Clone(response.Body()), nil
 }
 
+// statusError is the error for a response with a status of 400 or more.
+type statusError struct {
+	target string // address and path
+	status int
+	body   string
+}
+
+// Error returns the error message.
+func (e statusError) Error() string {
+	return fmt.Sprintf("calling %s: status %d: %s", e.target, e.status, e.body)
+}
+
 // do sends a request. After a failure it closes all idle connections, because
 // they may be dead as well while new connections work.
 func (p *peerClient) do(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
--- a/control/server.go
+++ b/control/server.go
@@ -15,22 +15,24 @@
 
 // Paths of the control API.
 const (
-	pathConfiguration = "/v1/configuration"
-	pathChanges       = "/v1/configuration/changes"
-	pathHistory       = "/v1/configuration/history"
-	pathDiff          = "/v1/configuration/diff"
-	pathRenew         = "/v1/leases/renew"
-	pathAcquire       = "/v1/claims/acquire"
-	pathMarkSent      = "/v1/claims/send"
-	pathEndAttempt    = "/v1/claims/settle"
-	pathLookup        = "/v1/claims/lookup"
-	pathReplication   = "/v1/replication"
-	pathMembers       = "/v1/members"
-	pathJoin          = "/v1/members/join"
-	pathRemove        = "/v1/members/remove"
-	pathCatalog       = "/v1/catalog"
-	pathServers       = "/v1/servers"
-	pathWatch         = "/v1/watch"
+	pathConfiguration  = "/v1/configuration"
+	pathChanges        = "/v1/configuration/changes"
+	pathHistory        = "/v1/configuration/history"
+	pathDiff           = "/v1/configuration/diff"
+	pathRenew          = "/v1/leases/renew"
+	pathAcquire        = "/v1/claims/acquire"
+	pathMarkSent       = "/v1/claims/send"
+	pathEndAttempt     = "/v1/claims/settle"
+	pathLookup         = "/v1/claims/lookup"
+	pathReplication    = "/v1/replication"
+	pathMembers        = "/v1/members"
+	pathJoin           = "/v1/members/join"
+	pathRemove         = "/v1/members/remove"
+	pathCatalog        = "/v1/catalog"
+	pathServers        = "/v1/servers"
+	pathServerBatch    = "/v1/servers/batch"
+	pathServersInForce = "/v1/servers/in-force"
+	pathWatch          = "/v1/watch"
 )
 
 // headerForwarded marks a request that a member has forwarded to the leader.
@@ -74,6 +76,8 @@
 	app.Get(pathCatalog, c.requireToken(operatorsAndPeers, c.atLeader(c.getCatalog)))
 	app.Put(pathCatalog, c.requireToken(operatorsAndPeers, c.atLeader(c.putCatalog)))
 	app.Post(pathServers, c.requireToken(peersOnly, c.atLeader(c.postServers)))
+	app.Post(pathServerBatch, c.requireToken(peersOnly, c.atLeader(c.postServerBatch)))
+	app.Post(pathServersInForce, c.requireToken(peersOnly, c.atLeader(c.postServersInForce)))
 	app.Post(pathWatch, c.requireToken(peersOnly, c.postWatch))
 	return app
 }
--- a/control/servers.go
+++ b/control/servers.go
@@ -8,7 +8,6 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -22,9 +21,6 @@
 const (
 	// DefaultServerTimeout is three heartbeat intervals plus some slack.
 	DefaultServerTimeout = 4 * clock.Second
-	// announceTimeout bounds the forwarding of an announcement to the leader. It is
-	// short enough that the server can still try another member.
-	announceTimeout = 700 * clock.Millisecond
 	// silenceCheckInterval is how often the list is checked for silent servers.
 	silenceCheckInterval = 250 * clock.Millisecond
 )
@@ -121,10 +117,10 @@
 	return s.registry.ChangedSince(position), s.epoch, s.registry.LastChangeNumber()
 }
 
-// awaitDeparture returns nil once no entry sends requests to the given servers after
-// Options.DrainTime, and an error if some may.
-func (c *Control) awaitDeparture(servers []string) error {
-	position := c.serverRegistry.newestChange(servers)
+// awaitServers returns nil once no entry sends requests on the basis of a list of servers
+// older than the position after Options.DrainTime, and an error if some may. The servers are
+// those whose changes the caller awaits, for the log.
+func (c *Control) awaitServers(position propagation.Version, servers []string) error {
 	inForce := c.awaitPropagation(func(now clock.Millis) bool {
 		return c.propagation.serversInForce(now, position, c.options.DrainTime)
 	})
@@ -166,24 +162,6 @@
 	}
 }
 
-// Announce passes an announcement of a backend server to the leader. It returns
-// nil once the leader's server list contains the announcement and, if the server leaves,
-// once all entries know. Entries receive it in the responses to their watches. A heartbeat
-// without news is passed on later, together with others.
-func (c *Control) Announce(announcement roster.Announcement) error {
-	if c.delegate.acceptHeartbeat(announcement) {
-		return nil
-	}
-	data, err := encodeAnnouncements([]roster.Announcement{announcement})
-	if err != nil {
-		return err
-	}
-	_, err = c.runOnLeader(fasthttp.MethodPost, pathServers, data, announceTimeout, func() ([]byte, error) {
-		return nil, c.acknowledgeAnnouncements([]roster.Announcement{announcement})
-	})
-	return err
-}
-
 // acknowledgeAnnouncements applies announcements and returns nil when they may be
 // acknowledged. An acknowledged server that leaves gets no new requests.
 func (c *Control) acknowledgeAnnouncements(announcements []roster.Announcement) error {
@@ -191,7 +169,7 @@
 		return err
 	}
 	if leaving := departures(announcements); len(leaving) > 0 {
-		return c.awaitDeparture(leaving)
+		return c.awaitServers(c.serverRegistry.newestChange(leaving), leaving)
 	}
 	return nil
 }
