control: collect changes for longer when many watches wait

Cause: a watch that was waiting collected changes for 20 ms, whatever the number of watches, and one that arrived after a change was answered at once with that change alone. While changes follow each other, each entry asked again without a pause.

Change: propagation.CollectTime grows with the watches of a member so that it answers about 500 a second because of changes, from 20 ms up to a fifth of the time within which all entries are to know a change (the shortest of 600 ms, Options.ApplyTime and Options.DrainTime). Watches of members stay at 20 ms, as their entries wait for them. An entry that knows nothing of the leader's list is answered at once.

--- a/control/watch.go
+++ b/control/watch.go
@@ -7,6 +7,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
@@ -18,10 +19,6 @@
 	maxWatchWait = 2 * clock.Second
 	// entryTimeout is how long an entry counts as watching after its latest watch.
 	entryTimeout = 2 * clock.Second
-	// changeBatchInterval is the time for which further changes are collected before
-	// watches are answered. Without it, each of many servers that restart together would
-	// cost one answer to each entry.
-	changeBatchInterval = 20 * clock.Millisecond
 	// maxLoadsPerSecond bounds the loads that are sent to an entry and that a member reports:
 	// with many servers they are sent less often, so that bytes and processor time do not
 	// grow with the number of servers.
@@ -134,19 +131,25 @@
 	}
 	timeout, release := c.options.Clock.After(min(watch.MaxWait, maxWatchWait))
 	defer release()
+	collected := false
 	for {
 		changed := c.changed.nextChange()
 		response := c.watchResponse(watch, receivedAt)
 		awaitsConfirmation := !response.Granted && watch.AcceptsDelegation && response.Leader != "" && c.delegate.isNeeded()
-		if !response.Granted && !awaitsConfirmation || response.hasNews(watch) {
+		isFirst := response.Epoch != watch.Epoch // the entry knows nothing of this leader's list of servers
+		hasNews := response.hasNews(watch)
+		switch {
+		case !response.Granted && !awaitsConfirmation, hasNews && (isFirst || collected):
 			return c.withOtherEntries(watch, response)
+		case !hasNews:
+			select {
+			case <-changed:
+			case <-timeout:
+				return c.withOtherEntries(watch, c.watchResponse(watch, receivedAt))
+			}
 		}
-		select {
-		case <-changed:
-			c.collectChanges(timeout)
-		case <-timeout:
-			return c.withOtherEntries(watch, c.watchResponse(watch, receivedAt))
-		}
+		c.collectChanges(watch, timeout)
+		collected = true
 	}
 }
 
@@ -156,9 +159,14 @@
 	return r.Granted && (r.Document != nil || len(r.Servers) > 0 || r.Epoch != watch.Epoch)
 }
 
-// collectChanges waits for changeBatchInterval or until the timeout of a watch.
-func (c *Control) collectChanges(timeout <-chan struct{}) {
-	collected, release := c.options.Clock.After(changeBatchInterval)
+// collectChanges waits for further changes until they are to be sent, or until the timeout of
+// a watch. Members that watch for their own entries are few, and these entries wait for them.
+func (c *Control) collectChanges(watch WatchRequest, timeout <-chan struct{}) {
+	watches := 0
+	if watch.Delegate == nil {
+		watches = c.watchingEntries.watches(c.options.Clock.Now())
+	}
+	collected, release := c.options.Clock.After(propagation.CollectTime(watches, c.propagationTime()))
 	defer release()
 	select {
 	case <-collected:
@@ -166,6 +174,17 @@
 	}
 }
 
+// propagationTime returns the time within which all entries are to know a change.
+func (c *Control) propagationTime() clock.Millis {
+	shortest := propagationTimeout
+	for _, bound := range []clock.Millis{c.options.ApplyTime, c.options.DrainTime} {
+		if bound > 0 {
+			shortest = min(shortest, bound)
+		}
+	}
+	return shortest
+}
+
 // watchResponse builds the response to a watch that was received at the given time. It
 // reads the catalog first and checks the leader lease afterwards, so that the catalog in a
 // granted response was the newest one when it was read.
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -175,6 +175,19 @@
 	return n
 }
 
+// watches returns the number of entries that watch this member themselves.
+func (w *watchingEntries) watches(now clock.Millis) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, e := range w.entries {
+		if e.delegate == nil && e.isCurrent(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // delegates returns the members that watch this one, and this member itself, ordered by
 // address.
 func (w *watchingEntries) delegates(now clock.Millis, self delegation.Member) []delegation.Member {
