control: refuse announcements that would wait longer than their server

Callers saw: while the leader is slow, a server waits 700 ms at a member for nothing and only then asks another one.

Cause: a call waited for its batch whatever the pace of the batches before it.

Evidence: TestSlowLeaderRefusesAnnouncements on the former code: "announcement behind a late batch: got no answer, want a refusal at once".

Change: roster.Pace states the wait of an announcement from the time that the latest batch took, or that the one in progress has taken so far, and the number of batches before it. An announcement whose wait would exceed announceTimeout is refused with 503 at once.

--- a/control/announcements.go
+++ b/control/announcements.go
@@ -39,19 +39,22 @@
 
 	mu    sync.Mutex
 	queue *roster.Queue
+	pace  roster.Pace
 }
 
 func newAnnouncementForwarder(c *Control) *announcementForwarder {
-	return &announcementForwarder{control: c, filled: make(chan struct{}, 1), queue: roster.NewQueue(maxQueuedAnnouncements)}
+	return &announcementForwarder{
+		control: c, filled: make(chan struct{}, 1),
+		queue: roster.NewQueue(maxQueuedAnnouncements), pace: roster.NewPace(batchInterval),
+	}
 }
 
-// forward returns nil once the leader has acknowledged the announcement.
+// forward returns nil once the leader has acknowledged the announcement. It returns an error
+// at once if that would take too long.
 func (s *announcementForwarder) forward(a roster.Announcement) error {
-	s.mu.Lock()
-	delivery, ok := s.queue.Add(a)
-	s.mu.Unlock()
+	delivery, ok := s.add(a)
 	if !ok {
-		return notRunError("too many announcements wait for the leader")
+		return notRunError("too many announcements wait for the leader, or it is slow")
 	}
 	select {
 	case s.filled <- struct{}{}:
@@ -67,6 +70,35 @@
 	}
 }
 
+// add adds an announcement to the queue. It returns false if the queue is full or its server
+// would not wait for the acknowledgement.
+func (s *announcementForwarder) add(a roster.Announcement) (*roster.Delivery, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pace.Wait(s.control.options.Clock.Now(), s.queue.Len()/maxBatch) > announceTimeout {
+		return nil, false
+	}
+	return s.queue.Add(a)
+}
+
+// take removes a batch from the queue and records that it is sent.
+func (s *announcementForwarder) take() []*roster.Delivery {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := s.queue.Take(maxBatch)
+	if len(batch) > 0 {
+		s.pace = s.pace.WithStart(s.control.options.Clock.Now())
+	}
+	return batch
+}
+
+// batchEnded records that the batch in progress has ended.
+func (s *announcementForwarder) batchEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = s.pace.WithEnd(s.control.options.Clock.Now())
+}
+
 // run sends batches until ctx ends.
 func (s *announcementForwarder) run(ctx context.Context) {
 	for {
@@ -86,13 +118,12 @@
 // sendBatch sends the announcements that wait, up to maxBatch, and reports whether there were
 // any.
 func (s *announcementForwarder) sendBatch() bool {
-	s.mu.Lock()
-	batch := s.queue.Take(maxBatch)
-	s.mu.Unlock()
+	batch := s.take()
 	if len(batch) == 0 {
 		return false
 	}
 	position, err := s.deliver(lo.Map(batch, func(d *roster.Delivery, _ int) roster.Announcement { return d.Announcement() }))
+	s.batchEnded()
 	if isUnknownPath(err) { // the leader is of a former build
 		s.sendSingly(batch)
 		return true
--- a/control/announcements_test.go
+++ b/control/announcements_test.go
@@ -148,3 +148,43 @@
 		t.Errorf("position %s of a batch without entries: got status %d %s, want 204", position, status, body)
 	}
 }
+
+// Guards against servers that wait in vain for a leader that does not answer, in place of
+// asking another member: once a batch has been in progress for long, calls are refused at once.
+func TestSlowLeaderRefusesAnnouncements(t *testing.T) {
+	received, held := make(chan struct{}, 10), make(chan struct{})
+	leader := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		received <- struct{}{}
+		<-held
+	}))
+	t.Cleanup(leader.Close)
+	t.Cleanup(func() { close(held) })
+	l := &fakeLog{status: replica.Status{Role: replica.Follower, Term: 1, Leader: strings.TrimPrefix(leader.URL, "http://"), Founded: true}}
+	c, manual := clock.NewManual(1)
+	member, release, err := control.New(control.Options{
+		Name: "c1", Listen: "127.0.0.1:0", Folder: t.TempDir(), Clock: c, Logger: event.Discard(),
+		OpenLog: func(replica.Options) (control.Log, func(), error) { return l, func() {}, nil },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
+	announce := func(number int) <-chan error {
+		result := make(chan error, 1)
+		go func() { result <- member.Announce(servingServer(number)) }()
+		return result
+	}
+	first := announce(1)
+	<-received
+	manual.Advance(660 * clock.Millisecond)
+	timeout, stop := clock.New().After(5 * clock.Second)
+	defer stop()
+	select {
+	case err := <-announce(2):
+		if err == nil || len(first) > 0 {
+			t.Errorf("announcement behind a late batch: got %v, want a refusal before the batch ends", err)
+		}
+	case <-timeout:
+		t.Error("announcement behind a late batch: got no answer, want a refusal at once")
+	}
+}
