--- a/roster/pace_test.go
+++ b/roster/pace_test.go
@@ -24,18 +24,13 @@
 		if arrival >= batchTime {
 			p = p.WithEnd(start + batchTime)
 		}
-		acknowledgedAt := clock.Millis(0)
-		for at, batch := start+batchTime, 0; ; at++ {
-			nextMayStart := at >= start+clock.Millis(batch+1)*(batchTime+interval) && at >= now
-			if !nextMayStart {
-				continue
-			}
-			batch++
-			if batch > queued {
-				acknowledgedAt = at + batchTime
-				break
+		at := start
+		for batch := 0; batch <= queued; at++ {
+			if at >= start+clock.Millis(batch+1)*(batchTime+interval) && at >= now {
+				batch++
 			}
 		}
+		acknowledgedAt := at - 1 + batchTime
 		if arrival >= batchTime+interval {
 			queued = 0 // nothing waits while no batch is in progress
 			acknowledgedAt = now + batchTime
