--- a/control/watcher.go
+++ b/control/watcher.go
@@ -19,6 +19,10 @@
 
 // Timeouts of a watcher.
 const (
+	// longPollWait is how long a member waits for changes before it answers a
+	// watch. Each granted response renews the entry's lease, so this sets how
+	// often the lease is renewed.
+	longPollWait = 200 * clock.Millisecond
 	// watchTimeoutMargin is added to the longest wait to get the timeout of a watch
 	// request.
 	watchTimeoutMargin = 500 * clock.Millisecond
@@ -63,7 +67,7 @@
 	EntryCount   int
 	Acknowledged uint64 // see WatchRequest
 	Heartbeats   []roster.Announcement
-	MaxWait      clock.Millis // delegation.WatchWait when 0
+	MaxWait      clock.Millis // longPollWait when 0
 
 	AcknowledgedRevision uint64 // see WatchRequest
 }
@@ -78,7 +82,6 @@
 	leaderAddress   string       // address of the leader; empty when unknown
 	memberIndex     int          // index of the next member to ask, modulo the number of known members
 	delegates       delegates    // members that answer on behalf of the leader
-	entryCount      int          // number of entries from the latest granted response
 	request         WatchRequest // the next request
 	confirmedSource string       // address that sent the latest granted response; empty after a failure
 	quarantine      quarantineExchange
@@ -150,7 +153,6 @@
 	// A member that is behind another one must not make the entry receive changes again.
 	w.request.Position = max(w.request.Position, response.Position)
 	w.request.Revision = max(w.request.Revision, response.Revision)
-	w.entryCount = response.EntryCount
 	if w.options.Delegate == nil {
 		w.delegates.set(w.options.Clock.Now(), response.Delegates)
 	}
@@ -187,7 +189,7 @@
 	request.LoadsKept = report.LoadsKept
 	request.EntryCount, request.Acknowledged, request.AcknowledgedRevision = report.EntryCount, report.Acknowledged, report.AcknowledgedRevision
 	request.Revision = max(request.Revision, report.Revision)
-	request.MaxWait = lo.CoalesceOrEmpty(report.MaxWait, delegation.WatchWait(w.entryCount, len(w.delegates.members)))
+	request.MaxWait = lo.Ternary(report.MaxWait > 0, report.MaxWait, longPollWait)
 	w.quarantine.fill(w.options.Clock.Now(), &request)
 	data, err := encodeWatch(request)
 	if err != nil {
