--- a/control/announcements.go
+++ b/control/announcements.go
@@ -124,7 +124,7 @@
 	}
 	position, err := s.deliver(lo.Map(batch, func(d *roster.Delivery, _ int) roster.Announcement { return d.Announcement() }))
 	s.batchEnded()
-	if isUnknownPath(err) { // the leader is of a former build
+	if isRefusedAsBatch(err) {
 		s.sendSingly(batch)
 		return true
 	}
@@ -145,10 +145,11 @@
 	}
 }
 
-// isUnknownPath reports whether a call failed because the other process does not know its path.
-func isUnknownPath(err error) bool {
+// isRefusedAsBatch reports whether the leader does not take announcements as a batch: it is of
+// a former build and does not know the path, or it refuses one of them.
+func isRefusedAsBatch(err error) bool {
 	var response statusError
-	return errors.As(err, &response) && response.status == fiber.StatusNotFound
+	return errors.As(err, &response) && (response.status == fiber.StatusNotFound || response.status == fiber.StatusBadRequest)
 }
 
 // deliver applies announcements at the leader, and returns the position of the newest change
@@ -192,6 +193,10 @@
 // once all entries know. Entries receive it in the responses to their watches. A heartbeat
 // without news is passed on later, together with others.
 func (c *Control) Announce(announcement roster.Announcement) error {
+	if err := announcement.Validate(); err != nil {
+		c.RefuseAnnouncement(err)
+		return invalidError(fiber.StatusBadRequest, err)
+	}
 	if c.delegate.acceptHeartbeat(announcement) {
 		return nil
 	}
@@ -227,7 +232,10 @@
 }
 
 func (c *Control) postServerBatch(f fiber.Ctx) error {
-	announcements, err := decodeAnnouncements(f.Body())
+	announcements, refused, err := decodeAnnouncements(f.Body())
+	if err == nil {
+		err = refused.Cause // the member sends each in a call of its own, so that the others count
+	}
 	if err != nil {
 		return invalidError(fiber.StatusBadRequest, err)
 	}
--- a/control/announcements_test.go
+++ b/control/announcements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -76,40 +77,43 @@
 	})
 }
 
-// Guards against announcements that are lost while the leader is of a build that accepts no
-// batches: each of them then reaches it in a call of its own.
-func TestAnnouncementsToLeaderOfFormerBuild(t *testing.T) {
-	var received sync.Map
-	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/v1/servers" {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		body := make([]byte, r.ContentLength)
-		_, _ = r.Body.Read(body)
-		received.Store(string(body), true)
-		w.WriteHeader(http.StatusNoContent)
-	}))
-	t.Cleanup(leader.Close)
-	l := &fakeLog{status: replica.Status{Role: replica.Follower, Term: 1, Leader: strings.TrimPrefix(leader.URL, "http://"), Founded: true}}
-	member := startMember(t, control.Options{Name: "c1", Listen: "127.0.0.1:0", OpenLog: func(replica.Options) (control.Log, func(), error) {
-		return l, func() {}, nil
-	}})
-	announcements := []roster.Announcement{servingServer(1), servingServer(2).WithState(roster.Leaving), {Server: "s3", State: roster.Gone}}
-	var wait sync.WaitGroup
-	for _, a := range announcements {
-		wait.Go(func() {
-			if err := member.Announce(a); err != nil {
-				t.Errorf("announcement of %s: got %v, want an acknowledgement", a.Server, err)
+// Guards against announcements that are lost because the leader is of a build that accepts no
+// batches, or refuses one of them: each of them then reaches it in a call of its own.
+func TestAnnouncementsThatLeaderRefusesAsBatch(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusBadRequest} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			var received sync.Map
+			leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/v1/servers" {
+					w.WriteHeader(status)
+					return
+				}
+				body, _ := io.ReadAll(r.Body)
+				received.Store(string(body), true)
+				w.WriteHeader(http.StatusNoContent)
+			}))
+			t.Cleanup(leader.Close)
+			l := &fakeLog{status: replica.Status{Role: replica.Follower, Term: 1, Leader: strings.TrimPrefix(leader.URL, "http://"), Founded: true}}
+			member := startMember(t, control.Options{Name: "c1", Listen: "127.0.0.1:0", OpenLog: func(replica.Options) (control.Log, func(), error) {
+				return l, func() {}, nil
+			}})
+			announcements := []roster.Announcement{servingServer(1), servingServer(2).WithState(roster.Leaving), {Server: "s3", State: roster.Gone}}
+			var wait sync.WaitGroup
+			for _, a := range announcements {
+				wait.Go(func() {
+					if err := member.Announce(a); err != nil {
+						t.Errorf("announcement of %s: got %v, want an acknowledgement", a.Server, err)
+					}
+				})
+			}
+			wait.Wait()
+			count := 0
+			received.Range(func(any, any) bool { count++; return true })
+			if want := len(announcements); count != want {
+				t.Errorf("single announcements at the leader: got %d, want %d", count, want)
 			}
 		})
 	}
-	wait.Wait()
-	count := 0
-	received.Range(func(any, any) bool { count++; return true })
-	if want := len(announcements); count != want {
-		t.Errorf("single announcements at the leader: got %d, want %d", count, want)
-	}
 }
 
 // Guards against a leader that no longer takes the calls of members of a former build, and
@@ -133,6 +137,7 @@
 		{"leaving of a former member", "/v1/servers", leaving, 204},
 		{"batch", "/v1/servers/batch", leaving, 200},
 		{"batch that cannot be decoded", "/v1/servers/batch", "{", 400},
+		{"batch with a server that is of no use", "/v1/servers/batch", `[{"server":"odd"},` + leaving[1:], 400},
 		{"changes of a former leader", "/v1/servers/in-force", `{"term":0,"position":1}`, 503},
 		{"changes of a later leader", "/v1/servers/in-force", `{"term":1000,"position":1}`, 503},
 		{"position that cannot be decoded", "/v1/servers/in-force", "{", 400},
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
@@ -32,8 +33,15 @@
 	// promptPartRetention is how long a server is assumed to keep a prompt part cached.
 	// Gone servers are remembered for the same time.
 	promptPartRetention = 60 * clock.Second
+	// recordOrderRetention is how long the record of a server that is silent or gone keeps
+	// older ones out. Members that answer on behalf of the leader are behind one another for
+	// less than a lease; package roster accepts an older announcement only after a minute.
+	recordOrderRetention = 30 * clock.Second
 )
 
+// maxEntries bounds the number of entries that an update reports. The number multiplies times.
+const maxEntries = 100_000
+
 // fleet holds the backend servers and what is known about them. Methods that
 // other types call acquire the lock; for the others, the caller must hold it.
 type fleet struct {
@@ -46,6 +54,7 @@
 	serverListEpoch   uint64           // identifies the control leader's server list; another value means a new list
 	serverListEpochAt clock.Millis     // when this relay received the first update of that list
 	entryCount        int              // number of entries, this one included
+	endChecks         *quarantine.EndChecks
 }
 
 // pool is the state of a service that concerns all of its servers together.
@@ -56,8 +65,11 @@
 	waits                 *forecast.Waits
 }
 
-func newFleet(zone string, c clock.Clock) *fleet {
-	return &fleet{zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entryCount: assumedEntries}
+func newFleet(zone string, c clock.Clock, logger event.Logger) *fleet {
+	return &fleet{
+		zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entryCount: assumedEntries,
+		endChecks: quarantine.NewEndChecks(c, logServerEnd(logger)),
+	}
 }
 
 func (f *fleet) setCatalog(c catalog.Catalog) {
@@ -73,6 +85,19 @@
 	return f.entryCount
 }
 
+// serverCounts returns the number of servers of each service that serve.
+func (f *fleet) serverCounts() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := map[string]int{}
+	for _, s := range f.servers {
+		if s.record.State == roster.Serving {
+			counts[s.record.Service]++
+		}
+	}
+	return counts
+}
+
 // pool returns the state of a service. The caller holds the lock.
 func (f *fleet) pool(service string) *pool {
 	p, ok := f.pools[service]
@@ -87,7 +112,7 @@
 func (f *fleet) applyUpdate(now clock.Millis, update control.WatchResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entryCount = max(update.EntryCount, 1)
+	f.entryCount = min(max(update.EntryCount, 1), maxEntries)
 	if update.Epoch != f.serverListEpoch {
 		f.serverListEpoch, f.serverListEpochAt = update.Epoch, now
 		for _, s := range f.servers {
@@ -162,13 +187,25 @@
 		r.Announcement = known.record.WithState(roster.Gone)
 	}
 	previous := known.record
-	if r.StartedAt < previous.StartedAt || r.StartedAt == previous.StartedAt && resumesServing(previous, r) {
+	if known.outranks(now, r) {
 		return
 	}
-	if r.StartedAt > previous.StartedAt || r.Address != previous.Address {
+	if r.StartedAt != previous.StartedAt || r.Address != previous.Address {
 		f.resetServer(known)
 	}
 	known.record, known.listedByLeader, known.listedAt = r, true, now
+	if r.State != roster.Gone {
+		f.endChecks.ServerAnnounced(known.run(), r.Address)
+	}
+}
+
+// outranks reports whether a record must be ignored, because the known one is from a later
+// time. It no longer is once the control leader accepts older announcements again.
+func (s *server) outranks(now clock.Millis, r roster.Record) bool {
+	if (s.record.Silent || s.record.State == roster.Gone) && now-s.listedAt >= recordOrderRetention {
+		return false
+	}
+	return r.StartedAt < s.record.StartedAt || r.StartedAt == s.record.StartedAt && resumesServing(s.record, r)
 }
 
 // resumesServing reports whether a record would make a server take requests again that has
@@ -279,7 +316,7 @@
 	if req.affinityPartID != "" {
 		s.promptPartChosenAt[req.affinityPartID] = now
 	}
-	a.run = quarantine.ServerRun{Server: s.record.Server, StartedAt: s.record.StartedAt}
+	a.run = s.run()
 	s.attempts[a] = struct{}{}
 	s.unprocessedTokens += a.uncachedTokens
 	a.decodeCost = req.decodeCost
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -1,11 +1,19 @@
 package roster
 
 import (
-	"net/netip"
-
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/endpoint"
+)
+
+// Limits of an announcement. Any process may send one, and it is passed on to all entries.
+const (
+	maxTextBytes = 128 // of a service and an availability zone
+	maxSlots     = 1 << 16
+	maxWarmUp    = 24 * clock.Hour
+	maxStart     = 1 << 42 // Unix time in ms, in the year 2109
+	maxSequence  = 1 << 62 // above the present time in nanoseconds
 )
 
 // State is the state of a server, as it announces it.
@@ -40,19 +48,28 @@
 	return a
 }
 
-// Validate returns an error if the announcement does not describe a usable server.
+// Validate returns an error if the announcement does not describe a usable server. The
+// departure of a server needs nothing but its name.
 func (a Announcement) Validate() error {
-	if a.Server == "" || a.Service == "" {
-		return errors.Errorf("an announcement needs server and service, got %q and %q", a.Server, a.Service)
-	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return errors.Errorf("server %q: address %q is not an IP number with a port", a.Server, a.Address)
+	if !endpoint.ValidName(a.Server) {
+		return errors.Errorf("server %.60q: a name has 1 to %d visible ASCII characters", a.Server, endpoint.MaxNameBytes)
 	}
-	if a.State != Serving && a.State != Leaving && a.State != Gone {
-		return errors.Errorf("server %q: state %q is unknown", a.Server, a.State)
+	switch {
+	case a.State == Gone:
+		return nil
+	case a.State != Serving && a.State != Leaving:
+		return errors.Errorf("server %q: state %.60q is unknown", a.Server, a.State)
+	case a.Service == "" || len(a.Service) > maxTextBytes || len(a.AvailabilityZone) > maxTextBytes:
+		return errors.Errorf("server %q: service %.60q or availability zone %.60q is empty or too long", a.Server, a.Service, a.AvailabilityZone)
+	case a.Slots < 0 || a.Slots > maxSlots:
+		return errors.Errorf("server %q: %d slots: want 0 to %d", a.Server, a.Slots, maxSlots)
+	case a.WarmupLeft < 0 || a.WarmupLeft > maxWarmUp:
+		return errors.Errorf("server %q: cold time %d ms: want 0 to %d", a.Server, a.WarmupLeft, maxWarmUp)
+	case a.StartedAt < 0 || a.StartedAt > maxStart || a.Sequence > maxSequence:
+		return errors.Errorf("server %q: start %d or sequence %d is out of range", a.Server, a.StartedAt, a.Sequence)
 	}
-	if a.Slots < 0 || a.WarmupLeft < 0 || a.StartedAt < 0 {
-		return errors.Errorf("server %q: slots %d, cold time %d ms or start %d is negative", a.Server, a.Slots, a.WarmupLeft, a.StartedAt)
+	if err := endpoint.Validate(a.Address); err != nil {
+		return errors.Wrapf(err, "server %q", a.Server)
 	}
 	return nil
 }
