--- a/commands/quarantine.go
+++ b/commands/quarantine.go
@@ -18,25 +18,31 @@
 func newQuarantine() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "quarantine",
-		Short: "Show and lift the quarantine of parts of prompts under which servers ended",
+		Short: "Show and lift the quarantine of requests and parts of prompts under which servers ended",
 	}
 	c.AddCommand(newQuarantineList(), newQuarantineRelease())
 	return c
 }
 
-// suspectView is a suspect part in the state dump of a relay and in the output.
+// suspectView is a suspect part or request in the state dump of a relay and in the output.
 type suspectView struct {
 	Service     string   `json:"service"`
 	Part        string   `json:"part"`
 	Quarantined bool     `json:"quarantined"`
 	Servers     []string `json:"servers"`
 	Answers     int      `json:"answers"`
+	Score       float64  `json:"score"`
+	Required    float64  `json:"required_score"`
 }
 
 func newQuarantineList() *cobra.Command {
 	c := &cobra.Command{
 		Use:     "list ADDRESS",
-		Short:   "List the parts under which servers ended, as the relay at a state address knows them",
+		Short:   "List the requests and parts under which servers ended, as the relay at a state address knows them",
+		Long: `List the requests ("request:DIGEST") and parts of prompts under which servers
+ended, as the relay at a state address knows them. The score is the weight of the
+ends that came one after another, against the score for a quarantine; answers
+counts the requests that did not end their servers.`,
 		Example: "  galenaslip quarantine list 127.0.0.1:8092",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -45,8 +51,8 @@
 				return err
 			}
 			for _, s := range suspects {
-				fmt.Fprintf(c.OutOrStdout(), "%s %s quarantined=%s answers=%d servers=%s\n",
-					s.Service, s.Part, strconv.FormatBool(s.Quarantined), s.Answers, strings.Join(s.Servers, ","))
+				fmt.Fprintf(c.OutOrStdout(), "%s %s quarantined=%s score=%.2f/%.0f answers=%d servers=%s\n",
+					s.Service, s.Part, strconv.FormatBool(s.Quarantined), s.Score, s.Required, s.Answers, strings.Join(s.Servers, ","))
 			}
 			return nil
 		},
@@ -75,10 +81,11 @@
 func newQuarantineRelease() *cobra.Command {
 	return &cobra.Command{
 		Use:   "release ADDRESS SERVICE PART",
-		Short: "Lift the quarantine of a part at all relays",
-		Long: `Lift the quarantine of a part at all relays. ADDRESS is the state address of any
-of them; the others follow within about a second. Servers that ended before no
-longer count against the part. It is quarantined again if further servers end.`,
+		Short: "Lift the quarantine of a request or a part at all relays",
+		Long: `Lift the quarantine of a part, or of a request that the list shows as
+"request:DIGEST", at all relays. ADDRESS is the state address of any of them; the
+others follow within about a second. Servers that ended before no longer count
+against it. It is quarantined again if further servers end.`,
 		Example: "  galenaslip quarantine release 127.0.0.1:8092 model-pool 5c1e07a2",
 		Args:    cobra.ExactArgs(3),
 		RunE: func(_ *cobra.Command, args []string) error {
--- a/commands/quarantine_test.go
+++ b/commands/quarantine_test.go
@@ -17,7 +17,7 @@
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case "/debug/state":
-			ctx.SetBodyString(`{"suspects":[{"service":"s","part":"a/b","quarantined":true,"servers":["i-1","i-2"],"answers":0}]}`)
+			ctx.SetBodyString(`{"suspects":[{"service":"s","part":"a/b","quarantined":true,"servers":["i-1","i-2"],"answers":0,"score":2.5,"required_score":3}]}`)
 		case "/debug/quarantine/release":
 			part := string(ctx.QueryArgs().Peek("part"))
 			released = append(released, string(ctx.Method())+" "+string(ctx.QueryArgs().Peek("service"))+" "+part)
@@ -36,7 +36,7 @@
 	}
 	eventually(t, "the server to listen", func() bool { _, code := run("list", address); return code == 0 })
 	out, _ := run("list", address)
-	if want := "s a/b quarantined=true answers=0 servers=i-1,i-2\n"; out != want {
+	if want := "s a/b quarantined=true score=2.50/3 answers=0 servers=i-1,i-2\n"; out != want {
 		t.Errorf("list: got %q, want %q", out, want)
 	}
 	if _, code := run("release", address, "s", "a/b"); code != 0 {
