--- a/commands/quarantine.go
+++ b/commands/quarantine.go
@@ -37,8 +37,8 @@
 
 func newQuarantineList() *cobra.Command {
 	c := &cobra.Command{
-		Use:     "list ADDRESS",
-		Short:   "List the requests and parts under which servers ended, as the relay at a state address knows them",
+		Use:   "list ADDRESS",
+		Short: "List the requests and parts under which servers ended, as the relay at a state address knows them",
 		Long: `List the requests ("request:DIGEST") and parts of prompts under which servers
 ended, as the relay at a state address knows them. The score is the weight of the
 ends that came one after another, against the score for a quarantine; answers
