--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -49,22 +49,21 @@
 	Trials    []wireCount       `json:"trials,omitempty"`
 	Probes    []wireCount       `json:"probes,omitempty"`
 	Releases  []wireCount       `json:"releases,omitempty"`
+	// Requests has the records of whole requests. Former builds ignore it; they would take these
+	// records for those of parts.
+	Requests *wireQuarantine `json:"requests,omitempty"`
 }
 
-// wireKey is the JSON form of quarantine.Key. Former builds know keys of parts only: they take
-// the digest of a request for the ID of a part, which no prompt has.
+// wireKey is the JSON form of quarantine.Key. Its kind follows from the list that it stands in.
 type wireKey struct {
 	Service string `json:"s"`
 	ID      string `json:"p"`
-	Request bool   `json:"whole,omitempty"`
 }
 
-func toWireKey(k quarantine.Key) wireKey {
-	return wireKey{Service: k.Service, ID: k.ID, Request: k.Kind == quarantine.KindRequest}
-}
+func toWireKey(k quarantine.Key) wireKey { return wireKey{Service: k.Service, ID: k.ID} }
 
-func (w wireKey) toKey() quarantine.Key {
-	if w.Request {
+func (w wireKey) toKey(kind quarantine.Kind) quarantine.Key {
+	if kind == quarantine.KindRequest {
 		return quarantine.NewRequestKey(w.Service, w.ID)
 	}
 	return quarantine.NewKey(w.Service, w.ID)
@@ -112,6 +111,16 @@
 	if r.IsEmpty() {
 		return nil
 	}
+	parts, requests := r.Split()
+	wire := toWireRecords(parts)
+	if !requests.IsEmpty() {
+		wire.Requests = toWireRecords(requests)
+	}
+	return wire
+}
+
+// toWireRecords returns the JSON form of records of one kind.
+func toWireRecords(r quarantine.Report) *wireQuarantine {
 	return &wireQuarantine{
 		Ends: lo.Map(r.Ends, func(e quarantine.End, _ int) wireEnd {
 			return wireEnd{
@@ -141,10 +150,19 @@
 	if w == nil {
 		return quarantine.Report{}
 	}
+	r := w.toRecords(quarantine.KindPart)
+	if w.Requests != nil {
+		r = r.With(w.Requests.toRecords(quarantine.KindRequest))
+	}
+	return r
+}
+
+// toRecords returns the records of one kind, without those of the nested list.
+func (w *wireQuarantine) toRecords(kind quarantine.Kind) quarantine.Report {
 	return quarantine.Report{
 		Ends: lo.Map(w.Ends, func(e wireEnd, _ int) quarantine.End {
 			return quarantine.End{
-				Key: e.toKey(), ServerRun: quarantine.ServerRun{Server: e.Server, StartedAt: e.StartedAt},
+				Key: e.toKey(kind), ServerRun: quarantine.ServerRun{Server: e.Server, StartedAt: e.StartedAt},
 				Depth: e.Depth, Begun: !e.Waiting, Repeated: e.Repeated, Trial: e.Trial,
 				Request: e.Request, Several: e.Several, AtServer: e.AtServer, Age: e.Age,
 			}
@@ -155,16 +173,16 @@
 			}
 		}),
 		Survivals: lo.Map(w.Survivals, func(v wireSurvivals, _ int) quarantine.Survivals {
-			return quarantine.Survivals{Key: v.toKey(), Entry: v.Entry, Count: v.Count}
+			return quarantine.Survivals{Key: v.toKey(kind), Entry: v.Entry, Count: v.Count}
 		}),
 		Trials: lo.Map(w.Trials, func(c wireCount, _ int) quarantine.Trial {
-			return quarantine.Trial{Key: c.toKey(), Number: c.Number, Age: c.Age}
+			return quarantine.Trial{Key: c.toKey(kind), Number: c.Number, Age: c.Age}
 		}),
 		Probes: lo.Map(w.Probes, func(c wireCount, _ int) quarantine.Probe {
-			return quarantine.Probe{Key: c.toKey(), Number: c.Number, Age: c.Age}
+			return quarantine.Probe{Key: c.toKey(kind), Number: c.Number, Age: c.Age}
 		}),
 		Releases: lo.Map(w.Releases, func(c wireCount, _ int) quarantine.Release {
-			return quarantine.Release{Key: c.toKey(), Number: c.Number, Age: c.Age}
+			return quarantine.Release{Key: c.toKey(kind), Number: c.Number, Age: c.Age}
 		}),
 	}
 }
--- /dev/null
+++ b/quarantine/deadly_test.go
@@ -0,0 +1,106 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/quarantine"
+)
+
+// maxDeadlySends is how often a deadly request may be sent in a minute: three ends make it
+// certain, and three more may come from trials and probes.
+const maxDeadlySends = 6
+
+// countDeadlySends returns how often a request that ends each server before its answer begins is
+// sent when it comes again each second for a minute. It calls beside after each end and once
+// between two requests.
+func countDeadlySends(q *quarantine.Quarantine, beside func(now clock.Millis, ended quarantine.ServerRun)) int {
+	q.SetServerCounts(map[string]int{service: 200})
+	s := withDigest(quarantine.Subject{Service: service}, "0123456789abcdef0123456789abcdef")
+	sent := 0
+	for second := range 60 {
+		now := clock.Millis(second+1) * clock.Second
+		v := q.Check(now, s, 4)
+		if v.Refused || v.Pending {
+			continue
+		}
+		sent++
+		loss := quarantine.Loss{At: now, Sent: now - 100}
+		if v.Trial {
+			loss.Tried = v.Part
+			q.BeginTrial(now, v.Part)
+		}
+		q.RecordEnd(s, run(sent), loss)
+		beside(now, run(sent))
+	}
+	return sent
+}
+
+// Guards against a request that ends server after server before its answer begins and is never
+// found, because each server had just begun to answer a sound request too.
+func TestDeadlyRequestIsFoundBesideBegunAnswers(t *testing.T) {
+	q := newQuarantine("entry")
+	sound := 0
+	sent := countDeadlySends(q, func(now clock.Millis, ended quarantine.ServerRun) {
+		sound++
+		s := withDigest(subject("system", fmt.Sprint("session-", sound)), fmt.Sprintf("%08d", sound))
+		q.RecordEnd(s, ended, quarantine.Loss{At: now, Sent: now - 300, Begun: true, Answering: 200})
+	})
+	if sent > maxDeadlySends {
+		t.Errorf("deadly request sent: got %d times, want at most %d", sent, maxDeadlySends)
+	}
+}
+
+// Guards against a deadly request that is never found during a rolling upgrade: a control member
+// of the former build returns the records of requests as records of parts with a begun answer.
+func TestDeadlyRequestIsFoundBehindFormerBuild(t *testing.T) {
+	q := newQuarantine("entry")
+	sent := countDeadlySends(q, func(now clock.Millis, _ quarantine.ServerRun) {
+		report, _ := q.Report(now, quarantine.Position{})
+		var returned quarantine.Report
+		for _, e := range report.Ends {
+			returned.Ends = append(returned.Ends, quarantine.End{
+				Key: quarantine.NewKey(e.Service, e.ID), ServerRun: e.ServerRun, Depth: e.Depth, Begun: true, Age: e.Age,
+			})
+		}
+		q.Merge(now, returned)
+	})
+	if sent > maxDeadlySends {
+		t.Errorf("deadly request sent: got %d times, want at most %d", sent, maxDeadlySends)
+	}
+}
+
+// Guards against the evidence against a deadly request that is displaced before its second end by
+// the requests that waited at other servers that ended.
+func TestDeadlyRequestIsFoundBesideBursts(t *testing.T) {
+	q := newQuarantine("entry")
+	burst := 0
+	sent := countDeadlySends(q, func(now clock.Millis, _ quarantine.ServerRun) {
+		burst++
+		var report quarantine.Report
+		for i := range 300 {
+			key := quarantine.NewRequestKey(service, fmt.Sprintf("%04d-%04d", burst, i))
+			report.Ends = append(report.Ends, quarantine.End{Key: key, ServerRun: run(1000 + burst*10 + i%10), AtServer: 100})
+		}
+		q.Merge(now+500, report)
+	})
+	if sent > maxDeadlySends {
+		t.Errorf("deadly request sent: got %d times, want at most %d", sent, maxDeadlySends)
+	}
+}
+
+// Guards against a reset connection that is taken for the end of its server because the server is
+// started again long after, for example in a rolling restart.
+func TestLateRestartIsNoEndOfAnEarlierLoss(t *testing.T) {
+	c, manual := clock.NewManual(0)
+	checks := quarantine.NewEndChecks(c, func(quarantine.ServerRun, int) {})
+	ended := 0
+	listens := func() quarantine.Listening { return quarantine.ListeningYes }
+	<-checks.ConnectionLost(quarantine.ServerRun{Server: "a", StartedAt: 1}, "address", listens, func() { ended++ })
+	manual.Advance(5 * clock.Minute)
+	checks.ServerAnnounced(quarantine.ServerRun{Server: "a", StartedAt: 2}, "address")
+	if got, want := ended, 0; got != want {
+		t.Errorf("lost requests told of an end: got %d, want %d", got, want)
+	}
+}
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -103,14 +104,10 @@
 // known returns what is known about a run. It returns nil if too many others are remembered.
 // The caller holds the lock.
 func (e *EndChecks) known(now clock.Millis, run ServerRun, address string) *endCheck {
-	for other, c := range e.checks {
-		if c.running == nil && now-c.lostAt > endCheckRetention {
-			delete(e.checks, other)
-		}
-	}
+	e.dropExpired(now)
 	c, ok := e.checks[run]
 	if !ok && len(e.checks) < maxEndChecks {
-		c = &endCheck{address: address}
+		c = &endCheck{address: address, lostAt: now}
 		e.checks[run] = c
 	}
 	return c
@@ -134,13 +131,35 @@
 func (e *EndChecks) ServerAnnounced(run ServerRun, address string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.clock.Now()
 	for former, c := range e.checks {
-		if c.address == address && former.StartedAt < run.StartedAt {
+		if c.address == address && former.StartedAt < run.StartedAt && now-c.lostAt <= endCheckRetention {
 			e.confirm(former, c)
 		}
 	}
 }
 
+// Forget drops what is known about a run of a server that leaves: it ends by its own decision.
+func (e *EndChecks) Forget(run ServerRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c, ok := e.checks[run]; ok && c.running == nil {
+		delete(e.checks, run)
+	}
+}
+
+// DropExpired drops what is known about runs under which no connection was lost lately.
+func (e *EndChecks) DropExpired() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dropExpired(e.clock.Now())
+}
+
+// dropExpired is DropExpired for callers that hold the lock.
+func (e *EndChecks) dropExpired(now clock.Millis) {
+	maps.DeleteFunc(e.checks, func(_ ServerRun, c *endCheck) bool { return c.running == nil && now-c.lostAt > endCheckRetention })
+}
+
 // confirm records that a run has ended. The caller holds the lock.
 func (e *EndChecks) confirm(run ServerRun, c *endCheck) {
 	if c.ended {
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -16,8 +16,8 @@
 	Refused bool
 	// Probe is set if the request is let through although Part is quarantined.
 	Probe bool
-	// Trial is set if the request is sent although Part is suspect, to find out whether this part
-	// ends servers. Others wait for the outcome. Of several suspect parts, Part is the last one
+	// Trial is set if the request is to be sent, after BeginTrial, although Part is suspect, to find
+	// out whether this part ends servers. Others wait for the outcome. Of several suspect parts, Part is the last one
 	// in the prompt, or the request itself: its trial says nothing about the others.
 	Trial bool
 	// Pending is set if the request must not be sent now, because a trial of Part or the
@@ -42,7 +42,7 @@
 	judged := q.judge(now)
 	var verdict Verdict
 	var probed []*suspectRecord
-	var tried *suspectRecord
+	tried := false
 	for _, key := range q.keys(s) {
 		record, ok := q.suspects[key]
 		if !ok || !judged.isSuspect(key, record) {
@@ -58,7 +58,7 @@
 		case judged.evidence[key].certain || now < record.nextTrial(key, q.entry):
 			verdict.Pending, verdict.RetryAfter = true, pendingRetryAfter
 		default:
-			tried = record
+			tried = true
 		}
 	}
 	if verdict.Pending {
@@ -68,14 +68,21 @@
 		record.probe = countRecord{number: record.probe.number + 1, at: now}
 		q.markChanged(record)
 	}
-	if tried != nil {
-		tried.trial = countRecord{number: tried.trial.number + 1, at: now}
-		q.markChanged(tried)
-	}
-	verdict.Probe, verdict.Trial = len(probed) > 0, tried != nil
+	verdict.Probe, verdict.Trial = len(probed) > 0, tried
 	return verdict
 }
 
+// BeginTrial records that a request for which Check has returned a trial of a part is sent. Until
+// then the trial does not count, because a request that finds no server tells nothing.
+func (q *Quarantine) BeginTrial(now clock.Millis, key Key) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if record, ok := q.suspects[key]; ok {
+		record.trial = countRecord{number: record.trial.number + 1, at: now}
+		q.markChanged(record)
+	}
+}
+
 // MayRepeat reports whether a request that lost its server may be sent to another one. A
 // request with a suspect part may not: it would probably take the next server down as well.
 func (q *Quarantine) MayRepeat(now clock.Millis, s Subject) bool {
@@ -181,7 +188,6 @@
 
 // judgeRecords returns what follows from the records. The caller holds the lock.
 func (q *Quarantine) judgeRecords(now clock.Millis) judgement {
-	q.begun = q.begunRuns()
 	j := judgement{quarantined: map[Key]bool{}, evidence: map[Key]evidence{}, until: q.nextSettled(now)}
 	explained := map[ServerRun]bool{}
 	for {
@@ -196,6 +202,10 @@
 	}
 	unexplained, all := q.timelines(explained), q.timelines(nil)
 	for key, record := range q.suspects {
+		if len(record.ends) < minEnds-1 {
+			j.evidence[key] = evidence{ends: float64(len(record.ends))}
+			continue // most records are of requests that lost one server
+		}
 		if j.quarantined[key] {
 			j.evidence[key] = q.weigh(key, record, now, nil, all)
 			continue
@@ -211,20 +221,6 @@
 	return j
 }
 
-// begunRuns returns the runs of servers that ended just after they had begun to answer a request.
-// The caller holds the lock.
-func (q *Quarantine) begunRuns() map[ServerRun]bool {
-	begun := map[ServerRun]bool{}
-	for _, record := range q.suspects {
-		for run, end := range record.ends {
-			if end.begun {
-				begun[run] = true
-			}
-		}
-	}
-	return begun
-}
-
 // weigh returns the evidence against a part until a time. The caller holds the lock.
 func (q *Quarantine) weigh(key Key, record *suspectRecord, until clock.Millis, explained map[ServerRun]bool, timelines map[string]timeline) evidence {
 	ends := q.suspectEnds(key, record, until, explained)
@@ -246,7 +242,7 @@
 	var candidates []candidate
 	first := maxTime
 	for key, record := range q.suspects {
-		if quarantined[key] {
+		if quarantined[key] || len(record.ends) < minEnds {
 			continue
 		}
 		e := q.weigh(key, record, now-settleTime, explained, timelines)
@@ -263,12 +259,11 @@
 }
 
 // suspectEnds returns the ends until a time that count against the part and that no quarantined
-// part explains, in the order of time. A request that waited at its server does not count if the
-// server had just begun to answer another one. The caller holds the lock.
+// part explains, in the order of time. The caller holds the lock.
 func (q *Quarantine) suspectEnds(key Key, record *suspectRecord, until clock.Millis, explained map[ServerRun]bool) []suspectEnd {
 	var ends []suspectEnd
 	for run, end := range record.ends {
-		if end.at <= until && record.counts(end) && !explained[run] && (end.begun || !q.begun[run]) {
+		if end.at <= until && record.counts(end) && !explained[run] {
 			end.trial = end.trial && q.isOnlySuspect(key, run, end)
 			ends = append(ends, suspectEnd{endRecord: end, run: run})
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -29,7 +29,7 @@
 	// togetherTime.
 	settleTime = 1500 * clock.Millisecond
 	// trialInterval is the time between the first trial of a suspect part and the second one. It
-	// doubles with each trial, up to maxTrialDoublings times. The other requests with the part
+	// doubles with each trial that ended its server, up to maxTrialDoublings times. The other requests with the part
 	// wait for the outcome; the trial itself may wait in the queue of its server first.
 	trialInterval     = 4 * clock.Second
 	maxTrialDoublings = 4
@@ -54,7 +54,7 @@
 
 // Limits of what is kept, whatever callers send.
 const (
-	maxSuspects      = 256
+	maxSuspects      = 512
 	maxEndsPerPart   = 16
 	maxServers       = 512  // ended servers
 	maxWaiting       = 32   // requests that waited at one ended server and are suspects
@@ -82,9 +82,8 @@
 	survived *lru.Cache[Key, int] // survivals that this process has seen, for parts without ends
 	expireAt clock.Millis         // when old records are searched for next
 
-	position      uint64             // number of changes of records so far
-	begun         map[ServerRun]bool // runs that ended just after they had begun to answer a request; set with judged
-	judged        judgement          // valid until its end unless judgedChanged is set
+	position      uint64    // number of changes of records so far
+	judged        judgement // valid until its end unless judgedChanged is set
 	judgedChanged bool
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -96,6 +96,7 @@
 	if v := q.Check(now+1, subject("system", "deadly"), 4); !v.Trial || v.Refused || v.Pending {
 		t.Errorf("first request with the suspect part: got %+v, want it sent as a trial", v)
 	}
+	q.BeginTrial(now+1, key("deadly"))
 	if v := q.Check(now+2, subject("system", "deadly"), 4); !v.Pending || v.Refused {
 		t.Errorf("request during the trial: got %+v, want it to be pending", v)
 	}
@@ -233,7 +234,7 @@
 		q.RecordSurvival(1, subject(fmt.Sprintf("answered-%d", i)), false)
 		q.RecordEnd(subject(fmt.Sprintf("made-up-%d", i)), run(3+i), quarantine.Loss{Begun: true, At: 4*apart + clock.Millis(i)})
 	}
-	if got, want := len(all(q, 9000).Ends), 256+2; got > want {
+	if got, want := len(all(q, 9000).Ends), 512+2; got > want {
 		t.Errorf("ends: got %d, want at most %d", got, want)
 	}
 	if got, want := len(all(q, 9000).Servers), 512; got > want {
@@ -256,24 +257,24 @@
 // that work. What another process has told is not news either once both have it.
 func TestReportsHoldWhatIsNew(t *testing.T) {
 	a, b := newQuarantine("a"), newQuarantine("b")
-	for i := range 300 {
+	for i := range 600 {
 		a.RecordEnd(subject(fmt.Sprint(i)), run(i), quarantine.Loss{Begun: true, At: clock.Millis(i)})
 	}
-	first, known := a.Report(300, quarantine.Position{})
-	b.Merge(300, first)
-	_, knownOfB := b.Report(300, quarantine.Position{})
-	b.Merge(300, first)
-	if r, _ := b.Report(300, knownOfB); !r.IsEmpty() {
+	first, known := a.Report(600, quarantine.Position{})
+	b.Merge(600, first)
+	_, knownOfB := b.Report(600, quarantine.Position{})
+	b.Merge(600, first)
+	if r, _ := b.Report(600, knownOfB); !r.IsEmpty() {
 		t.Errorf("after the same report again: got %d ends, want none", len(r.Ends))
 	}
-	if r, _ := a.Report(300, known); !r.IsEmpty() {
+	if r, _ := a.Report(600, known); !r.IsEmpty() {
 		t.Errorf("without news: got %d ends, want none", len(r.Ends))
 	}
-	a.RecordEnd(subject("new"), run(1000), quarantine.Loss{Begun: true, At: 301})
-	if r, _ := a.Report(301, known); len(r.Ends) != 1 {
+	a.RecordEnd(subject("new"), run(1000), quarantine.Loss{Begun: true, At: 601})
+	if r, _ := a.Report(601, known); len(r.Ends) != 1 {
 		t.Errorf("one new end: got %d ends, want 1", len(r.Ends))
 	}
-	if r, _ := a.Report(301, quarantine.Position{Instance: known.Instance + 1, Number: known.Number}); len(r.Ends) != len(first.Ends) {
+	if r, _ := a.Report(601, quarantine.Position{Instance: known.Instance + 1, Number: known.Number}); len(r.Ends) != len(first.Ends) {
 		t.Errorf("position of another process: got %d ends, want all %d", len(r.Ends), len(first.Ends))
 	}
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -4,8 +4,11 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/clock"
 )
 
@@ -149,3 +152,26 @@
 func (r Report) IsEmpty() bool {
 	return len(r.Ends) == 0 && len(r.Servers) == 0 && len(r.Survivals) == 0 && len(r.Trials) == 0 && len(r.Probes) == 0 && len(r.Releases) == 0
 }
+
+// Split returns the records of parts, with those of servers, and the records of requests.
+func (r Report) Split() (parts, requests Report) {
+	isRequest := func(k Key) bool { return k.Kind == KindRequest }
+	requests.Ends, parts.Ends = lo.FilterReject(r.Ends, func(e End, _ int) bool { return isRequest(e.Key) })
+	requests.Survivals, parts.Survivals = lo.FilterReject(r.Survivals, func(v Survivals, _ int) bool { return isRequest(v.Key) })
+	requests.Trials, parts.Trials = lo.FilterReject(r.Trials, func(t Trial, _ int) bool { return isRequest(t.Key) })
+	requests.Probes, parts.Probes = lo.FilterReject(r.Probes, func(p Probe, _ int) bool { return isRequest(p.Key) })
+	requests.Releases, parts.Releases = lo.FilterReject(r.Releases, func(l Release, _ int) bool { return isRequest(l.Key) })
+	parts.Servers = r.Servers
+	return parts, requests
+}
+
+// With returns a report with the records of another one too.
+func (r Report) With(other Report) Report {
+	r.Ends = slices.Concat(r.Ends, other.Ends)
+	r.Servers = slices.Concat(r.Servers, other.Servers)
+	r.Survivals = slices.Concat(r.Survivals, other.Survivals)
+	r.Trials = slices.Concat(r.Trials, other.Trials)
+	r.Probes = slices.Concat(r.Probes, other.Probes)
+	r.Releases = slices.Concat(r.Releases, other.Releases)
+	return r
+}
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -144,6 +144,7 @@
 	r.probe, r.tried = v.Probe, quarantine.Key{}
 	if v.Trial {
 		r.tried = v.Part
+		s.entries[r.entry].BeginTrial(s.now, r.tried)
 	}
 	s.attempt(r, nil)
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
 )
@@ -35,7 +36,8 @@
 	return endRecord{
 		depth: max(e.depth, other.depth), at: min(e.at, other.at), sentAt: min(e.sentAt, other.sentAt),
 		begun: e.begun || other.begun, repeated: e.repeated || other.repeated, trial: e.trial || other.trial,
-		request: min(e.request, other.request), several: e.several || other.several || e.request != other.request,
+		request: lo.CoalesceOrEmpty(min(e.request, other.request), e.request, other.request),
+		several: e.several || other.several || e.request != "" && other.request != "" && e.request != other.request,
 	}
 }
 
@@ -102,10 +104,21 @@
 	if r.trial.number == 0 {
 		return 0
 	}
-	interval := trialInterval << min(r.trial.number-1, maxTrialDoublings)
+	interval := trialInterval << min(max(r.endedTrials()-1, 0), maxTrialDoublings)
 	return r.trial.at + interval + offset(key, entry, r.trial.number, trialSpread)
 }
 
+// endedTrials returns the number of servers that ended under trials.
+func (r *suspectRecord) endedTrials() int {
+	n := 0
+	for _, end := range r.ends {
+		if end.trial && r.counts(end) {
+			n++
+		}
+	}
+	return n
+}
+
 // offset returns a time shorter than window by which an entry's trials or probes of a part begin
 // later. The entries begin at different times, so that usually one of them sends one.
 func offset(key Key, entry string, number int, window clock.Millis) clock.Millis {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -150,6 +150,7 @@
 		a.setResult(resultAbandoned, errInterrupted)
 		return false
 	}
+	x.beginTrial()
 	_ = conn.SetDeadline(x.relay.clock.Deadline(deadline - x.relay.clock.Now()))
 	data := x.encodeRequest(forwardInfo)
 	if !conn.alive() && !a.wasInterrupted() {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -57,7 +57,8 @@
 	partIDs       []string       // IDs of the parts of the prompt
 	probe         bool           // the request is let through although a part of its prompt is quarantined
 	tried         quarantine.Key // the suspect part of its prompt of which the request is a trial; zero if it is none
-	serverEnded   atomic.Bool    // a server has ended under the request
+	trialBegun    bool           // the trial has been sent
+	serverEnded   *atomic.Bool   // a server has ended under the request
 	requestDigest string         // identifies requests with the same path, caller and body; "" until it is needed
 }
 
@@ -68,7 +69,9 @@
 }
 
 func newExchange(c *callerConn, req request) *exchange {
-	return &exchange{relay: c.relay, caller: c, request: req, memory: reservation{pool: &c.relay.bodyMemory}}
+	return &exchange{
+		relay: c.relay, caller: c, request: req, memory: reservation{pool: &c.relay.bodyMemory}, serverEnded: &atomic.Bool{},
+	}
 }
 
 // releaseMemory releases the memory of the bodies of the request and its responses.
@@ -303,6 +306,7 @@
 		return false, false
 	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status) || x.out.headSent: // no other status resumes a stream
 		x.possibleRuns++
+		x.recordSurvival(a)
 		a.setResult(resultFailed, nil)
 		x.lastFailure = &fullResponse{attempt: a, body: body}
 		return false, false
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -197,6 +197,7 @@
 	known.record, known.listedByLeader, known.listedAt = r, true, now
 	if r.State != roster.Serving {
 		known.discardIdle()
+		f.endChecks.Forget(known.run())
 	}
 	if r.State != roster.Gone {
 		f.endChecks.ServerAnnounced(known.run(), r.Address)
@@ -238,6 +239,7 @@
 // longer than promptPartRetention, and closes expired idle connections. Relay calls it
 // every periodicCheckInterval.
 func (f *fleet) runPeriodicChecks(now clock.Millis) {
+	f.endChecks.DropExpired()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, s := range f.servers {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -37,8 +37,6 @@
 	x.probe = verdict.Probe
 	if verdict.Trial {
 		x.tried = verdict.Part
-		x.relay.options.Logger.Log(event.SuspectTried, zap.String("request", x.requestInfo.ID),
-			zap.String("part", verdict.Part.Text()), zap.Int("ends", verdict.Ends))
 	}
 	if verdict.Probe {
 		x.relay.options.Logger.Log(event.QuarantineProbed, zap.String("request", x.requestInfo.ID),
@@ -55,6 +53,17 @@
 	return &refusal{status: statusBadRequest, reason: "quarantined", err: err}
 }
 
+// beginTrial records that the request is sent if it is a trial. It is called when there is a
+// connection to a server.
+func (x *exchange) beginTrial() {
+	if x.tried == (quarantine.Key{}) || x.trialBegun {
+		return
+	}
+	x.trialBegun = true
+	x.relay.quarantine.BeginTrial(x.relay.clock.Now(), x.tried)
+	x.relay.options.Logger.Log(event.SuspectTried, zap.String("request", x.requestInfo.ID), zap.String("part", x.tried.Text()))
+}
+
 // recordSurvival records that the server has answered the request whole, or for a while, so that
 // the parts of its prompt are less suspect.
 func (x *exchange) recordSurvival(a *attempt) {
@@ -92,12 +101,13 @@
 	if loss.Begun {
 		loss.Answering = now - a.firstByteAt
 	}
-	subject := x.subject()
-	x.digest() // now, because the function below may run later, in another goroutine
-	check := func() quarantine.Listening { return r.fleet.checkListening(a.server, a.run) }
-	checked := r.fleet.endChecks.ConnectionLost(a.run, address, check, func() {
-		x.serverEnded.Store(true)
-		r.quarantine.RecordEnd(subject, a.run, loss)
+	// The functions below may be called much later: they must not keep the request in memory.
+	subject, digest, serverEnded, s, run := x.subject(), x.digest(), x.serverEnded, a.server, a.run
+	subject.Digest = func() string { return digest }
+	check := func() quarantine.Listening { return r.fleet.checkListening(s, run) }
+	checked := r.fleet.endChecks.ConnectionLost(run, address, check, func() {
+		serverEnded.Store(true)
+		r.quarantine.RecordEnd(subject, run, loss)
 	})
 	waited, stop := r.clock.After(maxEndCheckWait)
 	defer stop()
