standin: share the start, stop, faults and announcements of engines and services

Engine and Service each had the same start and stop, the same start of a fault, the same handler of POST /stand-in/fault and the same common fields of an announcement. They now embed one type, instance, that has them once. No behaviour changes.

--- a/standin/report.go
+++ b/standin/report.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"sync"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -63,6 +64,11 @@
 	return oldest.load
 }
 
+// recordLoads records the engine's load at each interval until ctx ends.
+func (e *Engine) recordLoads(ctx context.Context) {
+	e.options.Clock.Every(ctx, reportInterval, e.recordLoad)
+}
+
 // recordLoad records the engine's current load.
 func (e *Engine) recordLoad() {
 	b := e.batch
--- a/standin/routes.go
+++ b/standin/routes.go
@@ -21,7 +21,7 @@
 	app.Post("/v1/orders", e.receiveOrder)
 	app.Get("/v1/kv/:id", e.exportKV)
 	app.Put("/v1/kv/:id", e.importKV)
-	app.Post("/stand-in/fault", e.setFault)
+	app.Post("/stand-in/fault", faultHandler(e.Fault))
 	app.Get("/stand-in/state", e.sendState)
 	return app
 }
@@ -166,15 +166,6 @@
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
-func (e *Engine) setFault(c fiber.Ctx) error {
-	var fault Fault
-	if err := decode(c.Body(), &fault); err != nil {
-		return sendError(c, fiber.StatusBadRequest, err.Error())
-	}
-	e.Fault(fault)
-	return c.SendStatus(fiber.StatusNoContent)
-}
-
 // State is the response body of GET /stand-in/state of an engine.
 type State struct {
 	GeneratedTokens int            `json:"generated"`
--- a/standin/service.go
+++ b/standin/service.go
@@ -6,9 +6,6 @@
 	"sync"
 
 	"github.com/gofiber/fiber/v3"
-	"go.uber.org/zap"
-
-	"github.com/galenaslip/galenaslip/event"
 )
 
 // Kinds of faults that only services have. Each affects only the next call.
@@ -24,19 +21,13 @@
 // Service is a stand-in for a plain service such as a ledger or a work order desk. It
 // counts how often a call ran for each idempotency key. It is safe for concurrent use.
 type Service struct {
-	options      ServiceOptions
-	server       *server
-	activeFaults *faults
-	announcer    *announcer
-	closing      chan struct{} // closed when the service stops, to end waiting calls
-	releaseOnce  sync.Once     // makes release run once
-	cancel       context.CancelFunc
-	background   sync.WaitGroup // background goroutines
-	mu           sync.Mutex
-	runsByKey    map[string]int // number of calls that ran, by idempotency key
-	lookups      int
-	running      int       // calls that are running now
-	nextFault    FaultKind // fault of the next call; empty for none
+	*instance
+	options   ServiceOptions
+	mu        sync.Mutex
+	runsByKey map[string]int // number of calls that ran, by idempotency key
+	lookups   int
+	running   int       // calls that are running now
+	nextFault FaultKind // fault of the next call; empty for none
 }
 
 // NewService starts a service. The returned function stops it immediately and releases
@@ -44,64 +35,31 @@
 func NewService(options ServiceOptions) (*Service, func(), error) {
 	options = options.withDefaults()
 	s := &Service{
-		options:      options,
-		activeFaults: newFaults(),
-		closing:      make(chan struct{}),
-		runsByKey:    map[string]int{},
+		instance:  newInstance(options.Name, options.Announce, options.Clock, options.Logger),
+		options:   options,
+		runsByKey: map[string]int{},
 	}
-	server, err := listen(s.routes(), options.Listen)
-	if err != nil {
+	if err := s.start(s.routes(), options.Listen, s.describe); err != nil {
 		return nil, nil, err
 	}
-	s.server = server
-	s.announcer = newAnnouncer(options.Announce, options.Clock, s.activeFaults.suppressesAnnouncements, s.describe)
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.background.Go(func() { s.announcer.run(ctx) })
 	return s, s.release, nil
 }
 
-// Address returns the address that the service is bound to.
-func (s *Service) Address() string {
-	return s.server.address()
-}
-
-// Stop announces the departure and says so in all answers, waits for running calls and then stops the service.
-func (s *Service) Stop(ctx context.Context) error {
-	s.activeFaults.apply(Fault{Kind: SaysLeaving})
-	s.announcer.announceDeparture()
-	err := s.server.stop(ctx)
-	s.release()
-	return err
-}
-
-func (s *Service) release() {
-	s.releaseOnce.Do(func() {
-		close(s.closing)
-		s.cancel()
-		s.server.close()
-		s.background.Wait()
-	})
-}
-
 // Fault starts a fault. The kind Recover ends all faults.
 func (s *Service) Fault(f Fault) {
-	s.options.Logger.Log(event.StandinFaultSwitched, zap.String("server", s.options.Name), zap.String("kind", string(f.Kind)))
-	s.activeFaults.apply(f)
+	s.startFault(f)
 	switch f.Kind {
 	case CloseBefore, CloseAfter, NotRun:
 		s.setNextFault(f.Kind)
 	case Recover:
 		s.setNextFault("")
-	case Crash:
-		s.server.closeConnections(nil)
 	}
 }
 
 func (s *Service) routes() *fiber.App {
 	app := newApp()
 	app.Use(faultMiddleware(s.activeFaults, s.closing))
-	app.Post("/stand-in/fault", s.setFault)
+	app.Post("/stand-in/fault", faultHandler(s.Fault))
 	app.Get("/stand-in/state", s.sendState)
 	app.All("/*", s.handleCall)
 	return app
@@ -174,15 +132,6 @@
 	return c.JSON(fiber.Map{"path": c.OriginalURL(), "count": s.runsByKey[key]})
 }
 
-func (s *Service) setFault(c fiber.Ctx) error {
-	var fault Fault
-	if err := decode(c.Body(), &fault); err != nil {
-		return sendError(c, fiber.StatusBadRequest, err.Error())
-	}
-	s.Fault(fault)
-	return c.SendStatus(fiber.StatusNoContent)
-}
-
 // ServiceState is the response body of GET /stand-in/state of a service.
 type ServiceState struct {
 	Runs    map[string]int `json:"runs"`
@@ -205,22 +154,12 @@
 	s.mu.Lock()
 	running := s.running
 	s.mu.Unlock()
-	a := s.options.Announce
-	address := a.Address
-	if address == "" {
-		address = s.Address()
-	}
-	return announcementWire{
-		Server:           s.options.Name,
-		Incarnation:      a.Incarnation,
-		State:            "serving",
-		Kind:             "service",
-		Address:          address,
-		AvailabilityZone: a.AvailabilityZone,
-		Models:           []string{},
-		Services:         s.options.Services,
-		Slots:            s.options.Slots,
-		Load:             loadWire{Running: running},
-		CacheEvents:      []cacheEvent{},
-	}
+	a := s.instance.describe()
+	a.Kind = "service"
+	a.Models = []string{}
+	a.Services = s.options.Services
+	a.Slots = s.options.Slots
+	a.Load = loadWire{Running: running}
+	a.CacheEvents = []cacheEvent{}
+	return a
 }
