standin tests: hold the lock while the announced sequence numbers are compared

The race detector reported TestAnnouncements: the stand-in announces until the end of the test, and the last loop read the recorded sequence numbers without the lock that guards them. The loop checks the same as before.

After, go test -race -count=5 ./standin: pass.

--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -225,6 +225,8 @@
 	if !complete() {
 		t.Fatal("the announcements or cache events did not arrive")
 	}
+	mu.Lock()
+	defer mu.Unlock()
 	for i, s := range sequences {
 		if i > 0 && s <= sequences[i-1] {
 			t.Errorf("sequence %d follows %d", s, sequences[i-1])
