--- a/slot/owner.go
+++ b/slot/free_slots.go
@@ -8,41 +8,6 @@
 	"github.com/galenaslip/galenaslip/clock"
 )
 
-// markUsageKnown clears the flag usageUnknown of a server that this entry has become
-// the owner of, once all entries have reported which slots they use, or after
-// UsageReportTimeout.
-func (t *Table) markUsageKnown(now clock.Millis, s *server) {
-	if s.usageUnknown && (now-s.ownerSince >= UsageReportTimeout || t.allReported(s.ownerSince)) {
-		s.usageUnknown = false
-	}
-}
-
-// allReported reports whether every entry with a lease, and every other live peer,
-// has sent a message at or after the given time and agrees with this entry on which
-// entries hold a lease.
-func (t *Table) allReported(since clock.Millis) bool {
-	for name, p := range t.peers {
-		leased := slices.Contains(t.entries, name)
-		if leased && !p.live || p.live && (p.entriesHash != t.entriesHash || p.lastReceivedAt < since) {
-			return false
-		}
-	}
-	return true
-}
-
-// readyServers returns the servers of this entry whose used slots are known, so that
-// their free slots can be offered. They are sorted by name.
-func (t *Table) readyServers(now clock.Millis) []*server {
-	return lo.Filter(t.ownedServers, func(s *server, _ int) bool {
-		t.markUsageKnown(now, s)
-		return !s.usageUnknown
-	})
-}
-
-func (t *Table) readyServerNames(now clock.Millis) []string {
-	return lo.Map(t.readyServers(now), func(s *server, _ int) string { return s.Name })
-}
-
 // freeSlots returns the number of slots of a server that no request uses and that
 // are not offered to any entry. It is negative if the server is overcommitted.
 func (t *Table) freeSlots(s *server) int {
