--- a/slot/free_slots.go
+++ b/slot/free_slots.go
@@ -12,7 +12,7 @@
 // are not offered to any entry. It is negative if the server is overcommitted.
 func (t *Table) freeSlots(s *server) int {
 	freeSlots := s.Slots - s.usedSlots
-	for _, offer := range t.unusedOffer {
+	for _, offer := range t.unusedOffers {
 		if offer.Server == s.Name {
 			freeSlots--
 		}
@@ -149,7 +149,7 @@
 	t.lastNumber++
 	o := issuedOffer{Offer{Number: t.lastNumber, Server: f.server.Name, Pool: d.Pool, Tier: d.Tier}, starving}
 	if d.peer == nil {
-		t.unusedOffer = append(t.unusedOffer, unusedOffer{issuedOffer: o, owner: t.options.Entry, acceptedAt: now})
+		t.unusedOffers = append(t.unusedOffers, unusedOffer{issuedOffer: o, owner: t.options.Entry, acceptedAt: now})
 		return
 	}
 	d.peer.pendingOffers = append(d.peer.pendingOffers, o)
--- a/slot/offer.go
+++ b/slot/offer.go
@@ -27,7 +27,7 @@
 func (t *Table) Offers(now clock.Millis, pool string) []string {
 	t.refreshOffers(now)
 	var names []string
-	for _, offer := range t.unusedOffer {
+	for _, offer := range t.unusedOffers {
 		if offer.Pool == pool {
 			names = append(names, offer.Server)
 		}
@@ -37,8 +37,8 @@
 }
 
 func (t *Table) consumeOffer(i int) {
-	offer := t.unusedOffer[i]
-	t.unusedOffer = slices.Delete(t.unusedOffer, i, i+1)
+	offer := t.unusedOffers[i]
+	t.unusedOffers = slices.Delete(t.unusedOffers, i, i+1)
 	if offer.owner == t.options.Entry {
 		t.countOffer(offer.issuedOffer)
 	}
@@ -57,7 +57,7 @@
 	for _, p := range t.peers {
 		p.pendingOffers = slices.DeleteFunc(p.pendingOffers, func(o issuedOffer) bool { return o.Number > p.lastSentOffer })
 	}
-	t.unusedOffer = slices.DeleteFunc(t.unusedOffer, func(offer unusedOffer) bool { return offer.owner == t.options.Entry })
+	t.unusedOffers = slices.DeleteFunc(t.unusedOffers, func(offer unusedOffer) bool { return offer.owner == t.options.Entry })
 	t.dropUnusableOffers(now)
 	t.offerFreeSlots(now)
 }
@@ -66,16 +66,16 @@
 // waiting request of their pool and of their tier or a higher one can use.
 func (t *Table) dropUnusableOffers(now clock.Millis) {
 	unserved := t.waitingByTier()
-	slices.SortStableFunc(t.unusedOffer, func(a, b unusedOffer) int { return int(a.Tier - b.Tier) })
-	kept := t.unusedOffer[:0]
-	for _, offer := range t.unusedOffer {
+	slices.SortStableFunc(t.unusedOffers, func(a, b unusedOffer) int { return int(a.Tier - b.Tier) })
+	kept := t.unusedOffers[:0]
+	for _, offer := range t.unusedOffers {
 		if now-offer.acceptedAt < OfferTimeout && markOneServed(unserved, offer.Pool, offer.Tier) {
 			kept = append(kept, offer)
 			continue
 		}
 		t.notifyOwner(offer.Server)
 	}
-	t.unusedOffer = kept
+	t.unusedOffers = kept
 }
 
 type poolTier struct {
@@ -109,7 +109,7 @@
 // unused offers will serve.
 func (t *Table) demandsWithoutOffers() []Demand {
 	unserved := t.waitingByTier()
-	for _, offer := range t.unusedOffer {
+	for _, offer := range t.unusedOffers {
 		markOneServed(unserved, offer.Pool, offer.Tier)
 	}
 	unservedDemands := []Demand{}
--- a/slot/ownership.go
+++ b/slot/ownership.go
@@ -65,7 +65,7 @@
 		return
 	}
 	s.owner, s.ownerSince, s.usageUnknown = owner, now, true
-	t.unusedOffer = slices.DeleteFunc(t.unusedOffer, func(offer unusedOffer) bool { return offer.Server == s.Name })
+	t.unusedOffers = slices.DeleteFunc(t.unusedOffers, func(offer unusedOffer) bool { return offer.Server == s.Name })
 	t.notifyOwner(s.Name)
 }
 
--- a/slot/peer.go
+++ b/slot/peer.go
@@ -110,7 +110,7 @@
 // resetPeer drops the state of a peer that has restarted with a new incarnation.
 func (t *Table) resetPeer(p *peer, incarnation uint64) {
 	*p = peer{name: p.name, incarnation: incarnation, sentMessages: p.sentMessages, lastAcked: p.lastAcked, lastSentAt: p.lastSentAt, messageDue: true}
-	t.unusedOffer = slices.DeleteFunc(t.unusedOffer, func(offer unusedOffer) bool { return offer.owner == p.name })
+	t.unusedOffers = slices.DeleteFunc(t.unusedOffers, func(offer unusedOffer) bool { return offer.owner == p.name })
 }
 
 // applyHolderState applies what a message says about the peer as a holder of slots on
@@ -159,7 +159,7 @@
 func (t *Table) acceptOffer(now clock.Millis, p *peer, o Offer) {
 	p.lastProcessedOffer, p.messageDue = o.Number, true
 	if s, ok := t.servers[o.Server]; ok && s.owner == p.name {
-		t.unusedOffer = append(t.unusedOffer, unusedOffer{issuedOffer: issuedOffer{Offer: o}, owner: p.name, acceptedAt: now})
+		t.unusedOffers = append(t.unusedOffers, unusedOffer{issuedOffer: issuedOffer{Offer: o}, owner: p.name, acceptedAt: now})
 	}
 }
 
--- a/slot/running.go
+++ b/slot/running.go
@@ -24,7 +24,7 @@
 	if _, ok := t.running[r.ID]; ok {
 		return false
 	}
-	i := slices.IndexFunc(t.unusedOffer, func(offer unusedOffer) bool {
+	i := slices.IndexFunc(t.unusedOffers, func(offer unusedOffer) bool {
 		return offer.Server == r.Server && offer.Pool == pool && now-offer.acceptedAt < OfferTimeout
 	})
 	if i < 0 && t.Mode(now, r.Server) == ModeGranted {
@@ -32,7 +32,7 @@
 	}
 	offeredBy := ""
 	if i >= 0 {
-		offeredBy = t.unusedOffer[i].owner
+		offeredBy = t.unusedOffers[i].owner
 		t.consumeOffer(i)
 	}
 	t.recordStart(r, offeredBy)
@@ -93,7 +93,7 @@
 			usage[r.Server] = usage[r.Server].add(r)
 		}
 	}
-	for _, offer := range t.unusedOffer {
+	for _, offer := range t.unusedOffers {
 		if s, ok := t.servers[offer.Server]; ok && s.owner == owner {
 			u := usage[offer.Server]
 			u.Slots++
--- a/slot/state.go
+++ b/slot/state.go
@@ -21,7 +21,7 @@
 	return lo.Map(sortedKeys(t.servers), func(name string, _ int) ServerState {
 		s := t.servers[name]
 		state := ServerState{Server: name, Owner: s.owner, Mode: t.Mode(now, name), Used: s.usedSlots}
-		state.UnusedOffers = lo.CountBy(t.unusedOffer, func(offer unusedOffer) bool { return offer.Server == name })
+		state.UnusedOffers = lo.CountBy(t.unusedOffers, func(offer unusedOffer) bool { return offer.Server == name })
 		if s.owner == t.options.Entry {
 			state.Free = max(t.freeSlots(s), 0)
 		}
--- a/slot/table.go
+++ b/slot/table.go
@@ -16,7 +16,7 @@
 	peers               map[string]*peer
 	demands             []Demand                   // demands of this entry's waiting requests
 	running             map[string]*runningRequest // running requests of this entry, by request ID
-	unusedOffer         []unusedOffer              // offers to this entry, from itself and from peers, that no request uses yet
+	unusedOffers        []unusedOffer              // offers to this entry, from itself and from peers, that no request uses yet
 	requestsToStop      []string                   // IDs of requests to stop, until TakeRequestsToStop returns them
 	ownedServers        []*server                  // servers that this entry owns, sorted by name
 	poolOwners          map[string][]string        // by pool, the owners of its servers with slots, sorted
