configuration: look up and replace classes and planned stops with the same code

Both lists are sorted by a key, and each had its own search, insertion and replacement. No behaviour changes.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -85,7 +85,7 @@
 
 // Class returns the class with the given name, if there is one.
 func (c Configuration) Class(name string) (class.Class, bool) {
-	i, ok := c.findClass(name)
+	i, ok := findItem(c.classes, name, class.Class.Name)
 	if !ok {
 		return class.Class{}, false
 	}
@@ -94,7 +94,7 @@
 
 // Stop returns the planned stop with the given identifier, if there is one.
 func (c Configuration) Stop(id string) (Stop, bool) {
-	i, ok := c.findStop(id)
+	i, ok := findItem(c.stops, id, Stop.ID)
 	if !ok {
 		return Stop{}, false
 	}
@@ -119,13 +119,7 @@
 
 // WithClass returns a copy with the class added, or replaced if one has its name.
 func (c Configuration) WithClass(added class.Class) Configuration {
-	i, ok := c.findClass(added.Name())
-	c.classes = slices.Clone(c.classes)
-	if ok {
-		c.classes[i] = added
-		return c
-	}
-	c.classes = slices.Insert(c.classes, i, added)
+	c.classes = withItem(c.classes, added, class.Class.Name)
 	return c
 }
 
@@ -138,13 +132,7 @@
 // WithStop returns a copy with the planned stop added, or replaced if one has its
 // identifier.
 func (c Configuration) WithStop(added Stop) Configuration {
-	i, ok := c.findStop(added.id)
-	c.stops = slices.Clone(c.stops)
-	if ok {
-		c.stops[i] = added
-		return c
-	}
-	c.stops = slices.Insert(c.stops, i, added)
+	c.stops = withItem(c.stops, added, Stop.ID)
 	return c
 }
 
@@ -154,16 +142,22 @@
 	return c
 }
 
-// findClass returns the position of the named class, or where to insert it.
-func (c Configuration) findClass(name string) (int, bool) {
-	return slices.BinarySearchFunc(c.classes, name, func(k class.Class, n string) int {
-		return strings.Compare(k.Name(), n)
-	})
+// withItem returns a copy of a list that is sorted by key, with the item added, or replaced
+// if one has its key.
+func withItem[T any](list []T, added T, key func(T) string) []T {
+	i, ok := findItem(list, key(added), key)
+	list = slices.Clone(list)
+	if ok {
+		list[i] = added
+		return list
+	}
+	return slices.Insert(list, i, added)
 }
 
-// findStop returns the position of the planned stop, or where to insert it.
-func (c Configuration) findStop(id string) (int, bool) {
-	return slices.BinarySearchFunc(c.stops, id, func(s Stop, i string) int {
-		return strings.Compare(s.id, i)
+// findItem returns the position of the item with the given key in a list that is sorted by
+// key, or where to insert it.
+func findItem[T any](list []T, wanted string, key func(T) string) (int, bool) {
+	return slices.BinarySearchFunc(list, wanted, func(item T, wanted string) int {
+		return strings.Compare(key(item), wanted)
 	})
 }
