tests: set seed and number of cases of property tests in one place

The defaults are set before the command line is parsed, so -rapid.seed=0 asks rapid for a random seed in every package that calls testseed; there it was replaced by the fixed seed before.

--- /dev/null
+++ b/configuration/main_test.go
@@ -0,0 +1,11 @@
+package configuration_test
+
+import (
+	"testing"
+
+	"github.com/galenaslip/galenaslip/testseed"
+)
+
+func TestMain(m *testing.M) {
+	testseed.MainWith(m, testseed.Options{Seed: 1})
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -1,7 +1,6 @@
 package lease_test
 
 import (
-	"flag"
 	"fmt"
 	"reflect"
 	"slices"
@@ -13,13 +12,11 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/lease"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// A fixed seed makes the property tests draw the same cases in every run; the
-// flag -rapid.seed overrides it.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "1000")
+func TestMain(m *testing.M) {
+	testseed.MainWith(m, testseed.Options{Seed: 1, Checks: 1000})
 }
 
 const (
--- a/membership/policy_test.go
+++ b/membership/policy_test.go
@@ -1,17 +1,18 @@
 package membership_test
 
 import (
-	"flag"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/membership"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// Property tests draw the same cases in every run, unless -rapid.seed is set.
-func init() { _ = flag.Set("rapid.seed", "1") }
+func TestMain(m *testing.M) {
+	testseed.MainWith(m, testseed.Options{Seed: 1})
+}
 
 func voter(identity, zone string, silent clock.Millis) membership.Member {
 	return membership.Member{Identity: identity, Name: identity, AvailabilityZone: zone, Voter: true, SilentFor: silent}
--- a/slot/fixture_test.go
+++ b/slot/fixture_test.go
@@ -1,10 +1,10 @@
 package slot_test
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"sort"
+	"testing"
 
 	"github.com/samber/lo"
 	"pgregory.net/rapid"
@@ -12,11 +12,12 @@
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/slot"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// The fixed seed makes property tests draw the same cases in every run. The flag
-// -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "1") }
+func TestMain(m *testing.M) {
+	testseed.MainWith(m, testseed.Options{Seed: 1})
+}
 
 const pool = "model:m-small"
 
