--- a/admission/site_test.go
+++ b/admission/site_test.go
@@ -68,14 +68,12 @@
 	arrivedAtEngine clock.Millis
 }
 
-// fakeServer is a simulated engine.
 type fakeServer struct {
 	owner            int // index of the entry that owns it
 	running, waiting []*job
 	grantedSlots     int // slots that the owner has granted and that are in use
 }
 
-// fakeEntry is a simulated entry.
 type fakeEntry struct {
 	queue            *admission.Queue
 	usedSlots        map[*fakeServer]int // slots that requests of this entry use
--- a/backend/challenge.go
+++ b/backend/challenge.go
@@ -57,7 +57,6 @@
 	return xxhash.Sum64String(body)
 }
 
-// splitAtLastSlash splits s at its last slash.
 func splitAtLastSlash(s string) (string, string, bool) {
 	i := strings.LastIndexByte(s, '/')
 	if i < 0 {
--- a/commands/load.go
+++ b/commands/load.go
@@ -17,7 +17,6 @@
 	"github.com/galenaslip/galenaslip/usage"
 )
 
-// loadFlags are the flags of the load command.
 type loadFlags struct {
 	policies     []string
 	rounds       int
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -83,7 +83,6 @@
 	}
 }
 
-// leader returns the current leader.
 func (s *simulation) leader() *member { return s.members[len(s.members)-1] }
 
 // advanceTime advances the true time by a random step.
@@ -104,7 +103,6 @@
 	s.renewLeaderLease(t)
 }
 
-// renewLeaderLease renews the leader lease of the current leader.
 func (s *simulation) renewLeaderLease(*rapid.T) { s.leader().leaseUntil = s.trueTime + leaderLease }
 
 // acceptChange accepts a change. The latency target of the class is set to the
--- a/replica/core.go
+++ b/replica/core.go
@@ -46,7 +46,6 @@
 	maxKnownSenders = 256
 )
 
-// coreOptions configures a core.
 type coreOptions struct {
 	self            Member
 	heartbeat       clock.Millis
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -233,7 +233,6 @@
 	}
 }
 
-// waitUntil waits until the condition is true.
 func waitUntil(condition func() bool) {
 	for !condition() {
 		runtime.Gosched()
--- a/routing/sim_test.go
+++ b/routing/sim_test.go
@@ -58,7 +58,6 @@
 	simCacheBlocks  = 60  // blocks that the cache of an engine can store
 )
 
-// simEntry is a simulated entry.
 type simEntry struct {
 	name     string
 	registry *backend.Registry
@@ -78,7 +77,6 @@
 	tokens       int          // answer tokens delivered
 }
 
-// simEngine is a simulated engine.
 type simEngine struct {
 	name             string
 	slow             float64        // factor by which the engine is slower than others
--- a/setting/codec.go
+++ b/setting/codec.go
@@ -12,7 +12,6 @@
 	"github.com/galenaslip/galenaslip/clock"
 )
 
-// wireProcess is Process in YAML.
 type wireProcess struct {
 	Role             string     `yaml:"role"`
 	Name             string     `yaml:"name"`
@@ -23,14 +22,12 @@
 	Tokens           wireTokens `yaml:"tokens"`
 }
 
-// wireTokens is Tokens in YAML.
 type wireTokens struct {
 	OperatorFile string `yaml:"operator_file"`
 	ServerFile   string `yaml:"server_file"`
 	PeerFile     string `yaml:"peer_file"`
 }
 
-// wireEntry is Entry in YAML.
 type wireEntry struct {
 	Process          wireProcess `yaml:",inline"`
 	ControlAddresses []string    `yaml:"control"`
@@ -46,7 +43,6 @@
 	RetryPercentage  int         `yaml:"retry_percentage"`
 }
 
-// wireControl is Control in YAML.
 type wireControl struct {
 	Process             wireProcess  `yaml:",inline"`
 	DataFolder          string       `yaml:"data_folder"`
@@ -55,7 +51,6 @@
 	ModelLoadsPerMinute int          `yaml:"orders_per_minute"`
 }
 
-// wireMember is Member in YAML.
 type wireMember struct {
 	Name             string `yaml:"name"`
 	Address          string `yaml:"address"`
--- a/setting/site.go
+++ b/setting/site.go
@@ -77,7 +77,6 @@
 	CreateGroup bool
 }
 
-// wireNode is Node in YAML.
 type wireNode struct {
 	Role             string   `yaml:"role"`
 	Name             string   `yaml:"name"`
@@ -95,7 +94,6 @@
 	AckMS            int64    `yaml:"ack_ms"`
 }
 
-// wireRelay is Relay in YAML.
 type wireRelay struct {
 	Node            wireNode `yaml:",inline"`
 	Listen          string   `yaml:"listen"`
--- a/standin/instance.go
+++ b/standin/instance.go
@@ -24,7 +24,7 @@
 	closing      chan struct{} // closed when the stand-in stops, to end waiting calls
 	releaseOnce  sync.Once     // makes release run once
 	cancel       context.CancelFunc
-	background   sync.WaitGroup // background goroutines
+	background   sync.WaitGroup
 }
 
 func newInstance(name string, announce Announce, c clock.Clock, logger event.Logger) *instance {
--- a/standin/report.go
+++ b/standin/report.go
@@ -69,7 +69,6 @@
 	e.options.Clock.Every(ctx, reportInterval, e.recordLoad)
 }
 
-// recordLoad records the engine's current load.
 func (e *Engine) recordLoad() {
 	b := e.batch
 	b.mu.Lock()
