--- a/commands/serve.go
+++ b/commands/serve.go
@@ -53,10 +53,7 @@
 		},
 	}
 	c.Flags().String("settings", "", "settings file (required)")
-	// It fails only for a flag that is not defined.
-	if err := c.MarkFlagRequired("settings"); err != nil {
-		panic(err)
-	}
+	requireFlags(c, "settings")
 	return c
 }
 
