--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -1,7 +1,6 @@
 package lease_test
 
 import (
-	"flag"
 	"fmt"
 	"reflect"
 	"slices"
@@ -13,13 +12,11 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/lease"
+	"github.com/galenaslip/galenaslip/testseed"
 )
 
-// A fixed seed makes the property tests draw the same cases in every run; the
-// flag -rapid.seed overrides it.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "1000")
+func TestMain(m *testing.M) {
+	testseed.MainWith(m, testseed.Options{Seed: 1, Checks: 1000})
 }
 
 const (
@@ -86,7 +83,6 @@
 	}
 }
 
-// leader returns the current leader.
 func (s *simulation) leader() *member { return s.members[len(s.members)-1] }
 
 // advanceTime advances the true time by a random step.
@@ -107,7 +103,6 @@
 	s.renewLeaderLease(t)
 }
 
-// renewLeaderLease renews the leader lease of the current leader.
 func (s *simulation) renewLeaderLease(*rapid.T) { s.leader().leaseUntil = s.trueTime + leaderLease }
 
 // acceptChange accepts a change. The latency target of the class is set to the
