--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,16 +1,26 @@
-// Package quarantine finds parts of prompts that end the backend servers that answer them
-// (poison requests), and decides which requests are refused because of it. It needs no
-// network.
+// Package quarantine finds requests, and parts of prompts, that end the backend servers that run
+// them (poison requests), and decides which requests are tried alone or refused because of it. It
+// needs no network.
 //
-// A lost connection is no evidence: EndChecks finds out whether the server has ended. When it
-// has, each part of the requests whose answers had just begun there is a suspect. Ends that come
-// together have one cause in common, so they count once, and less if other servers of the
-// service end at the same time or often; requests that did not end their servers (survivals)
-// speak for a part. A suspect part is tried: one request with it is sent at a time, the others
-// wait. It is quarantined only if a trial ended its server too.
+// Evidence. A lost connection is none: EndChecks finds out whether the server has ended. When it
+// has, each request that waited there or whose answer had just begun is held against its key,
+// that is a digest of workspace, method, host, target and body, and begun ones against each part
+// of their prompts too. Requests that did not end their servers (survivals) speak for both.
+//
+// Weight. Ends that come together have one cause in common, so they are one round and count once,
+// and less the more other servers of the service end at that time or have ended lately. For
+// example, three rounds of a service with 100 servers of which no others ended score 3, which is
+// what a key without survivals needs. If 18 others ended together with one of the rounds, this one
+// counts 0.44.
+//
+// Judgement. From two ends on a key is suspect: one request with it is sent at a time, as a trial,
+// and others wait. It is quarantined, so that requests are refused as certain, only if a trial
+// ended its server too, no other suspect was at that server, and the score is reached. A request
+// goes before the parts of its prompt where both explain the same ends; a part is quarantined only
+// if different requests ended servers with it.
 //
 // Observations are records that can be merged in any order and any number of times, so that all
 // entries come to the same judgement from what each of them has seen. A quarantine ends by
-// itself: from time to time one request with the part is let through as a probe, less and less
+// itself: from time to time one request with the key is let through as a probe, less and less
 // often while servers still end under it.
 package quarantine
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -124,8 +124,8 @@
 
 // evidence is what speaks against a part.
 type evidence struct {
-	ends      float64      // number of ends one after another; for a request, of all ends
-	score     float64      // the same, weighed by the chance of each: each counts from 0 to 1
+	ends      float64      // for the suspicion: of a part, ends one after another; of a request, all ends
+	score     float64      // for the quarantine: ends one after another, each weighed from 0 to 1 by its chance
 	certain   bool         // the score reached the required one, and a trial has ended its server
 	certainAt clock.Millis // since when
 }
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -345,12 +345,13 @@
 	)
 }
 
-// rank is the score in whole ends. A request as a whole may explain one end less than a part and
-// go first, because less is refused with it.
+// rank orders candidates by their score in whole ends, in half ends. A request as a whole goes
+// before a part that explains one end more, because less is refused with it.
 func (c candidate) rank() int {
-	rank := 2 * int(c.score+scoreTolerance)
+	const halfEnds = 2
+	rank := halfEnds * int(c.score+scoreTolerance)
 	if c.key.Kind == KindRequest {
-		rank += 3
+		rank += halfEnds + 1
 	}
 	return rank
 }
