control: the delivery of batches can be replaced in tests

Cause: TestSlowLeaderRefusesAnnouncements held a real call, which ends after 400 ms of wall time; when the test was not scheduled for that long, no batch was in progress any more and the second announcement waited. Change: the forwarder's delivery is a function, which the test replaces by one that waits until the test ends; same check, same bound.

--- a/control/announcements.go
+++ b/control/announcements.go
@@ -36,6 +36,9 @@
 type announcementForwarder struct {
 	control *Control
 	filled  chan struct{} // signals that the queue is not empty
+	// deliver applies a batch at the leader, and returns the position of the newest change of the
+	// servers among them that depart.
+	deliver func(announcements []roster.Announcement) (propagation.Version, error)
 
 	mu    sync.Mutex
 	queue *roster.Queue
@@ -43,10 +46,12 @@
 }
 
 func newAnnouncementForwarder(c *Control) *announcementForwarder {
-	return &announcementForwarder{
+	s := &announcementForwarder{
 		control: c, filled: make(chan struct{}, 1),
 		queue: roster.NewQueue(maxQueuedAnnouncements), pace: roster.NewPace(batchInterval),
 	}
+	s.deliver = s.deliverToLeader
+	return s
 }
 
 // forward returns nil once the leader has acknowledged the announcement. It returns an error
@@ -152,9 +157,8 @@
 	return errors.As(err, &response) && (response.status == fiber.StatusNotFound || response.status == fiber.StatusBadRequest)
 }
 
-// deliver applies announcements at the leader, and returns the position of the newest change
-// of the servers among them that depart.
-func (s *announcementForwarder) deliver(announcements []roster.Announcement) (propagation.Version, error) {
+// deliverToLeader is deliver with a call to the leader.
+func (s *announcementForwarder) deliverToLeader(announcements []roster.Announcement) (propagation.Version, error) {
 	data, err := encodeAnnouncements(announcements)
 	if err != nil {
 		return propagation.Version{}, err
--- a/control/announcements_test.go
+++ b/control/announcements_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/event"
@@ -158,13 +160,7 @@
 // asking another member: once a batch has been in progress for long, calls are refused at once.
 func TestSlowLeaderRefusesAnnouncements(t *testing.T) {
 	received, held := make(chan struct{}, 10), make(chan struct{})
-	leader := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		received <- struct{}{}
-		<-held
-	}))
-	t.Cleanup(leader.Close)
-	t.Cleanup(func() { close(held) })
-	l := &fakeLog{status: replica.Status{Role: replica.Follower, Term: 1, Leader: strings.TrimPrefix(leader.URL, "http://"), Founded: true}}
+	l := &fakeLog{status: replica.Status{Role: replica.Follower, Term: 1, Leader: "127.0.0.1:1", Founded: true}}
 	c, manual := clock.NewManual(1)
 	member, release, err := control.New(control.Options{
 		Name: "c1", Listen: "127.0.0.1:0", Folder: t.TempDir(), Clock: c, Logger: event.Discard(),
@@ -174,6 +170,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(release)
+	t.Cleanup(func() { close(held) })
+	control.ReplaceBatchDelivery(member, func() error {
+		received <- struct{}{}
+		<-held
+		return errors.New("the leader has not answered")
+	})
 	announce := func(number int) <-chan error {
 		result := make(chan error, 1)
 		go func() { result <- member.Announce(servingServer(number)) }()
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/placement"
+	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -33,3 +34,11 @@
 	}
 	return servers
 }
+
+// ReplaceBatchDelivery has a member pass batches of announcements to deliver in place of the
+// leader.
+func ReplaceBatchDelivery(c *Control, deliver func() error) {
+	c.forwarder.deliver = func([]roster.Announcement) (propagation.Version, error) {
+		return propagation.Version{}, deliver()
+	}
+}
