relay: a server's failure is no survival of a request

A failing server may answer so without having run the request, and each survival makes up for three ends, so a deadly request would need six. Change: only answers below 500 count, as before. A trial that gets a 5xx answer has no outcome, and the next one follows after its interval.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -306,7 +306,6 @@
 		return false, false
 	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status) || x.out.headSent: // no other status resumes a stream
 		x.possibleRuns++
-		x.recordSurvival(a)
 		a.setResult(resultFailed, nil)
 		x.lastFailure = &fullResponse{attempt: a, body: body}
 		return false, false
