entry: a request that ends backend servers one after another is tried apart and refused

Callers saw: an entry sent a request that ends the process that runs it to one server after another. After each loss it was sent to the next server, and its caller came again. All requests of the pool got 503 no_backend_server once the servers were gone.

Cause: an entry knew of a lost connection only. It kept no record of which requests ran on servers that ended.

Evidence: TestDeadlyRequestIsRefused without the change, for streams, chats, idempotent and once-only calls alike: "servers ended: got 8, want at most 3", "deadly request: got 503 no_backend_server/not_run, want 400 quarantined/not_run", "sound request: got 503 no_backend_server/not_run, want 200". TestSuspectRequestWaitsForTrial: "during the trial: got 502 backend_lost/unknown and Retry-After "", want 503 request_suspect/not_run and a time", "servers ended: got 7, want 3". TestDeadlyRequestIsRefusedAfterRestarts was not run without the change. TestLostConnectionsAreNoEnds and TestEndsAfterLongAnswersAreNoEvidence guard the new code and pass without it; on a scratch copy of the change in which each check found that nothing listens and the time of answering was left out, both failed with suspects where none are wanted.

Change: an entry has a quarantine and end checks of its own, as the relay has. It knows requests by pool, workspace, method, path and body; the host is left out, because servers do not get the one that the caller has used. A request is judged when it has been assigned a server, immediately before it is first sent, so that the time in the entry's queue is no part of a trial. Refused: 400 quarantined. Pending: 503 request_suspect with Retry-After. A trial, a probe and a suspect request are not sent again after a loss, unless the server had been answering for 500 ms. In a stream the answer begins with the first chunk, because the head and comments come while the request waits at the engine. A server that leaves or has a planned stop is left out. The state dump lists the suspects; log events 409 to 413.

Result: the tests above pass; servers ended: 3 at most of 8, the deadly request gets 400 and a sound one 200.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,6 +19,7 @@
 	t.address.Store(a.address)
 	interrupted := make(chan struct{})
 	t.interrupted = interrupted
+	t.observer.beginAttempt(a)
 	t.callerRequest.interrupts.setHandler(func(reason interruption) {
 		close(interrupted)
 		t.entry.interruptAttempt(ctx, cancel, reason, a.address, t.callerRequest.id)
@@ -28,6 +29,7 @@
 	t.interrupted = nil
 	switch {
 	case result == attemptComplete:
+		t.observer.recordSurvival()
 		return attemptComplete
 	case reason == streamTakenOver:
 		return attemptTakenOver
@@ -35,6 +37,8 @@
 		return attemptCallerGone
 	case reason != notInterrupted:
 		return attemptInterrupted
+	case result == attemptServerLost:
+		t.observer.recordServerEnd()
 	}
 	return result
 }
@@ -79,6 +83,7 @@
 	}
 	s, err := t.entry.client.Resume(ctx, a.address, t.callerRequest.id, t.transcript.Position(), t.entry.options.Timeouts.Resume)
 	if err == nil {
+		t.observer.recordReconnect()
 		return s
 	}
 	t.markUnreachable(ctx, a, err)
@@ -120,7 +125,9 @@
 		t.problem = invalid(outcome.ReasonInvalidRequest, "", err.Error())
 		return attemptRejected
 	}
-	t.wholeBody, err = t.entry.client.ChatUnstreamed(ctx, a.address, t.callerRequest.id, body, t.entry.options.Timeouts.WholeAnswer, t.hooks(a))
+	hooks := t.hooks(a)
+	hooks.OnWithdrawal = t.observer.recordHead(hooks.OnWithdrawal)
+	t.wholeBody, err = t.entry.client.ChatUnstreamed(ctx, a.address, t.callerRequest.id, body, t.entry.options.Timeouts.WholeAnswer, hooks)
 	if err != nil {
 		return t.classifyFailure(ctx, a, err)
 	}
@@ -163,6 +170,7 @@
 // still run the request, the request is cancelled there.
 func (t *chatTask) classifyFailure(ctx context.Context, a assignment, err error) attemptResult {
 	t.markUnreachable(ctx, a, err)
+	t.observer.recordFailure(err)
 	var f *engine.Failure
 	if !errors.As(err, &f) {
 		f = &engine.Failure{Kind: engine.Lost, Address: a.address, Cause: err}
@@ -202,6 +210,7 @@
 	}
 	switch f.Status {
 	case 400, 413, 415, 422:
+		t.observer.recordSurvival()
 		t.problem = invalid(outcome.ReasonBackendRefused, "", f.Error()+": "+string(f.Body)).withStatus(f.Status)
 		return attemptRejected
 	}
@@ -223,6 +232,7 @@
 		case string(e.Data) == stream.Done:
 			return t.finishStream(s)
 		default:
+			t.observer.recordProgress()
 			if result := t.forwardChunk(e.Data); result != "" {
 				return result
 			}
@@ -236,6 +246,7 @@
 	if t.transcript.Finish() != "" {
 		return attemptComplete
 	}
+	t.observer.recordFailure(err)
 	t.problem = unknown(outcome.ReasonBackendLost, "the engine's stream broke off")
 	if engine.FailureKindOf(err) == engine.TimedOut {
 		t.problem = timedOut("the engine's stream went silent")
--- a/entry/chat_task.go
+++ b/entry/chat_task.go
@@ -69,6 +69,7 @@
 	mayHaveRun    bool // a server may have run a part
 	attempts      int  // failed attempts
 	requestStats  requestStats
+	observer      *endObserver
 	problem       *problem     // the reason why the last attempt failed
 	address       atomic.Value // string: address of the server of the present attempt, or empty
 	wholeBody     []byte       // the engine's body when the answer is fetched as a whole
@@ -79,10 +80,10 @@
 	backlog     []byte // encoded events that the HTTP handler has not received yet
 }
 
-func newChatTask(e *Entry, r *callerRequest, c *chat) *chatTask {
+func newChatTask(e *Entry, r *callerRequest, c *chat, o *endObserver) *chatTask {
 	ctx, cancel := context.WithCancel(e.ctx)
 	return &chatTask{
-		entry: e, callerRequest: r, chat: c,
+		entry: e, callerRequest: r, chat: c, observer: o,
 		messages: make(chan message, e.options.Limits.StreamBuffer),
 		ctx:      ctx, cancel: cancel,
 	}
@@ -98,6 +99,11 @@
 				t.fail(a.rejection)
 				return
 			}
+			if p := t.observer.judge(); p != nil {
+				t.finishRequest(routing.Cancelled)
+				t.fail(p)
+				return
+			}
 			t.requestStats.recordDispatch(a.assignedAt)
 			if t.handleAttemptResult(a, t.tryServer(a)) {
 				return
@@ -167,11 +173,14 @@
 // stream that has begun is continued without the retry budget, and so is any request
 // after its first failed attempt: a crash of one engine can end more requests at once
 // than the budget allows. Later failures may be caused by the request itself, so they
-// need the budget.
+// need the budget. A request that is suspect of ending servers is not sent again.
 func (t *chatTask) mayRetry(result attemptResult) (clock.Millis, bool) {
 	if t.attempts >= maxAttempts || !t.transcript.Continuable() {
 		return 0, false
 	}
+	if result == attemptServerLost && !t.observer.mayRepeat() {
+		return 0, false
+	}
 	if t.transcript.Position() > 0 || result == attemptDeclined || t.attempts == 1 {
 		return backoff(t.attempts), true
 	}
--- a/entry/debug.go
+++ b/entry/debug.go
@@ -32,6 +32,7 @@
 	Requests   []wireRequest   `json:"requests"`
 	Peers      []wirePeer      `json:"peers"`
 	Slots      []wireSlot      `json:"slots,omitempty"`
+	Suspects   []wireSuspect   `json:"suspects"`
 	Attainment json.RawMessage `json:"attainment,omitempty"`
 }
 
@@ -106,6 +107,7 @@
 	w.LeaseMS = int64(e.leases.remaining())
 	w.Term, w.Revision = view.term, view.configuration.Revision()
 	w.Attainment = e.describeAttainment()
+	w.Suspects = e.describeSuspects()
 	return c.JSON(w)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/recovery"
 )
 
@@ -36,6 +37,8 @@
 	collector       *attainment.Collector
 	closeCollector  func() // stops collector after it has counted all queued samples
 	budget          *budget
+	quarantine      *quarantine.Quarantine
+	endChecks       *quarantine.EndChecks
 	metrics         *metrics
 	refusalLog      *event.Limiter // for servers that are left out as invalid
 	stopping        atomic.Bool    // a stop has begun, so /readyz fails
@@ -46,6 +49,8 @@
 	ctx             context.Context
 	cancel          context.CancelFunc
 	tasks           taskGroup
+	// loggedQuarantine is used only by the goroutine that calls refreshQuarantine.
+	loggedQuarantine []quarantine.Key
 }
 
 // taskGroup starts goroutines and waits for them. Once Wait has been called it
@@ -108,6 +113,7 @@
 		closeClient:     closeClient,
 		challenger:      backend.NewChallenger(options.Name, incarnation),
 		budget:          newBudget(options.RetryPercentage, incarnation),
+		quarantine:      quarantine.New(quarantine.Options{Entry: options.Name}),
 		refusalLog:      event.NewLimiter(options.Logger, refusalLogInterval),
 		stopped:         make(chan struct{}),
 		searchSemaphore: make(chan struct{}, maxParallelSearches),
@@ -117,6 +123,7 @@
 	if e.advertised == "" {
 		e.advertised = l.Addr().String()
 	}
+	e.endChecks = quarantine.NewEndChecks(options.Clock, e.logServerEnd)
 	e.leases = newLeaseKeeper(options, incarnation, e.advertised)
 	e.dispatcher = newDispatcher(options, e.leases, incarnation)
 	if e.dispatcher.slots != nil {
@@ -137,6 +144,7 @@
 	e.tasks.Go(func() { e.leases.run(e.ctx) })
 	e.tasks.Go(func() { e.options.Clock.Every(e.ctx, timeouts.DigestInterval, func() { e.pullDigests(e.ctx) }) })
 	e.tasks.Go(func() { e.options.Clock.Every(e.ctx, tickInterval, e.startPlannedStop) })
+	e.tasks.Go(func() { e.options.Clock.Every(e.ctx, quarantineInterval, e.refreshQuarantine) })
 	e.tasks.Go(func() {
 		l := &callerListener{Listener: e.listener, writeTimeout: timeouts.CallerWrite, wallClock: e.options.Clock}
 		_ = e.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
@@ -153,7 +161,7 @@
 		ErrorHandler:   e.handleError,
 	})
 	app.Use(recovery.Middleware(e.options.Logger))
-	app.Post("/v1/chat/completions", e.chatCompletions)
+	app.Post(chatPath, e.chatCompletions)
 	app.Get("/v1/models", e.models)
 	app.Get("/v1/streams/:id", e.resumeStream)
 	app.Get("/v1/calls/:key", e.lookupCall)
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -11,6 +11,9 @@
 	"github.com/galenaslip/galenaslip/outcome"
 )
 
+// chatPath is the path of chat requests.
+const chatPath = "/v1/chat/completions"
+
 // chatCompletions serves POST /v1/chat/completions.
 func (e *Entry) chatCompletions(c fiber.Ctx) error {
 	h, p := e.readHeader(c)
@@ -30,7 +33,8 @@
 		return e.reject(c, p)
 	}
 	e.budget.addRequest()
-	task := newChatTask(e, r, request)
+	observer := newEndObserver(e, r, fiber.MethodPost, chatPath, c.BodyRaw())
+	task := newChatTask(e, r, request, observer)
 	e.tasks.Go(task.run)
 	if request.stream {
 		return e.streamAnswer(c, task.messages, task.cancel)
--- a/entry/service.go
+++ b/entry/service.go
@@ -26,6 +26,7 @@
 	path          string
 	headers       []engine.Header
 	body          []byte
+	observer      *endObserver
 	once          *onceCall // nil for an idempotent call
 	ctx           context.Context
 	cancel        context.CancelFunc
@@ -86,6 +87,7 @@
 		cancel:        cancel,
 		results:       make(chan result, 1),
 	}
+	s.observer = newEndObserver(e, r, s.method, s.path, s.body)
 	if idempotent(s.method) {
 		return s, nil
 	}
@@ -197,6 +199,10 @@
 			if a.rejection != nil {
 				return result{problem: s.unknownIfSent(a.rejection)}
 			}
+			if p := s.observer.judge(); p != nil {
+				s.finishRequest(routing.Cancelled)
+				return result{problem: p}
+			}
 			r, retrying := s.tryServer(a)
 			if !retrying {
 				return r
@@ -222,8 +228,12 @@
 func (s *callTask) tryServer(a assignment) (result, bool) {
 	s.attempts++
 	s.requestStats.recordDispatch(a.assignedAt)
+	s.observer.beginAttempt(a)
 	answer, err := s.send(a)
 	if err == nil {
+		if answer.Status < fiber.StatusInternalServerError {
+			s.observer.recordSurvival()
+		}
 		s.finishRequest(routing.Completed)
 		return result{answer: answer}, false
 	}
@@ -232,6 +242,10 @@
 	if p.status != fiber.StatusGatewayTimeout && connectionFailed(s.ctx, err) {
 		s.entry.runInDispatcher(func(d *dispatcher, now clock.Millis) { d.markUnreachable(now, a.server) })
 	}
+	if p.status != fiber.StatusGatewayTimeout && s.callContext().Err() == nil {
+		s.observer.recordFailure(err)
+		s.observer.recordServerEnd()
+	}
 	if delay, granted := s.mayRetry(err); granted {
 		s.entry.options.Clock.Sleep(s.ctx, delay)
 		s.entry.runInDispatcher(func(d *dispatcher, now clock.Millis) { d.requeue(now, s.callerRequest, routing.Failed) })
@@ -257,7 +271,7 @@
 		Body:          s.body,
 		NewConnection: s.once != nil || s.attempts > 1,
 		ReadTimeout:   s.entry.options.Timeouts.Call,
-		Hooks:         engine.Hooks{BeforeWrite: s.beforeWrite, OnWithdrawal: s.entry.onWithdrawal(a)},
+		Hooks:         engine.Hooks{BeforeWrite: s.beforeWrite, OnWithdrawal: s.observer.recordHead(s.entry.onWithdrawal(a))},
 	})
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return answer, errors.WithMessage(err, "the call's time is over")
@@ -309,7 +323,8 @@
 
 // mayRetry returns the delay before the next attempt, and whether one is allowed. A call
 // of which no byte was sent is tried again, unless its claim may be marked as sent
-// already. Any other call must be idempotent and within the retry budget.
+// already. Any other call must be idempotent, within the retry budget and not suspect of ending
+// servers.
 func (s *callTask) mayRetry(err error) (clock.Millis, bool) {
 	var f *engine.Failure
 	if s.attempts >= maxAttempts || s.ctx.Err() != nil || !errors.As(err, &f) || errors.Is(err, errNoLease) {
@@ -318,5 +333,8 @@
 	if f.Kind == engine.NotSent {
 		return backoff(s.attempts), s.once == nil || !s.once.markRequested
 	}
+	if !f.ProvablyNotRun() && !s.observer.mayRepeat() {
+		return 0, false
+	}
 	return s.entry.budget.allowRetry(retry.FailedRequest{Attempts: s.attempts, OnceOnly: s.once != nil})
 }
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -44,4 +44,6 @@
 	ReasonCallInProgress     Reason = "call_in_progress"
 	ReasonControlUnavailable Reason = "control_unavailable"
 	ReasonRequestNotFound    Reason = "request_not_found"
+	ReasonQuarantined        Reason = "quarantined"
+	ReasonSuspect            Reason = "request_suspect"
 )
