entry, backend: entries tell each other which requests end servers

Callers saw: a request that ends the servers that run it was refused only by the entries that had lost servers under it themselves. A caller that goes from one entry to the next ended three servers at each.

Cause: each entry judged by what it had seen itself.

Evidence: TestDeadlyRequestIsRefusedAtAllEntries without the change, with three entries and nine servers: "servers ended: got 9, want 3", "deadly request at entry 1: got 503 no_backend_server/not_run, want 400", "sound request at entry 1: got 503 no_backend_server/not_run, want 200".

Change: a pull of a digest names in quarantine_known up to which position the peer's records are known, and the digest carries the report since then in quarantine. A pull without the field gets none, and former builds do not read it. One that cannot be decoded is left out and counted as refused; the rest of the digest is used.

Result: the test passes; servers ended: 3 of 9, all three entries refuse the request with 400 and answer a sound one. A fuzz run of FuzzDigest for 10 s and of FuzzDigestRequest for 5 s, with the new fields among the seeds, found nothing.

--- a/backend/digest.go
+++ b/backend/digest.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/quarantine"
 )
 
 // Version is a version vector: the highest counter seen of each origin, that is, of
@@ -55,6 +56,10 @@
 	waiting  []Demand
 	load     loadDelta
 	refused  refusedRecords
+	// quarantine has what the sender knows of requests that end servers and the receiver does
+	// not, and quarantinePosition where the next digest goes on.
+	quarantine         quarantine.Report
+	quarantinePosition quarantine.Position
 }
 
 // refusedRecords counts the records of a digest that were left out when it was decoded, because
@@ -99,6 +104,18 @@
 // why the first of them was.
 func (d Digest) Refused() (int, error) { return d.refused.count, d.refused.cause }
 
+// Quarantine returns the sender's news about requests that end servers, and the position up to
+// which they lead. The position is zero if the sender takes no part in the exchange.
+func (d Digest) Quarantine() (quarantine.Report, quarantine.Position) {
+	return d.quarantine, d.quarantinePosition
+}
+
+// WithQuarantine returns a copy with the sender's news about requests that end servers.
+func (d Digest) WithQuarantine(r quarantine.Report, p quarantine.Position) Digest {
+	d.quarantine, d.quarantinePosition = r, p
+	return d
+}
+
 // InFlight returns the number of the sender's running requests by server. If the digest
 // contains a load delta, only changed servers are included. The caller must not modify
 // the map.
--- a/backend/digest_codec.go
+++ b/backend/digest_codec.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/quarantine"
 )
 
 // DigestRequest is an entry's request for a peer's digest. Sending it is called a pull.
@@ -13,12 +14,16 @@
 	Entry     string
 	Since     Version
 	LoadSince LoadVersion
+	// QuarantineKnown is the position up to which the sender knows the receiver's records of
+	// requests that end servers. It is nil if the sender wants none, as in former builds.
+	QuarantineKnown *quarantine.Position
 }
 
 type wireDigestRequest struct {
-	Entry     string            `json:"entry"`
-	Since     map[string]uint64 `json:"since"`
-	LoadSince wireLoadVersion   `json:"load_since"`
+	Entry           string                   `json:"entry"`
+	Since           map[string]uint64        `json:"since"`
+	LoadSince       wireLoadVersion          `json:"load_since"`
+	QuarantineKnown *quarantine.WirePosition `json:"quarantine_known,omitempty"`
 }
 
 type wireLoadVersion struct {
@@ -28,7 +33,10 @@
 
 // EncodeDigestRequest returns the JSON form of a request.
 func EncodeDigestRequest(p DigestRequest) ([]byte, error) {
-	data, err := json.Marshal(wireDigestRequest{Entry: p.Entry, Since: p.Since.counters, LoadSince: wireLoadVersion(p.LoadSince)})
+	data, err := json.Marshal(wireDigestRequest{
+		Entry: p.Entry, Since: p.Since.counters, LoadSince: wireLoadVersion(p.LoadSince),
+		QuarantineKnown: (*quarantine.WirePosition)(p.QuarantineKnown),
+	})
 	return data, errors.Wrap(err, "encode digest request")
 }
 
@@ -41,17 +49,27 @@
 	if !validName(w.Entry) {
 		return DigestRequest{}, errors.Errorf("decode pull: invalid entry %q", w.Entry)
 	}
-	return DigestRequest{Entry: w.Entry, Since: Version{counters: w.Since}, LoadSince: LoadVersion(w.LoadSince)}, nil
+	return DigestRequest{
+		Entry: w.Entry, Since: Version{counters: w.Since}, LoadSince: LoadVersion(w.LoadSince),
+		QuarantineKnown: (*quarantine.Position)(w.QuarantineKnown),
+	}, nil
 }
 
 type wireDigest struct {
-	Entry    string                   `json:"entry"`
-	Version  map[string]uint64        `json:"version"`
-	Full     []wireRecord             `json:"full,omitempty"`
-	Refresh  map[string][]wireRefresh `json:"refresh,omitempty"`
-	Waiting  []wireDemand             `json:"waiting,omitempty"`
-	Load     wireLoadDelta            `json:"load"`
-	InFlight map[string]int           `json:"in_flight,omitempty"`
+	Entry      string                   `json:"entry"`
+	Version    map[string]uint64        `json:"version"`
+	Full       []wireRecord             `json:"full,omitempty"`
+	Refresh    map[string][]wireRefresh `json:"refresh,omitempty"`
+	Waiting    []wireDemand             `json:"waiting,omitempty"`
+	Load       wireLoadDelta            `json:"load"`
+	InFlight   map[string]int           `json:"in_flight,omitempty"`
+	Quarantine json.RawMessage          `json:"quarantine,omitempty"` // a wireQuarantine
+}
+
+// wireQuarantine has the news about requests that end servers and the position that they lead to.
+type wireQuarantine struct {
+	Position quarantine.WirePosition `json:"position"`
+	Report   *quarantine.WireReport  `json:"report,omitempty"`
 }
 
 // wireLoadDelta is the change of the sender's load from one version to another.
@@ -163,6 +181,13 @@
 		w.Waiting = append(w.Waiting, wireDemand{Pool: q.Pool, Tier: q.Tier, Waiting: q.Waiting, OldestMS: int64(q.Oldest)})
 	}
 	w.Load = toWireLoadDelta(d.load)
+	if d.quarantinePosition.Instance != 0 {
+		var err error
+		w.Quarantine, err = json.Marshal(wireQuarantine{Position: quarantine.WirePosition(d.quarantinePosition), Report: quarantine.ToWire(d.quarantine)})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode digest")
+		}
+	}
 	data, err := json.Marshal(w)
 	return data, errors.Wrap(err, "encode digest")
 }
@@ -199,6 +224,7 @@
 		return Digest{}, errors.Errorf("decode digest: invalid entry %q", w.Entry)
 	}
 	d.addRecords(w)
+	d.addQuarantine(w.Quarantine)
 	return d, errors.Wrap(d.addLoad(w), "decode digest")
 }
 
@@ -255,6 +281,20 @@
 	}
 }
 
+// addQuarantine adds the news about requests that end servers. If they cannot be decoded, they are
+// left out as records are.
+func (d *Digest) addQuarantine(data json.RawMessage) {
+	if len(data) == 0 {
+		return
+	}
+	var w wireQuarantine
+	if err := json.Unmarshal(data, &w); err != nil {
+		d.refused.add(err)
+		return
+	}
+	d.quarantine, d.quarantinePosition = w.Report.Report(), quarantine.Position(w.Position)
+}
+
 func (d *Digest) addRecord(r digestRecord, err error) {
 	if err != nil {
 		d.refused.add(err)
--- a/backend/fuzz_test.go
+++ b/backend/fuzz_test.go
@@ -46,12 +46,14 @@
 }
 
 func FuzzDigestRequest(f *testing.F) {
-	fuzz(f, backend.DecodeDigestRequest, backend.EncodeDigestRequest, `{"entry":"e","since":{"e/1":5}}`)
+	fuzz(f, backend.DecodeDigestRequest, backend.EncodeDigestRequest, `{"entry":"e","since":{"e/1":5}}`,
+		`{"entry":"e","since":{},"quarantine_known":{"instance":3,"number":4}}`)
 }
 
 func FuzzDigest(f *testing.F) {
 	f.Add([]byte(`{"entry":"e","full":[null,7,{"announcement":{"slots":1e400}}],"refresh":{"e/1":[{},["s",4],["s",4,99,7,1e400,500,3,0,10,800]]},"load":{}}`))
 	fuzz(f, backend.DecodeDigest, backend.EncodeDigest,
 		`{"entry":"e","version":{"e/1":5},"refresh":{"e/1":[["s",4,99,7,100,500,3,0,10,800,[{"sequence":9,"kind":"cleared"}]]]},"in_flight":{"s":3},"waiting":[{"pool":"model:m","tier":1,"waiting":2,"oldest_ms":5}],"load":{"origin":"e/1","from":3,"to":9,"started":{"s":[[8,"id",4]]},"ended":[2]}}`,
-		`{"entry":"e","version":{},"full":[{"origin":"e/1","counter":1,"age_ms":3,"announcement":{"server":"s","state":"leaving","kind":"service","address":"[::1]:1","services":["ledger"],"slots":1,"load":{}}}]}`)
+		`{"entry":"e","version":{},"full":[{"origin":"e/1","counter":1,"age_ms":3,"announcement":{"server":"s","state":"leaving","kind":"service","address":"[::1]:1","services":["ledger"],"slots":1,"load":{}}}]}`,
+		`{"entry":"e","load":{},"quarantine":{"position":{"instance":3,"number":4},"report":{"ends":[{"s":"model:m","p":"00ff","whole":true,"server":"s","started_ms":5,"waiting":true,"age_ms":9}],"trials":[{"s":"model:m","p":"00ff","whole":true,"n":1,"age_ms":8}]}}}`)
 }
--- a/entry/deadly_request_test.go
+++ b/entry/deadly_request_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// announce announces the server to the only entry, unless it has ended.
+// announce announces the server to the first entry, unless it has ended.
 func (v *mortalServer) announce(s *site) {
 	for range 2 {
 		if v.ended.Load() {
@@ -91,15 +91,15 @@
 	}
 }
 
-// mortalSite is a site with one entry and servers that end under requests.
+// mortalSite is a site with entries and servers that end under requests.
 type mortalSite struct {
 	*site
 	servers []*mortalServer
 }
 
-func newMortalSite(t *testing.T, count int, adjust func(v *mortalServer)) *mortalSite {
+func newMortalSite(t *testing.T, entries, count int, adjust func(v *mortalServer)) *mortalSite {
 	t.Helper()
-	s := &mortalSite{site: newSite(t, 1, 0, 0)}
+	s := &mortalSite{site: newSite(t, entries, 0, 0)}
 	for i := range count {
 		v := &mortalServer{name: fmt.Sprintf("mortal-%d", i)}
 		adjust(v)
@@ -132,19 +132,19 @@
 	return sum
 }
 
-// callKinds send a request with a text, in each way in which an entry passes requests on.
-var callKinds = map[string]func(s *mortalSite, text string) reply{
-	"stream": func(s *mortalSite, text string) reply {
-		return do(s.t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatBody(text, true))
+// callKinds send a request with a text to an entry, in each way in which an entry passes requests on.
+var callKinds = map[string]func(s *mortalSite, entry int, text string) reply{
+	"stream": func(s *mortalSite, entry int, text string) reply {
+		return do(s.t, http.MethodPost, s.url(entry, "/v1/chat/completions"), chatBody(text, true))
 	},
-	"chat": func(s *mortalSite, text string) reply {
-		return do(s.t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatBody(text, false))
+	"chat": func(s *mortalSite, entry int, text string) reply {
+		return do(s.t, http.MethodPost, s.url(entry, "/v1/chat/completions"), chatBody(text, false))
 	},
-	"idempotent call": func(s *mortalSite, text string) reply {
-		return do(s.t, http.MethodPut, s.url(0, "/v1/services/ledger/x"), []byte(text))
+	"idempotent call": func(s *mortalSite, entry int, text string) reply {
+		return do(s.t, http.MethodPut, s.url(entry, "/v1/services/ledger/x"), []byte(text))
 	},
-	"once-only call": func(s *mortalSite, text string) reply {
-		return do(s.t, http.MethodPost, s.url(0, "/v1/services/ledger/x"), []byte(text), withHeader("Idempotency-Key", newKey()))
+	"once-only call": func(s *mortalSite, entry int, text string) reply {
+		return do(s.t, http.MethodPost, s.url(entry, "/v1/services/ledger/x"), []byte(text), withHeader("Idempotency-Key", newKey()))
 	},
 }
 
@@ -155,9 +155,9 @@
 	for name, send := range callKinds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newMortalSite(t, 8, func(*mortalServer) {})
+			s := newMortalSite(t, 1, 8, func(*mortalServer) {})
 			for range 8 {
-				send(s, deadlyText)
+				send(s, 0, deadlyText)
 				s.wait(600 * clock.Millisecond)
 			}
 			if got, want := s.lost(), 3; got > want {
@@ -165,11 +165,11 @@
 			}
 			s.wait(2 * clock.Second)
 			for range 4 {
-				if got := send(s, deadlyText); got.status != http.StatusBadRequest || got.code() != "quarantined/not_run" {
+				if got := send(s, 0, deadlyText); got.status != http.StatusBadRequest || got.code() != "quarantined/not_run" {
 					t.Errorf("deadly request: got %d %s, want 400 quarantined/not_run", got.status, got.code())
 				}
 			}
-			if got := send(s, soundText); got.status != http.StatusOK {
+			if got := send(s, 0, soundText); got.status != http.StatusOK {
 				t.Errorf("sound request: got %d %s, want 200", got.status, got.code())
 			}
 			var state struct {
@@ -190,16 +190,16 @@
 // suspect, and its caller is told to come again while a trial runs.
 func TestSuspectRequestWaitsForTrial(t *testing.T) {
 	t.Parallel()
-	s := newMortalSite(t, 8, func(*mortalServer) {})
+	s := newMortalSite(t, 1, 8, func(*mortalServer) {})
 	send := callKinds["idempotent call"]
 	for range 3 {
-		send(s, deadlyText)
+		send(s, 0, deadlyText)
 		s.wait(100 * clock.Millisecond)
 		if s.lost() == 3 {
 			break
 		}
 	}
-	got := send(s, deadlyText)
+	got := send(s, 0, deadlyText)
 	if got.status != http.StatusServiceUnavailable || got.code() != "request_suspect/not_run" || got.headers.Get("Retry-After") == "" {
 		t.Errorf("during the trial: got %d %s and Retry-After %q, want 503 request_suspect/not_run and a time",
 			got.status, got.code(), got.headers.Get("Retry-After"))
@@ -209,21 +209,51 @@
 	}
 }
 
+// Guards against a request that ends servers at each entry in turn, because no entry knows what
+// the others have seen.
+func TestDeadlyRequestIsRefusedAtAllEntries(t *testing.T) {
+	t.Parallel()
+	s := newMortalSite(t, 3, 9, func(*mortalServer) {})
+	s.wait(500 * clock.Millisecond) // the other entries learn of the servers
+	send := callKinds["once-only call"]
+	for i := range 9 {
+		send(s, i%3, deadlyText)
+		s.wait(600 * clock.Millisecond)
+	}
+	if got, want := s.lost(), 3; got != want {
+		t.Errorf("servers ended: got %d, want %d", got, want)
+	}
+	s.wait(2 * clock.Second)
+	for i := range 3 {
+		if got := send(s, i, deadlyText); got.status != http.StatusBadRequest {
+			t.Errorf("deadly request at entry %d: got %d %s, want 400", i, got.status, got.code())
+		}
+		if got := send(s, i, soundText); got.status != http.StatusOK {
+			t.Errorf("sound request at entry %d: got %d %s, want 200", i, got.status, got.code())
+		}
+	}
+	// A peer of a former build does not ask for it.
+	got := do(t, http.MethodPost, s.url(0, "/peer/v1/digest"), []byte(`{"entry":"entry-9","since":{}}`))
+	if got.status != http.StatusOK || bytes.Contains(got.body, []byte("quarantine")) {
+		t.Errorf("digest for a former build: got %d %s, want 200 and no quarantine", got.status, got.body)
+	}
+}
+
 // Guards against ends that stay unknown because the server is started again at once: its address
 // accepts connections, and only its next announcement tells.
 func TestDeadlyRequestIsRefusedAfterRestarts(t *testing.T) {
 	t.Parallel()
-	s := newMortalSite(t, 8, func(v *mortalServer) { v.restarts = true })
+	s := newMortalSite(t, 1, 8, func(v *mortalServer) { v.restarts = true })
 	send := callKinds["once-only call"]
 	s.eventually("the request is refused", func() bool {
-		got := send(s, deadlyText)
+		got := send(s, 0, deadlyText)
 		s.wait(1200 * clock.Millisecond)
 		return got.status == http.StatusBadRequest
 	})
 	if got, want := s.lost(), 3; got != want {
 		t.Errorf("servers ended: got %d, want %d", got, want)
 	}
-	if got := send(s, soundText); got.status != http.StatusOK {
+	if got := send(s, 0, soundText); got.status != http.StatusOK {
 		t.Errorf("sound request: got %d %s, want 200", got.status, got.code())
 	}
 }
@@ -235,9 +265,9 @@
 	for name, send := range callKinds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newMortalSite(t, 4, func(v *mortalServer) { v.keepsOn = true })
+			s := newMortalSite(t, 1, 4, func(v *mortalServer) { v.keepsOn = true })
 			for range 6 {
-				if got := send(s, deadlyText); got.status != http.StatusBadGateway {
+				if got := send(s, 0, deadlyText); got.status != http.StatusBadGateway {
 					t.Errorf("lost request: got %d %s, want 502", got.status, got.code())
 				}
 				s.wait(600 * clock.Millisecond)
@@ -255,7 +285,7 @@
 // have another cause, so the stream goes on elsewhere and the request comes through later.
 func TestEndsAfterLongAnswersAreNoEvidence(t *testing.T) {
 	t.Parallel()
-	s := newMortalSite(t, 6, func(v *mortalServer) {
+	s := newMortalSite(t, 1, 6, func(v *mortalServer) {
 		v.begin = func(w http.ResponseWriter) {
 			w.Header().Set("Content-Type", "text/event-stream")
 			for position := range 8 {
@@ -265,7 +295,7 @@
 			}
 		}
 	})
-	callKinds["stream"](s, deadlyText)
+	callKinds["stream"](s, 0, deadlyText)
 	if got, want := s.lost(), 3; got < want {
 		t.Errorf("attempts of the stream: got %d, want at least %d", got, want)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,7 @@
 	budget          *budget
 	quarantine      *quarantine.Quarantine
 	endChecks       *quarantine.EndChecks
+	peerQuarantines peerQuarantines
 	metrics         *metrics
 	refusalLog      *event.Limiter // for servers that are left out as invalid
 	stopping        atomic.Bool    // a stop has begun, so /readyz fails
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -30,7 +30,9 @@
 // has ended.
 func (e *Entry) pullDigests(ctx context.Context) {
 	var pulls taskGroup
-	for _, address := range e.peerAddresses() {
+	addresses := e.peerAddresses()
+	e.peerQuarantines.keepOnly(addresses)
+	for _, address := range addresses {
 		pulls.Go(func() { e.pullDigest(ctx, address) })
 	}
 	pulls.Wait()
@@ -58,6 +60,7 @@
 	if count, cause := digest.Refused(); count > 0 {
 		e.recordRefused(address, count, cause)
 	}
+	e.mergeQuarantine(address, digest)
 	e.dispatcher.send(ctx, func(now clock.Millis) {
 		// The digest's age includes the time that this function waited in the inbox.
 		e.dispatcher.mergeDigest(now, address, digest, now-began)
@@ -74,7 +77,9 @@
 	case <-ctx.Done():
 		return backend.Digest{}, 0, ctx.Err()
 	}
-	body, err := backend.EncodeDigestRequest(backend.DigestRequest{Entry: e.options.Name, Since: since})
+	body, err := backend.EncodeDigestRequest(backend.DigestRequest{
+		Entry: e.options.Name, Since: since, QuarantineKnown: e.peerQuarantines.known(address),
+	})
 	if err != nil {
 		return backend.Digest{}, 0, err
 	}
@@ -110,6 +115,9 @@
 	if p != nil {
 		return p.write(c)
 	}
+	if known := pull.QuarantineKnown; known != nil {
+		d = d.WithQuarantine(e.quarantine.Report(e.options.Clock.Now(), *known))
+	}
 	return sendEncoded(c)(backend.EncodeDigest(d))
 }
 
--- /dev/null
+++ b/quarantine/codec.go
@@ -0,0 +1,143 @@
+package quarantine
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+// WirePosition is the JSON form of Position.
+type WirePosition struct {
+	Instance uint64 `json:"instance"`
+	Number   uint64 `json:"number"`
+}
+
+// WireReport is the JSON form of Report. Its keys are short, because it is sent
+// often while servers end.
+type WireReport struct {
+	Ends      []wireEnd         `json:"ends,omitempty"`
+	Servers   []wireEndedServer `json:"servers,omitempty"`
+	Survivals []wireSurvivals   `json:"answers,omitempty"`
+	Trials    []wireCount       `json:"trials,omitempty"`
+	Probes    []wireCount       `json:"probes,omitempty"`
+	Releases  []wireCount       `json:"releases,omitempty"`
+}
+
+// wireKey is the JSON form of Key. Former builds know keys of parts only: they take
+// the digest of a request for the ID of a part, which no prompt has.
+type wireKey struct {
+	Service string `json:"s"`
+	ID      string `json:"p"`
+	Request bool   `json:"whole,omitempty"`
+}
+
+func toWireKey(k Key) wireKey {
+	return wireKey{Service: k.Service, ID: k.ID, Request: k.Kind == KindRequest}
+}
+
+func (w wireKey) toKey() Key {
+	if w.Request {
+		return NewRequestKey(w.Service, w.ID)
+	}
+	return NewKey(w.Service, w.ID)
+}
+
+// wireEnd is the JSON form of End.
+type wireEnd struct {
+	wireKey
+	Server    string       `json:"server"`
+	StartedAt int64        `json:"started_ms"`
+	Depth     int          `json:"d,omitempty"`
+	Waiting   bool         `json:"waiting,omitempty"` // former builds send ends of begun answers only
+	Repeated  bool         `json:"repeated,omitempty"`
+	Trial     bool         `json:"trial,omitempty"`
+	Request   string       `json:"request,omitempty"`
+	Several   bool         `json:"several,omitempty"`
+	AtServer  clock.Millis `json:"at_server_ms,omitempty"`
+	Age       clock.Millis `json:"age_ms"`
+}
+
+// wireEndedServer is the JSON form of EndedServer.
+type wireEndedServer struct {
+	Service   string       `json:"s"`
+	Server    string       `json:"server"`
+	StartedAt int64        `json:"started_ms"`
+	Age       clock.Millis `json:"age_ms"`
+}
+
+// wireSurvivals is the JSON form of Survivals.
+type wireSurvivals struct {
+	wireKey
+	Entry string `json:"entry"`
+	Count int    `json:"n"`
+}
+
+// wireCount is the JSON form of Trial, Probe and Release.
+type wireCount struct {
+	wireKey
+	Number int          `json:"n"`
+	Age    clock.Millis `json:"age_ms"`
+}
+
+// ToWire returns the JSON form of a report. It returns nil for an empty one.
+func ToWire(r Report) *WireReport {
+	if r.IsEmpty() {
+		return nil
+	}
+	return &WireReport{
+		Ends: lo.Map(r.Ends, func(e End, _ int) wireEnd {
+			return wireEnd{
+				wireKey: toWireKey(e.Key), Server: e.Server, StartedAt: e.StartedAt, Depth: e.Depth, Waiting: !e.Begun,
+				Repeated: e.Repeated, Trial: e.Trial, Request: e.Request, Several: e.Several, AtServer: e.AtServer, Age: e.Age,
+			}
+		}),
+		Servers: lo.Map(r.Servers, func(e EndedServer, _ int) wireEndedServer {
+			return wireEndedServer{Service: e.Service, Server: e.Server, StartedAt: e.StartedAt, Age: e.Age}
+		}),
+		Survivals: lo.Map(r.Survivals, func(v Survivals, _ int) wireSurvivals {
+			return wireSurvivals{wireKey: toWireKey(v.Key), Entry: v.Entry, Count: v.Count}
+		}),
+		Trials: lo.Map(r.Trials, func(t Trial, _ int) wireCount {
+			return wireCount{wireKey: toWireKey(t.Key), Number: t.Number, Age: t.Age}
+		}),
+		Probes: lo.Map(r.Probes, func(p Probe, _ int) wireCount {
+			return wireCount{wireKey: toWireKey(p.Key), Number: p.Number, Age: p.Age}
+		}),
+		Releases: lo.Map(r.Releases, func(l Release, _ int) wireCount {
+			return wireCount{wireKey: toWireKey(l.Key), Number: l.Number, Age: l.Age}
+		}),
+	}
+}
+
+// Report returns the report that has a JSON form, which may be nil.
+func (w *WireReport) Report() Report {
+	if w == nil {
+		return Report{}
+	}
+	return Report{
+		Ends: lo.Map(w.Ends, func(e wireEnd, _ int) End {
+			return End{
+				Key: e.toKey(), ServerRun: ServerRun{Server: e.Server, StartedAt: e.StartedAt},
+				Depth: e.Depth, Begun: !e.Waiting, Repeated: e.Repeated, Trial: e.Trial,
+				Request: e.Request, Several: e.Several, AtServer: e.AtServer, Age: e.Age,
+			}
+		}),
+		Servers: lo.Map(w.Servers, func(e wireEndedServer, _ int) EndedServer {
+			return EndedServer{
+				Service: e.Service, ServerRun: ServerRun{Server: e.Server, StartedAt: e.StartedAt}, Age: e.Age,
+			}
+		}),
+		Survivals: lo.Map(w.Survivals, func(v wireSurvivals, _ int) Survivals {
+			return Survivals{Key: v.toKey(), Entry: v.Entry, Count: v.Count}
+		}),
+		Trials: lo.Map(w.Trials, func(c wireCount, _ int) Trial {
+			return Trial{Key: c.toKey(), Number: c.Number, Age: c.Age}
+		}),
+		Probes: lo.Map(w.Probes, func(c wireCount, _ int) Probe {
+			return Probe{Key: c.toKey(), Number: c.Number, Age: c.Age}
+		}),
+		Releases: lo.Map(w.Releases, func(c wireCount, _ int) Release {
+			return Release{Key: c.toKey(), Number: c.Number, Age: c.Age}
+		}),
+	}
+}
