quarantine: ends in the same millisecond are in the order of sending

Callers saw: now and then a request that had ended three servers, one of them under a trial, was not refused: it got 503 request_suspect until a second trial had ended a fourth server, and longer.

Cause: a request can lose two servers one after the other within a millisecond. Ends at the same time were ordered by the names of their servers, so the second end could come first, and the two counted as one.

Change: ends at the same time are ordered by the time of sending, then by server.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -45,9 +45,12 @@
 	run ServerRun
 }
 
-// sortEnds orders ends by time.
+// sortEnds orders ends by time. Of those in the same millisecond, the request that was sent first
+// comes first: a request can lose two servers one after the other in that time.
 func sortEnds(ends []suspectEnd) {
-	slices.SortFunc(ends, func(a, b suspectEnd) int { return cmp.Or(cmp.Compare(a.at, b.at), a.run.compare(b.run)) })
+	slices.SortFunc(ends, func(a, b suspectEnd) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.sentAt, b.sentAt), a.run.compare(b.run))
+	})
 }
 
 // round is a group of ends that come together.
