--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -39,7 +39,7 @@
 	judged      bool           // the request was judged, which happens before it is first sent
 	probe       bool           // the request is sent although it is quarantined
 	tried       quarantine.Key // what the request is a trial of; zero if it is none
-	serverEnded atomic.Bool    // a server has ended under the request
+	serverEnded *atomic.Bool   // a server has ended under the request
 	attempt     observedAttempt
 }
 
@@ -56,7 +56,8 @@
 // newEndObserver returns the observer of a request that the server gets under a path. The host
 // that the caller has used is not part of the digest, because servers do not see it.
 func newEndObserver(e *Entry, r *callerRequest, method, path string, body []byte) *endObserver {
-	return &endObserver{entry: e, request: r, digest: quarantine.Digest(r.workspace, method, "", path, body)}
+	digest := quarantine.Digest(r.workspace, method, "", path, body)
+	return &endObserver{entry: e, request: r, digest: digest, serverEnded: &atomic.Bool{}}
 }
 
 // subject returns what the quarantine looks at in the request.
@@ -89,6 +90,7 @@
 	}
 	if verdict.Trial {
 		o.tried = verdict.Part
+		e.quarantine.BeginTrial(e.options.Clock.Now(), verdict.Part)
 		o.log(event.SuspectRequestSent, verdict)
 	}
 	return nil
@@ -164,10 +166,11 @@
 	if a.begun {
 		loss.Answering = a.lostAt - a.begunAt
 	}
-	subject, run := o.subject(), a.run()
+	// The functions below may be called much later: they must not keep the request in memory.
+	subject, run, serverEnded := o.subject(), a.run(), o.serverEnded
 	check := func() quarantine.Listening { return e.checkListening(a.assignment) }
 	checked := e.endChecks.ConnectionLost(run, a.address, check, func() {
-		o.serverEnded.Store(true)
+		serverEnded.Store(true)
 		e.quarantine.RecordEnd(subject, run, loss)
 	})
 	waited, stop := e.options.Clock.After(maxEndCheckWait)
@@ -236,6 +239,7 @@
 // refreshQuarantine tells the quarantine of the known servers and logs which requests are
 // quarantined when that has changed.
 func (e *Entry) refreshQuarantine() {
+	e.endChecks.DropExpired()
 	servers, p := queryDispatcher(e, func(now clock.Millis) []backend.Server { return e.dispatcher.registry.Servers(now) })
 	if p != nil {
 		return
