relay: servers that refuse connections do not use up a request's attempts

Callers see the same when many servers end at once: more than three dead ones in a row refuse a request that another server would run.

Attempts in which nothing reaches a server are now bounded by the time they take (four dial timeouts, as before) and no longer by their number.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,9 +14,13 @@
 )
 
 const (
-	// maxAttempts is the number of attempts per request, including those that a server
-	// refuses.
+	// maxAttempts is the number of attempts per request that reach a server, including those
+	// that a server refuses.
 	maxAttempts = 4
+	// maxUnsentTime is the time that a request may spend on attempts that reach no server.
+	// Their number is not limited: where many servers have ended at once, several refuse
+	// connections before one that still serves is chosen.
+	maxUnsentTime = 4 * dialTimeout
 	// minRetryTime is the time that must be left until the deadline for a retry to begin.
 	minRetryTime = 30 * clock.Millisecond
 	// attemptTimeoutTargets is the timeout of an attempt whose request can be sent to
@@ -50,6 +54,8 @@
 	deadline      clock.Millis
 	possibleRuns  int           // number of attempts in which a server may have run the request
 	attempts      int           // number of attempts so far
+	unsent        int           // number of attempts in which nothing reached a server
+	unsentTime    clock.Millis  // time spent on these attempts
 	lastFailure   *fullResponse // newest failure for which a server sent a response
 	out           output
 	position      streamPosition // of the caller, if the response is streamed
@@ -320,12 +326,17 @@
 // has already granted the retry.
 func (x *exchange) mayRetry(a *attempt) bool {
 	now := x.relay.clock.Now()
-	if x.attempts >= maxAttempts || x.deadline-now < minRetryTime || x.caller.isDisconnected() {
+	if x.deadline-now < minRetryTime || x.caller.isDisconnected() {
 		return false
 	}
 	x.requirements.excluded = append(x.requirements.excluded, a.server.record.Server)
 	if a.result == resultUnreachable || a.result == resultWithdrawn {
-		return true // nothing reached a server
+		x.unsent++
+		x.unsentTime += now - a.chosenAt
+		return x.unsentTime < maxUnsentTime
+	}
+	if x.attempts-x.unsent >= maxAttempts {
+		return false
 	}
 	mayHaveRun := x.possibleRuns > 0 && a.result != resultNotRun && a.result != resultWrongServer
 	if mayHaveRun && (x.route.RepeatPolicy == catalog.OnceOnly || x.possibleRuns >= x.route.MaxPossibleRuns) {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -100,6 +101,23 @@
 	}
 }
 
+// Guards against a request that is refused because it was sent to several servers in a row that
+// refuse connections, while another one serves.
+func TestRequestPassesUnreachableServers(t *testing.T) {
+	b := newBackend(t, func(req receivedRequest) { respondOK(req, "ran") })
+	s := newFixture(t, b)
+	records := make([]roster.Record, 0, 12)
+	for i := range cap(records) {
+		records = append(records, roster.Record{Announcement: roster.Announcement{
+			Server: fmt.Sprintf("ended-%d", i), Service: "s", Address: "127.0.0.1:0", AvailabilityZone: "z", Slots: 64, State: roster.Serving, StartedAt: 1,
+		}})
+	}
+	s.updateServers(records...)
+	if got, want := s.status(), 200; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+}
+
 // Guards against a number of entries that overflows where it multiplies a time: the product
 // became 0 and requests with a quarantined part ended in a division by it.
 func TestNumberOfEntriesIsBounded(t *testing.T) {
