gossip: the exchange of records between processes, apart from the quarantine

The watcher held the exchange of quarantine records with the member that it asks: positions, what has been sent and what was received. Limits of servers will be exchanged in the same way, so it becomes package gossip, generic in the report. quarantine.Position becomes gossip.Position.

--- a/backend/digest.go
+++ b/backend/digest.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
 )
 
@@ -59,7 +60,7 @@
 	// quarantine has what the sender knows of requests that end servers and the receiver does
 	// not, and quarantinePosition where the next digest goes on.
 	quarantine         quarantine.Report
-	quarantinePosition quarantine.Position
+	quarantinePosition gossip.Position
 }
 
 // refusedRecords counts the records of a digest that were left out when it was decoded, because
@@ -106,12 +107,12 @@
 
 // Quarantine returns the sender's news about requests that end servers, and the position up to
 // which they lead. The position is zero if the sender takes no part in the exchange.
-func (d Digest) Quarantine() (quarantine.Report, quarantine.Position) {
+func (d Digest) Quarantine() (quarantine.Report, gossip.Position) {
 	return d.quarantine, d.quarantinePosition
 }
 
 // WithQuarantine returns a copy with the sender's news about requests that end servers.
-func (d Digest) WithQuarantine(r quarantine.Report, p quarantine.Position) Digest {
+func (d Digest) WithQuarantine(r quarantine.Report, p gossip.Position) Digest {
 	d.quarantine, d.quarantinePosition = r, p
 	return d
 }
--- a/backend/digest_codec.go
+++ b/backend/digest_codec.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
 )
 
@@ -16,14 +17,14 @@
 	LoadSince LoadVersion
 	// QuarantineKnown is the position up to which the sender knows the receiver's records of
 	// requests that end servers. It is nil if the sender wants none, as in former builds.
-	QuarantineKnown *quarantine.Position
+	QuarantineKnown *gossip.Position
 }
 
 type wireDigestRequest struct {
-	Entry           string                   `json:"entry"`
-	Since           map[string]uint64        `json:"since"`
-	LoadSince       wireLoadVersion          `json:"load_since"`
-	QuarantineKnown *quarantine.WirePosition `json:"quarantine_known,omitempty"`
+	Entry           string               `json:"entry"`
+	Since           map[string]uint64    `json:"since"`
+	LoadSince       wireLoadVersion      `json:"load_since"`
+	QuarantineKnown *gossip.WirePosition `json:"quarantine_known,omitempty"`
 }
 
 type wireLoadVersion struct {
@@ -35,7 +36,7 @@
 func EncodeDigestRequest(p DigestRequest) ([]byte, error) {
 	data, err := json.Marshal(wireDigestRequest{
 		Entry: p.Entry, Since: p.Since.counters, LoadSince: wireLoadVersion(p.LoadSince),
-		QuarantineKnown: (*quarantine.WirePosition)(p.QuarantineKnown),
+		QuarantineKnown: (*gossip.WirePosition)(p.QuarantineKnown),
 	})
 	return data, errors.Wrap(err, "encode digest request")
 }
@@ -51,7 +52,7 @@
 	}
 	return DigestRequest{
 		Entry: w.Entry, Since: Version{counters: w.Since}, LoadSince: LoadVersion(w.LoadSince),
-		QuarantineKnown: (*quarantine.Position)(w.QuarantineKnown),
+		QuarantineKnown: (*gossip.Position)(w.QuarantineKnown),
 	}, nil
 }
 
@@ -68,8 +69,8 @@
 
 // wireQuarantine has the news about requests that end servers and the position that they lead to.
 type wireQuarantine struct {
-	Position quarantine.WirePosition `json:"position"`
-	Report   *quarantine.WireReport  `json:"report,omitempty"`
+	Position gossip.WirePosition    `json:"position"`
+	Report   *quarantine.WireReport `json:"report,omitempty"`
 }
 
 // wireLoadDelta is the change of the sender's load from one version to another.
@@ -183,7 +184,7 @@
 	w.Load = toWireLoadDelta(d.load)
 	if d.quarantinePosition.Instance != 0 {
 		var err error
-		w.Quarantine, err = json.Marshal(wireQuarantine{Position: quarantine.WirePosition(d.quarantinePosition), Report: quarantine.ToWire(d.quarantine)})
+		w.Quarantine, err = json.Marshal(wireQuarantine{Position: gossip.WirePosition(d.quarantinePosition), Report: quarantine.ToWire(d.quarantine)})
 		if err != nil {
 			return nil, errors.Wrap(err, "encode digest")
 		}
@@ -292,7 +293,7 @@
 		d.refused.add(err)
 		return
 	}
-	d.quarantine, d.quarantinePosition = w.Report.Report(), quarantine.Position(w.Position)
+	d.quarantine, d.quarantinePosition = w.Report.Report(), gossip.Position(w.Position)
 }
 
 func (d *Digest) addRecord(r digestRecord, err error) {
--- a/backend/digest_quarantine_test.go
+++ b/backend/digest_quarantine_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/backend"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
 )
 
@@ -22,7 +23,7 @@
 		Probes:    []quarantine.Probe{{Key: key, Number: 2, Age: 6}},
 		Releases:  []quarantine.Release{{Key: key, Number: 3, Age: 4}},
 	}
-	wantPosition := quarantine.Position{Instance: 3, Number: 4}
+	wantPosition := gossip.Position{Instance: 3, Number: 4}
 	registry := backend.New(backend.Options{Entry: "entry-1", Epoch: 1})
 	data, err := backend.EncodeDigest(registry.Digest(0, backend.Version{}).WithQuarantine(want, wantPosition))
 	if err != nil {
@@ -58,7 +59,7 @@
 				t.Fatal(err)
 			}
 			report, position := digest.Quarantine()
-			if !report.IsEmpty() || position != (quarantine.Position{}) {
+			if !report.IsEmpty() || position != (gossip.Position{}) {
 				t.Errorf("quarantine: got %+v at %+v, want none", report, position)
 			}
 			if got, want := digest.RecordCount(), 1; got != want {
@@ -81,7 +82,7 @@
 	if request.QuarantineKnown != nil {
 		t.Errorf("got %+v, want nil", request.QuarantineKnown)
 	}
-	want := quarantine.Position{Instance: 3, Number: 4}
+	want := gossip.Position{Instance: 3, Number: 4}
 	request.QuarantineKnown = &want
 	data, err := backend.EncodeDigestRequest(request)
 	if err != nil {
--- a/control/watch.go
+++ b/control/watch.go
@@ -7,6 +7,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/replica"
@@ -52,7 +53,7 @@
 	// Quarantine is what the sender has learned about parts of prompts that end servers since
 	// its latest request, and QuarantineKnown up to where it knows the member's records.
 	Quarantine      quarantine.Report
-	QuarantineKnown quarantine.Position
+	QuarantineKnown gossip.Position
 	// Delegate is set in the request of a member. The fields after it are set by members.
 	Delegate             *delegation.Member
 	EntryCount           int                   // number of entries that watch the member
@@ -108,7 +109,7 @@
 	// Quarantine is what the member knows about parts of prompts that end servers beyond
 	// WatchRequest.QuarantineKnown. Both are set without a grant, too.
 	Quarantine         quarantine.Report
-	QuarantinePosition quarantine.Position
+	QuarantinePosition gossip.Position
 	// LoadsKept is set if Loads is left out: those of an earlier response still hold.
 	LoadsKept bool
 	// ConfirmationAge is by how much the leader's confirmation is older than the entry's
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -9,6 +9,7 @@
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
@@ -34,8 +35,8 @@
 
 	AcknowledgedRevision uint64 `json:"acknowledged_revision,omitempty"`
 
-	Quarantine      *quarantine.WireReport  `json:"quarantine,omitempty"`
-	QuarantineKnown quarantine.WirePosition `json:"quarantine_known"`
+	Quarantine      *quarantine.WireReport `json:"quarantine,omitempty"`
+	QuarantineKnown gossip.WirePosition    `json:"quarantine_known"`
 }
 
 // wireDelegate is the JSON form of delegation.Member.
@@ -96,8 +97,8 @@
 	ConfirmationAge clock.Millis   `json:"confirmation_age_ms,omitempty"`
 	Delegates       []wireDelegate `json:"delegates,omitempty"`
 
-	Quarantine         *quarantine.WireReport  `json:"quarantine,omitempty"`
-	QuarantinePosition quarantine.WirePosition `json:"quarantine_position"`
+	Quarantine         *quarantine.WireReport `json:"quarantine,omitempty"`
+	QuarantinePosition gossip.WirePosition    `json:"quarantine_position"`
 }
 
 func encodeWatch(watch WatchRequest) ([]byte, error) {
@@ -106,7 +107,7 @@
 		Loads: toWireLoads(watch.Loads), Demands: toWireDemands(watch.Demands),
 		LoadsKept: watch.LoadsKept, AcceptsDelegation: watch.AcceptsDelegation, AcceptsCompressed: watch.AcceptsCompression, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
 		Acknowledged: watch.Acknowledged, AcknowledgedRevision: watch.AcknowledgedRevision, Heartbeats: toWireAnnouncements(watch.Heartbeats),
-		Quarantine: quarantine.ToWire(watch.Quarantine), QuarantineKnown: quarantine.WirePosition(watch.QuarantineKnown),
+		Quarantine: quarantine.ToWire(watch.Quarantine), QuarantineKnown: gossip.WirePosition(watch.QuarantineKnown),
 	})
 	return data, errors.WithStack(err)
 }
@@ -122,7 +123,7 @@
 		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
 		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, AcceptsCompression: w.AcceptsCompressed, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
 		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: heartbeats, RefusedHeartbeats: refused,
-		Quarantine: w.Quarantine.Report(), QuarantineKnown: quarantine.Position(w.QuarantineKnown),
+		Quarantine: w.Quarantine.Report(), QuarantineKnown: gossip.Position(w.QuarantineKnown),
 	}, nil
 }
 
@@ -136,7 +137,7 @@
 		Servers:  lo.Map(response.Servers, func(r roster.Record, _ int) wireServer { return toWireServer(r) }),
 
 		LoadsKept: response.LoadsKept, ConfirmationAge: response.ConfirmationAge,
-		Quarantine: quarantine.ToWire(response.Quarantine), QuarantinePosition: quarantine.WirePosition(response.QuarantinePosition),
+		Quarantine: quarantine.ToWire(response.Quarantine), QuarantinePosition: gossip.WirePosition(response.QuarantinePosition),
 		Delegates: lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
 	}
 	if compressed != nil {
@@ -169,7 +170,7 @@
 		Refused:  refused,
 
 		LoadsKept: w.LoadsKept, ConfirmationAge: w.ConfirmationAge,
-		Quarantine: w.Quarantine.Report(), QuarantinePosition: quarantine.Position(w.QuarantinePosition),
+		Quarantine: w.Quarantine.Report(), QuarantinePosition: gossip.Position(w.QuarantinePosition),
 		Delegates: lo.Map(w.Delegates, func(d wireDelegate, _ int) delegation.Member { return delegation.Member(d) }),
 	}, nil
 }
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
 )
@@ -84,7 +85,7 @@
 	delegates       delegates    // members that answer on behalf of the leader
 	request         WatchRequest // the next request
 	confirmedSource string       // address that sent the latest granted response; empty after a failure
-	quarantine      quarantineExchange
+	quarantine      gossip.Exchange[quarantine.Report]
 	refusalLog      *event.Limiter
 	failures        int // watches that failed or were not granted since the latest granted one
 }
@@ -95,7 +96,7 @@
 		options.Quarantine = quarantine.New(quarantine.Options{Entry: options.Entry})
 	}
 	return &Watcher{
-		options: options, quarantine: quarantineExchange{quarantine: options.Quarantine}, peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
+		options: options, quarantine: gossip.NewExchange[quarantine.Report](options.Quarantine), peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
 		refusalLog: event.NewLimiter(options.Logger, refusalLogInterval),
 		request:    WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, AcceptsCompression: true, Delegate: options.Delegate},
 	}
@@ -134,7 +135,7 @@
 		w.memberAddresses = response.Members
 	}
 	response.Refused.log(w.options.Clock.Now(), w.refusalLog)
-	w.quarantine.apply(w.options.Clock.Now(), response)
+	w.quarantine.Apply(w.options.Clock.Now(), response.Quarantine, response.QuarantinePosition)
 	if !response.Granted || response.Epoch < w.request.Epoch {
 		w.leaderAddress = response.Leader
 		w.delegates.skip(w.options.Clock.Now())
@@ -193,7 +194,7 @@
 	request.EntryCount, request.Acknowledged, request.AcknowledgedRevision = report.EntryCount, report.Acknowledged, report.AcknowledgedRevision
 	request.Revision = max(request.Revision, report.Revision)
 	request.MaxWait = lo.Ternary(report.MaxWait > 0, report.MaxWait, longPollWait)
-	w.quarantine.fill(w.options.Clock.Now(), &request)
+	request.Quarantine, request.QuarantineKnown = w.quarantine.Next(w.options.Clock.Now())
 	data, err := encodeWatch(request)
 	if err != nil {
 		return WatchResponse{}, err
--- a/entry/peer_quarantine.go
+++ b/entry/peer_quarantine.go
@@ -6,18 +6,18 @@
 	"sync"
 
 	"github.com/galenaslip/galenaslip/backend"
-	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/gossip"
 )
 
 // peerQuarantines holds up to which position this entry knows the peers' records of requests that
 // end servers, by address. It is safe for concurrent use.
 type peerQuarantines struct {
 	mu        sync.Mutex
-	positions map[string]quarantine.Position
+	positions map[string]gossip.Position
 }
 
 // known returns the position up to which a peer's records are known.
-func (q *peerQuarantines) known(address string) *quarantine.Position {
+func (q *peerQuarantines) known(address string) *gossip.Position {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p := q.positions[address]
@@ -25,11 +25,11 @@
 }
 
 // record stores the position up to which a peer's records are known now.
-func (q *peerQuarantines) record(address string, p quarantine.Position) {
+func (q *peerQuarantines) record(address string, p gossip.Position) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.positions == nil {
-		q.positions = map[string]quarantine.Position{}
+		q.positions = map[string]gossip.Position{}
 	}
 	q.positions[address] = p
 }
@@ -38,7 +38,7 @@
 func (q *peerQuarantines) keepOnly(addresses []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	maps.DeleteFunc(q.positions, func(address string, _ quarantine.Position) bool { return !slices.Contains(addresses, address) })
+	maps.DeleteFunc(q.positions, func(address string, _ gossip.Position) bool { return !slices.Contains(addresses, address) })
 }
 
 // mergeQuarantine takes over what a peer knows of requests that end servers. A peer of a former
--- a/quarantine/codec.go
+++ b/quarantine/codec.go
@@ -6,12 +6,6 @@
 	"github.com/galenaslip/galenaslip/clock"
 )
 
-// WirePosition is the JSON form of Position.
-type WirePosition struct {
-	Instance uint64 `json:"instance"`
-	Number   uint64 `json:"number"`
-}
-
 // WireReport is the JSON form of Report. Its keys are short, because it is sent
 // often while servers end.
 type WireReport struct {
--- a/quarantine/deadly_test.go
+++ b/quarantine/deadly_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
 )
 
@@ -57,7 +58,7 @@
 func TestDeadlyRequestIsFoundBehindFormerBuild(t *testing.T) {
 	q := newQuarantine("entry")
 	sent := countDeadlySends(q, func(now clock.Millis, _ quarantine.ServerRun) {
-		report, _ := q.Report(now, quarantine.Position{})
+		report, _ := q.Report(now, gossip.Position{})
 		var returned quarantine.Report
 		for _, e := range report.Ends {
 			returned.Ends = append(returned.Ends, quarantine.End{
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -6,24 +6,19 @@
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/gossip"
 )
 
-// Position identifies the records that a process has at a time.
-type Position struct {
-	Instance uint64 // identifies the process's Quarantine; 0 if nothing is known of it
-	Number   uint64 // number of changes of its records
-}
-
 // Report returns the records of the parts that changed after a position of this quarantine, in
 // order, and the position that they lead to. For a position of another one it returns all.
-func (q *Quarantine) Report(now clock.Millis, since Position) (Report, Position) {
+func (q *Quarantine) Report(now clock.Millis, since gossip.Position) (Report, gossip.Position) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
 	if since.Instance != q.instance {
 		since.Number = 0
 	}
-	position := Position{Instance: q.instance, Number: q.position}
+	position := gossip.Position{Instance: q.instance, Number: q.position}
 	if since.Number >= q.position {
 		return Report{}, position
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/testseed"
 )
@@ -45,7 +46,7 @@
 
 // all returns all records.
 func all(q *quarantine.Quarantine, now clock.Millis) quarantine.Report {
-	r, _ := q.Report(now, quarantine.Position{})
+	r, _ := q.Report(now, gossip.Position{})
 	return r
 }
 
@@ -260,9 +261,9 @@
 	for i := range 600 {
 		a.RecordEnd(subject(fmt.Sprint(i)), run(i), quarantine.Loss{Begun: true, At: clock.Millis(i)})
 	}
-	first, known := a.Report(600, quarantine.Position{})
+	first, known := a.Report(600, gossip.Position{})
 	b.Merge(600, first)
-	_, knownOfB := b.Report(600, quarantine.Position{})
+	_, knownOfB := b.Report(600, gossip.Position{})
 	b.Merge(600, first)
 	if r, _ := b.Report(600, knownOfB); !r.IsEmpty() {
 		t.Errorf("after the same report again: got %d ends, want none", len(r.Ends))
@@ -274,7 +275,7 @@
 	if r, _ := a.Report(601, known); len(r.Ends) != 1 {
 		t.Errorf("one new end: got %d ends, want 1", len(r.Ends))
 	}
-	if r, _ := a.Report(601, quarantine.Position{Instance: known.Instance + 1, Number: known.Number}); len(r.Ends) != len(first.Ends) {
+	if r, _ := a.Report(601, gossip.Position{Instance: known.Instance + 1, Number: known.Number}); len(r.Ends) != len(first.Ends) {
 		t.Errorf("position of another process: got %d ends, want all %d", len(r.Ends), len(first.Ends))
 	}
 }
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
 )
 
@@ -28,7 +29,7 @@
 	now      clock.Millis
 	entries  []*quarantine.Quarantine
 	inbox    [][]delayedReport // by entry
-	known    [][]quarantine.Position
+	known    [][]gossip.Position
 	servers  []*simServer
 	runs     int64
 	running  []*simRequest
@@ -82,7 +83,7 @@
 		q := newQuarantine(fmt.Sprintf("entry-%d", i))
 		q.SetServerCounts(map[string]int{service: serverCount})
 		s.entries = append(s.entries, q)
-		s.known = append(s.known, make([]quarantine.Position, entryCount))
+		s.known = append(s.known, make([]gossip.Position, entryCount))
 	}
 	s.inbox = make([][]delayedReport, entryCount)
 	return s
