--- a/event/relay.go
+++ b/event/relay.go
@@ -26,5 +26,6 @@
 	SuspectTried          = define(442, "suspect_tried", Info, "A request was sent although it or a part of its prompt is suspect, to find out whether servers end under it; others wait for the outcome.")
 	ServerLeaving         = define(446, "server_leaving", Info, "A backend server has said in an answer that it leaves; this entry sends it no more requests.")
 	ServerPaused          = define(447, "server_paused", Info, "A backend server has refused a request and asked for a pause; this entry sends it no requests for that time.")
+	ServerLimited         = define(448, "server_limited", Info, "A backend server names another limit than before in its answers, or none any more (0): the requests a second that it takes from all entries together.")
 	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
 )
--- a/frame/head.go
+++ b/frame/head.go
@@ -49,6 +49,17 @@
 	return ""
 }
 
+// Values returns the values of all header fields with the name, in order.
+func (h Head) Values(name string) []string {
+	var values []string
+	for _, f := range h.Headers {
+		if strings.EqualFold(f.Name, name) {
+			values = append(values, f.Value)
+		}
+	}
+	return values
+}
+
 // Has reports whether there is a header field with the name.
 func (h Head) Has(name string) bool { return h.count(name) > 0 }
 
--- /dev/null
+++ b/ratelimit/limiter.go
@@ -0,0 +1,268 @@
+package ratelimit
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+const (
+	// maxPoints bounds the points of a server on the ring.
+	maxPoints = 1024
+	// burstPerPoint is the number of unused requests that an entry saves up for each point. With
+	// 2, a server gets at most 1.5 times its limit and one request more in any 4 s.
+	burstPerPoint = 2
+	// urgentReserve is the part of the saved requests beyond the first one that is kept for more
+	// urgent requests than those of the least urgent rank.
+	urgentReserve = 0.8
+	// starvationBound is how long requests of a rank may be refused while more urgent ones take
+	// all of a limit. After it, the next request of the rank goes first.
+	starvationBound = 5 * clock.Second
+	// starvationReserve is the part of the saved requests beyond the first one that is kept for
+	// such a request.
+	starvationReserve = 0.5
+	// MaxReturnTime bounds the time after which a refused caller is told to come back. Limits
+	// change, and entries come and go.
+	MaxReturnTime = 10 * clock.Second
+	// minReturnRate is the lowest rate at which refused callers are told to come back, in
+	// requests a second.
+	minReturnRate = 0.2
+)
+
+// Urgency is how urgent a request is: its rank from 0, the most urgent one, of a number of ranks.
+type Urgency struct{ Rank, Ranks int }
+
+// reserve returns the number of saved requests of the given capacity that must stay for more
+// urgent requests.
+func (u Urgency) reserve(capacity float64) float64 {
+	if u.Ranks < 2 || capacity <= 1 {
+		return 0
+	}
+	return urgentReserve * (capacity - 1) * float64(u.Rank) / float64(u.Ranks-1)
+}
+
+// Limiter holds back the requests of one entry to servers with a limit. It is safe for concurrent
+// use. All times are on the clock of the process.
+type Limiter struct {
+	limits *Limits
+
+	mu         sync.Mutex
+	share      Interval     // the part of the ring that this entry holds
+	shareUntil clock.Millis // the end of the lease that came with it
+	buckets    map[Run]*bucket
+	refused    map[string]map[int]refusals // by service and rank
+	returnAt   map[string]clock.Millis     // when the caller of a service that was refused last comes back
+	expireAt   clock.Millis                // when buckets of former limits are searched for next
+}
+
+// refusals are the refusals of a rank since its latest request that was sent to a server with a
+// limit.
+type refusals struct{ first, latest clock.Millis }
+
+// isStarving reports whether the rank has waited for too long and still does.
+func (r refusals) isStarving(now clock.Millis) bool {
+	return now-r.first >= starvationBound && now-r.latest < starvationBound
+}
+
+// bucket holds the requests that may be sent to a server now.
+type bucket struct {
+	tokens      float64
+	at          clock.Millis // when tokens was right
+	rate, burst float64      // tokens a second, and the most that are saved up
+	share       Interval     // share for which rate and burst hold
+	limit       Limit        // limit for which rate and burst hold
+}
+
+// NewLimiter returns a limiter of an entry that holds no part of the ring yet.
+func NewLimiter(limits *Limits) *Limiter {
+	return &Limiter{limits: limits, buckets: map[Run]*bucket{}, refused: map[string]map[int]refusals{}, returnAt: map[string]clock.Millis{}}
+}
+
+// Limits returns the limits that the limiter keeps.
+func (l *Limiter) Limits() *Limits { return l.limits }
+
+// SetShare sets the part of the ring that this entry holds, and the end of the lease that came
+// with it.
+func (l *Limiter) SetShare(share Interval, until clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.share, l.shareUntil = share, until
+}
+
+// Share returns the part of the ring that this entry may use, from 0 to 1.
+func (l *Limiter) Share(now clock.Millis) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.validShare(now).Size()
+}
+
+// validShare returns the part of the ring that this entry may use. The caller holds the lock.
+func (l *Limiter) validShare(now clock.Millis) Interval {
+	if now >= l.shareUntil {
+		return Interval{}
+	}
+	return l.share
+}
+
+// Allows reports whether a request of a service may be sent to a server now.
+func (l *Limiter) Allows(now clock.Millis, run Run, service string, u Urgency) bool {
+	if l.limits.IsEmpty() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.limits.Limit(run)
+	if !limit.Exists() {
+		return true
+	}
+	b := l.bucket(now, run, limit)
+	return b.rate > 0 && b.tokens >= 1+l.reserve(now, service, u, b.burst)
+}
+
+// reserve returns how many tokens a request must leave. While a rank has been refused for too
+// long, the requests of the other ranks leave enough for it. The caller holds the lock.
+func (l *Limiter) reserve(now clock.Millis, service string, u Urgency, burst float64) float64 {
+	reserve := u.reserve(burst)
+	for rank, r := range l.refused[service] {
+		switch {
+		case !r.isStarving(now):
+		case rank == u.Rank:
+			return 0
+		default:
+			reserve = max(reserve, starvationReserve*(burst-1))
+		}
+	}
+	return reserve
+}
+
+// Take counts a request that is sent to a server. Allows must have reported true.
+func (l *Limiter) Take(now clock.Millis, run Run, service string, u Urgency) {
+	if l.limits.IsEmpty() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.refused[service], u.Rank)
+	if b, ok := l.buckets[run]; ok {
+		b.tokens--
+	}
+}
+
+// Return takes back the count of a request that has not reached its server.
+func (l *Limiter) Return(run Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b, ok := l.buckets[run]; ok {
+		b.tokens = min(b.tokens+1, b.burst)
+	}
+}
+
+// bucket returns the bucket of a server with a limit, filled up to now. The caller holds the lock.
+func (l *Limiter) bucket(now clock.Millis, run Run, limit Limit) *bucket {
+	l.expire(now)
+	b, ok := l.buckets[run]
+	if !ok {
+		b = &bucket{at: now}
+		l.buckets[run] = b
+	}
+	b.tokens = min(b.tokens+b.rate*(now-b.at).Duration().Seconds(), b.burst)
+	b.at = now
+	if share := l.validShare(now); b.limit != limit || b.share != share {
+		b.limit, b.share = limit, share
+		held, all := points(run, limit, share)
+		b.rate, b.burst = limit.Rate()*float64(held)/float64(all), burstPerPoint*float64(held)
+		b.tokens = min(b.tokens, b.burst)
+	}
+	return b
+}
+
+// points returns how many of the points of a server are in an interval, and their number. They
+// are evenly spaced, and the name of the server tells where they begin.
+func points(run Run, limit Limit, share Interval) (held, all int) {
+	all = min(max(int(limit.Rate()), 1), maxPoints)
+	if share.IsEmpty() {
+		return 0, all
+	}
+	step := uint64(ringSize / all)
+	offset := xxhash.Sum64String(run.Server) % step
+	return pointsBefore(share.End, offset, step, all) - pointsBefore(share.Begin, offset, step, all), all
+}
+
+// pointsBefore returns how many of the points offset, offset+step and so on are before a position.
+func pointsBefore(position, offset, step uint64, all int) int {
+	if position <= offset {
+		return 0
+	}
+	return min(int((position-offset+step-1)/step), all)
+}
+
+// expire removes the buckets of limits that have ended, at most once a second. The caller holds
+// the lock.
+func (l *Limiter) expire(now clock.Millis) {
+	if now < l.expireAt {
+		return
+	}
+	l.expireAt = now + clock.Second
+	for run := range l.buckets {
+		if !l.limits.Limit(run).Exists() {
+			delete(l.buckets, run)
+		}
+	}
+}
+
+// RefuseFor records that a request of a service is refused because all of the given servers have
+// limits that allow none now. It returns after which time the caller should come back. The limits
+// of the servers tell how many callers can come back in each second, and the times are spread
+// accordingly.
+func (l *Limiter) RefuseFor(now clock.Millis, service string, runs []Run, u Urgency) clock.Millis {
+	total := lo.SumBy(runs, func(run Run) float64 { return min(l.limits.Limit(run).Rate(), MaxRate) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recordRefusal(now, service, u.Rank)
+	rate := total * l.validShare(now).Size()
+	if rate == 0 {
+		// Other entries hold the limits: the caller finds one of them soon.
+		return 1 + rand.N(clock.Second)
+	}
+	gap := float64(clock.Second) / max(rate, minReturnRate) * (0.5 + rand.Float64())
+	at := max(l.returnAt[service], now) + clock.Millis(math.Ceil(gap))
+	l.returnAt[service] = min(at, now+MaxReturnTime)
+	return l.returnAt[service] - now
+}
+
+// recordRefusal records the refusal of a request of a service. The caller holds the lock.
+func (l *Limiter) recordRefusal(now clock.Millis, service string, rank int) {
+	if l.refused[service] == nil {
+		l.refused[service] = map[int]refusals{}
+	}
+	r, ok := l.refused[service][rank]
+	if !ok || now-r.latest >= starvationBound {
+		r.first = now
+	}
+	r.latest = now
+	l.refused[service][rank] = r
+}
+
+// ServerRate is what a limiter holds of the limit of one server.
+type ServerRate struct {
+	Limit  Limit
+	Rate   float64 // requests a second that this entry may send
+	Tokens float64 // requests that it may send now
+}
+
+// ServerRate returns what the limiter holds of the limit of a server.
+func (l *Limiter) ServerRate(now clock.Millis, run Run) ServerRate {
+	limit := l.limits.Limit(run)
+	if !limit.Exists() {
+		return ServerRate{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(now, run, limit)
+	return ServerRate{Limit: limit, Rate: b.rate, Tokens: b.tokens}
+}
--- /dev/null
+++ b/ratelimit/limits.go
@@ -0,0 +1,229 @@
+package ratelimit
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/gossip"
+)
+
+const (
+	// limitRetention is how long a limit is kept without an answer that names it again.
+	limitRetention = 10 * clock.Minute
+	// endRetention is how long it is remembered that a limit has ended, so that other processes
+	// learn it.
+	endRetention = 1 * clock.Minute
+	// maxRuns bounds the number of servers whose limits are kept.
+	maxRuns = 1 << 14
+	// maxReported bounds the servers in a report, and so the bytes that are exchanged. The rest
+	// follows with the next reports.
+	maxReported = 64
+	// reportedChange is the smallest relative change of a rate that is reported to other
+	// processes. Servers that name a slightly different limit in each answer cost nothing.
+	reportedChange = 0.1
+	// reportDelay is how long a report may have been on its way. A reported limit that is less
+	// strict than the known one counts as older by this time.
+	reportDelay = 1 * clock.Second
+)
+
+// Limits holds the newest limits that servers have named, as far as this process knows them. It
+// is safe for concurrent use. All times are on the clock of the process.
+type Limits struct {
+	instance uint64
+
+	mu       sync.Mutex
+	runs     map[Run]*record
+	position uint64       // number of changes so far that are reported
+	expireAt clock.Millis // when old records are searched for next
+}
+
+// record is what is known of one run of a server.
+type record struct {
+	statement
+	reported Limit  // the limit at the newest reported change
+	position uint64 // number of that change
+}
+
+// Reported is the limit of one run of a server in a report. Ages stand in place of times, because
+// the clocks of processes differ.
+type Reported struct {
+	Run
+	Limit                  Limit
+	EarliestAge, LatestAge clock.Millis // how long ago the server has named the limit, at least LatestAge
+}
+
+// Report is what one process tells another about limits.
+type Report []Reported
+
+// NewLimits returns an empty set of limits.
+func NewLimits() *Limits {
+	return &Limits{instance: 1 + rand.Uint64N(math.MaxUint64), runs: map[Run]*record{}}
+}
+
+// Record takes over what a server has said in an answer: limit, at some time from the sending of
+// the request to the arrival of the answer. It returns the limit that holds now, and whether that
+// has changed.
+func (l *Limits) Record(now clock.Millis, run Run, limit Limit, sentAt, arrivedAt clock.Millis) (Limit, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	return l.add(run, statement{limit: limit, earliest: sentAt, latest: arrivedAt})
+}
+
+// add takes over a statement. It returns the limit that holds now, and whether that has changed.
+// The caller holds the lock.
+func (l *Limits) add(run Run, s statement) (Limit, bool) {
+	known, ok := l.runs[run]
+	if !ok {
+		if !s.limit.Exists() || len(l.runs) >= maxRuns {
+			return None, false
+		}
+		known = &record{statement: s}
+		l.runs[run] = known
+		l.markChanged(known)
+		return s.limit, true
+	}
+	former := known.limit
+	known.statement = known.next(s)
+	if differs(known.limit, known.reported) {
+		l.markChanged(known)
+	}
+	return known.limit, known.limit != former
+}
+
+// differs reports whether a limit is so different from the one reported last that it must be
+// reported.
+func differs(limit, reported Limit) bool {
+	if limit.Exists() != reported.Exists() {
+		return true
+	}
+	return math.Abs(limit.rate-reported.rate) > reportedChange*reported.rate
+}
+
+// markChanged gives a record the next position. The caller holds the lock.
+func (l *Limits) markChanged(r *record) {
+	l.position++
+	r.position, r.reported = l.position, r.limit
+}
+
+// Limit returns the limit of a run of a server.
+func (l *Limits) Limit(run Run) Limit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known, ok := l.runs[run]; ok {
+		return known.limit
+	}
+	return None
+}
+
+// Count returns the number of servers with a limit.
+func (l *Limits) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, known := range l.runs {
+		if known.limit.Exists() {
+			n++
+		}
+	}
+	return n
+}
+
+// IsEmpty reports whether no server is known to have or to have had a limit.
+func (l *Limits) IsEmpty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs) == 0
+}
+
+// Report returns up to maxReported limits that changed after a position of this set, oldest
+// change first, and the position that they lead to. It implements gossip.Records.
+func (l *Limits) Report(now clock.Millis, since gossip.Position) (Report, gossip.Position) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if since.Instance != l.instance {
+		since.Number = 0
+	}
+	position := gossip.Position{Instance: l.instance, Number: l.position}
+	if since.Number >= l.position {
+		return nil, position
+	}
+	changed := l.changedSince(since.Number)
+	if len(changed) > maxReported {
+		changed = changed[:maxReported]
+		position.Number = l.runs[changed[maxReported-1]].position
+	}
+	report := make(Report, len(changed))
+	for i, run := range changed {
+		known := l.runs[run]
+		report[i] = Reported{Run: run, Limit: known.limit, EarliestAge: now - known.earliest, LatestAge: now - known.latest}
+	}
+	return report, position
+}
+
+// changedSince returns the runs whose limits changed after the change with a number, in the order
+// of their changes. The caller holds the lock.
+func (l *Limits) changedSince(number uint64) []Run {
+	var changed []Run
+	for run, known := range l.runs {
+		if known.position > number {
+			changed = append(changed, run)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Run) int { return cmp.Compare(l.runs[a].position, l.runs[b].position) })
+	return changed
+}
+
+// Merge takes over the limits of a report. It implements gossip.Records.
+func (l *Limits) Merge(now clock.Millis, report Report) {
+	if len(report) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range report {
+		s := statement{limit: r.Limit, latest: now - max(r.LatestAge, 0)}
+		s.earliest = min(now-max(r.EarliestAge, 0), s.latest)
+		if known, ok := l.runs[r.Run]; ok && known.limit.isStricterThan(s.limit) {
+			s.earliest -= reportDelay
+		}
+		l.add(r.Run, s)
+	}
+	l.expire(now)
+}
+
+// expire removes records that are too old, at most once a second. The caller holds the lock.
+func (l *Limits) expire(now clock.Millis) {
+	if now < l.expireAt {
+		return
+	}
+	l.expireAt = now + clock.Second
+	for run, known := range l.runs {
+		retention := limitRetention
+		if !known.limit.Exists() {
+			retention = endRetention
+		}
+		if now-known.latest > retention {
+			delete(l.runs, run)
+		}
+	}
+}
+
+// Limited returns the servers with a limit, ordered by name.
+func (l *Limits) Limited() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var runs []Run
+	for run, known := range l.runs {
+		if known.limit.Exists() {
+			runs = append(runs, run)
+		}
+	}
+	slices.SortFunc(runs, Run.compare)
+	return runs
+}
--- /dev/null
+++ b/ratelimit/partition.go
@@ -0,0 +1,240 @@
+package ratelimit
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
+
+const (
+	// targetInterval is the shortest time between two divisions of the ring that only follow a
+	// change of demand.
+	targetInterval = 2 * clock.Second
+	// minMisplaced is the part of the ring that must belong to other participants before a change
+	// of demand divides it anew: each division leaves some servers unused for a moment.
+	minMisplaced = 0.15
+	// participantTimeout is how long a participant gets a part of the ring after its latest
+	// report.
+	participantTimeout = 2 * clock.Second
+)
+
+// Grant is a part of the ring that a participant may use while its lease is valid.
+type Grant struct {
+	Partition uint64 // identifies the Partition that has granted it
+	Number    uint64 // number of the grant; a later one replaces it
+	Interval  Interval
+}
+
+// Partition divides the ring among participants: entries, or members of the control group that
+// divide their part among entries of their own. It is safe for concurrent use.
+//
+// A part is granted only once no other participant can hold it: the others have told that they
+// hold a later grant without it, or the leases that came with it have ended. So the parts that
+// are in use never overlap, whatever happens to messages. While a new partition does not know
+// yet who holds what, participants keep what they have.
+type Partition struct {
+	instance uint64
+	lease    clock.Millis // how long a participant may use a grant after it has asked for it
+
+	mu           sync.Mutex
+	total        Interval // what is divided
+	settledAt    clock.Millis
+	number       uint64 // of the newest grant
+	participants map[string]*participant
+	targetsAt    clock.Millis
+	outdated     bool // the targets are not for the present participants and total
+}
+
+// participant is what a partition knows of a participant.
+type participant struct {
+	weight       int // its demand
+	targetWeight int // its demand when the targets were set
+	target       Interval
+	reportedAt   clock.Millis
+	active       bool // it has reported lately
+	holds        []hold
+}
+
+// hold is a part of the ring that a participant may hold until its lease ends: what it was
+// granted, or what it has reported. Its number is that of the grant, or 0 if another partition has
+// granted it.
+type hold struct {
+	number   uint64
+	reported bool
+	interval Interval
+	until    clock.Millis
+}
+
+// NewPartition returns a partition of the whole ring. Grants of former partitions may be in use
+// until the given lease time has passed.
+func NewPartition(now, lease clock.Millis) *Partition {
+	return &Partition{
+		instance: 1 + rand.Uint64N(math.MaxUint64), lease: lease, total: wholeRing, settledAt: now + lease,
+		participants: map[string]*participant{},
+	}
+}
+
+// SetTotal makes the partition divide an interval in place of the whole ring. What participants
+// hold outside of it is taken back with their next grants.
+func (p *Partition) SetTotal(total Interval) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.total != total {
+		p.total, p.outdated = total, true
+	}
+}
+
+// Exchange records what a participant reports, and returns its next grant. The participant reports
+// its demand, the newest grant that it has received, and in it the interval that it uses or has
+// passed on. The lease that comes with the returned grant must end by the lease time from now.
+func (p *Partition) Exchange(now clock.Millis, name string, weight int, held Grant) Grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire(now)
+	q, ok := p.participants[name]
+	if !ok {
+		q = &participant{}
+		p.participants[name] = q
+	}
+	if !q.active {
+		q.active, p.outdated = true, true
+	}
+	q.weight, q.reportedAt = max(weight, 0), now
+	if held.Partition != p.instance {
+		held.Number = 0
+	}
+	q.acknowledge(held, now+p.lease)
+	return p.grant(now, q, p.wanted(now, q, held))
+}
+
+// acknowledge records what a participant holds. It has given up all earlier grants, and may hold
+// this one or a later one. A member whose grant has become smaller may report more than it was
+// granted, until its entries have given that up.
+func (q *participant) acknowledge(held Grant, until clock.Millis) {
+	q.holds = slices.DeleteFunc(q.holds, func(h hold) bool {
+		return h.number < held.Number || h.number == held.Number && h.reported
+	})
+	if !held.Interval.IsEmpty() {
+		q.holds = append(q.holds, hold{number: held.Number, reported: true, interval: held.Interval, until: until})
+	}
+}
+
+// wanted returns the part of the ring that a participant should get. The caller holds the lock.
+func (p *Partition) wanted(now clock.Millis, q *participant, held Grant) Interval {
+	if now < p.settledAt {
+		return held.Interval.intersect(p.total)
+	}
+	p.updateTargets(now)
+	return q.target
+}
+
+// grant grants the largest part of the wanted interval that no other participant can hold. The
+// caller holds the lock.
+func (p *Partition) grant(now clock.Millis, q *participant, wanted Interval) Grant {
+	var taken []Interval
+	for _, other := range p.participants {
+		if other == q {
+			continue
+		}
+		for _, h := range other.holds {
+			if h.until > now {
+				taken = append(taken, h.interval)
+			}
+		}
+	}
+	p.number++
+	g := Grant{Partition: p.instance, Number: p.number, Interval: wanted.largestWithout(taken)}
+	if !g.Interval.IsEmpty() {
+		q.holds = append(q.holds, hold{number: g.Number, interval: g.Interval, until: now + p.lease})
+	}
+	return g
+}
+
+// updateTargets divides the ring anew if participants have come or gone, or if their demand has
+// changed much. The caller holds the lock.
+func (p *Partition) updateTargets(now clock.Millis) {
+	if !p.outdated && (now-p.targetsAt < targetInterval || p.misplaced() < minMisplaced) {
+		return
+	}
+	p.outdated, p.targetsAt = false, now
+	names := lo.Keys(lo.PickBy(p.participants, func(_ string, q *participant) bool { return q.active }))
+	slices.Sort(names)
+	sum := lo.SumBy(names, func(name string) int { return p.participants[name].weight })
+	before, begin := 0, p.total.Begin
+	for _, name := range names {
+		q := p.participants[name]
+		before += q.weight
+		end := begin
+		if sum > 0 && !p.total.IsEmpty() {
+			end = p.total.Begin + uint64(float64(p.total.End-p.total.Begin)*float64(before)/float64(sum))
+		}
+		q.target, q.targetWeight = Interval{Begin: begin, End: end}, q.weight
+		begin = end
+	}
+}
+
+// misplaced returns the part of the total, from 0 to 1, that would belong to other participants
+// if it was divided by the present demand. The caller holds the lock.
+func (p *Partition) misplaced() float64 {
+	var sum, targetSum float64
+	for _, q := range p.participants {
+		sum, targetSum = sum+float64(q.activeWeight()), targetSum+float64(q.targetWeight)
+	}
+	if sum == 0 || targetSum == 0 {
+		return math.Abs(sum - targetSum)
+	}
+	difference := 0.0
+	for _, q := range p.participants {
+		difference += math.Abs(float64(q.activeWeight())/sum - float64(q.targetWeight)/targetSum)
+	}
+	return difference / 2
+}
+
+// activeWeight returns the demand of a participant that still reports it.
+func (q *participant) activeWeight() int {
+	if !q.active {
+		return 0
+	}
+	return q.weight
+}
+
+// expire drops holds whose leases have ended, and participants that no longer report. The caller
+// holds the lock.
+func (p *Partition) expire(now clock.Millis) {
+	for name, q := range p.participants {
+		q.holds = slices.DeleteFunc(q.holds, func(h hold) bool { return h.until <= now })
+		if q.active && now-q.reportedAt > participantTimeout {
+			q.active, q.target, p.outdated = false, Interval{}, true
+		}
+		if !q.active && len(q.holds) == 0 {
+			delete(p.participants, name)
+		}
+	}
+}
+
+// Held returns the smallest interval with all parts that participants may hold.
+func (p *Partition) Held(now clock.Millis) Interval {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var held Interval
+	for _, q := range p.participants {
+		for _, h := range q.holds {
+			if h.until > now {
+				held = held.hull(h.interval)
+			}
+		}
+	}
+	return held
+}
+
+// Weight returns the demand of all participants.
+func (p *Partition) Weight() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lo.SumBy(lo.Values(p.participants), (*participant).activeWeight)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -237,6 +237,7 @@
 		!head.ClosesConnection() && !body.EndsWithConnection()
 	x.relay.fleet.recordLoad(a.server, a.responseInfo)
 	x.recordLeaving(a, head, a.responseInfo)
+	x.recordLimit(a)
 	return true
 }
 
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/relay"
 	"github.com/galenaslip/galenaslip/roster"
 )
@@ -44,7 +45,9 @@
 
 func (testProtocol) ResponseInfo(h frame.Head) relay.ResponseInfo {
 	pause, _ := strconv.Atoi(h.Get("Pause"))
-	return relay.ResponseInfo{ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving"), RetryAfter: clock.Millis(pause)}
+	info := relay.ResponseInfo{ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving"), RetryAfter: clock.Millis(pause)}
+	info.Limit, info.LimitKnown = ratelimit.ParseLimit(h.Values("Limit"))
+	return info
 }
 
 func (testProtocol) Refusal(c relay.RequestInfo) []frame.Header {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 )
 
 // defaultLimits apply until the first catalog is loaded and where a catalog sets no
@@ -62,6 +63,8 @@
 	// Quarantine holds what all relays know about parts of prompts that end servers; an empty
 	// one is used when nil.
 	Quarantine *quarantine.Quarantine
+	// Limits holds the limits that servers have named to any relay; an empty set is used when nil.
+	Limits *ratelimit.Limits
 	// BodyMemory bounds the memory of all bodies that are held at the same time, in bytes;
 	// defaultBodyMemory when 0.
 	BodyMemory int
@@ -81,9 +84,10 @@
 	closing  atomic.Bool  // callers' connections are closed once they are idle
 	metrics  *metrics
 
-	quarantine  *quarantine.Quarantine
-	bodyMemory  memoryPool    // for the bodies of requests and responses
-	acceptEnded chan struct{} // closed when no more connections are accepted
+	quarantine   *quarantine.Quarantine
+	serverLimits *ratelimit.Limits
+	bodyMemory   memoryPool    // for the bodies of requests and responses
+	acceptEnded  chan struct{} // closed when no more connections are accepted
 
 	mu    sync.Mutex // guards conns
 	conns map[*callerConn]struct{}
@@ -111,6 +115,10 @@
 	if r.quarantine == nil {
 		r.quarantine = quarantine.New(quarantine.Options{Entry: options.Name})
 	}
+	r.serverLimits = options.Limits
+	if r.serverLimits == nil {
+		r.serverLimits = ratelimit.NewLimits()
+	}
 	r.bodyMemory.limit = int64(lo.CoalesceOrEmpty(options.BodyMemory, defaultBodyMemory))
 	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger)
 	r.catalog.Store(&catalog.Catalog{})
