--- a/control/control.go
+++ b/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/replica"
 )
 
@@ -89,6 +90,8 @@
 	watchingEntries     watchingEntries
 	propagation         *changePropagation
 	quarantine          *quarantine.Quarantine
+	limits              *ratelimit.Limits
+	shares              *limitShares
 	compressor          documentCompressor
 	delegate            *delegate
 	forwarder           *announcementForwarder
@@ -126,6 +129,7 @@
 		propagation: newChangePropagation(options.EntryLease), quarantine: quarantine.New(quarantine.Options{Entry: options.Name}),
 	}
 	c.machine.onCatalogChange = c.changed.notify
+	c.limits, c.shares = ratelimit.NewLimits(), newLimitShares(c)
 	c.serverRegistry = newServerRegistry(c)
 	if c.options.OpenLog == nil {
 		c.options.OpenLog = openReplicatedLog
--- a/control/delegate.go
+++ b/control/delegate.go
@@ -45,7 +45,7 @@
 	d := &delegate{control: c, mirror: roster.NewMirror(), heartbeats: map[string]roster.Announcement{}}
 	d.watcher = NewWatcher(WatcherOptions{
 		Entry: "member " + c.options.Advertise, Token: c.options.PeerToken, Delegate: lo.ToPtr(c.delegationMember()), Seeds: d.leader,
-		Clock: c.options.Clock, Logger: c.options.Logger, Update: d.update, Report: d.report, Quarantine: c.quarantine,
+		Clock: c.options.Clock, Logger: c.options.Logger, Update: d.update, Report: d.report, Quarantine: c.quarantine, Limits: c.limits,
 	})
 	return d
 }
@@ -69,7 +69,7 @@
 	count, demands := c.watchingEntries.demandsExcept(now, "")
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := Report{Revision: max(c.machine.Catalog().Revision, d.document.Revision), MaxWait: idleDelegateWait}
+	r := Report{Revision: max(c.machine.Catalog().Revision, d.document.Revision), MaxWait: idleDelegateWait, Share: c.shares.memberReport(now, d.delegates())}
 	position := propagation.Version{Term: d.mirror.Epoch(), Number: d.mirror.Position()}
 	r.AcknowledgedRevision, r.Acknowledged = c.propagation.oldestKnown(now, r.Revision, position)
 	if !d.delegates() {
@@ -118,6 +118,7 @@
 	}
 	d.confirmation, d.others = next, response
 	d.others.EntryCount = max(response.EntryCount-d.reported, 0)
+	d.control.shares.setGranted(response.Share)
 	d.mu.Unlock()
 	if changed {
 		d.control.changed.notify()
@@ -144,6 +145,7 @@
 	response.Epoch, response.Position = d.mirror.Epoch(), d.mirror.Position()
 	response.EntryCount, response.Loads, response.Demands = d.others.EntryCount, d.others.Loads, d.others.Demands
 	response.ConfirmationAge, response.Delegates = d.confirmation.Age(receivedAt), d.others.Delegates
+	response.Share = grantTo(d.control.shares.member, now, watch)
 }
 
 // acceptHeartbeat takes a heartbeat that has no news for the entries, and reports whether
--- a/control/watch.go
+++ b/control/watch.go
@@ -10,6 +10,7 @@
 	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
 )
@@ -54,6 +55,12 @@
 	// its latest request, and QuarantineKnown up to where it knows the member's records.
 	Quarantine      quarantine.Report
 	QuarantineKnown gossip.Position
+	// Limits is what the sender has learned about the limits of backend servers since its latest
+	// request, and LimitsKnown up to where it knows the member's.
+	Limits      ratelimit.Report
+	LimitsKnown gossip.Position
+	// Share asks for a part of these limits; nil in requests of the former build.
+	Share *ShareReport
 	// Delegate is set in the request of a member. The fields after it are set by members.
 	Delegate             *delegation.Member
 	EntryCount           int                   // number of entries that watch the member
@@ -110,6 +117,13 @@
 	// WatchRequest.QuarantineKnown. Both are set without a grant, too.
 	Quarantine         quarantine.Report
 	QuarantinePosition gossip.Position
+	// Limits is what the member knows about the limits of backend servers beyond
+	// WatchRequest.LimitsKnown. Both are set without a grant, too.
+	Limits         ratelimit.Report
+	LimitsPosition gossip.Position
+	// Share is the entry's part of these limits, which holds with the lease of this response; nil
+	// if the request does not ask for it.
+	Share *ratelimit.Grant
 	// LoadsKept is set if Loads is left out: those of an earlier response still hold.
 	LoadsKept bool
 	// ConfirmationAge is by how much the leader's confirmation is older than the entry's
@@ -128,6 +142,8 @@
 	c.watchingEntries.update(receivedAt, watch)
 	c.propagation.report(receivedAt, watch)
 	c.quarantine.Merge(receivedAt, watch.Quarantine)
+	c.limits.Merge(receivedAt, watch.Limits)
+	c.shares.report(receivedAt, watch)
 	c.reported.notify()
 	if len(watch.Heartbeats) > 0 {
 		c.receiveHeartbeats(watch.Heartbeats)
@@ -206,6 +222,7 @@
 	} else {
 		c.serverRegistry.receive(status.Term, nil)
 		response.Granted, response.Revision = true, document.Revision
+		response.Share = grantTo(c.shares.ofTerm(status.Term), now, watch)
 		response.Document = newerDocument(document, watch.Revision)
 		response.Servers, response.Epoch, response.Position = c.serverRegistry.changesSince(watch.Epoch, watch.Position)
 		if c.watchingEntries.count(now) > maxDirectEntries {
@@ -261,7 +278,9 @@
 	}
 	c.recordRefused(watch.RefusedHeartbeats)
 	response := c.answerWatch(watch)
-	response.Quarantine, response.QuarantinePosition = c.quarantine.Report(c.options.Clock.Now(), watch.QuarantineKnown)
+	now := c.options.Clock.Now()
+	response.Quarantine, response.QuarantinePosition = c.quarantine.Report(now, watch.QuarantineKnown)
+	response.Limits, response.LimitsPosition = c.limits.Report(now, watch.LimitsKnown)
 	if response.Document == nil || !watch.AcceptsCompression {
 		return respond(f)(encodeWatchResponse(response, nil))
 	}
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
 )
@@ -37,6 +38,30 @@
 
 	Quarantine      *quarantine.WireReport `json:"quarantine,omitempty"`
 	QuarantineKnown gossip.WirePosition    `json:"quarantine_known"`
+
+	Limits      []ratelimit.WireReported `json:"limits,omitempty"`
+	LimitsKnown gossip.WirePosition      `json:"limits_known"`
+	Share       *wireShareReport         `json:"share,omitempty"`
+}
+
+// wireShareReport is the JSON form of ShareReport.
+type wireShareReport struct {
+	Weight int                 `json:"weight"`
+	Held   ratelimit.WireGrant `json:"held"`
+}
+
+func toWireShareReport(r *ShareReport) *wireShareReport {
+	if r == nil {
+		return nil
+	}
+	return &wireShareReport{Weight: r.Weight, Held: ratelimit.ToWireGrant(r.Held)}
+}
+
+func (w *wireShareReport) report() *ShareReport {
+	if w == nil {
+		return nil
+	}
+	return &ShareReport{Weight: w.Weight, Held: w.Held.Grant()}
 }
 
 // wireDelegate is the JSON form of delegation.Member.
@@ -99,6 +124,10 @@
 
 	Quarantine         *quarantine.WireReport `json:"quarantine,omitempty"`
 	QuarantinePosition gossip.WirePosition    `json:"quarantine_position"`
+
+	Limits         []ratelimit.WireReported `json:"limits,omitempty"`
+	LimitsPosition gossip.WirePosition      `json:"limits_position"`
+	Share          *ratelimit.WireGrant     `json:"share,omitempty"`
 }
 
 func encodeWatch(watch WatchRequest) ([]byte, error) {
@@ -108,6 +137,7 @@
 		LoadsKept: watch.LoadsKept, AcceptsDelegation: watch.AcceptsDelegation, AcceptsCompressed: watch.AcceptsCompression, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
 		Acknowledged: watch.Acknowledged, AcknowledgedRevision: watch.AcknowledgedRevision, Heartbeats: toWireAnnouncements(watch.Heartbeats),
 		Quarantine: quarantine.ToWire(watch.Quarantine), QuarantineKnown: gossip.WirePosition(watch.QuarantineKnown),
+		Limits: ratelimit.ToWire(watch.Limits), LimitsKnown: gossip.WirePosition(watch.LimitsKnown), Share: toWireShareReport(watch.Share),
 	})
 	return data, errors.WithStack(err)
 }
@@ -124,6 +154,7 @@
 		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, AcceptsCompression: w.AcceptsCompressed, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
 		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: heartbeats, RefusedHeartbeats: refused,
 		Quarantine: w.Quarantine.Report(), QuarantineKnown: gossip.Position(w.QuarantineKnown),
+		Limits: ratelimit.FromWire(w.Limits), LimitsKnown: gossip.Position(w.LimitsKnown), Share: w.Share.report(),
 	}, nil
 }
 
@@ -138,8 +169,12 @@
 
 		LoadsKept: response.LoadsKept, ConfirmationAge: response.ConfirmationAge,
 		Quarantine: quarantine.ToWire(response.Quarantine), QuarantinePosition: gossip.WirePosition(response.QuarantinePosition),
+		Limits: ratelimit.ToWire(response.Limits), LimitsPosition: gossip.WirePosition(response.LimitsPosition),
 		Delegates: lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
 	}
+	if response.Share != nil {
+		w.Share = lo.ToPtr(ratelimit.ToWireGrant(*response.Share))
+	}
 	if compressed != nil {
 		w.Document, w.Compressed = nil, compressed
 	}
@@ -161,6 +196,10 @@
 		document = &decompressed
 	}
 	servers, refused := fromWireServers(w.Servers)
+	var share *ratelimit.Grant
+	if w.Share != nil {
+		share = lo.ToPtr(w.Share.Grant())
+	}
 	return WatchResponse{
 		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
 		EntryCount: w.EntryCount, Members: w.Members, Loads: fromWireLoads(w.Loads),
@@ -171,6 +210,7 @@
 
 		LoadsKept: w.LoadsKept, ConfirmationAge: w.ConfirmationAge,
 		Quarantine: w.Quarantine.Report(), QuarantinePosition: gossip.Position(w.QuarantinePosition),
+		Limits: ratelimit.FromWire(w.Limits), LimitsPosition: gossip.Position(w.LimitsPosition), Share: share,
 		Delegates: lo.Map(w.Delegates, func(d wireDelegate, _ int) delegation.Member { return delegation.Member(d) }),
 	}, nil
 }
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -53,16 +54,19 @@
 	Update func(confirmedAfter clock.Millis, response WatchResponse) bool
 	// Quarantine is exchanged with the member that is asked.
 	Quarantine *quarantine.Quarantine
+	// Limits are exchanged with the member that is asked.
+	Limits *ratelimit.Limits
 	// Report returns what the next request reports. It is called from the goroutine of Run
 	// before each request.
 	Report func() Report
 }
 
 // Report is what an entry or a member reports in a WatchRequest. An entry sets only the
-// first two fields.
+// first three fields.
 type Report struct {
 	Loads        []ServerLoad
 	Demands      []ServiceDemand
+	Share        *ShareReport
 	LoadsKept    bool   // Loads is left out, see WatchRequest
 	Revision     uint64 // newest revision of the catalog that the member has itself
 	EntryCount   int
@@ -86,6 +90,7 @@
 	request         WatchRequest // the next request
 	confirmedSource string       // address that sent the latest granted response; empty after a failure
 	quarantine      gossip.Exchange[quarantine.Report]
+	limits          gossip.Exchange[ratelimit.Report]
 	refusalLog      *event.Limiter
 	failures        int // watches that failed or were not granted since the latest granted one
 }
@@ -95,8 +100,11 @@
 	if options.Quarantine == nil {
 		options.Quarantine = quarantine.New(quarantine.Options{Entry: options.Entry})
 	}
+	if options.Limits == nil {
+		options.Limits = ratelimit.NewLimits()
+	}
 	return &Watcher{
-		options: options, quarantine: gossip.NewExchange[quarantine.Report](options.Quarantine), peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
+		options: options, limits: gossip.NewExchange[ratelimit.Report](options.Limits), quarantine: gossip.NewExchange[quarantine.Report](options.Quarantine), peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
 		refusalLog: event.NewLimiter(options.Logger, refusalLogInterval),
 		request:    WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, AcceptsCompression: true, Delegate: options.Delegate},
 	}
@@ -136,6 +144,7 @@
 	}
 	response.Refused.log(w.options.Clock.Now(), w.refusalLog)
 	w.quarantine.Apply(w.options.Clock.Now(), response.Quarantine, response.QuarantinePosition)
+	w.limits.Apply(w.options.Clock.Now(), response.Limits, response.LimitsPosition)
 	if !response.Granted || response.Epoch < w.request.Epoch {
 		w.leaderAddress = response.Leader
 		w.delegates.skip(w.options.Clock.Now())
@@ -190,11 +199,12 @@
 	report := w.options.Report()
 	request := w.request
 	request.Loads, request.Demands, request.Heartbeats = report.Loads, report.Demands, report.Heartbeats
-	request.LoadsKept = report.LoadsKept
+	request.LoadsKept, request.Share = report.LoadsKept, report.Share
 	request.EntryCount, request.Acknowledged, request.AcknowledgedRevision = report.EntryCount, report.Acknowledged, report.AcknowledgedRevision
 	request.Revision = max(request.Revision, report.Revision)
 	request.MaxWait = lo.Ternary(report.MaxWait > 0, report.MaxWait, longPollWait)
 	request.Quarantine, request.QuarantineKnown = w.quarantine.Next(w.options.Clock.Now())
+	request.Limits, request.LimitsKnown = w.limits.Next(w.options.Clock.Now())
 	data, err := encodeWatch(request)
 	if err != nil {
 		return WatchResponse{}, err
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -13,8 +13,8 @@
 // rates of all entries add up to the limit.
 //
 // Rates. An entry sends to a limited server at the rate of the points that it holds (Limiter).
-// Unused requests are saved up to the limit of two for each point. Within 4 s, a server that
-// takes r requests a second gets at most 4 r + 2 max(1, r) requests.
+// Some unused requests are saved up, so that a limit is used although requests come unevenly.
+// Within 4 s, a server that takes r requests a second gets at most 5.5 r + 5 requests.
 //
 // Bounds. An entry without a valid lease, or one that has just started, holds no part of the
 // ring and sends nothing to servers that it knows to be limited. One that does not know of a
--- a/ratelimit/interval.go
+++ b/ratelimit/interval.go
@@ -26,17 +26,11 @@
 	return float64(i.End-i.Begin) / ringSize
 }
 
-// contains reports whether a position is in the interval.
-func (i Interval) contains(position uint64) bool { return position >= i.Begin && position < i.End }
-
 // intersect returns the positions that are in both intervals.
 func (i Interval) intersect(other Interval) Interval {
 	return Interval{Begin: max(i.Begin, other.Begin), End: min(i.End, other.End)}
 }
 
-// overlaps reports whether the intervals have a position in common.
-func (i Interval) overlaps(other Interval) bool { return !i.intersect(other).IsEmpty() }
-
 // hull returns the smallest interval that has all positions of both intervals.
 func (i Interval) hull(other Interval) Interval {
 	switch {
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -14,12 +14,18 @@
 const (
 	// maxPoints bounds the points of a server on the ring.
 	maxPoints = 1024
-	// burstPerPoint is the number of unused requests that an entry saves up for each point. With
-	// 2, a server gets at most 1.5 times its limit and one request more in any 4 s.
-	burstPerPoint = 2
-	// urgentReserve is the part of the saved requests beyond the first one that is kept for more
-	// urgent requests than those of the least urgent rank.
+	// burstPerPoint and burst are the numbers of unused requests that all entries together save
+	// up, for each point of a server and beside that. With them, a server that takes r requests a
+	// second gets at most 5.5 r + 5 requests in any 4 s.
+	burstPerPoint = 1.5
+	burst         = 3
+	// demandHalfLife is the time after which a request counts half for the demand of an entry.
+	demandHalfLife = 3 * clock.Second
+	// urgentReserve is the part of the saved requests beyond the first one that requests of the
+	// least urgent rank leave for more urgent ones while some of these are refused.
 	urgentReserve = 0.8
+	// scarcityTime is for how long a refusal tells that requests are refused.
+	scarcityTime = 10 * clock.Second
 	// starvationBound is how long requests of a rank may be refused while more urgent ones take
 	// all of a limit. After it, the next request of the rank goes first.
 	starvationBound = 5 * clock.Second
@@ -52,21 +58,26 @@
 	limits *Limits
 
 	mu         sync.Mutex
-	share      Interval     // the part of the ring that this entry holds
-	shareUntil clock.Millis // the end of the lease that came with it
+	granted    Grant        // the part of the ring that this entry holds
+	grantUntil clock.Millis // the end of the lease that came with it
+	demand     float64      // recent requests a second at demandAt
+	demandAt   clock.Millis
 	buckets    map[Run]*bucket
 	refused    map[string]map[int]refusals // by service and rank
 	returnAt   map[string]clock.Millis     // when the caller of a service that was refused last comes back
 	expireAt   clock.Millis                // when buckets of former limits are searched for next
 }
 
-// refusals are the refusals of a rank since its latest request that was sent to a server with a
-// limit.
-type refusals struct{ first, latest clock.Millis }
+// refusals are the refusals of a rank for the limits of servers.
+type refusals struct {
+	latest  clock.Millis
+	waiting bool         // no request of the rank has been sent to a server with a limit since a refusal
+	since   clock.Millis // the time of that refusal
+}
 
 // isStarving reports whether the rank has waited for too long and still does.
 func (r refusals) isStarving(now clock.Millis) bool {
-	return now-r.first >= starvationBound && now-r.latest < starvationBound
+	return r.waiting && now-r.since >= starvationBound && now-r.latest < starvationBound
 }
 
 // bucket holds the requests that may be sent to a server now.
@@ -86,12 +97,42 @@
 // Limits returns the limits that the limiter keeps.
 func (l *Limiter) Limits() *Limits { return l.limits }
 
-// SetShare sets the part of the ring that this entry holds, and the end of the lease that came
+// SetGrant sets the part of the ring that this entry holds, and the end of the lease that came
 // with it.
-func (l *Limiter) SetShare(share Interval, until clock.Millis) {
+func (l *Limiter) SetGrant(granted Grant, until clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.granted, l.grantUntil = granted, until
+}
+
+// Granted returns the part of the ring that this entry holds or has held.
+func (l *Limiter) Granted() Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.granted
+}
+
+// CountRequest counts a request of a caller for the demand of this entry.
+func (l *Limiter) CountRequest(now clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.decayDemand(now)
+	l.demand += math.Ln2 * float64(clock.Second) / float64(demandHalfLife)
+}
+
+// decayDemand applies the decay of the demand until now. The caller holds the lock.
+func (l *Limiter) decayDemand(now clock.Millis) {
+	l.demand *= math.Exp2(-float64(now-l.demandAt) / float64(demandHalfLife))
+	l.demandAt = now
+}
+
+// Weight returns the demand of this entry, which decides about its part of the ring: ten times the
+// recent requests a second, and 1 more, so that an entry that is idle may send requests too.
+func (l *Limiter) Weight(now clock.Millis) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.share, l.shareUntil = share, until
+	l.decayDemand(now)
+	return 1 + int(10*l.demand)
 }
 
 // Share returns the part of the ring that this entry may use, from 0 to 1.
@@ -103,10 +144,10 @@
 
 // validShare returns the part of the ring that this entry may use. The caller holds the lock.
 func (l *Limiter) validShare(now clock.Millis) Interval {
-	if now >= l.shareUntil {
+	if now >= l.grantUntil {
 		return Interval{}
 	}
-	return l.share
+	return l.granted.Interval
 }
 
 // Allows reports whether a request of a service may be sent to a server now.
@@ -124,19 +165,21 @@
 	return b.rate > 0 && b.tokens >= 1+l.reserve(now, service, u, b.burst)
 }
 
-// reserve returns how many tokens a request must leave. While a rank has been refused for too
-// long, the requests of the other ranks leave enough for it. The caller holds the lock.
+// reserve returns how many tokens a request must leave for more urgent ones while some of these
+// are refused, and for a rank that has been refused for too long. The caller holds the lock.
 func (l *Limiter) reserve(now clock.Millis, service string, u Urgency, burst float64) float64 {
-	reserve := u.reserve(burst)
+	reserve := 0.0
 	for rank, r := range l.refused[service] {
-		switch {
-		case !r.isStarving(now):
-		case rank == u.Rank:
-			return 0
-		default:
+		if rank < u.Rank && now-r.latest < scarcityTime {
+			reserve = max(reserve, u.reserve(burst))
+		}
+		if rank != u.Rank && r.isStarving(now) {
 			reserve = max(reserve, starvationReserve*(burst-1))
 		}
 	}
+	if r, ok := l.refused[service][u.Rank]; ok && r.isStarving(now) {
+		return 0
+	}
 	return reserve
 }
 
@@ -147,7 +190,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.refused[service], u.Rank)
+	if r, ok := l.refused[service][u.Rank]; ok {
+		r.waiting = false
+		l.refused[service][u.Rank] = r
+	}
 	if b, ok := l.buckets[run]; ok {
 		b.tokens--
 	}
@@ -175,7 +221,11 @@
 	if share := l.validShare(now); b.limit != limit || b.share != share {
 		b.limit, b.share = limit, share
 		held, all := points(run, limit, share)
-		b.rate, b.burst = limit.Rate()*float64(held)/float64(all), burstPerPoint*float64(held)
+		part := float64(held) / float64(all)
+		b.rate, b.burst = limit.Rate()*part, (burstPerPoint*float64(all)+burst)*part
+		if held > 0 {
+			b.burst = max(b.burst, 1)
+		}
 		b.tokens = min(b.tokens, b.burst)
 	}
 	return b
@@ -240,9 +290,9 @@
 	if l.refused[service] == nil {
 		l.refused[service] = map[int]refusals{}
 	}
-	r, ok := l.refused[service][rank]
-	if !ok || now-r.latest >= starvationBound {
-		r.first = now
+	r := l.refused[service][rank]
+	if !r.waiting || now-r.latest >= starvationBound {
+		r.waiting, r.since = true, now
 	}
 	r.latest = now
 	l.refused[service][rank] = r
@@ -250,7 +300,7 @@
 
 // ServerRate is what a limiter holds of the limit of one server.
 type ServerRate struct {
-	Limit  Limit
+	Limit  float64 // requests a second that the server takes from all entries together; 0 without a limit
 	Rate   float64 // requests a second that this entry may send
 	Tokens float64 // requests that it may send now
 }
@@ -264,5 +314,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(now, run, limit)
-	return ServerRate{Limit: limit, Rate: b.rate, Tokens: b.tokens}
+	return ServerRate{Limit: limit.Rate(), Rate: b.rate, Tokens: b.tokens}
 }
--- a/ratelimit/limits.go
+++ b/ratelimit/limits.go
@@ -65,34 +65,33 @@
 }
 
 // Record takes over what a server has said in an answer: limit, at some time from the sending of
-// the request to the arrival of the answer. It returns the limit that holds now, and whether that
-// has changed.
-func (l *Limits) Record(now clock.Millis, run Run, limit Limit, sentAt, arrivedAt clock.Millis) (Limit, bool) {
+// the request to the arrival of the answer. It reports whether the limit that holds has changed.
+func (l *Limits) Record(now clock.Millis, run Run, limit Limit, sentAt, arrivedAt clock.Millis) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
 	return l.add(run, statement{limit: limit, earliest: sentAt, latest: arrivedAt})
 }
 
-// add takes over a statement. It returns the limit that holds now, and whether that has changed.
-// The caller holds the lock.
-func (l *Limits) add(run Run, s statement) (Limit, bool) {
+// add takes over a statement. It reports whether the limit that holds has changed. The caller holds
+// the lock.
+func (l *Limits) add(run Run, s statement) bool {
 	known, ok := l.runs[run]
 	if !ok {
 		if !s.limit.Exists() || len(l.runs) >= maxRuns {
-			return None, false
+			return false
 		}
 		known = &record{statement: s}
 		l.runs[run] = known
 		l.markChanged(known)
-		return s.limit, true
+		return true
 	}
 	former := known.limit
 	known.statement = known.next(s)
 	if differs(known.limit, known.reported) {
 		l.markChanged(known)
 	}
-	return known.limit, known.limit != former
+	return known.limit != former
 }
 
 // differs reports whether a limit is so different from the one reported last that it must be
--- a/ratelimit/partition.go
+++ b/ratelimit/partition.go
@@ -56,7 +56,8 @@
 	targetWeight int // its demand when the targets were set
 	target       Interval
 	reportedAt   clock.Millis
-	active       bool // it has reported lately
+	active       bool  // it has reported lately
+	held         Grant // as reported
 	holds        []hold
 }
 
@@ -74,7 +75,7 @@
 // until the given lease time has passed.
 func NewPartition(now, lease clock.Millis) *Partition {
 	return &Partition{
-		instance: 1 + rand.Uint64N(math.MaxUint64), lease: lease, total: wholeRing, settledAt: now + lease,
+		instance: 1 + uint64(rand.Uint32()), lease: lease, total: wholeRing, settledAt: now + lease,
 		participants: map[string]*participant{},
 	}
 }
@@ -89,10 +90,9 @@
 	}
 }
 
-// Exchange records what a participant reports, and returns its next grant. The participant reports
-// its demand, the newest grant that it has received, and in it the interval that it uses or has
-// passed on. The lease that comes with the returned grant must end by the lease time from now.
-func (p *Partition) Exchange(now clock.Millis, name string, weight int, held Grant) Grant {
+// Report records what a participant reports: its demand, the newest grant that it has received,
+// and in it the interval that it uses or has passed on.
+func (p *Partition) Report(now clock.Millis, name string, weight int, held Grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
@@ -104,12 +104,24 @@
 	if !q.active {
 		q.active, p.outdated = true, true
 	}
-	q.weight, q.reportedAt = max(weight, 0), now
 	if held.Partition != p.instance {
 		held.Number = 0
 	}
+	q.weight, q.reportedAt, q.held = max(weight, 0), now, held
 	q.acknowledge(held, now+p.lease)
-	return p.grant(now, q, p.wanted(now, q, held))
+}
+
+// Grant returns the next grant of a participant, which is empty for one that has not reported
+// lately. The lease that comes with it must end by the lease time from now.
+func (p *Partition) Grant(now clock.Millis, name string) Grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire(now)
+	q, ok := p.participants[name]
+	if !ok {
+		return Grant{}
+	}
+	return p.grant(now, q, p.wanted(now, q))
 }
 
 // acknowledge records what a participant holds. It has given up all earlier grants, and may hold
@@ -125,9 +137,9 @@
 }
 
 // wanted returns the part of the ring that a participant should get. The caller holds the lock.
-func (p *Partition) wanted(now clock.Millis, q *participant, held Grant) Interval {
+func (p *Partition) wanted(now clock.Millis, q *participant) Interval {
 	if now < p.settledAt {
-		return held.Interval.intersect(p.total)
+		return q.held.Interval.intersect(p.total)
 	}
 	p.updateTargets(now)
 	return q.target
@@ -142,17 +154,19 @@
 			continue
 		}
 		for _, h := range other.holds {
-			if h.until > now {
-				taken = append(taken, h.interval)
-			}
+			taken = append(taken, h.interval)
 		}
 	}
-	p.number++
-	g := Grant{Partition: p.instance, Number: p.number, Interval: wanted.largestWithout(taken)}
-	if !g.Interval.IsEmpty() {
-		q.holds = append(q.holds, hold{number: g.Number, interval: g.Interval, until: now + p.lease})
+	next := hold{interval: wanted.largestWithout(taken), until: now + p.lease}
+	if last := len(q.holds) - 1; last >= 0 && !q.holds[last].reported && q.holds[last].interval == next.interval {
+		next.number = q.holds[last].number
+		q.holds[last] = next
+	} else {
+		p.number++
+		next.number = p.number
+		q.holds = append(q.holds, next)
 	}
-	return g
+	return Grant{Partition: p.instance, Number: next.number, Interval: next.interval}
 }
 
 // updateTargets divides the ring anew if participants have come or gone, or if their demand has
@@ -221,20 +235,20 @@
 func (p *Partition) Held(now clock.Millis) Interval {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.expire(now)
 	var held Interval
 	for _, q := range p.participants {
 		for _, h := range q.holds {
-			if h.until > now {
-				held = held.hull(h.interval)
-			}
+			held = held.hull(h.interval)
 		}
 	}
 	return held
 }
 
-// Weight returns the demand of all participants.
-func (p *Partition) Weight() int {
+// Weight returns the demand of all participants that have reported lately.
+func (p *Partition) Weight(now clock.Millis) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.expire(now)
 	return lo.SumBy(lo.Values(p.participants), (*participant).activeWeight)
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -52,6 +52,8 @@
 // streams still run, which slows these streams.
 type promptWork struct {
 	long, short      float64 // work of long and of short prompts, decayed until updatedAt
+	longCount        float64 // number of long prompts, decayed in the same way
+	shortCount       float64
 	updatedAt        clock.Millis
 	appliedLongShare float64      // share of the servers that currently get the long prompts
 	changedAt        clock.Millis // when appliedLongShare last changed
@@ -61,6 +63,8 @@
 func (w *promptWork) decayTo(now clock.Millis) {
 	w.long = decay(w.long, now-w.updatedAt, promptWorkHalfLife)
 	w.short = decay(w.short, now-w.updatedAt, promptWorkHalfLife)
+	w.longCount = decay(w.longCount, now-w.updatedAt, promptWorkHalfLife)
+	w.shortCount = decay(w.shortCount, now-w.updatedAt, promptWorkHalfLife)
 	w.updatedAt = now
 }
 
@@ -71,19 +75,30 @@
 	work := float64(req.promptTokens-req.sharedTokens*3/4) + req.decodeCost
 	if req.long() {
 		w.long += work
+		w.longCount++
 	} else {
 		w.short += work
+		w.shortCount++
 	}
 }
 
-// longShare returns the share of servers for long prompts, computed from the work of
-// this entry and that of the other entries.
-func (w *promptWork) longShare(now clock.Millis, otherEntriesLong, otherEntriesShort float64) float64 {
-	long, short := w.long+otherEntriesLong, (w.short+otherEntriesShort)*shortPromptHeadroom
+// longWorkShare returns the share of long prompts in the work of this entry and that of the other
+// entries, within the bounds for the share of their servers. It is 0 if there is no work.
+func (p *pool) longWorkShare() float64 {
+	long := p.promptWork.long + p.otherEntriesLongWork
+	short := (p.promptWork.short + p.otherEntriesShortWork) * shortPromptHeadroom
 	if long+short == 0 {
+		return 0
+	}
+	return min(max(long/(long+short), minLongShare), maxLongShare)
+}
+
+// applyLongShare returns the share of the servers for long prompts, given the wanted one. It
+// changes in steps.
+func (w *promptWork) applyLongShare(now clock.Millis, wanted float64) float64 {
+	if wanted == 0 {
 		return defaultLongShare
 	}
-	wanted := min(max(long/(long+short), minLongShare), maxLongShare)
 	changed := math.Abs(wanted-w.appliedLongShare) > minShareChange && now-w.changedAt > minShareInterval
 	if w.appliedLongShare == 0 || changed {
 		w.appliedLongShare, w.changedAt = wanted, now
@@ -94,14 +109,25 @@
 // long reports whether the prompt is long enough to delay streams on the same engine.
 func (r requirements) long() bool { return r.promptTokens >= longPromptTokens }
 
-// pickEngine chooses an engine. It keeps long and short prompts on different servers
-// and requests that share prompt parts on the same servers.
+// pickEngine chooses an engine whose limit allows a request, or returns nil if there is none. It
+// keeps long and short prompts on different servers and requests that share prompt parts on the
+// same servers.
 func (f *fleet) pickEngine(now clock.Millis, req requirements, candidates []*server) *server {
 	p := f.pool(req.service)
 	if len(req.excluded) == 0 {
 		p.promptWork.addRequest(now, req) // retries are not counted as new work
 	}
-	return f.pickByAffinity(now, req, f.serversForPromptLength(now, p, req.long(), candidates))
+	// The servers are divided before those are left out whose limits allow no request just now:
+	// otherwise the division would change with each request.
+	own, others := f.serversForPromptLength(now, p, req.long(), candidates)
+	if allowed := f.withinLimits(now, req, own); len(allowed) > 0 {
+		return f.pickByAffinity(now, req, allowed)
+	}
+	allowed := f.withinLimits(now, req, others)
+	if len(allowed) == 0 {
+		return nil
+	}
+	return f.pickNearest(now, req, allowed)
 }
 
 // pickByAffinity prefers the servers that probably have the request's prompt parts
@@ -120,6 +146,20 @@
 	return f.cheapestEngine(now, servers)
 }
 
+// pickNearest chooses a server for a request whose own servers are all at their limits. It prefers
+// those next to them, unless they are much busier than the others, so that few servers get both
+// long and short prompts.
+func (f *fleet) pickNearest(now clock.Millis, req requirements, servers []*server) *server {
+	total := lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) })
+	bound := affinityLoadBound*total/float64(len(servers)) + float64(req.promptTokens) + req.decodeCost
+	for _, s := range servers {
+		if f.engineCost(now, s) <= bound {
+			return s
+		}
+	}
+	return f.cheapestEngine(now, servers)
+}
+
 // affinityServers returns the servers for a prompt part, the preferred one first.
 // Every entry computes the same order.
 func affinityServers(part string, servers []*server) []*server {
@@ -148,19 +188,26 @@
 // part: if the first is busy, the second is tried.
 const maxAffinityServers = 2
 
-// serversForPromptLength returns the servers for long or for short prompts. All entries
-// sort the servers in the same way, so their divisions are nearly the same.
-func (f *fleet) serversForPromptLength(now clock.Millis, p *pool, long bool, candidates []*server) []*server {
+// serversForPromptLength returns the servers for long or for short prompts, and the others, those
+// next to the border first. All entries sort the servers in the same way, so their divisions are
+// nearly the same.
+func (f *fleet) serversForPromptLength(now clock.Millis, p *pool, long bool, candidates []*server) (own, others []*server) {
 	if len(candidates) < 2 {
-		return candidates
+		return candidates, nil
+	}
+	wanted := p.longWorkShare()
+	if !f.limiter.Limits().IsEmpty() && wanted > 0 {
+		candidates, wanted = f.divideByLimits(p, wanted, candidates)
 	}
-	share := p.promptWork.longShare(now, p.otherEntriesLongWork, p.otherEntriesShortWork)
+	share := p.promptWork.applyLongShare(now, wanted)
 	longServers := int(share*float64(len(candidates)) + 0.5)
 	longServers = min(max(longServers, 1), len(candidates)-1)
 	if long {
-		return candidates[:longServers]
+		return candidates[:longServers], candidates[longServers:]
 	}
-	return candidates[longServers:]
+	others = slices.Clone(candidates[:longServers])
+	slices.Reverse(others)
+	return candidates[longServers:], others
 }
 
 // engineCost estimates the work at an engine, in equivalent prompt tokens. Recent
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 )
 
 const (
@@ -167,7 +168,7 @@
 func (x *exchange) setRequirements(c *catalog.Catalog) {
 	x.requirements = requirements{
 		service: x.service, forEngine: x.route.ForEngine, promptTokens: x.requestInfo.PromptTokens,
-		rank: x.forwardInfo.Urgency, refusable: x.refusable(c),
+		urgency: ratelimit.Urgency{Rank: x.forwardInfo.Urgency, Ranks: c.RankCount()}, refusable: x.refusable(c),
 	}
 	x.requirements.outputTokens = x.requestInfo.LengthHint
 	if x.requirements.outputTokens == 0 {
@@ -197,6 +198,7 @@
 // sendWithRetries sends the request, with retries, until the caller gets a response.
 func (x *exchange) sendWithRetries() bool {
 	x.relay.budget.countRequest(x.relay.clock.Now(), x.service)
+	x.relay.limiter.CountRequest(x.relay.clock.Now())
 	if r := x.checkQuarantine(); r != nil {
 		return x.refuse(*r)
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -55,6 +56,7 @@
 	serverListEpochAt clock.Millis     // when this relay received the first update of that list
 	entryCount        int              // number of entries, this one included
 	endChecks         *quarantine.EndChecks
+	limiter           *ratelimit.Limiter
 }
 
 // pool is the state of a service that concerns all of its servers together.
@@ -65,10 +67,10 @@
 	waits                 *forecast.Waits
 }
 
-func newFleet(zone string, c clock.Clock, logger event.Logger) *fleet {
+func newFleet(zone string, c clock.Clock, logger event.Logger, limiter *ratelimit.Limiter) *fleet {
 	return &fleet{
 		zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entryCount: assumedEntries,
-		endChecks: quarantine.NewEndChecks(c, logServerEnd(logger)),
+		endChecks: quarantine.NewEndChecks(c, logServerEnd(logger)), limiter: limiter,
 	}
 }
 
@@ -288,7 +290,7 @@
 	outputTokens   int      // expected output tokens
 	decodeCost     float64  // estimated work of generating the output, in equivalent prompt tokens
 	excluded       []string // names of servers that were already tried
-	rank           int      // urgency rank; 0 is the most urgent
+	urgency        ratelimit.Urgency
 	// refusable describes the request to the forecast; nil if it is not refused as too late.
 	refusable *forecast.Request
 }
@@ -303,16 +305,16 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	var s *server
 	req.decodeCost = f.estimateDecodeCost(req)
+	s := f.pickWithinLimits(now, req, candidates)
+	if s == nil {
+		return nil
+	}
 	if req.forEngine {
-		s = f.pickEngine(now, req, candidates)
 		a.engineWork = f.engineCost(now, s) + float64(req.promptTokens)
 		if a.tooLate = req.refusable != nil && f.pool(req.service).waits.TooLate(now, *req.refusable, a.engineWork); a.tooLate {
 			return nil
 		}
-	} else {
-		s = f.pickByLoad(now, candidates)
 	}
 	a.chosenAt, a.load, a.loadAge = now, s.load(now), now-s.otherEntriesReportedAt
 	a.uncachedTokens = req.promptTokens
@@ -323,6 +325,7 @@
 		s.promptPartChosenAt[req.affinityPartID] = now
 	}
 	a.run = s.run()
+	f.limiter.Take(now, ratelimit.Run(a.run), req.service, req.urgency)
 	s.attempts[a] = struct{}{}
 	s.unprocessedTokens += a.uncachedTokens
 	a.decodeCost = req.decodeCost
@@ -423,7 +426,7 @@
 	if !a.firstByteSeen {
 		a.firstByteSeen = true
 		s.unprocessedTokens -= a.uncachedTokens
-		f.pool(s.record.Service).waits.Record(now, a.exchange.requirements.rank, a.engineWork, now-a.chosenAt)
+		f.pool(s.record.Service).waits.Record(now, a.exchange.requirements.urgency.Rank, a.engineWork, now-a.chosenAt)
 	}
 }
 
@@ -456,6 +459,9 @@
 	if !a.firstByteSeen {
 		s.unprocessedTokens -= a.uncachedTokens
 	}
+	if a.result == resultUnreachable || a.result == resultWithdrawn {
+		f.limiter.Return(ratelimit.Run(a.run))
+	}
 	switch a.result {
 	case resultUnreachable:
 		s.startBackOff(now)
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -1,12 +1,22 @@
 package relay
 
 import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/ratelimit"
 )
 
+// maxLoggedLimits bounds the limits in the log line of a refusal.
+const maxLoggedLimits = 8
+
 // recordLimit records how many requests the server takes if its response to the request says so.
 // A response without a limit ends the limit, but not one that may be of another server: a
 // response without an ID, or to a misdirected request.
@@ -17,15 +27,139 @@
 	if !a.responseInfo.LimitKnown || isOther || isUncertainEnd {
 		return
 	}
-	now := x.relay.clock.Now()
-	limit, changed := x.relay.serverLimits.Record(now, ratelimit.Run(a.run), limit, a.chosenAt, a.firstByteAt)
+	r := x.relay
+	now := r.clock.Now()
+	changed := r.limiter.Limits().Record(now, ratelimit.Run(a.run), limit, a.chosenAt, a.firstByteAt)
 	if !changed {
 		return
 	}
-	rate := 0.0
-	if limit.Exists() {
-		rate = limit.Rate()
+	held := r.limiter.ServerRate(now, ratelimit.Run(a.run))
+	r.options.Logger.Log(event.ServerLimited, zap.String("server", a.server.record.Server), zap.Int64("started_at", a.run.StartedAt),
+		zap.Float64("rate", held.Limit), zap.Float64("own_rate", held.Rate), zap.String("request", x.requestInfo.ID))
+}
+
+// setShare stores the part of servers' limits that control has granted with a lease.
+func (r *Relay) setShare(share *ratelimit.Grant, leaseEnd clock.Millis) {
+	if share == nil {
+		r.limiter.SetGrant(ratelimit.Grant{}, 0)
+		return
+	}
+	r.limiter.SetGrant(*share, leaseEnd)
+}
+
+// shareReport returns the demand that decides about the relay's part of servers' limits, and the
+// part that it holds. A relay that stops needs none.
+func (r *Relay) shareReport() *control.ShareReport {
+	weight := r.limiter.Weight(r.clock.Now())
+	if r.closing.Load() {
+		weight = 0
+	}
+	return &control.ShareReport{Weight: weight, Held: r.limiter.Granted()}
+}
+
+// pickWithinLimits chooses one of the servers whose limits allow a request now, or returns nil if
+// there is none. The caller holds the lock.
+func (f *fleet) pickWithinLimits(now clock.Millis, req requirements, candidates []*server) *server {
+	if req.forEngine {
+		return f.pickEngine(now, req, candidates)
+	}
+	candidates = f.withinLimits(now, req, candidates)
+	if len(candidates) == 0 {
+		return nil
+	}
+	return f.pickByLoad(now, candidates)
+}
+
+// divideByLimits returns the servers with those first that have a limit, and which share of them
+// long prompts should get whose share of the work is given. A limit counts requests, whatever
+// their size, so it leaves a server more work if its prompts are long. The caller holds the lock.
+func (f *fleet) divideByLimits(p *pool, longWork float64, servers []*server) ([]*server, float64) {
+	limited, others := lo.FilterReject(servers, func(s *server, _ int) bool {
+		return f.limiter.Limits().Limit(ratelimit.Run(s.run())).Exists()
+	})
+	if len(limited) == 0 {
+		return servers, longWork
+	}
+	ordered := slices.Concat(limited, others)
+	longCapacity, shortCapacity := make([]float64, len(ordered)), make([]float64, len(ordered))
+	for i, s := range ordered {
+		rate := f.limiter.Limits().Limit(ratelimit.Run(s.run())).Rate()
+		longCapacity[i], shortCapacity[i] = p.capacity(rate, len(ordered))
+	}
+	return ordered, longShareByCapacity(longWork, longCapacity, shortCapacity)
+}
+
+// capacity returns which part of its share of the work a server with a limit can take if all its
+// prompts are long, and if all are short. Without a limit it is 1.
+func (p *pool) capacity(rate float64, servers int) (long, short float64) {
+	w := &p.promptWork
+	total := w.long + w.short + p.otherEntriesLongWork + p.otherEntriesShortWork
+	perServer := total * math.Ln2 / promptWorkHalfLife.Duration().Seconds() / float64(servers) // work a second
+	of := func(work, count float64) float64 {
+		if count == 0 || perServer == 0 || math.IsInf(rate, 1) {
+			return 1
+		}
+		return min(rate*work/count/perServer, 1)
+	}
+	return of(w.long, w.longCount), of(w.short, w.shortCount)
+}
+
+// longShareByCapacity returns how many of the servers, as a share and in the given order, must get
+// the long prompts so that the capacity of these servers for long prompts is the given share of
+// the whole capacity.
+func longShareByCapacity(share float64, longCapacity, shortCapacity []float64) float64 {
+	n := len(longCapacity)
+	long, short := 0.0, lo.Sum(shortCapacity)
+	for i := range n {
+		nextLong, nextShort := long+longCapacity[i], short-shortCapacity[i]
+		if excess := nextLong - share*(nextLong+nextShort); excess >= 0 {
+			// The share of the server at the border that is needed, by linear interpolation.
+			missing := share*(long+short) - long
+			return (float64(i) + missing/(missing+excess)) / float64(n)
+		}
+		long, short = nextLong, nextShort
+	}
+	return 1
+}
+
+// withinLimits returns the servers whose limits allow a request now. The caller holds the lock.
+func (f *fleet) withinLimits(now clock.Millis, req requirements, servers []*server) []*server {
+	if f.limiter.Limits().IsEmpty() {
+		return servers
+	}
+	return lo.Filter(servers, func(s *server, _ int) bool {
+		return f.limiter.Allows(now, ratelimit.Run(s.run()), req.service, req.urgency)
+	})
+}
+
+// limitedServers returns the servers that may get requests of a service if all of them have
+// limits, and none otherwise.
+func (f *fleet) limitedServers(now clock.Millis, service string) []ratelimit.Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var runs []ratelimit.Run
+	for _, s := range f.usableServers(now, requirements{service: service}) {
+		run := ratelimit.Run(s.run())
+		if !f.limiter.Limits().Limit(run).Exists() {
+			return nil
+		}
+		runs = append(runs, run)
+	}
+	return runs
+}
+
+// withLimits returns the refusal of a request for which no server was found, with the limits of
+// the servers if all of them have one. The limits tell when callers may come back.
+func (x *exchange) withLimits(now clock.Millis, r refusal) refusal {
+	runs := x.relay.fleet.limitedServers(now, x.service)
+	if len(runs) == 0 {
+		return r
+	}
+	r.reason = "servers_limited"
+	r.retryAfter = max(x.relay.limiter.RefuseFor(now, x.service, runs, x.requirements.urgency), minRetryAfter)
+	for _, run := range runs[:min(len(runs), maxLoggedLimits)] {
+		held := x.relay.limiter.ServerRate(now, run)
+		r.limits = append(r.limits, fmt.Sprintf("%s: %.3g/s, %.3g/s here, %.2g left", run.Server, held.Limit, held.Rate, held.Tokens))
 	}
-	x.relay.options.Logger.Log(event.ServerLimited, zap.String("server", a.server.record.Server),
-		zap.Int64("started_at", a.run.StartedAt), zap.Float64("rate", rate), zap.String("request", x.requestInfo.ID))
+	return r
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -75,6 +76,8 @@
 		"attempts_running":  float64(s.Attempts),
 		"servers":           float64(len(s.Servers)),
 		"servers_leaving":   float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.SaysLeaving && !v.gone() })),
+		"servers_limited":   float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.Limit > 0 && !v.gone() })),
+		"limit_share":       s.LimitShare,
 		"servers_paused":    float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.PauseLeft > 0 && !v.gone() })),
 		"parts_suspect":     float64(len(s.Suspects)),
 		"parts_quarantined": float64(lo.CountBy(s.Suspects, func(v quarantine.Suspect) bool { return v.Quarantined })),
@@ -115,6 +118,7 @@
 	Attempts    int // running attempts
 	Servers     []ServerState
 	Suspects    []quarantine.Suspect // parts of prompts under which servers have ended
+	LimitShare  float64              // the part of servers' limits that this relay may use, 0 to 1
 }
 
 // ServerState is the relay's view of one backend server. Latency is in ms.
@@ -125,6 +129,9 @@
 	OtherEntriesRequests, FailureShare, MeanLatency float64
 	SaysLeaving                                     bool         // the server has said in an answer that it leaves
 	PauseLeft                                       clock.Millis // how long the server has asked for no requests
+	Limit                                           float64      // requests a second that the server takes from all entries together; 0 if it has named no limit
+	LimitRate                                       float64      // the part of Limit that this relay may use, in requests a second
+	LimitTokens                                     float64      // requests that this relay may send to the server now
 }
 
 func (s ServerState) gone() bool { return s.State == string(roster.Gone) }
@@ -136,18 +143,20 @@
 		Name: r.options.Name, Ready: r.Ready(), Revision: r.catalog.Load().Revision(),
 		LeaseLeft: clock.Millis(r.leaseEnd.Load()) - now, Connections: r.forEachConn(func(*callerConn) {}),
 	}
-	s.Suspects = r.quarantine.Suspects(now)
+	s.Suspects, s.LimitShare = r.quarantine.Suspects(now), r.limiter.Share(now)
 	f := r.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.Entries = f.entryCount
 	for name, v := range f.servers {
 		s.Attempts += len(v.attempts)
+		limit := r.limiter.ServerRate(now, ratelimit.Run(v.run()))
 		s.Servers = append(s.Servers, ServerState{
 			Server: name, Service: v.record.Service, Address: v.record.Address, State: string(v.record.State),
 			Silent: v.record.Silent, Unresponsive: v.unresponsive, WrongServer: v.wrongServer, Attempts: len(v.attempts), OpenConnections: v.openConns,
 			IdleConnections: len(v.idle), OtherEntriesRequests: v.otherEntriesRequests, FailureShare: v.failureShare(now), MeanLatency: v.meanLatency(now),
 			SaysLeaving: v.withdrawal.Leaving(), PauseLeft: v.withdrawal.PauseLeft(now),
+			Limit: limit.Limit, LimitRate: limit.Rate, LimitTokens: limit.Tokens,
 		})
 	}
 	return s
@@ -164,6 +173,7 @@
 	Attempts    int               `json:"attempts_running"`
 	Servers     []wireServerState `json:"servers"`
 	Suspects    []wireSuspect     `json:"suspects"`
+	LimitShare  float64           `json:"limit_share"`
 }
 
 // wireSuspect is the JSON form of quarantine.Suspect.
@@ -194,13 +204,16 @@
 	MeanLatency          float64      `json:"mean_latency_ms"`
 	SaysLeaving          bool         `json:"says_leaving"`
 	PauseLeft            clock.Millis `json:"pause_left_ms"`
+	Limit                float64      `json:"limit"`
+	LimitRate            float64      `json:"limit_rate"`
+	LimitTokens          float64      `json:"limit_tokens"`
 }
 
 // EncodeState returns the JSON form of a state.
 func EncodeState(s State) ([]byte, error) {
 	w := wireState{
 		Name: s.Name, Ready: s.Ready, Revision: s.Revision, LeaseLeft: s.LeaseLeft, Entries: s.Entries,
-		Connections: s.Connections, Attempts: s.Attempts,
+		Connections: s.Connections, Attempts: s.Attempts, LimitShare: s.LimitShare,
 	}
 	for _, v := range s.Servers {
 		w.Servers = append(w.Servers, wireServerState(v))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -84,10 +84,10 @@
 	closing  atomic.Bool  // callers' connections are closed once they are idle
 	metrics  *metrics
 
-	quarantine   *quarantine.Quarantine
-	serverLimits *ratelimit.Limits
-	bodyMemory   memoryPool    // for the bodies of requests and responses
-	acceptEnded  chan struct{} // closed when no more connections are accepted
+	quarantine  *quarantine.Quarantine
+	limiter     *ratelimit.Limiter
+	bodyMemory  memoryPool    // for the bodies of requests and responses
+	acceptEnded chan struct{} // closed when no more connections are accepted
 
 	mu    sync.Mutex // guards conns
 	conns map[*callerConn]struct{}
@@ -115,12 +115,12 @@
 	if r.quarantine == nil {
 		r.quarantine = quarantine.New(quarantine.Options{Entry: options.Name})
 	}
-	r.serverLimits = options.Limits
-	if r.serverLimits == nil {
-		r.serverLimits = ratelimit.NewLimits()
-	}
 	r.bodyMemory.limit = int64(lo.CoalesceOrEmpty(options.BodyMemory, defaultBodyMemory))
-	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger)
+	if options.Limits == nil {
+		options.Limits = ratelimit.NewLimits()
+	}
+	r.limiter = ratelimit.NewLimiter(options.Limits)
+	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger, r.limiter)
 	r.catalog.Store(&catalog.Catalog{})
 	r.metrics = newMetrics(r)
 	r.leaseEnd.Store(-1)
@@ -199,14 +199,15 @@
 	r.metrics.serversRefused.Add(float64(update.Refused.Count))
 	r.fleet.applyUpdate(now, update)
 	r.budget.setEntryCount(update.EntryCount)
-	r.leaseEnd.Store(int64(confirmedAfter + r.options.Lease))
+	leaseEnd := confirmedAfter + r.options.Lease
+	r.leaseEnd.Store(int64(leaseEnd))
+	r.setShare(update.Share, leaseEnd)
 	return true
 }
 
-// Report returns the load and the demand that the other entries need to know of this
-// relay.
-func (r *Relay) Report() ([]control.ServerLoad, []control.ServiceDemand) {
-	return r.fleet.loads(), r.fleet.demands()
+// Report returns what control and the other entries need to know of this relay.
+func (r *Relay) Report() control.Report {
+	return control.Report{Loads: r.fleet.loads(), Demands: r.fleet.demands(), Share: r.shareReport()}
 }
 
 // loadCatalog puts a document in force and reports whether it could be decoded.
--- a/relay/withdrawal.go
+++ b/relay/withdrawal.go
@@ -147,6 +147,8 @@
 		r.reason = "servers_leaving"
 	case at > now:
 		r.reason, r.retryAfter = "servers_paused", withPauseJitter(at-now)
+	default:
+		return x.withLimits(now, r)
 	}
 	return r
 }
