entry: servers' limits hold for all entries together, as at the relay

It now does so in X-Rate-Limit, and the entry decides with package ratelimit as the relay does. The part of an entry follows from the list of entries that comes with its lease: equal parts in the order of names. A part that it gains is used only after a lease, when the others know the list. The digests carry the limits that entries have read. Requests wait in the queue as for a slot; if all servers of a pool stay at their limits, they are refused with the Retry-After that the limits yield. Two changes of the list within a lease may let two entries use the same part for up to a lease.

--- a/backend/digest.go
+++ b/backend/digest.go
@@ -9,6 +9,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 )
 
 // Version is a version vector: the highest counter seen of each origin, that is, of
@@ -61,6 +62,9 @@
 	// not, and quarantinePosition where the next digest goes on.
 	quarantine         quarantine.Report
 	quarantinePosition gossip.Position
+	// limits and limitsPosition are the same for the limits of servers.
+	limits         ratelimit.Report
+	limitsPosition gossip.Position
 }
 
 // refusedRecords counts the records of a digest that were left out when it was decoded, because
@@ -117,6 +121,16 @@
 	return d
 }
 
+// Limits returns the sender's news about the limits of servers, and the position up to which they
+// lead. The position is zero if the sender takes no part in the exchange.
+func (d Digest) Limits() (ratelimit.Report, gossip.Position) { return d.limits, d.limitsPosition }
+
+// WithLimits returns a copy with the sender's news about the limits of servers.
+func (d Digest) WithLimits(r ratelimit.Report, p gossip.Position) Digest {
+	d.limits, d.limitsPosition = r, p
+	return d
+}
+
 // InFlight returns the number of the sender's running requests by server. If the digest
 // contains a load delta, only changed servers are included. The caller must not modify
 // the map.
--- a/backend/digest_codec.go
+++ b/backend/digest_codec.go
@@ -8,6 +8,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 )
 
 // DigestRequest is an entry's request for a peer's digest. Sending it is called a pull.
@@ -18,6 +19,8 @@
 	// QuarantineKnown is the position up to which the sender knows the receiver's records of
 	// requests that end servers. It is nil if the sender wants none, as in former builds.
 	QuarantineKnown *gossip.Position
+	// LimitsKnown is the same for the limits of servers.
+	LimitsKnown *gossip.Position
 }
 
 type wireDigestRequest struct {
@@ -25,6 +28,7 @@
 	Since           map[string]uint64    `json:"since"`
 	LoadSince       wireLoadVersion      `json:"load_since"`
 	QuarantineKnown *gossip.WirePosition `json:"quarantine_known,omitempty"`
+	LimitsKnown     *gossip.WirePosition `json:"limits_known,omitempty"`
 }
 
 type wireLoadVersion struct {
@@ -36,7 +40,7 @@
 func EncodeDigestRequest(p DigestRequest) ([]byte, error) {
 	data, err := json.Marshal(wireDigestRequest{
 		Entry: p.Entry, Since: p.Since.counters, LoadSince: wireLoadVersion(p.LoadSince),
-		QuarantineKnown: (*gossip.WirePosition)(p.QuarantineKnown),
+		QuarantineKnown: (*gossip.WirePosition)(p.QuarantineKnown), LimitsKnown: (*gossip.WirePosition)(p.LimitsKnown),
 	})
 	return data, errors.Wrap(err, "encode digest request")
 }
@@ -52,7 +56,7 @@
 	}
 	return DigestRequest{
 		Entry: w.Entry, Since: Version{counters: w.Since}, LoadSince: LoadVersion(w.LoadSince),
-		QuarantineKnown: (*gossip.Position)(w.QuarantineKnown),
+		QuarantineKnown: (*gossip.Position)(w.QuarantineKnown), LimitsKnown: (*gossip.Position)(w.LimitsKnown),
 	}, nil
 }
 
@@ -65,6 +69,7 @@
 	Load       wireLoadDelta            `json:"load"`
 	InFlight   map[string]int           `json:"in_flight,omitempty"`
 	Quarantine json.RawMessage          `json:"quarantine,omitempty"` // a wireQuarantine
+	Limits     json.RawMessage          `json:"limits,omitempty"`     // a wireLimits
 }
 
 // wireQuarantine has the news about requests that end servers and the position that they lead to.
@@ -73,6 +78,12 @@
 	Report   *quarantine.WireReport `json:"report,omitempty"`
 }
 
+// wireLimits has the news about the limits of servers and the position that they lead to.
+type wireLimits struct {
+	Position gossip.WirePosition      `json:"position"`
+	Report   []ratelimit.WireReported `json:"report,omitempty"`
+}
+
 // wireLoadDelta is the change of the sender's load from one version to another.
 // Started streams are grouped by server; each is an array of the counter of its start,
 // its ID and its position. Ended streams are identified by the counter of their start.
@@ -189,6 +200,13 @@
 			return nil, errors.Wrap(err, "encode digest")
 		}
 	}
+	if d.limitsPosition.Instance != 0 {
+		var err error
+		w.Limits, err = json.Marshal(wireLimits{Position: gossip.WirePosition(d.limitsPosition), Report: ratelimit.ToWire(d.limits)})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode digest")
+		}
+	}
 	data, err := json.Marshal(w)
 	return data, errors.Wrap(err, "encode digest")
 }
@@ -226,6 +244,7 @@
 	}
 	d.addRecords(w)
 	d.addQuarantine(w.Quarantine)
+	d.addLimits(w.Limits)
 	return d, errors.Wrap(d.addLoad(w), "decode digest")
 }
 
@@ -296,6 +315,19 @@
 	d.quarantine, d.quarantinePosition = w.Report.Report(), gossip.Position(w.Position)
 }
 
+// addLimits adds the news about the limits of servers, in the same way.
+func (d *Digest) addLimits(data json.RawMessage) {
+	if len(data) == 0 {
+		return
+	}
+	var w wireLimits
+	if err := json.Unmarshal(data, &w); err != nil {
+		d.refused.add(err)
+		return
+	}
+	d.limits, d.limitsPosition = ratelimit.FromWire(w.Report), gossip.Position(w.Position)
+}
+
 func (d *Digest) addRecord(r digestRecord, err error) {
 	if err != nil {
 		d.refused.add(err)
--- a/engine/client.go
+++ b/engine/client.go
@@ -16,7 +16,8 @@
 const (
 	HeaderRequestID = "X-Request-Id"
 	HeaderNotRun    = "X-Not-Run"
-	HeaderLeaving   = "X-Leaving" // "true": the server leaves and wants no more requests
+	HeaderLeaving   = "X-Leaving"    // "true": the server leaves and wants no more requests
+	HeaderRateLimit = "X-Rate-Limit" // requests a second that the server takes from all entries together
 )
 
 const writeBufferSize = 4096
--- a/engine/withdrawal_test.go
+++ b/engine/withdrawal_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/engine"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/withdrawal"
 )
 
@@ -19,6 +20,7 @@
 	t.Parallel()
 	tests := []struct {
 		name, leaving, retryAfter string
+		limits                    []string
 		status                    int
 		want                      engine.Withdrawal
 	}{
@@ -30,6 +32,9 @@
 		{name: "too long a pause", retryAfter: "99999", status: 503, want: engine.Withdrawal{Pause: withdrawal.MaxPause}},
 		{name: "unreadable", retryAfter: "soon", status: 503},
 		{name: "another status", retryAfter: "2", status: 429},
+		{name: "a limit", limits: []string{"4.5"}, status: 200, want: engine.Withdrawal{Limit: ratelimit.NewLimit(4.5)}},
+		{name: "an unreadable limit", limits: []string{"few"}, status: 200, want: engine.Withdrawal{LimitUnreadable: true}},
+		{name: "two limits", limits: []string{"4.5", "2"}, status: 500, want: engine.Withdrawal{Limit: ratelimit.NewLimit(2)}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -39,6 +44,7 @@
 						w.Header().Set(name, value)
 					}
 				}
+				w.Header()["X-Rate-Limit"] = tt.limits
 				w.WriteHeader(tt.status)
 			}))
 			t.Cleanup(server.Close)
--- a/entry/debug.go
+++ b/entry/debug.go
@@ -48,6 +48,10 @@
 	// SaysLeaving and PauseLeftMS are what the server has said in its answers.
 	SaysLeaving bool  `json:"says_leaving"`
 	PauseLeftMS int64 `json:"pause_left_ms"`
+	// Limit is how many requests a second the server takes from all entries together, 0 if it has
+	// named no limit, and LimitRate the part of it that this entry may use.
+	Limit     float64 `json:"limit"`
+	LimitRate float64 `json:"limit_rate"`
 }
 
 // wireSlot is the state of the slot leases of one server. It has the fields of
@@ -131,10 +135,12 @@
 func (d *dispatcher) describe(now clock.Millis) wireState {
 	w := wireState{Inbox: len(d.inbox), Slots: d.slots.describe(now)}
 	w.Servers = lo.Map(d.registry.Servers(now), func(s backend.Server, _ int) wireServer {
+		limit := d.limiter.ServerRate(now, limitRun(s.Server(), s.Incarnation()))
 		return wireServer{
 			Server: s.Server(), Address: s.Address(), Usable: s.Usable, State: string(s.State()),
 			AgeMS: int64(s.Age), Running: s.Load().Running, Slots: s.Slots(),
 			SaysLeaving: d.withdrawals[s.Server()].Leaving(), PauseLeftMS: int64(d.withdrawals[s.Server()].PauseLeft(now)),
+			Limit: limit.Limit, LimitRate: limit.Rate,
 		}
 	})
 	for name, p := range d.pools {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	"github.com/galenaslip/galenaslip/admission"
@@ -10,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/routing"
 	"github.com/galenaslip/galenaslip/withdrawal"
 )
@@ -46,6 +48,8 @@
 	plannedStops  map[string]clock.Millis        // when each planned server stop was first seen, by its identifier
 	unreachable   map[string]announcementVersion // last announcement of each unreachable server
 	withdrawals   map[string]withdrawal.State    // what servers have said about not taking requests, by name
+	share         shareKeeper
+	limiter       *ratelimit.Limiter // its Limits may be used by other goroutines
 	// demand is the demand for each model, which the lease renewal reports.
 	demand       atomic.Pointer[[]lease.Demand]
 	waitingCount atomic.Int64
@@ -94,6 +98,7 @@
 		plannedStops:  map[string]clock.Millis{},
 		unreachable:   map[string]announcementVersion{},
 		withdrawals:   map[string]withdrawal.State{},
+		limiter:       ratelimit.NewLimiter(ratelimit.NewLimits()),
 	}
 	d.queue, d.router = newPolicy(options, registry, d.estimates)
 	d.slots = newSlotKeeper(d, epoch)
@@ -329,14 +334,16 @@
 		j.callerRequest.assigned <- assignment{rejection: noLease()}
 		return true
 	}
-	request := j.callerRequest.request(j.excluded)
-	choice, ok := d.choose(now, j, request, offers)
+	limited, _ := d.limitedServers(now, item.Pool)
+	request := j.callerRequest.request(slices.Concat(j.excluded, limited))
+	choice, ok := d.choose(now, j, request, offers, limited)
 	if !ok {
 		d.queue.Requeue(now, item)
 		return false
 	}
 	server := choice.Server.Server()
 	d.router.RecordSent(now, request, server)
+	d.limiter.Take(now, limitRun(server, choice.Server.Incarnation()), item.Pool, ratelimit.Urgency{})
 	j.running, j.server, j.started, j.byStarvationRule = true, server, now, item.ByStarvationRule
 	d.slots.started(now, j)
 	p := d.pool(item.Pool)
@@ -350,8 +357,8 @@
 }
 
 // choose selects a server for a job. Servers on which the job failed before are used
-// only when there are no others.
-func (d *dispatcher) choose(now clock.Millis, j *job, request routing.Request, offers []string) (routing.Choice, bool) {
+// only when there are no others. Limited servers, which the request excludes too, are not used.
+func (d *dispatcher) choose(now clock.Millis, j *job, request routing.Request, offers, limited []string) (routing.Choice, bool) {
 	choose := d.router.Choose
 	if d.slots != nil {
 		choose = func(now clock.Millis, r routing.Request) (routing.Choice, bool) {
@@ -359,11 +366,11 @@
 		}
 	}
 	choice, ok := choose(now, request)
-	if ok || len(request.Exclude) == 0 {
+	if ok || len(j.excluded) == 0 {
 		return choice, ok
 	}
 	j.excluded = nil
-	request.Exclude = nil
+	request.Exclude = limited
 	return choose(now, request)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,32 +24,33 @@
 
 // Entry is one entry process. Its methods may be called concurrently.
 type Entry struct {
-	options         Options
-	listener        net.Listener
-	advertised      string // host:port announced to other processes
-	incarnation     uint64
-	app             *fiber.App
-	client          *engine.Client
-	closeClient     func() // closes the idle connections of client
-	dispatcher      *dispatcher
-	leases          *leaseKeeper
-	challenger      *backend.Challenger
-	collector       *attainment.Collector
-	closeCollector  func() // stops collector after it has counted all queued samples
-	budget          *budget
-	quarantine      *quarantine.Quarantine
-	endChecks       *quarantine.EndChecks
-	peerQuarantines peerQuarantines
-	metrics         *metrics
-	refusalLog      *event.Limiter // for servers that are left out as invalid
-	stopping        atomic.Bool    // a stop has begun, so /readyz fails
-	refusingNewWork atomic.Bool    // new requests are refused
-	stopped         chan struct{}
-	searchSemaphore chan struct{} // semaphore that limits the concurrent stream searches
-	releaseOnce     sync.Once
-	ctx             context.Context
-	cancel          context.CancelFunc
-	tasks           taskGroup
+	options             Options
+	listener            net.Listener
+	advertised          string // host:port announced to other processes
+	incarnation         uint64
+	app                 *fiber.App
+	client              *engine.Client
+	closeClient         func() // closes the idle connections of client
+	dispatcher          *dispatcher
+	leases              *leaseKeeper
+	challenger          *backend.Challenger
+	collector           *attainment.Collector
+	closeCollector      func() // stops collector after it has counted all queued samples
+	budget              *budget
+	quarantine          *quarantine.Quarantine
+	endChecks           *quarantine.EndChecks
+	quarantinePositions peerPositions
+	limitPositions      peerPositions
+	metrics             *metrics
+	refusalLog          *event.Limiter // for servers that are left out as invalid
+	stopping            atomic.Bool    // a stop has begun, so /readyz fails
+	refusingNewWork     atomic.Bool    // new requests are refused
+	stopped             chan struct{}
+	searchSemaphore     chan struct{} // semaphore that limits the concurrent stream searches
+	releaseOnce         sync.Once
+	ctx                 context.Context
+	cancel              context.CancelFunc
+	tasks               taskGroup
 	// loggedQuarantine is used only by the goroutine that calls refreshQuarantine.
 	loggedQuarantine []quarantine.Key
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -32,6 +32,7 @@
 	m.gauge("lease_ms", "Remaining time of the configuration lease.", func() float64 { return float64(e.leases.remaining()) })
 	m.gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(e.leases.configuration().Revision()) })
 	m.gauge("servers_leaving", "Backend servers that have said in an answer that they leave.", func() float64 { return float64(e.dispatcher.leavingCount.Load()) })
+	m.gauge("servers_limited", "Backend servers that name how many requests a second they take.", func() float64 { return float64(e.dispatcher.limiter.Limits().Count()) })
 	m.gauge("servers_paused", "Backend servers that have refused a request and asked for a pause.", func() float64 { return float64(e.dispatcher.pausedCount.Load()) })
 	m.gauge("waiting", "Waiting requests.", func() float64 { return float64(e.dispatcher.waitingCount.Load()) })
 	m.gauge("running", "Running requests.", func() float64 { return float64(e.dispatcher.runningCount.Load()) })
--- a/entry/peer_quarantine.go
+++ b/entry/peer_positions.go
@@ -9,15 +9,15 @@
 	"github.com/galenaslip/galenaslip/gossip"
 )
 
-// peerQuarantines holds up to which position this entry knows the peers' records of requests that
-// end servers, by address. It is safe for concurrent use.
-type peerQuarantines struct {
+// peerPositions holds up to which position this entry knows the peers' records of some kind, by
+// address. It is safe for concurrent use.
+type peerPositions struct {
 	mu        sync.Mutex
 	positions map[string]gossip.Position
 }
 
 // known returns the position up to which a peer's records are known.
-func (q *peerQuarantines) known(address string) *gossip.Position {
+func (q *peerPositions) known(address string) *gossip.Position {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p := q.positions[address]
@@ -25,7 +25,7 @@
 }
 
 // record stores the position up to which a peer's records are known now.
-func (q *peerQuarantines) record(address string, p gossip.Position) {
+func (q *peerPositions) record(address string, p gossip.Position) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.positions == nil {
@@ -35,7 +35,7 @@
 }
 
 // keepOnly forgets all other peers.
-func (q *peerQuarantines) keepOnly(addresses []string) {
+func (q *peerPositions) keepOnly(addresses []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	maps.DeleteFunc(q.positions, func(address string, _ gossip.Position) bool { return !slices.Contains(addresses, address) })
@@ -49,5 +49,16 @@
 		return
 	}
 	e.quarantine.Merge(e.options.Clock.Now(), report)
-	e.peerQuarantines.record(address, position)
+	e.quarantinePositions.record(address, position)
+}
+
+// mergeLimits takes over what a peer knows of the limits of servers. A peer of a former build says
+// nothing about them.
+func (e *Entry) mergeLimits(address string, digest backend.Digest) {
+	report, position := digest.Limits()
+	if position.Instance == 0 {
+		return
+	}
+	e.dispatcher.limiter.Limits().Merge(e.options.Clock.Now(), report)
+	e.limitPositions.record(address, position)
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -31,7 +31,8 @@
 func (e *Entry) pullDigests(ctx context.Context) {
 	var pulls taskGroup
 	addresses := e.peerAddresses()
-	e.peerQuarantines.keepOnly(addresses)
+	e.quarantinePositions.keepOnly(addresses)
+	e.limitPositions.keepOnly(addresses)
 	for _, address := range addresses {
 		pulls.Go(func() { e.pullDigest(ctx, address) })
 	}
@@ -61,6 +62,7 @@
 		e.recordRefused(address, count, cause)
 	}
 	e.mergeQuarantine(address, digest)
+	e.mergeLimits(address, digest)
 	e.dispatcher.send(ctx, func(now clock.Millis) {
 		// The digest's age includes the time that this function waited in the inbox.
 		e.dispatcher.mergeDigest(now, address, digest, now-began)
@@ -78,7 +80,7 @@
 		return backend.Digest{}, 0, ctx.Err()
 	}
 	body, err := backend.EncodeDigestRequest(backend.DigestRequest{
-		Entry: e.options.Name, Since: since, QuarantineKnown: e.peerQuarantines.known(address),
+		Entry: e.options.Name, Since: since, QuarantineKnown: e.quarantinePositions.known(address), LimitsKnown: e.limitPositions.known(address),
 	})
 	if err != nil {
 		return backend.Digest{}, 0, err
@@ -118,6 +120,9 @@
 	if known := pull.QuarantineKnown; known != nil {
 		d = d.WithQuarantine(e.quarantine.Report(e.options.Clock.Now(), *known))
 	}
+	if known := pull.LimitsKnown; known != nil {
+		d = d.WithLimits(e.dispatcher.limiter.Limits().Report(e.options.Clock.Now(), *known))
+	}
 	return sendEncoded(c)(backend.EncodeDigest(d))
 }
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -65,6 +65,7 @@
 	d.registry.Expire(now)
 	d.dropSilentPeers(now)
 	d.applyStops(now)
+	d.updateShare(now)
 	d.slots.refresh(now)
 	for name, p := range d.pools {
 		for id, j := range p.running.jobs {
@@ -109,10 +110,11 @@
 }
 
 // refuseWithoutServer refuses the waiting requests of a pool that has had no usable
-// server for Timeouts.NoServer. If all of its servers are in a pause that they have asked for,
+// server for Timeouts.NoServer, or only servers at their limits. If all of its servers are in a pause that they have asked for,
 // the requests are refused at once, because the end of the pause is known.
 func (d *dispatcher) refuseWithoutServer(now clock.Millis, name string, p *poolState) {
-	if d.registry.PoolSize(now, name) > 0 {
+	_, limited := d.limitedServers(now, name)
+	if d.registry.PoolSize(now, name) > 0 && !limited {
 		p.hadServer = true
 		p.lastUsable = now
 		p.lastRefused = nil
@@ -126,6 +128,9 @@
 		p.recordRefusal(now, j.callerRequest.class.Tier())
 		d.queue.Remove(id)
 		d.dropJob(j)
+		if limited {
+			pause = d.refuseForLimits(now, name)
+		}
 		j.callerRequest.assigned <- assignment{rejection: notRun(outcome.ReasonNoServer, "no backend server is available").withPause(pause)}
 	}
 }
--- a/entry/withdrawal.go
+++ b/entry/withdrawal.go
@@ -26,6 +26,9 @@
 		if w.Leaving || w.Pause > 0 {
 			e.runInDispatcher(func(d *dispatcher, now clock.Millis) { d.recordWithdrawal(now, a, w) })
 		}
+		if w.Limit.Exists() || !e.dispatcher.limiter.Limits().IsEmpty() {
+			e.runInDispatcher(func(d *dispatcher, now clock.Millis) { d.recordLimit(now, a, w) })
+		}
 	}
 }
 
--- a/ratelimit/interval.go
+++ b/ratelimit/interval.go
@@ -26,8 +26,8 @@
 	return float64(i.End-i.Begin) / ringSize
 }
 
-// intersect returns the positions that are in both intervals.
-func (i Interval) intersect(other Interval) Interval {
+// Intersect returns the positions that are in both intervals.
+func (i Interval) Intersect(other Interval) Interval {
 	return Interval{Begin: max(i.Begin, other.Begin), End: min(i.End, other.End)}
 }
 
@@ -57,3 +57,17 @@
 	}
 	return best
 }
+
+// EqualPart returns the part of the ring of one of several entries that have equal parts, in the
+// order of their names. It is empty if the entry is not among them.
+func EqualPart(entries []string, self string) Interval {
+	names := slices.Clone(entries)
+	slices.Sort(names)
+	names = slices.Compact(names)
+	i := uint64(slices.Index(names, self))
+	if i >= uint64(len(names)) {
+		return Interval{}
+	}
+	n := uint64(len(names))
+	return Interval{Begin: i * ringSize / n, End: (i + 1) * ringSize / n}
+}
--- a/ratelimit/partition.go
+++ b/ratelimit/partition.go
@@ -139,7 +139,7 @@
 // wanted returns the part of the ring that a participant should get. The caller holds the lock.
 func (p *Partition) wanted(now clock.Millis, q *participant) Interval {
 	if now < p.settledAt {
-		return q.held.Interval.intersect(p.total)
+		return q.held.Interval.Intersect(p.total)
 	}
 	p.updateTargets(now)
 	return q.target
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -24,7 +24,7 @@
 	limit := a.responseInfo.Limit
 	isOther := a.head.Status == statusMisdirected
 	isUncertainEnd := !limit.Exists() && a.responseInfo.ID != x.requestInfo.ID
-	if !a.responseInfo.LimitKnown || isOther || isUncertainEnd {
+	if a.responseInfo.LimitUnreadable || isOther || isUncertainEnd {
 		return
 	}
 	r := x.relay
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -64,10 +64,10 @@
 	// RetryAfter is how long the server wants no requests, if it refuses this one for now; 0
 	// if it does not say.
 	RetryAfter clock.Millis
-	// Limit is how many requests the server takes from all entries together. It counts only if
-	// LimitKnown is set; otherwise the server names a limit that cannot be read.
-	Limit      ratelimit.Limit
-	LimitKnown bool
+	// Limit is how many requests the server takes from all entries together. It says nothing if
+	// LimitUnreadable is set.
+	Limit           ratelimit.Limit
+	LimitUnreadable bool
 }
 
 // Load is the load that a backend server reports, as numbers of requests.
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -22,12 +22,14 @@
 	SaysLeaving FaultKind = "says_leaving"
 	// Refuse refuses each call as not run and asks for a pause of Factor seconds.
 	Refuse FaultKind = "refuse"
+	// Limit adds to each answer that the server takes Factor requests a second.
+	Limit FaultKind = "limit"
 	// Recover ends every fault.
 	Recover FaultKind = "recover"
 )
 
 // Fault is the body of POST /stand-in/fault. Factor applies to Slow,
-// LateReports and Refuse.
+// LateReports, Refuse and Limit.
 type Fault struct {
 	Kind   FaultKind `json:"kind"`
 	Factor float64   `json:"factor"`
@@ -38,6 +40,7 @@
 	mu      sync.Mutex
 	crashed bool
 	leaving bool          // answers say that the server leaves
+	limit   float64       // requests a second that answers name; 0 if they name none
 	pause   float64       // seconds of the pause that refusals ask for; 0 if calls are not refused
 	refused int           // calls refused because of pause
 	silence chan struct{} // non-nil while silent; closed on recovery
@@ -54,6 +57,8 @@
 	switch fault.Kind {
 	case SaysLeaving:
 		f.leaving = true
+	case Limit:
+		f.limit = fault.Factor
 	case Refuse:
 		f.pause = fault.Factor
 	case Crash:
@@ -66,7 +71,7 @@
 		close(f.stall)
 		f.stall = make(chan struct{})
 	case Recover:
-		f.crashed, f.leaving, f.pause = false, false, 0
+		f.crashed, f.leaving, f.pause, f.limit = false, false, 0, 0
 		if f.silence != nil {
 			close(f.silence)
 			f.silence = nil
@@ -81,6 +86,14 @@
 	return f.crashed || f.silence != nil
 }
 
+// namedLimit returns the requests a second that answers name as the server's limit, or 0 if they
+// name none.
+func (f *faults) namedLimit() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limit
+}
+
 // saysLeaving reports whether answers say that the server leaves.
 func (f *faults) saysLeaving() bool {
 	f.mu.Lock()
--- a/standin/server.go
+++ b/standin/server.go
@@ -115,7 +115,7 @@
 	return c.Conn.Close()
 }
 
-// faultMiddleware applies the faults Crash, Silent, SaysLeaving and Refuse to all calls except
+// faultMiddleware applies the faults Crash, Silent, SaysLeaving, Limit and Refuse to all calls except
 // those to the stand-in's control interface.
 func faultMiddleware(f *faults, closing <-chan struct{}) fiber.Handler {
 	return func(c fiber.Ctx) error {
@@ -128,6 +128,9 @@
 		if f.saysLeaving() {
 			c.Set("X-Leaving", "true")
 		}
+		if limit := f.namedLimit(); limit > 0 {
+			c.Set("X-Rate-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+		}
 		if pause := f.refuse(); pause > 0 {
 			c.Set("X-Not-Run", "true")
 			c.Set(fiber.HeaderRetryAfter, strconv.FormatFloat(pause, 'f', -1, 64))
