--- a/control/server_codec.go
+++ b/control/server_codec.go
@@ -37,6 +37,7 @@
 	Service          string       `json:"service,omitempty"`
 	Address          string       `json:"address,omitempty"`
 	AvailabilityZone string       `json:"availability_zone,omitempty"`
+	Version          string       `json:"version,omitempty"`
 	Slots            int          `json:"slots,omitempty"`
 	State            roster.State `json:"state"`
 	WarmupLeft       clock.Millis `json:"cold_left_ms,omitempty"`
@@ -73,7 +74,7 @@
 func toWireServer(r roster.Record) wireServer {
 	a := r.Announcement
 	return wireServer{
-		Server: a.Server, Service: a.Service, Address: a.Address, AvailabilityZone: a.AvailabilityZone, Slots: a.Slots,
+		Server: a.Server, Service: a.Service, Address: a.Address, AvailabilityZone: a.AvailabilityZone, Version: a.Version, Slots: a.Slots,
 		State: a.State, WarmupLeft: a.WarmupLeft, StartedAt: a.StartedAt, Sequence: a.Sequence, Silent: r.Silent,
 	}
 }
@@ -84,7 +85,7 @@
 		return roster.Record{}, errors.Wrap(w.decodeError, "decoding a server")
 	}
 	r := roster.Record{Silent: w.Silent, Announcement: roster.Announcement{
-		Server: w.Server, Service: w.Service, Address: w.Address, AvailabilityZone: w.AvailabilityZone, Slots: w.Slots,
+		Server: w.Server, Service: w.Service, Address: w.Address, AvailabilityZone: w.AvailabilityZone, Version: w.Version, Slots: w.Slots,
 		State: w.State, WarmupLeft: w.WarmupLeft, StartedAt: w.StartedAt, Sequence: w.Sequence,
 	}}
 	return r, r.Validate()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -70,6 +70,7 @@
 	engineWork     float64              // work at the engine when it was chosen, in equivalent prompt tokens, this prompt included
 	tooLate        bool                 // no server was chosen because the request would wait too long at its engine; see package forecast
 	run            quarantine.ServerRun // identifies the server until it starts again
+	version        string               // version of the server's software
 	chosenAt       clock.Millis         // when the server was chosen, before the request was sent
 	firstByteSeen  bool                 // recordFirstByte was called, so the prompt no longer counts as unprocessed
 	firstByteAt    clock.Millis         // when the head of the response was read; 0 before
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -324,7 +324,7 @@
 	if req.affinityPartID != "" {
 		s.promptPartChosenAt[req.affinityPartID] = now
 	}
-	a.run = s.run()
+	a.run, a.version = s.run(), s.record.Version
 	f.limiter.Take(now, ratelimit.Run(a.run), req.service, req.urgency)
 	s.attempts[a] = struct{}{}
 	s.unprocessedTokens += a.uncachedTokens
--- a/relay/output.go
+++ b/relay/output.go
@@ -212,7 +212,8 @@
 	now := x.relay.clock.Now()
 	x.relay.metrics.recordAnswer(x.route.Name, a.head.Status, a.firstByteAt-x.request.arrivedAt, now-x.request.arrivedAt)
 	x.relay.options.Logger.Log(event.RequestAnswered, zap.String("request", x.requestInfo.ID), zap.String("route", x.route.Name),
-		zap.String("server", a.server.record.Server), zap.Int("status", a.head.Status), zap.Int("sends", x.attempts),
+		zap.String("server", a.server.record.Server), zap.String("version", a.version), zap.String("resumes", x.requestInfo.Resumes),
+		zap.Int("status", a.head.Status), zap.Int("sends", x.attempts),
 		zap.Float64("load", a.load), zap.Int64("load_age_ms", int64(a.loadAge)), zap.Int("urgency", x.forwardInfo.Urgency),
 		zap.Uint64("revision", x.revision),
 		zap.Int64("first_byte_ms", int64(a.firstByteAt-x.request.arrivedAt)), zap.Int64("took_ms", int64(now-x.request.arrivedAt)))
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -25,6 +25,7 @@
 	Key          string       // API key
 	TimeLeft     clock.Millis // how long the caller waits; 0 if not given
 	LastEventID  string       // ID of the newest event of the stream that the caller has
+	Resumes      string       // ID of the caller's request that brought the first event of that stream
 	PromptTokens int
 	OutputTokens int    // upper bound of the output tokens
 	LengthHint   int    // the caller's estimate of the output tokens; 0 if not given
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -44,7 +44,7 @@
 	}
 	if x.out.headSent {
 		x.relay.options.Logger.Log(event.StreamResumed, zap.String("request", x.requestInfo.ID),
-			zap.String("server", a.server.record.Server), zap.String("last_event", x.forwardInfo.LastEventID), zap.Error(err))
+			zap.String("server", a.server.record.Server), zap.String("version", a.version), zap.String("last_event", x.forwardInfo.LastEventID), zap.Error(err))
 	}
 	return false, false
 }
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -9,7 +9,7 @@
 
 // Limits of an announcement. Any process may send one, and it is passed on to all entries.
 const (
-	maxTextBytes = 128 // of a service and an availability zone
+	maxTextBytes = 128 // of a service, an availability zone and a version
 	maxSlots     = 1 << 16
 	maxWarmUp    = 24 * clock.Hour
 	maxStart     = 1 << 42 // Unix time in ms, in the year 2109
@@ -35,7 +35,8 @@
 	Service          string // service name
 	Address          string // IP:port
 	AvailabilityZone string
-	Slots            int // requests that the server runs at the same time
+	Version          string // version of the server's software; names that differ have no order
+	Slots            int    // requests that the server runs at the same time
 	State            State
 	WarmupLeft       clock.Millis // remaining time in which the server is slow after its start
 	StartedAt        int64        // start time, Unix time in ms; a later start replaces an earlier one
@@ -61,6 +62,8 @@
 		return errors.Errorf("server %q: state %.60q is unknown", a.Server, a.State)
 	case a.Service == "" || len(a.Service) > maxTextBytes || len(a.AvailabilityZone) > maxTextBytes:
 		return errors.Errorf("server %q: service %.60q or availability zone %.60q is empty or too long", a.Server, a.Service, a.AvailabilityZone)
+	case len(a.Version) > maxTextBytes:
+		return errors.Errorf("server %q: version %.60q is too long", a.Server, a.Version)
 	case a.Slots < 0 || a.Slots > maxSlots:
 		return errors.Errorf("server %q: %d slots: want 0 to %d", a.Server, a.Slots, maxSlots)
 	case a.WarmupLeft < 0 || a.WarmupLeft > maxWarmUp:
