--- a/control/codec.go
+++ b/control/codec.go
@@ -11,13 +11,14 @@
 	"github.com/galenaslip/galenaslip/claim"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/placement"
 )
 
 // command is the content of one log entry: a configuration change, a claim
-// command or a catalog document. Exactly one of change, claim and document is
-// set; baseRevision and idempotencyKey belong to change.
+// command, a catalog document or changes of the table of versions. Exactly one of change,
+// claim, document and versions is set; baseRevision and idempotencyKey belong to change.
 type command struct {
 	proposedAt     clock.Millis // time of day at the leader that proposed the command
 	change         configuration.Change
@@ -25,6 +26,7 @@
 	idempotencyKey string
 	claim          claim.Command
 	document       *catalog.Document
+	versions       []continuation.Change
 }
 
 // wireCommand is the JSON form of command.
@@ -35,7 +37,8 @@
 	IdempotencyKey string          `json:"key,omitempty"`
 	Claim          json.RawMessage `json:"claim,omitempty"`
 
-	Document *wireDocument `json:"document,omitempty"`
+	Document *wireDocument             `json:"document,omitempty"`
+	Versions []continuation.WireChange `json:"versions,omitempty"`
 }
 
 // wireChangeRequest is the body of a configuration change request.
@@ -92,6 +95,7 @@
 		}
 	}
 	w.Document = (*wireDocument)(c.document)
+	w.Versions = lo.Map(c.versions, func(c continuation.Change, _ int) continuation.WireChange { return continuation.ToWireChange(c) })
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -110,8 +114,9 @@
 		c.claim, err = claim.DecodeCommand(w.Claim)
 	}
 	c.document = (*catalog.Document)(w.Document)
-	if err == nil && c.change == nil && c.claim == nil && c.document == nil {
-		err = errors.New("command contains no change, claim or document")
+	c.versions = lo.Map(w.Versions, func(w continuation.WireChange, _ int) continuation.Change { return w.Change() })
+	if err == nil && c.change == nil && c.claim == nil && c.document == nil && len(c.versions) == 0 {
+		err = errors.New("command contains no change, claim, document or versions")
 	}
 	return c, err
 }
--- a/control/collect_test.go
+++ b/control/collect_test.go
@@ -24,8 +24,8 @@
 			c, manual := clock.NewManual(1)
 			leader, release, err := control.New(control.Options{
 				Name: "c1", Listen: "127.0.0.1:0", Folder: t.TempDir(), PrivateNetwork: true, Clock: c, Logger: event.Discard(),
-				OpenLog: func(replica.Options) (control.Log, func(), error) {
-					return &fakeLeaderLog{term: 1, lease: 900}, func() {}, nil
+				OpenLog: func(o replica.Options) (control.Log, func(), error) {
+					return &fakeLeaderLog{fakeLog: fakeLog{machine: o.StateMachine}, term: 1, lease: 900}, func() {}, nil
 				},
 			})
 			if err != nil {
--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
@@ -90,6 +91,7 @@
 	watchingEntries     watchingEntries
 	propagation         *changePropagation
 	quarantine          *quarantine.Quarantine
+	streams             *continuation.Records // of streams that entries have begun
 	limits              *ratelimit.Limits
 	shares              *limitShares
 	compressor          documentCompressor
@@ -129,6 +131,7 @@
 		propagation: newChangePropagation(options.EntryLease), quarantine: quarantine.New(quarantine.Options{Entry: options.Name}),
 	}
 	c.machine.onCatalogChange = c.changed.notify
+	c.streams = continuation.NewRecords(maxStreamRecords)
 	c.limits, c.shares = ratelimit.NewLimits(), newLimitShares(c)
 	c.serverRegistry = newServerRegistry(c)
 	if c.options.OpenLog == nil {
@@ -155,6 +158,7 @@
 	c.startTask(func() { c.placementController.run(ctx) })
 	c.startTask(func() { c.maintainMembership(ctx) })
 	c.startTask(func() { c.serverRegistry.run(ctx) })
+	c.startTask(func() { c.maintainVersions(ctx) })
 	c.startTask(func() { c.delegate.run(ctx) })
 	c.startTask(func() { c.forwarder.run(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
--- a/control/delegate.go
+++ b/control/delegate.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/replica"
@@ -31,10 +32,11 @@
 
 	mu           sync.Mutex
 	confirmation delegation.Confirmation
-	document     catalog.Document // newest catalog document that the leader has sent
-	mirror       *roster.Mirror   // the leader's server list
-	reported     int              // number of this member's entries in its latest report
-	others       WatchResponse    // the latest granted response, with the entries of other members alone
+	document     catalog.Document   // newest catalog document that the leader has sent
+	mirror       *roster.Mirror     // the leader's server list
+	versions     continuation.Table // newest table of versions that the leader has sent
+	reported     int                // number of this member's entries in its latest report
+	others       WatchResponse      // the latest granted response, with the entries of other members alone
 	heartbeats   map[string]roster.Announcement
 
 	loadsReportedAt clock.Millis // when the latest report with loads was made
@@ -111,6 +113,9 @@
 	if response.Document != nil {
 		d.document = *response.Document
 	}
+	if response.Versions != nil {
+		d.versions = *response.Versions
+	}
 	changed := d.mirror.Apply(d.control.options.Clock.Now(), response.Epoch, response.Position, response.Servers)
 	changed = changed || !wasValid || next.Revision != d.confirmation.Revision
 	if response.LoadsKept {
@@ -146,6 +151,7 @@
 	response.EntryCount, response.Loads, response.Demands = d.others.EntryCount, d.others.Loads, d.others.Demands
 	response.ConfirmationAge, response.Delegates = d.confirmation.Age(receivedAt), d.others.Delegates
 	response.Share = grantTo(d.control.shares.member, now, watch)
+	response.Versions = newerVersions(d.versions, watch.VersionsKnown)
 }
 
 // acceptHeartbeat takes a heartbeat that has no news for the entries, and reports whether
--- a/control/machine.go
+++ b/control/machine.go
@@ -10,16 +10,18 @@
 	"github.com/galenaslip/galenaslip/claim"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/continuation"
 )
 
 // Machine is the replicated state machine of the control group. It holds the
-// configuration, the catalog and the claims. It is safe for concurrent use:
+// configuration, the catalog, the claims and the versions of backend servers. It is safe for concurrent use:
 // handlers read it while the log applies entries.
 type Machine struct {
 	mu              sync.RWMutex
 	configurations  *configuration.Machine
 	catalogs        *catalog.Machine
 	claims          *claim.Machine
+	versions        continuation.Table
 	onCatalogChange func() // called without mu after a command that may have changed the catalog
 }
 
@@ -59,11 +61,17 @@
 	if c.document != nil {
 		return encodeApplyResult(m.catalogs.Apply(*c.document))
 	}
+	if len(c.versions) > 0 {
+		for _, change := range c.versions {
+			m.versions = m.versions.With(change)
+		}
+		return nil, nil
+	}
 	return claim.EncodeResult(m.claims.Apply(c.proposedAt, c.claim))
 }
 
-// Snapshot returns the encoded state: the configuration, the catalog and the
-// claims, each preceded by its length as an unsigned varint.
+// Snapshot returns the encoded state: the configuration, the catalog, the claims and
+// the versions, each preceded by its length as an unsigned varint.
 func (m *Machine) Snapshot() []byte {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -71,8 +79,12 @@
 	if err != nil {
 		panic(err) // cannot happen: every state can be encoded
 	}
+	versions, err := m.versions.Encode()
+	if err != nil {
+		panic(err) // cannot happen: every state can be encoded
+	}
 	var data []byte
-	for _, section := range [][]byte{configurations, m.catalogs.Snapshot(), m.claims.Snapshot()} {
+	for _, section := range [][]byte{configurations, m.catalogs.Snapshot(), m.claims.Snapshot(), versions} {
 		data = binary.AppendUvarint(data, uint64(len(section)))
 		data = append(data, section...)
 	}
@@ -103,13 +115,37 @@
 		}
 		snapshot = rest
 	}
+	versions, err := restoreVersions(snapshot)
+	if err != nil {
+		return err
+	}
 	defer m.onCatalogChange()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.configurations, m.catalogs, m.claims = configurations, catalogs, claims
+	m.configurations, m.catalogs, m.claims, m.versions = configurations, catalogs, claims, versions
 	return nil
 }
 
+// restoreVersions returns the versions in the last section of a snapshot. A snapshot of a former build
+// has none.
+func restoreVersions(snapshot []byte) (continuation.Table, error) {
+	if len(snapshot) == 0 {
+		return continuation.Table{}, nil
+	}
+	section, _, err := nextSection(snapshot)
+	if err != nil {
+		return continuation.Table{}, err
+	}
+	return continuation.DecodeTable(section)
+}
+
+// Versions returns the versions of backend servers at which streams may have begun.
+func (m *Machine) Versions() continuation.Table {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.versions
+}
+
 // Catalog returns the catalog document with the highest accepted revision.
 func (m *Machine) Catalog() catalog.Document {
 	m.mu.RLock()
@@ -161,7 +197,7 @@
 func (m *Machine) reset() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.configurations, m.catalogs, m.claims = configuration.NewMachine(), &catalog.Machine{}, claim.NewMachine()
+	m.configurations, m.catalogs, m.claims, m.versions = configuration.NewMachine(), &catalog.Machine{}, claim.NewMachine(), continuation.Table{}
 }
 
 // summary describes the state machine in /debug/state and in the metrics. Stops
--- a/control/outcome_test.go
+++ b/control/outcome_test.go
@@ -23,12 +23,18 @@
 	status                        replica.Status
 	proposalResult, barrierResult replica.Result
 	transferredTo                 string
+	machine                       replica.StateMachine // applies proposals at once if set
 }
 
-func (l *fakeLog) Propose(context.Context, []byte) replica.Result { return l.proposalResult }
-func (l *fakeLog) Barrier(context.Context) replica.Result         { return l.barrierResult }
-func (l *fakeLog) Receive(replica.Message)                        {}
-func (l *fakeLog) Status() replica.Status                         { return l.status }
+func (l *fakeLog) Propose(_ context.Context, command []byte) replica.Result {
+	if l.machine != nil {
+		return replica.Result{Kind: replica.Committed, Value: l.machine.Apply(1, command)}
+	}
+	return l.proposalResult
+}
+func (l *fakeLog) Barrier(context.Context) replica.Result { return l.barrierResult }
+func (l *fakeLog) Receive(replica.Message)                {}
+func (l *fakeLog) Status() replica.Status                 { return l.status }
 
 func (l *fakeLog) ChangeMember(context.Context, replica.MemberChange) replica.Result {
 	return l.proposalResult
--- a/control/server.go
+++ b/control/server.go
@@ -33,6 +33,8 @@
 	pathServerBatch    = "/v1/servers/batch"
 	pathServersInForce = "/v1/servers/in-force"
 	pathWatch          = "/v1/watch"
+	pathStreams        = "/v1/streams"
+	pathStreamLookup   = "/v1/streams/lookup"
 )
 
 // headerForwarded marks a request that a member has forwarded to the leader.
@@ -79,6 +81,8 @@
 	app.Post(pathServerBatch, c.requireToken(peersOnly, c.atLeader(c.postServerBatch)))
 	app.Post(pathServersInForce, c.requireToken(peersOnly, c.atLeader(c.postServersInForce)))
 	app.Post(pathWatch, c.requireToken(peersOnly, c.postWatch))
+	app.Post(pathStreams, c.requireToken(peersOnly, c.postStreams))
+	app.Post(pathStreamLookup, c.requireToken(peersOnly, c.postStreamLookup))
 	return app
 }
 
--- a/control/servers.go
+++ b/control/servers.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/replica"
@@ -102,6 +103,16 @@
 	}
 }
 
+// origins returns the versions of the servers that are not gone.
+func (s *serverRegistry) origins() []continuation.Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := lo.Reject(s.registry.ChangedSince(0), func(r roster.Record, _ int) bool { return r.State == roster.Gone })
+	return lo.Uniq(lo.Map(records, func(r roster.Record, _ int) continuation.Origin {
+		return continuation.Origin{Service: r.Service, Version: r.Version}
+	}))
+}
+
 // changesSince returns the servers that have changed since a position in the
 // registry's sequence of changes. It also returns the current epoch and position,
 // to be passed to the next call. Positions are valid only within one epoch: if the
@@ -182,6 +193,12 @@
 	if status.LeaseRemaining <= 0 {
 		return notRunError("the leader has no lease")
 	}
+	if err := c.commitVersions(announcements); err != nil {
+		return err
+	}
+	if err := c.confirmLeading(status.Term); err != nil {
+		return err
+	}
 	c.serverRegistry.receive(status.Term, announcements)
 	return nil
 }
--- /dev/null
+++ b/control/stream_directory.go
@@ -0,0 +1,205 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
+)
+
+const (
+	// streamBatchInterval is the shortest time between two messages with records of streams. A record
+	// that was not told when its entry is killed is lost.
+	streamBatchInterval = 40 * clock.Millisecond
+	// streamCallTimeout bounds a call to a holder of records.
+	streamCallTimeout = 300 * clock.Millisecond
+	// lookupPause is the time after which a record that was not found is looked for once more: it may
+	// still be on its way.
+	lookupPause = 3 * streamBatchInterval
+	// streamQueueSize is the number of records that wait to be told.
+	streamQueueSize = 4096
+	// maxLocalStreams bounds the records of an entry's own streams.
+	maxLocalStreams = 1 << 16
+)
+
+// StreamDirectory tells the members of the control group the origins of an entry's streams, and finds
+// those of other entries' streams there. Its methods are safe for concurrent use.
+type StreamDirectory struct {
+	clock      clock.Clock
+	peerClient *peerClient
+	members    atomic.Pointer[[]string]
+	own        *continuation.Records // of streams that this entry has begun or looked up
+	queue      chan continuation.Record
+	dropped    atomic.Uint64 // records that did not fit into the queue or reached no holder
+}
+
+// NewStreamDirectory returns a directory. It tells nothing until Run is called, and nothing is found
+// at other entries before SetMembers is called.
+func NewStreamDirectory(c clock.Clock, token string) *StreamDirectory {
+	return &StreamDirectory{
+		clock: c, peerClient: newPeerClient(token), own: continuation.NewRecords(maxLocalStreams),
+		queue: make(chan continuation.Record, streamQueueSize),
+	}
+}
+
+// SetMembers sets the addresses of the control members.
+func (d *StreamDirectory) SetMembers(addresses []string) {
+	if len(addresses) > 0 {
+		d.members.Store(&addresses)
+	}
+}
+
+func (d *StreamDirectory) memberAddresses() []string {
+	if members := d.members.Load(); members != nil {
+		return *members
+	}
+	return nil
+}
+
+// Dropped returns the number of records that were lost because the queue was full or no holder was
+// reached.
+func (d *StreamDirectory) Dropped() uint64 { return d.dropped.Load() }
+
+// Add records the origin of a stream. It does not block.
+func (d *StreamDirectory) Add(record continuation.Record) {
+	if !d.own.Add(d.clock.Now(), record) {
+		return
+	}
+	select {
+	case d.queue <- record:
+	default:
+		d.dropped.Add(1)
+	}
+}
+
+// Run tells holders of the records until ctx ends. Records that come together are told together.
+func (d *StreamDirectory) Run(ctx context.Context) {
+	for {
+		select {
+		case first := <-d.queue:
+			d.tell(d.takeQueued(first))
+		case <-ctx.Done():
+			d.peerClient.httpClient.CloseIdleConnections()
+			return
+		}
+		d.clock.Sleep(ctx, streamBatchInterval)
+	}
+}
+
+// takeQueued returns a record and those that wait behind it.
+func (d *StreamDirectory) takeQueued(first continuation.Record) []continuation.Record {
+	records := []continuation.Record{first}
+	for len(records) < streamQueueSize {
+		select {
+		case r := <-d.queue:
+			records = append(records, r)
+		default:
+			return records
+		}
+	}
+	return records
+}
+
+// tell sends records to their holders, and those that a holder did not take to the next one.
+func (d *StreamDirectory) tell(records []continuation.Record) {
+	members := d.memberAddresses()
+	batches := map[string][]continuation.Record{}
+	for _, r := range records {
+		holders := continuation.Holders(r.Stream, members)
+		for _, holder := range holders[:min(len(holders), continuation.HolderCount)] {
+			batches[holder] = append(batches[holder], r)
+		}
+	}
+	if len(batches) == 0 {
+		d.dropped.Add(uint64(len(records)))
+	}
+	for _, r := range d.sendBatches(batches) {
+		holders := continuation.Holders(r.Stream, members)
+		if len(holders) <= continuation.HolderCount || len(d.sendBatches(map[string][]continuation.Record{holders[continuation.HolderCount]: {r}})) > 0 {
+			d.dropped.Add(1)
+		}
+	}
+}
+
+// sendBatches sends batches to holders at the same time, and returns the records that a holder did not
+// take.
+func (d *StreamDirectory) sendBatches(batches map[string][]continuation.Record) []continuation.Record {
+	var mu sync.Mutex
+	var failed []continuation.Record
+	var wait sync.WaitGroup
+	for holder, batch := range batches {
+		wait.Go(func() {
+			data, err := encodeStreams(batch)
+			if err == nil {
+				_, err = d.peerClient.call(fasthttp.MethodPost, holder, pathStreams, data, streamCallTimeout)
+			}
+			if err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				failed = append(failed, batch...)
+			}
+		})
+	}
+	wait.Wait()
+	return failed
+}
+
+// Lookup returns what is known of the origin of a stream. It asks the holders unless the stream is one
+// of this entry's own, and once more after a short time if none of them knows it.
+func (d *StreamDirectory) Lookup(ctx context.Context, stream string) (continuation.Origin, continuation.Knowledge) {
+	if stream == "" {
+		return continuation.Origin{}, continuation.Unrecorded
+	}
+	origin, knowledge := d.own.Lookup(d.clock.Now(), stream)
+	for attempt := 0; knowledge == continuation.Unrecorded && attempt < 2; attempt++ {
+		if attempt > 0 && !d.clock.Sleep(ctx, lookupPause) {
+			break
+		}
+		origin, knowledge = d.ask(stream)
+	}
+	return origin, knowledge
+}
+
+// ask asks the holders of a stream's record at the same time.
+func (d *StreamDirectory) ask(stream string) (continuation.Origin, continuation.Knowledge) {
+	holders := continuation.Holders(stream, d.memberAddresses())
+	holders = holders[:min(len(holders), continuation.AskedCount)]
+	found := make([]*wireStream, len(holders))
+	var wait sync.WaitGroup
+	for i, holder := range holders {
+		wait.Go(func() { found[i] = d.askHolder(holder, stream) })
+	}
+	wait.Wait()
+	answers := continuation.NewRecords(1)
+	for _, w := range lo.Compact(found) {
+		if w.Contradictory {
+			return continuation.Origin{}, continuation.Contradictory
+		}
+		answers.Add(d.clock.Now(), w.record())
+	}
+	return answers.Lookup(d.clock.Now(), stream)
+}
+
+// askHolder returns what one holder knows of a stream, nil if it knows nothing or does not answer.
+func (d *StreamDirectory) askHolder(holder, stream string) *wireStream {
+	data, err := json.Marshal(wireStreamLookup{Streams: []string{stream}})
+	if err != nil {
+		panic(errors.WithStack(err)) // cannot happen: strings can be encoded
+	}
+	_, body, err := d.peerClient.exchange(fasthttp.MethodPost, holder, pathStreamLookup, data, streamCallTimeout)
+	if err != nil {
+		return nil
+	}
+	var answer wireStreams
+	if json.Unmarshal(body, &answer) != nil || len(answer.Streams) != 1 || answer.Streams[0].Stream != stream {
+		return nil
+	}
+	return &answer.Streams[0]
+}
--- /dev/null
+++ b/control/streams.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"encoding/json"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/continuation"
+)
+
+// maxStreamRecords bounds the records of streams at a member, and so their memory: some 40 MB.
+const maxStreamRecords = 1 << 18
+
+// wireStream is the JSON form of continuation.Record, and of the answer to a lookup. Its keys are
+// short, because each stream is recorded.
+type wireStream struct {
+	Stream        string `json:"id"`
+	Service       string `json:"s,omitempty"`
+	Version       string `json:"v,omitempty"`
+	Contradictory bool   `json:"contradictory,omitempty"` // records with different origins were found
+}
+
+// wireStreams is a list of streams: the body of a message with records, and the answer to a lookup,
+// which leaves out streams without a record.
+type wireStreams struct {
+	Streams []wireStream `json:"streams"`
+}
+
+// wireStreamLookup is the body of a lookup.
+type wireStreamLookup struct {
+	Streams []string `json:"ids"`
+}
+
+func encodeStreams(records []continuation.Record) ([]byte, error) {
+	data, err := json.Marshal(wireStreams{Streams: lo.Map(records, func(r continuation.Record, _ int) wireStream {
+		return wireStream{Stream: r.Stream, Service: r.Origin.Service, Version: r.Origin.Version}
+	})})
+	return data, errors.WithStack(err)
+}
+
+func (w wireStream) record() continuation.Record {
+	return continuation.Record{Stream: w.Stream, Origin: continuation.Origin{Service: w.Service, Version: w.Version}}
+}
+
+// postStreams keeps records of streams that an entry has begun.
+func (c *Control) postStreams(f fiber.Ctx) error {
+	var w wireStreams
+	if err := json.Unmarshal(f.Body(), &w); err != nil {
+		return invalidError(fiber.StatusBadRequest, errors.Wrap(err, "decoding streams"))
+	}
+	now := c.options.Clock.Now()
+	for _, stream := range w.Streams {
+		c.streams.Add(now, stream.record())
+	}
+	return f.SendStatus(fiber.StatusNoContent)
+}
+
+// postStreamLookup answers which of the given streams are recorded here.
+func (c *Control) postStreamLookup(f fiber.Ctx) error {
+	var lookup wireStreamLookup
+	if err := json.Unmarshal(f.Body(), &lookup); err != nil {
+		return invalidError(fiber.StatusBadRequest, errors.Wrap(err, "decoding a lookup of streams"))
+	}
+	now := c.options.Clock.Now()
+	answer := wireStreams{}
+	for _, stream := range lookup.Streams {
+		origin, knowledge := c.streams.Lookup(now, stream)
+		if knowledge == continuation.Unrecorded {
+			continue
+		}
+		answer.Streams = append(answer.Streams, wireStream{
+			Stream: stream, Service: origin.Service, Version: origin.Version, Contradictory: knowledge == continuation.Contradictory,
+		})
+	}
+	return respondValue(f, answer)
+}
--- /dev/null
+++ b/control/versions_test.go
@@ -0,0 +1,140 @@
+package control_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
+	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/roster"
+)
+
+// addresses returns the addresses of all members, also of those that do not run.
+func (g *group) addresses() []string {
+	return lo.Map(lo.Values(g.memberOptions), func(o control.Options, _ int) string { return o.Listen })
+}
+
+// directory returns the directory of an entry that has just started.
+func (g *group) directory() *control.StreamDirectory {
+	d := control.NewStreamDirectory(g.clock, "")
+	d.SetMembers(g.addresses())
+	go d.Run(g.t.Context())
+	return d
+}
+
+// Guards against streams whose origin is lost with the entry that has begun them, or with one member,
+// and against a stream with two origins that goes on at one of them.
+func TestStreamOriginsOutliveEntry(t *testing.T) {
+	const streams = 30
+	g := newSeededGroup(t, 5)
+	v1, v2 := continuation.Origin{Service: "s", Version: "v1"}, continuation.Origin{Service: "s", Version: "v2"}
+	record := func(i int, o continuation.Origin) continuation.Record {
+		return continuation.Record{Stream: fmt.Sprintf("stream-%d", i), Origin: o}
+	}
+	first := g.directory()
+	for i := range streams {
+		first.Add(record(i, lo.Ternary(i%2 == 0, v1, v2)))
+	}
+	other := g.directory()
+	found := func(d *control.StreamDirectory) bool {
+		for i := range streams {
+			origin, knowledge := d.Lookup(t.Context(), record(i, v1).Stream)
+			if knowledge != continuation.Recorded || origin != lo.Ternary(i%2 == 0, v1, v2) {
+				return false
+			}
+		}
+		return true
+	}
+	g.eventually("another entry to find all streams", func() bool { return found(other) })
+	g.crash(g.leader())
+	if !found(g.directory()) {
+		t.Errorf("after the loss of a member: got streams without their origin, want all of them")
+	}
+	if _, got := other.Lookup(t.Context(), "unknown"); got != continuation.Unrecorded {
+		t.Errorf("an unknown stream: got %v, want none", got)
+	}
+	other.Add(record(0, v2))
+	g.eventually("the contradiction to be known", func() bool {
+		_, knowledge := g.directory().Lookup(t.Context(), record(0, v1).Stream)
+		return knowledge == continuation.Contradictory
+	})
+}
+
+// versionWatcher is an entry that watches the group for servers and versions.
+type versionWatcher struct {
+	mu      sync.Mutex
+	table   continuation.Table
+	servers []string
+}
+
+func (g *group) watchVersions(entry string) *versionWatcher {
+	v := &versionWatcher{}
+	w := control.NewWatcher(control.WatcherOptions{
+		Entry: entry, Seeds: g.addresses, Clock: g.clock, Logger: event.Discard(),
+		Update: func(_ clock.Millis, response control.WatchResponse) bool {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			if response.Versions != nil {
+				v.table = *response.Versions
+			}
+			for _, r := range response.Servers {
+				v.servers = append(v.servers, r.Server)
+				if !v.table.Has(continuation.Origin{Service: r.Service, Version: r.Version}) {
+					g.t.Errorf("server %s: got version %s before the table has it", r.Server, r.Version)
+				}
+			}
+			return true
+		},
+		Report: func() control.Report { return control.Report{} },
+	})
+	go w.Run(g.t.Context())
+	return v
+}
+
+// knows reports whether the watcher knows a server and these versions of its service alone.
+func (v *versionWatcher) knows(server string, versions ...string) func() bool {
+	return func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return slices.Contains(v.servers, server) && slices.Equal(v.table.Versions("s"), versions)
+	}
+}
+
+// Guards against an entry that takes a version for the only one that its streams may have begun at: it
+// learned of a server before its version, or the group has forgotten a version because all of its members
+// were stopped.
+func TestVersionsAreRemembered(t *testing.T) {
+	g := newSeededGroup(t, 3)
+	announce := func(server, version string, sequence uint64) func() bool {
+		return func() bool {
+			sequence++
+			for _, c := range g.running {
+				return c.Announce(roster.Announcement{
+					Server: server, Service: "s", Address: fmt.Sprintf("10.0.0.%c:1", server[1]), Version: version, State: roster.Serving, StartedAt: 1, Sequence: sequence,
+				}) == nil
+			}
+			return false
+		}
+	}
+	first := g.watchVersions("entry-1")
+	for i, version := range []string{"v1", "v2", "v1", "v3"} {
+		server := fmt.Sprintf("s%d", i)
+		g.eventually("the announcement of "+server, announce(server, version, 0))
+	}
+	g.eventually("all versions to be known", first.knows("s3", "v1", "v2", "v3"))
+	names := lo.Keys(g.running)
+	for _, name := range names {
+		g.crash(name)
+	}
+	for _, name := range names {
+		g.start(name)
+	}
+	g.eventually("a server to announce itself again", announce("s0", "v1", 10))
+	g.eventually("all versions to be known to a new entry", g.watchVersions("entry-2").knows("s0", "v1", "v2", "v3"))
+}
--- a/control/watch.go
+++ b/control/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/propagation"
@@ -59,6 +60,8 @@
 	// request, and LimitsKnown up to where it knows the member's.
 	Limits      ratelimit.Report
 	LimitsKnown gossip.Position
+	// VersionsKnown is the revision of the table of versions that the sender knows.
+	VersionsKnown uint64
 	// Share asks for a part of these limits; nil in requests of the former build.
 	Share *ShareReport
 	// Delegate is set in the request of a member. The fields after it are set by members.
@@ -121,6 +124,8 @@
 	// WatchRequest.LimitsKnown. Both are set without a grant, too.
 	Limits         ratelimit.Report
 	LimitsPosition gossip.Position
+	// Versions is the table of versions; nil if the entry knows it.
+	Versions *continuation.Table
 	// Share is the entry's part of these limits, which holds with the lease of this response; nil
 	// if the request does not ask for it.
 	Share *ratelimit.Grant
@@ -223,6 +228,7 @@
 		c.serverRegistry.receive(status.Term, nil)
 		response.Granted, response.Revision = true, document.Revision
 		response.Share = grantTo(c.shares.ofTerm(status.Term), now, watch)
+		response.Versions = newerVersions(c.machine.Versions(), watch.VersionsKnown)
 		response.Document = newerDocument(document, watch.Revision)
 		response.Servers, response.Epoch, response.Position = c.serverRegistry.changesSince(watch.Epoch, watch.Position)
 		if c.watchingEntries.count(now) > maxDirectEntries {
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/gossip"
 	"github.com/galenaslip/galenaslip/quarantine"
@@ -39,9 +40,10 @@
 	Quarantine      *quarantine.WireReport `json:"quarantine,omitempty"`
 	QuarantineKnown gossip.WirePosition    `json:"quarantine_known"`
 
-	Limits      []ratelimit.WireReported `json:"limits,omitempty"`
-	LimitsKnown gossip.WirePosition      `json:"limits_known"`
-	Share       *wireShareReport         `json:"share,omitempty"`
+	Limits        []ratelimit.WireReported `json:"limits,omitempty"`
+	LimitsKnown   gossip.WirePosition      `json:"limits_known"`
+	VersionsKnown uint64                   `json:"versions_known,omitempty"`
+	Share         *wireShareReport         `json:"share,omitempty"`
 }
 
 // wireShareReport is the JSON form of ShareReport.
@@ -127,6 +129,7 @@
 
 	Limits         []ratelimit.WireReported `json:"limits,omitempty"`
 	LimitsPosition gossip.WirePosition      `json:"limits_position"`
+	Versions       *continuation.WireTable  `json:"versions,omitempty"`
 	Share          *ratelimit.WireGrant     `json:"share,omitempty"`
 }
 
@@ -137,7 +140,7 @@
 		LoadsKept: watch.LoadsKept, AcceptsDelegation: watch.AcceptsDelegation, AcceptsCompressed: watch.AcceptsCompression, Delegate: (*wireDelegate)(watch.Delegate), EntryCount: watch.EntryCount,
 		Acknowledged: watch.Acknowledged, AcknowledgedRevision: watch.AcknowledgedRevision, Heartbeats: toWireAnnouncements(watch.Heartbeats),
 		Quarantine: quarantine.ToWire(watch.Quarantine), QuarantineKnown: gossip.WirePosition(watch.QuarantineKnown),
-		Limits: ratelimit.ToWire(watch.Limits), LimitsKnown: gossip.WirePosition(watch.LimitsKnown), Share: toWireShareReport(watch.Share),
+		Limits: ratelimit.ToWire(watch.Limits), LimitsKnown: gossip.WirePosition(watch.LimitsKnown), Share: toWireShareReport(watch.Share), VersionsKnown: watch.VersionsKnown,
 	})
 	return data, errors.WithStack(err)
 }
@@ -154,7 +157,7 @@
 		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, AcceptsCompression: w.AcceptsCompressed, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
 		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: heartbeats, RefusedHeartbeats: refused,
 		Quarantine: w.Quarantine.Report(), QuarantineKnown: gossip.Position(w.QuarantineKnown),
-		Limits: ratelimit.FromWire(w.Limits), LimitsKnown: gossip.Position(w.LimitsKnown), Share: w.Share.report(),
+		Limits: ratelimit.FromWire(w.Limits), LimitsKnown: gossip.Position(w.LimitsKnown), Share: w.Share.report(), VersionsKnown: w.VersionsKnown,
 	}, nil
 }
 
@@ -172,6 +175,9 @@
 		Limits: ratelimit.ToWire(response.Limits), LimitsPosition: gossip.WirePosition(response.LimitsPosition),
 		Delegates: lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
 	}
+	if response.Versions != nil {
+		w.Versions = lo.ToPtr(continuation.ToWire(*response.Versions))
+	}
 	if response.Share != nil {
 		w.Share = lo.ToPtr(ratelimit.ToWireGrant(*response.Share))
 	}
@@ -196,6 +202,10 @@
 		document = &decompressed
 	}
 	servers, refused := fromWireServers(w.Servers)
+	var versions *continuation.Table
+	if w.Versions != nil {
+		versions = lo.ToPtr(w.Versions.Table())
+	}
 	var share *ratelimit.Grant
 	if w.Share != nil {
 		share = lo.ToPtr(w.Share.Grant())
@@ -210,7 +220,7 @@
 
 		LoadsKept: w.LoadsKept, ConfirmationAge: w.ConfirmationAge,
 		Quarantine: w.Quarantine.Report(), QuarantinePosition: gossip.Position(w.QuarantinePosition),
-		Limits: ratelimit.FromWire(w.Limits), LimitsPosition: gossip.Position(w.LimitsPosition), Share: share,
+		Limits: ratelimit.FromWire(w.Limits), LimitsPosition: gossip.Position(w.LimitsPosition), Share: share, Versions: versions,
 		Delegates: lo.Map(w.Delegates, func(d wireDelegate, _ int) delegation.Member { return delegation.Member(d) }),
 	}, nil
 }
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -166,6 +166,9 @@
 	// A member that is behind another one must not make the entry receive changes again.
 	w.request.Position = max(w.request.Position, response.Position)
 	w.request.Revision = max(w.request.Revision, response.Revision)
+	if response.Versions != nil {
+		w.request.VersionsKnown = response.Versions.Revision()
+	}
 	if w.options.Delegate == nil {
 		w.delegates.set(w.options.Clock.Now(), response.Delegates)
 	}
--- a/event/control.go
+++ b/event/control.go
@@ -19,5 +19,6 @@
 	AcknowledgementDelayed = define(316, "acknowledgement_delayed", Warn, "A change is not acknowledged yet, because these entries may still act on the former state.")
 	HeartbeatsDropped      = define(314, "heartbeats_dropped", Warn, "Heartbeats that another member acknowledged came to a member that does not lead.")
 	ServerRefused          = define(317, "server_refused", Warn, "Announcements or records of backend servers describe no usable server and were left out; at most one line in ten seconds.")
+	VersionsChanged        = define(318, "versions_changed", Info, "A software version of a service's backend servers is in service for the first time, or its streams can no longer be taken up.")
 	DelegateChanged        = define(315, "delegate_changed", Info, "An entry watches another control member.")
 )
--- a/event/relay.go
+++ b/event/relay.go
@@ -27,5 +27,6 @@
 	ServerLeaving         = define(446, "server_leaving", Info, "A backend server has said in an answer that it leaves; this entry sends it no more requests.")
 	ServerPaused          = define(447, "server_paused", Info, "A backend server has refused a request and asked for a pause; this entry sends it no requests for that time.")
 	ServerLimited         = define(448, "server_limited", Info, "A backend server names another limit than before in its answers, or none any more (0): the requests a second that it takes from all entries together.")
+	StreamTakenUp         = define(449, "stream_taken_up", Info, "A caller takes up a stream that has broken off; it goes on at servers of the version that began it, which was recorded or is the only one.")
 	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -60,23 +61,24 @@
 
 // attempt is one try to send a request to a server and to read its response.
 type attempt struct {
-	exchange       *exchange
-	server         *server
-	uncachedTokens int                  // prompt tokens that the server probably has not cached
-	decodeCost     float64              // estimated work of generating the output, in equivalent prompt tokens (see engine.go)
-	repeatable     bool                 // the request may be sent to another server if this attempt fails
-	load           float64              // requests at the server when it was chosen, this one excluded
-	loadAge        clock.Millis         // age of the other entries' load report, which is included in load
-	engineWork     float64              // work at the engine when it was chosen, in equivalent prompt tokens, this prompt included
-	tooLate        bool                 // no server was chosen because the request would wait too long at its engine; see package forecast
-	run            quarantine.ServerRun // identifies the server until it starts again
-	version        string               // version of the server's software
-	chosenAt       clock.Millis         // when the server was chosen, before the request was sent
-	firstByteSeen  bool                 // recordFirstByte was called, so the prompt no longer counts as unprocessed
-	firstByteAt    clock.Millis         // when the head of the response was read; 0 before
-	survived       bool                 // the quarantine knows that the request has not ended its server
-	result         result
-	err            error
+	exchange         *exchange
+	server           *server
+	uncachedTokens   int                  // prompt tokens that the server probably has not cached
+	decodeCost       float64              // estimated work of generating the output, in equivalent prompt tokens (see engine.go)
+	repeatable       bool                 // the request may be sent to another server if this attempt fails
+	load             float64              // requests at the server when it was chosen, this one excluded
+	loadAge          clock.Millis         // age of the other entries' load report, which is included in load
+	engineWork       float64              // work at the engine when it was chosen, in equivalent prompt tokens, this prompt included
+	tooLate          bool                 // no server was chosen because the request would wait too long at its engine; see package forecast
+	run              quarantine.ServerRun // identifies the server until it starts again
+	version          string               // version of the server's software
+	versionUncertain atomic.Bool          // the server was restarted with another version under its name
+	chosenAt         clock.Millis         // when the server was chosen, before the request was sent
+	firstByteSeen    bool                 // recordFirstByte was called, so the prompt no longer counts as unprocessed
+	firstByteAt      clock.Millis         // when the head of the response was read; 0 before
+	survived         bool                 // the quarantine knows that the request has not ended its server
+	result           result
+	err              error
 
 	mu           sync.Mutex // guards conn, interrupted and retryGranted
 	conn         *serverConn
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
@@ -59,14 +60,16 @@
 	unsentTime    clock.Millis  // time spent on these attempts
 	lastFailure   *fullResponse // newest failure for which a server sent a response
 	out           output
-	position      streamPosition // of the caller, if the response is streamed
-	memory        reservation    // for the bodies of responses
-	partIDs       []string       // IDs of the parts of the prompt
-	probe         bool           // the request is let through although a part of its prompt is quarantined
-	tried         quarantine.Key // the suspect part of its prompt of which the request is a trial; zero if it is none
-	trialBegun    bool           // the trial has been sent
-	serverEnded   *atomic.Bool   // a server has ended under the request
-	requestDigest string         // identifies requests with the same path, caller and body; "" until it is needed
+	position      streamPosition       // of the caller, if the response is streamed
+	memory        reservation          // for the bodies of responses
+	origin        *continuation.Origin // of the stream; nil before its first event
+	recordedAt    clock.Millis         // when the origin was recorded last
+	partIDs       []string             // IDs of the parts of the prompt
+	probe         bool                 // the request is let through although a part of its prompt is quarantined
+	tried         quarantine.Key       // the suspect part of its prompt of which the request is a trial; zero if it is none
+	trialBegun    bool                 // the trial has been sent
+	serverEnded   *atomic.Bool         // a server has ended under the request
+	requestDigest string               // identifies requests with the same path, caller and body; "" until it is needed
 }
 
 // fullResponse is a server's complete response.
@@ -202,6 +205,9 @@
 	if r := x.checkQuarantine(); r != nil {
 		return x.refuse(*r)
 	}
+	if r := x.findOrigin(); r != nil {
+		return x.refuse(*r)
+	}
 	for {
 		a := x.beginAttempt()
 		if a.tooLate {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -57,6 +57,7 @@
 	entryCount        int              // number of entries, this one included
 	endChecks         *quarantine.EndChecks
 	limiter           *ratelimit.Limiter
+	streamOrigins     StreamOrigins
 }
 
 // pool is the state of a service that concerns all of its servers together.
@@ -67,10 +68,10 @@
 	waits                 *forecast.Waits
 }
 
-func newFleet(zone string, c clock.Clock, logger event.Logger, limiter *ratelimit.Limiter) *fleet {
+func newFleet(zone string, c clock.Clock, logger event.Logger, limiter *ratelimit.Limiter, origins StreamOrigins) *fleet {
 	return &fleet{
 		zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entryCount: assumedEntries,
-		endChecks: quarantine.NewEndChecks(c, logServerEnd(logger)), limiter: limiter,
+		endChecks: quarantine.NewEndChecks(c, logServerEnd(logger)), limiter: limiter, streamOrigins: origins,
 	}
 }
 
@@ -195,6 +196,9 @@
 	if r.StartedAt != previous.StartedAt || r.Address != previous.Address {
 		f.resetServer(known)
 	}
+	if r.Version != previous.Version && r.State != roster.Gone {
+		f.followVersion(now, known, r)
+	}
 	known.followRun(previous, r)
 	known.record, known.listedByLeader, known.listedAt = r, true, now
 	if r.State != roster.Serving {
@@ -290,6 +294,7 @@
 	outputTokens   int      // expected output tokens
 	decodeCost     float64  // estimated work of generating the output, in equivalent prompt tokens
 	excluded       []string // names of servers that were already tried
+	version        *string  // version of the servers that can continue the stream; nil for any
 	urgency        ratelimit.Urgency
 	// refusable describes the request to the forecast; nil if it is not refused as too late.
 	refusable *forecast.Request
@@ -340,10 +345,10 @@
 	var responsive, fallback []*server
 	for _, s := range f.servers {
 		if s.record.Service != req.service || s.record.State != roster.Serving || !s.withdrawal.Accepts(now) || s.wrongServer || s.blockedUntil > now ||
-			lo.Contains(req.excluded, s.record.Server) || !f.hasFreeConnection(s) {
+			req.version != nil && s.record.Version != *req.version || lo.Contains(req.excluded, s.record.Server) || !f.hasFreeConnection(s) {
 			continue
 		}
-		if s.unresponsive || s.record.Silent && now-s.lastByteAt > silentGrace {
+		if s.unresponsive || s.isSilent(now) {
 			fallback = append(fallback, s)
 			continue
 		}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -31,7 +31,7 @@
 
 func (testProtocol) RequestInfo(h frame.Head) (relay.RequestInfo, error) {
 	timeLeft, _ := strconv.Atoi(h.Get("Time-Left"))
-	info := relay.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), TimeLeft: clock.Millis(timeLeft), LastEventID: h.Get("Last-Event")}
+	info := relay.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), TimeLeft: clock.Millis(timeLeft), LastEventID: h.Get("Last-Event"), Resumes: h.Get("Resumes")}
 	for id := range strings.FieldsSeq(h.Get("Parts")) {
 		info.Parts = append(info.Parts, relay.Part{ID: id, Tokens: 100})
 	}
@@ -200,11 +200,11 @@
 // route /open/, all served by the given servers.
 func newFixture(t *testing.T, servers ...*backend) *fixture {
 	t.Helper()
-	return newFixtureWith(t, testProtocol{}, 0, servers...)
+	return newFixtureWith(t, func(*relay.Options) {}, servers...)
 }
 
-// newFixtureWith is newFixture with another protocol and a limit of the memory for bodies.
-func newFixtureWith(t *testing.T, protocol relay.Protocol, bodyMemory int, servers ...*backend) *fixture {
+// newFixtureWith is newFixture with adjusted options of the relay.
+func newFixtureWith(t *testing.T, adjust func(o *relay.Options), servers ...*backend) *fixture {
 	t.Helper()
 	c, manual := clock.NewManual(1_700_000_000_000)
 	share := []catalog.Share{{Service: "s", Weight: 1}}
@@ -222,11 +222,13 @@
 	log := &logWatcher{}
 	logger, flush := event.NewWithOutput(log, "entry", event.Info)
 	t.Cleanup(flush)
-	r, release, err := relay.New(relay.Options{
-		Name: "entry", AvailabilityZone: "z", Listen: "127.0.0.1:0", Protocol: protocol, Format: fixedFormat{definition},
-		Clock: c, Logger: logger, Lease: 4 * clock.Second, Grace: 8 * clock.Second, BodyMemory: bodyMemory,
+	options := relay.Options{
+		Name: "entry", AvailabilityZone: "z", Listen: "127.0.0.1:0", Protocol: testProtocol{}, Format: fixedFormat{definition},
+		Clock: c, Logger: logger, Lease: 4 * clock.Second, Grace: 8 * clock.Second,
 		Retry: relay.RetryLimits{Ratio: 0.2, Window: 10 * clock.Second, ExtraRetries: 50},
-	})
+	}
+	adjust(&options)
+	r, release, err := relay.New(options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/relay/hostile_test.go
+++ b/relay/hostile_test.go
@@ -253,7 +253,7 @@
 	b := newBackend(t, func(req receivedRequest) {
 		respondOK(req, large[:len(large)>>min(3, strings.Count(req.head.Target, "h"))])
 	})
-	s := newFixtureWith(t, testProtocol{}, size/2, b)
+	s := newFixtureWith(t, func(o *relay.Options) { o.BodyMemory = size / 2 }, b)
 	// The memory of a request is released after its response was written. On one connection
 	// the next request is handled after that.
 	c := s.client()
@@ -286,7 +286,7 @@
 		<-release
 		respondOK(req, "sound")
 	})
-	s := newFixtureWith(t, panickingProtocol{}, 0, b)
+	s := newFixtureWith(t, func(o *relay.Options) { o.Protocol = panickingProtocol{} }, b)
 	logged := s.log.await("unexpected request")
 	sound, broken := s.client(), s.client()
 	sound.get("/safe/", "sound")
--- a/relay/kept_connection_test.go
+++ b/relay/kept_connection_test.go
@@ -236,7 +236,7 @@
 		_, err = frame.ReadRequest(bufio.NewReader(conn), 1<<16)
 		arrived <- err == nil
 	}()
-	c := newFixtureWith(t, waitingProtocol{ready: ready}, 0, &backend{listener: listener}).client()
+	c := newFixtureWith(t, func(o *relay.Options) { o.Protocol = waitingProtocol{ready: ready} }, &backend{listener: listener}).client()
 	c.get("/once/", "1")
 	c.wantStatus(503)
 	if <-arrived {
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -132,13 +132,13 @@
 	})
 }
 
-// limitedServers returns the servers that may get requests of a service if all of them have
-// limits, and none otherwise.
-func (f *fleet) limitedServers(now clock.Millis, service string) []ratelimit.Run {
+// limitedServers returns the servers that may get a request, those included that it has tried, if
+// all of them have limits, and none otherwise.
+func (f *fleet) limitedServers(now clock.Millis, req requirements) []ratelimit.Run {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var runs []ratelimit.Run
-	for _, s := range f.usableServers(now, requirements{service: service}) {
+	for _, s := range f.usableServers(now, requirements{service: req.service, version: req.version}) {
 		run := ratelimit.Run(s.run())
 		if !f.limiter.Limits().Limit(run).Exists() {
 			return nil
@@ -151,7 +151,7 @@
 // withLimits returns the refusal of a request for which no server was found, with the limits of
 // the servers if all of them have one. The limits tell when callers may come back.
 func (x *exchange) withLimits(now clock.Millis, r refusal) refusal {
-	runs := x.relay.fleet.limitedServers(now, x.service)
+	runs := x.relay.fleet.limitedServers(now, x.requirements)
 	if len(runs) == 0 {
 		return r
 	}
--- a/relay/output.go
+++ b/relay/output.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/frame"
 )
@@ -52,9 +53,10 @@
 	status     int
 	reason     string
 	retryAfter clock.Millis
-	engineWork float64  // work at the engine in equivalent prompt tokens, if refused as too late
-	limits     []string // the limits of servers that have held the request back
-	err        error    // cause, for the log
+	engineWork float64             // work at the engine in equivalent prompt tokens, if refused as too late
+	origin     continuation.Origin // of the stream that cannot go on
+	limits     []string            // the limits of servers that have held the request back
+	err        error               // cause, for the log
 }
 
 // output writes the response to the caller. The head is written once, by send or by
@@ -195,7 +197,7 @@
 	x.relay.options.Logger.Log(event.RequestRefused, zap.String("request", x.requestInfo.ID), zap.String("route", x.route.Name),
 		zap.Int("status", r.status), zap.String("reason", r.reason), zap.Int("sends", x.attempts), zap.Int("runs", x.possibleRuns),
 		zap.Int64("age_ms", int64(x.relay.clock.Now()-x.request.arrivedAt)),
-		zap.Uint64("revision", x.revision), zap.Float64("work", r.engineWork), zap.Strings("limits", r.limits), zap.Error(r.err))
+		zap.Uint64("revision", x.revision), zap.Float64("work", r.engineWork), zap.Strings("limits", r.limits), zap.String("version", r.origin.Version), zap.Error(r.err))
 }
 
 // abandon logs that the caller has disconnected and that the request is abandoned.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/quarantine"
@@ -65,6 +66,9 @@
 	Quarantine *quarantine.Quarantine
 	// Limits holds the limits that servers have named to any relay; an empty set is used when nil.
 	Limits *ratelimit.Limits
+	// StreamOrigins holds the origins of streams; when nil, the relay knows those of its own streams
+	// alone.
+	StreamOrigins StreamOrigins
 	// BodyMemory bounds the memory of all bodies that are held at the same time, in bytes;
 	// defaultBodyMemory when 0.
 	BodyMemory int
@@ -86,6 +90,8 @@
 
 	quarantine  *quarantine.Quarantine
 	limiter     *ratelimit.Limiter
+	origins     StreamOrigins
+	versions    versionTable
 	bodyMemory  memoryPool    // for the bodies of requests and responses
 	acceptEnded chan struct{} // closed when no more connections are accepted
 
@@ -120,7 +126,11 @@
 		options.Limits = ratelimit.NewLimits()
 	}
 	r.limiter = ratelimit.NewLimiter(options.Limits)
-	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger, r.limiter)
+	r.origins = options.StreamOrigins
+	if r.origins == nil {
+		r.origins = ownOrigins{clock: options.Clock, records: continuation.NewRecords(maxOwnStreams)}
+	}
+	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger, r.limiter, r.origins)
 	r.catalog.Store(&catalog.Catalog{})
 	r.metrics = newMetrics(r)
 	r.leaseEnd.Store(-1)
@@ -202,6 +212,7 @@
 	leaseEnd := confirmedAfter + r.options.Lease
 	r.leaseEnd.Store(int64(leaseEnd))
 	r.setShare(update.Share, leaseEnd)
+	r.versions.update(confirmedAfter, update.Versions)
 	return true
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -63,11 +63,12 @@
 	failureShareAt                clock.Millis
 	latency                       float64 // mean latency in ms at latencyAt
 	latencyAt                     clock.Millis
-	backOff                       clock.Millis // current pause after a failed connection
-	blockedUntil                  clock.Millis // no connection is opened before this time
-	unresponsive                  bool         // the server sends no bytes although attempts wait for it
-	wrongServer                   bool         // a server with another name answers at the address
-	sendsIDs                      atomic.Bool  // a response has carried the ID of its request; not guarded by the lock
+	backOff                       clock.Millis   // current pause after a failed connection
+	blockedUntil                  clock.Millis   // no connection is opened before this time
+	unresponsive                  bool           // the server sends no bytes although attempts wait for it
+	wrongServer                   bool           // a server with another name answers at the address
+	sendsIDs                      atomic.Bool    // a response has carried the ID of its request; not guarded by the lock
+	recentStreams                 []recentStream // streams that have begun here within announcementDelay, oldest first
 	withdrawal                    withdrawal.State
 	formerWithdrawal              withdrawal.State // that of the run before, in case the record of the present run was wrong
 }
@@ -84,6 +85,11 @@
 	return quarantine.ServerRun{Server: s.record.Server, StartedAt: s.record.StartedAt}
 }
 
+// isSilent reports whether the server has sent neither heartbeats nor, for silentGrace, any bytes.
+func (s *server) isSilent(now clock.Millis) bool {
+	return s.record.Silent && now-s.lastByteAt > silentGrace
+}
+
 // decay returns value after exponential decay over the given age.
 func decay(value float64, age, halfLife clock.Millis) float64 {
 	return value * math.Exp2(-float64(max(age, 0))/float64(halfLife))
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -39,7 +39,7 @@
 	if x.relay.clock.Now() >= x.deadline {
 		return x.timeOut(a), true
 	}
-	if x.out.headSent && (x.route.RepeatPolicy != catalog.Resumable || x.position.unplaced) {
+	if x.out.headSent && (x.route.RepeatPolicy != catalog.Resumable || x.position.unplaced || a.versionUncertain.Load()) {
 		return x.out.cutStream(), true
 	}
 	if x.out.headSent {
@@ -82,6 +82,7 @@
 		if n > 0 {
 			x.relay.fleet.recordStreamActivity(a.server)
 			x.recordProgress(a)
+			x.refreshOrigin(a)
 		}
 		complete, partial := splitEvents(pending)
 		switch {
@@ -120,6 +121,9 @@
 	if len(events) == 0 && (!ended || x.out.headSent) {
 		return nil
 	}
+	if !x.out.headSent {
+		x.recordOrigin(a)
+	}
 	x.position.add(events)
 	x.forwardInfo.LastEventID = x.position.lastID
 	if err := x.out.sendEvents(a, events); err != nil {
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -1,12 +1,18 @@
 package relay_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"runtime"
+	"strings"
 	"testing"
 
+	"github.com/galenaslip/galenaslip/continuation"
+	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/relay"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -75,3 +81,205 @@
 		})
 	}
 }
+
+// newFixtureWithOrigins is newFixture with the origins of streams of other relays and no servers.
+func newFixtureWithOrigins(t *testing.T, origins fakeOrigins) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(o *relay.Options) { o.StreamOrigins = origins })
+}
+
+// takeUp sends the request of a caller that takes up a stream after an event.
+func (c *client) takeUp(id, resumes string, lastEvent int) {
+	c.send(fmt.Sprintf("GET /stream/ HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: k\r\nLast-Event: %d\r\nResumes: %s\r\n\r\n", id, lastEvent, resumes))
+}
+
+// fakeOrigins are the origins of streams as other relays have recorded them.
+type fakeOrigins struct{ records *continuation.Records }
+
+func newFakeOrigins(records ...continuation.Record) fakeOrigins {
+	o := fakeOrigins{continuation.NewRecords(1000)}
+	for _, r := range records {
+		o.Add(r)
+	}
+	return o
+}
+
+func (o fakeOrigins) Add(r continuation.Record) { o.records.Add(0, r) }
+
+func (o fakeOrigins) Lookup(_ context.Context, stream string) (continuation.Origin, continuation.Knowledge) {
+	return o.records.Lookup(0, stream)
+}
+
+// originOf returns the origin of streams that began at a version of the only service.
+func originOf(version string) continuation.Origin {
+	return continuation.Origin{Service: "s", Version: version}
+}
+
+// tableOf returns a table with versions of the only service.
+func tableOf(versions ...string) *continuation.Table {
+	var table continuation.Table
+	for _, v := range versions {
+		table = table.With(continuation.Change{Origin: originOf(v)})
+	}
+	return &table
+}
+
+// Guards against a stream that a caller takes up at another relay than the one that began it, and that
+// goes on at a version that may not have begun it; and against one that is refused although its version
+// is known and in service.
+func TestTakenUpStreamStaysAtItsVersion(t *testing.T) {
+	recorded := []continuation.Record{
+		{Stream: "of-v1", Origin: originOf("v1")}, {Stream: "of-v0", Origin: originOf("v0")},
+		{Stream: "of-other", Origin: continuation.Origin{Service: "other", Version: "v1"}},
+		{Stream: "of-both", Origin: originOf("v1")}, {Stream: "of-both", Origin: originOf("v2")},
+	}
+	tests := []struct {
+		name, resumes string
+		table         []string
+		servers       map[string]string // version of each server, by name
+		wantReason    string            // of the refusal; "" if the stream goes on at v1
+	}{
+		{"recorded", "of-v1", []string{"v1", "v2"}, map[string]string{"a": "v1", "b": "v2"}, ""},
+		{"recorded, version gone", "of-v0", []string{"v0", "v1", "v2"}, map[string]string{"a": "v1", "b": "v2"}, "stream_version_gone"},
+		{"recorded at another service", "of-other", []string{"v1"}, map[string]string{"a": "v1"}, "stream_service_gone"},
+		{"contradictory", "of-both", []string{"v1"}, map[string]string{"a": "v1"}, "stream_version_unknown"},
+		{"unrecorded, one version", "unknown", []string{"v1"}, map[string]string{"a": "v1"}, ""},
+		{"unrecorded, two versions", "unknown", []string{"v1", "v2"}, map[string]string{"a": "v1", "b": "v2"}, "stream_version_unknown"},
+		{"unrecorded, another version until lately", "unknown", []string{"v1", "v2"}, map[string]string{"a": "v1"}, "stream_version_unknown"},
+		{"without the ID of the first request", "", []string{"v1"}, map[string]string{"a": "v1"}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			backends := map[string]*backend{}
+			for version := range map[string]bool{"v1": true, "v2": true} {
+				backends[version] = newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
+			}
+			s := newFixtureWithOrigins(t, newFakeOrigins(recorded...))
+			for name, version := range tt.servers {
+				s.updateServers(versionRecord(name, version, backends[version]))
+			}
+			s.confirmVersions("v1") // the relay may not know yet that there are others
+			for range 10 {
+				s.manual.Advance(1)
+				head, body := s.takeUp(tt.resumes, tt.table)
+				switch {
+				case tt.wantReason == "" && head.Status != 200:
+					t.Errorf("got %d %s, want the rest of the stream", head.Status, body)
+				case tt.wantReason != "" && (head.Status != 503 || !strings.Contains(body, `"`+tt.wantReason+`"`) || head.Has("Retry-After")):
+					t.Errorf("got %d %s, want 503 %s without a time to come back", head.Status, body, tt.wantReason)
+				}
+			}
+			if got := backends["v2"].count(); got > 0 {
+				t.Errorf("requests at the other version: got %d, want none", got)
+			}
+		})
+	}
+}
+
+// takeUp takes up a stream while control confirms a table of versions, and returns the response.
+func (s *fixture) takeUp(resumes string, versions []string) (head frame.Head, body string) {
+	s.t.Helper()
+	c := s.client()
+	c.takeUp("next", resumes, 2)
+	done := make(chan struct{})
+	var err error
+	go func() {
+		defer close(done)
+		head, body, err = c.read()
+	}()
+	for {
+		select {
+		case <-done:
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			return head, body
+		default:
+			s.confirmVersions(versions...)
+		}
+	}
+}
+
+// confirmVersions lets control confirm a table of versions.
+func (s *fixture) confirmVersions(versions ...string) {
+	s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, Share: wholeShare(), Versions: tableOf(versions...)})
+}
+
+// Guards against a request that may not be sent to another version although its caller has no event
+// yet, and against a record with the version of an attempt that brought none.
+func TestRetryBeforeFirstEventMayChangeVersion(t *testing.T) {
+	origins := newFakeOrigins()
+	s := newFixtureWithOrigins(t, origins)
+	failing := newBackend(t, func(req receivedRequest) { _ = req.conn.Close() })
+	sound := newBackend(t, func(req receivedRequest) { endStream(req, 1, 2) })
+	s.updateServers(versionRecord("a", "v1", failing), versionRecord("b", "v2", sound))
+	for i := 0; failing.count() == 0; i++ {
+		c := s.client()
+		c.get("/stream/", fmt.Sprintf("stream-%d", i))
+		if head, _, err := c.read(); err != nil || head.Status != 200 {
+			t.Fatalf("got %d and %v, want a whole stream", head.Status, err)
+		}
+		if origin, knowledge := origins.Lookup(t.Context(), fmt.Sprintf("stream-%d", i)); knowledge != continuation.Recorded || origin != originOf("v2") {
+			t.Errorf("recorded: got %v %v, want v2", knowledge, origin)
+		}
+	}
+}
+
+// Guards against a take-up of a take-up that loses the version of the first request.
+func TestChainOfTakeUpsKeepsItsVersion(t *testing.T) {
+	origins := newFakeOrigins(continuation.Record{Stream: "first", Origin: originOf("v1")})
+	s := newFixtureWithOrigins(t, origins)
+	b := newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
+	s.updateServers(versionRecord("a", "v1", b))
+	c := s.client()
+	c.takeUp("second", "first", 2)
+	c.wantStatus(200)
+	if origin, knowledge := origins.Lookup(t.Context(), "second"); knowledge != continuation.Recorded || origin != originOf("v1") {
+		t.Errorf("the second request: got %v %v, want v1", knowledge, origin)
+	}
+}
+
+// Guards against a server that is restarted with another version under its name before the relay learns
+// of it: a stream that has begun there meanwhile may be of either version.
+func TestServerThatChangesItsVersion(t *testing.T) {
+	origins := newFakeOrigins()
+	s := newFixtureWithOrigins(t, origins)
+	known := make(chan struct{}) // closed when the relay knows the new version
+	b := newBackend(t, func(req receivedRequest) {
+		beginStream(req, 1, 2)
+		if req.head.Get("Id") == "running" {
+			<-known
+		}
+		_ = req.conn.Close()
+	})
+	other := newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
+	s.updateServers(versionRecord("a", "v1", b))
+	ended := s.client()
+	ended.get("/stream/", "ended")
+	if _, _, err := ended.read(); err == nil {
+		t.Error("the ended stream: got it whole, want it cut")
+	}
+	running := s.client()
+	running.get("/stream/", "running")
+	for b.count() < 2 {
+		runtime.Gosched()
+	}
+	for _, knowledge := origins.Lookup(t.Context(), "running"); knowledge != continuation.Recorded; _, knowledge = origins.Lookup(t.Context(), "running") {
+		runtime.Gosched()
+	}
+	restarted := versionRecord("a", "v2", b)
+	restarted.StartedAt = 2
+	s.updateServers(restarted, versionRecord("other", "v1", other))
+	close(known)
+	if _, _, err := running.read(); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("the running stream: got %v, want it cut", err)
+	}
+	for _, stream := range []string{"ended", "running"} {
+		if _, got := origins.Lookup(t.Context(), stream); got != continuation.Contradictory {
+			t.Errorf("origin of the %s stream: got %v, want it contradictory", stream, got)
+		}
+	}
+	if got := other.count(); got > 0 {
+		t.Errorf("requests at the other server: got %d, want none", got)
+	}
+}
--- a/relay/withdrawal_test.go
+++ b/relay/withdrawal_test.go
@@ -293,7 +293,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			b := scriptedBackend(t, func(req receivedRequest) { respond(req, 503, tt.fields) })
 			p := heldProtocol{chosen: make(chan struct{}), release: make(chan struct{})}
-			s := newFixtureWith(t, p, 0, b)
+			s := newFixtureWith(t, func(o *relay.Options) { o.Protocol = p }, b)
 			held := s.client()
 			held.get("/once/", "held")
 			await(t, "the choice of a server", p.chosen)
