entry: an answer goes on only at engines of the software version that began it

Announcements may name a version. The dispatcher remembers which one began an answer and decides with package continuation, as the relay does: the answer goes on at engines of that version alone, and other requests do not wait behind it. If none is left, a stream ends with an error event; an answer of which the caller has nothing yet begins anew elsewhere. A planned stop moves only streams that another engine can continue. GET /v1/streams reads the buffer of the engine that generates the answer, so it joins nothing.

--- a/backend/announcement.go
+++ b/backend/announcement.go
@@ -88,6 +88,7 @@
 	role             Role
 	address          string
 	availabilityZone string
+	version          string // of the server's software; names that differ have no order
 	models           []string
 	services         []string
 	slots            int
@@ -167,6 +168,9 @@
 // AvailabilityZone returns the server's availability zone.
 func (a Announcement) AvailabilityZone() string { return a.stableFields.availabilityZone }
 
+// Version returns the version of the server's software; "" if the server does not say.
+func (a Announcement) Version() string { return a.stableFields.version }
+
 // Models returns the loaded models. The caller must not modify the slice.
 func (a Announcement) Models() []string { return a.stableFields.models }
 
@@ -255,6 +259,11 @@
 	return a.withStableFields(func(s *stableFields) { s.kvTotal = total })
 }
 
+// WithVersion returns a copy with another version of the server's software.
+func (a Announcement) WithVersion(version string) Announcement {
+	return a.withStableFields(func(s *stableFields) { s.version = version })
+}
+
 // WithAvailabilityZone returns a copy in another availability zone.
 func (a Announcement) WithAvailabilityZone(zone string) Announcement {
 	return a.withStableFields(func(s *stableFields) { s.availabilityZone = zone })
@@ -309,6 +318,8 @@
 		return errors.Errorf("invalid kind %q: want %q or %q", s.kind, Engine, Service)
 	case s.role != Generate && s.role != Prefill:
 		return errors.Errorf("invalid role %q: want %q or %q", s.role, Generate, Prefill)
+	case len(s.version) > maxNameLength:
+		return errors.Errorf("invalid version %.60q", s.version)
 	case len(s.availabilityZone) > maxNameLength:
 		return errors.Errorf("invalid availability_zone %q", s.availabilityZone)
 	case s.slots < 1 || s.slots > maxSlots:
--- a/backend/codec.go
+++ b/backend/codec.go
@@ -25,6 +25,7 @@
 	Role             Role     `json:"role,omitempty"`
 	Address          string   `json:"address"`
 	AvailabilityZone string   `json:"availability_zone,omitempty"`
+	Version          string   `json:"version,omitempty"`
 	Models           []string `json:"models,omitempty"`
 	Services         []string `json:"services,omitempty"`
 	Slots            int      `json:"slots"`
@@ -87,7 +88,7 @@
 func toWireStableFields(s stableFields) wireStableFields {
 	return wireStableFields{
 		Server: s.server, Incarnation: s.incarnation, Kind: s.kind, Role: s.role,
-		Address: s.address, AvailabilityZone: s.availabilityZone, Models: s.models,
+		Address: s.address, AvailabilityZone: s.availabilityZone, Version: s.version, Models: s.models,
 		Services: s.services, Slots: s.slots, ChecksFencing: s.checksFencing,
 	}
 }
@@ -100,7 +101,7 @@
 	}
 	return stableFields{
 		server: w.Server, incarnation: w.Incarnation, kind: w.Kind, role: w.Role,
-		address: w.Address, availabilityZone: w.AvailabilityZone, models: w.Models,
+		address: w.Address, availabilityZone: w.AvailabilityZone, version: w.Version, models: w.Models,
 		services: w.Services, slots: w.Slots, checksFencing: w.ChecksFencing, kvTotal: kvTotal,
 	}.withDerivedFields()
 }
--- a/entry/chat_task.go
+++ b/entry/chat_task.go
@@ -104,6 +104,9 @@
 				t.fail(p)
 				return
 			}
+			if a.beginsAnew {
+				t.dropTranscript()
+			}
 			t.requestStats.recordDispatch(a.assignedAt)
 			if t.handleAttemptResult(a, t.tryServer(a)) {
 				return
@@ -116,6 +119,13 @@
 	}
 }
 
+// dropTranscript drops what earlier servers have produced, of which the caller has nothing.
+func (t *chatTask) dropTranscript() {
+	t.requestStats.wastedTokens.Add(int64(t.transcript.Position()))
+	t.transcript = stream.Transcript{}
+	t.callerRequest.producedTokens.Store(0)
+}
+
 // handleAttemptResult acts on the result of an attempt and reports whether the request has
 // ended.
 func (t *chatTask) handleAttemptResult(a assignment, result attemptResult) bool {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/ratelimit"
@@ -50,6 +51,7 @@
 	withdrawals   map[string]withdrawal.State    // what servers have said about not taking requests, by name
 	share         shareKeeper
 	limiter       *ratelimit.Limiter // its Limits may be used by other goroutines
+	heldBack      []admission.Item   // items that only servers of one version can continue, none of which is free
 	// demand is the demand for each model, which the lease renewal reports.
 	demand       atomic.Pointer[[]lease.Demand]
 	waitingCount atomic.Int64
@@ -63,12 +65,14 @@
 type job struct {
 	callerRequest    *callerRequest
 	running          bool
-	server           string       // server of the present or last attempt
-	started          clock.Millis // when the present or last attempt was assigned
-	byStarvationRule bool         // got its slot by the starvation rule, so it is not preempted
-	wasSent          bool         // was sent to a server at least once
-	interrupted      bool         // the present attempt was interrupted and will end soon
-	excluded         []string     // servers where an attempt failed
+	server           string              // server of the present or last attempt
+	started          clock.Millis        // when the present or last attempt was assigned
+	byStarvationRule bool                // got its slot by the starvation rule, so it is not preempted
+	wasSent          bool                // was sent to a server at least once
+	interrupted      bool                // the present attempt was interrupted and will end soon
+	excluded         []string            // servers where an attempt failed
+	origin           continuation.Origin // of the server of the present or last attempt
+	begun            bool                // tokens have come from a server of origin, so the answer goes on only there
 }
 
 // poolState is the dispatcher's state of one pool.
@@ -279,6 +283,7 @@
 		j.excluded = append(j.excluded, j.server)
 	}
 	j.running, j.interrupted, j.wasSent = false, false, true
+	j.begun = j.begun || r.producedTokens.Load() > 0
 	p := d.pool(r.pool)
 	p.running.remove(j)
 	p.waiting.add(j)
@@ -303,6 +308,7 @@
 	if p.waiting.len() == 0 {
 		return
 	}
+	defer d.requeueHeldBack(now)
 	peers := d.demands(now)
 	for p.waiting.len() > 0 {
 		free := d.router.FreeSlots(now, name)
@@ -323,7 +329,8 @@
 
 // dispatch assigns a queued item to a server. When offers is not empty, only the
 // servers in it are considered. It returns false, and queues the item again, when
-// there is no suitable server.
+// there is no suitable server. An item that only servers of one version can continue is
+// held back instead, so that the others do not wait for it; see requeueHeldBack.
 func (d *dispatcher) dispatch(now clock.Millis, item admission.Item, offers []string) bool {
 	j, ok := d.jobs[item.ID]
 	if !ok {
@@ -334,14 +341,31 @@
 		j.callerRequest.assigned <- assignment{rejection: noLease()}
 		return true
 	}
-	limited, _ := d.limitedServers(now, item.Pool)
-	request := j.callerRequest.request(slices.Concat(j.excluded, limited))
-	choice, ok := d.choose(now, j, request, offers, limited)
-	if !ok {
+	unusable, _ := d.limitedServers(now, item.Pool)
+	beginsAnew := j.begun && d.originGone(now, j)
+	switch {
+	case beginsAnew && j.callerRequest.streamed:
+		d.rejectWithoutOrigin(j)
+		return true
+	case beginsAnew:
+		j.begun = false // the caller has nothing of the answer yet
+	case j.begun:
+		unusable = append(unusable, d.serversOfOtherOrigins(now, j)...)
+	}
+	request := j.callerRequest.request(slices.Concat(j.excluded, unusable))
+	choice, ok := d.choose(now, j, request, offers, unusable)
+	switch {
+	case !ok && j.begun:
+		d.heldBack = append(d.heldBack, item)
+		return true
+	case !ok:
 		d.queue.Requeue(now, item)
 		return false
 	}
 	server := choice.Server.Server()
+	if !j.begun {
+		j.origin = continuation.Origin{Service: item.Pool, Version: choice.Server.Version()}
+	}
 	d.router.RecordSent(now, request, server)
 	d.limiter.Take(now, limitRun(server, choice.Server.Incarnation()), item.Pool, ratelimit.Urgency{})
 	j.running, j.server, j.started, j.byStarvationRule = true, server, now, item.ByStarvationRule
@@ -351,14 +375,14 @@
 	p.running.add(j)
 	j.callerRequest.assigned <- assignment{
 		server: server, incarnation: choice.Server.Incarnation(), address: choice.Server.Address(),
-		priority: choice.Priority, assignedAt: now,
+		priority: choice.Priority, assignedAt: now, beginsAnew: beginsAnew,
 	}
 	return true
 }
 
 // choose selects a server for a job. Servers on which the job failed before are used
-// only when there are no others. Limited servers, which the request excludes too, are not used.
-func (d *dispatcher) choose(now clock.Millis, j *job, request routing.Request, offers, limited []string) (routing.Choice, bool) {
+// only when there are no others. Unusable servers, which the request excludes too, are not used.
+func (d *dispatcher) choose(now clock.Millis, j *job, request routing.Request, offers, unusable []string) (routing.Choice, bool) {
 	choose := d.router.Choose
 	if d.slots != nil {
 		choose = func(now clock.Millis, r routing.Request) (routing.Choice, bool) {
@@ -370,7 +394,7 @@
 		return choice, ok
 	}
 	j.excluded = nil
-	request.Exclude = limited
+	request.Exclude = unusable
 	return choose(now, request)
 }
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -167,10 +167,10 @@
 }
 
 // moveStreams interrupts the streams on a server, so that they continue on other
-// servers. A stream whose pool has no other usable server is left running.
+// servers. A stream that no other usable server can continue is left running.
 func (d *dispatcher) moveStreams(now clock.Millis, server string) {
 	for _, j := range d.jobs {
-		if j.running && j.server == server && !j.callerRequest.onceOnly && d.registry.PoolSize(now, j.callerRequest.pool) > 0 {
+		if j.running && j.server == server && !j.callerRequest.onceOnly && d.canMove(now, j) {
 			d.interrupt(j, serverStops)
 		}
 	}
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -101,6 +101,7 @@
 // dispatchPool assigns the waiting requests of a pool to the slots that owners have
 // offered, and then to servers that are shared by counts.
 func (k *slotKeeper) dispatchPool(now clock.Millis, name string, p *poolState) {
+	defer k.parent.requeueHeldBack(now)
 	for p.waiting.len() > 0 {
 		k.updateDemand(now)
 		offers := k.table.Offers(now, name)
--- a/entry/work.go
+++ b/entry/work.go
@@ -44,6 +44,7 @@
 	priority    int // for the engine's own queue
 	assignedAt  clock.Millis
 	rejection   *problem
+	beginsAnew  bool // the server cannot continue what earlier ones have produced
 }
 
 func newCallerRequest(id, workspace, pool string, c class.Class, now clock.Millis) *callerRequest {
--- a/event/entry.go
+++ b/event/entry.go
@@ -15,5 +15,6 @@
 	QuarantinedRequestSent = define(411, "quarantined_request_sent", Info, "A quarantined request was sent, to find out whether servers still end under it.")
 	SuspectRequestSent     = define(412, "suspect_request_sent", Info, "A suspect request was sent, to find out whether it ends servers; others with the same digest wait for the outcome.")
 	BackendServerEnded     = define(413, "backend_server_ended", Warn, "A backend server has ended while requests of this entry ran on it: nothing listens at its address, or a later run announces itself there.")
+	RequestWithoutVersion  = define(414, "request_without_version", Warn, "An answer ends incomplete, because no backend server of the software version that began it is left.")
 	AnnouncementRefused    = define(408, "announcement_refused", Warn, "Announcements or records of backend servers describe no usable server and were left out; at most one line in ten seconds.")
 )
--- a/standin/announcer.go
+++ b/standin/announcer.go
@@ -26,6 +26,7 @@
 	Kind             string       `json:"kind"`
 	Address          string       `json:"address"`
 	AvailabilityZone string       `json:"availability_zone"`
+	Version          string       `json:"version,omitempty"`
 	Models           []string     `json:"models"`
 	Services         []string     `json:"services"`
 	Slots            int          `json:"slots"`
--- a/standin/instance.go
+++ b/standin/instance.go
@@ -100,6 +100,7 @@
 		State:            "serving",
 		Address:          address,
 		AvailabilityZone: i.announce.AvailabilityZone,
+		Version:          i.announce.Version,
 	}
 }
 
--- a/standin/options.go
+++ b/standin/options.go
@@ -24,6 +24,7 @@
 	Token            string   // bearer token; empty sends none
 	Address          string   // announced address; empty selects the bound one
 	AvailabilityZone string
+	Version          string // of the server's software; empty announces none
 	Interval         clock.Millis
 	Incarnation      uint64 // distinguishes restarts of the server, higher after each; zero selects the wall clock time
 }
