relay: a stopping relay refuses requests that would outlast the stop

Once the relay closes connections, 2.5 s after the signal, it already refused what could last longer than the stop. Before that it took everything: a request of a route whose requests last 7 s was taken 1 s after the signal of a stop of 8 s, and would have been cut. Refusing by the deadline from the signal on would refuse nearly all streams, whose deadlines are 15 s and which end in 2 to 4 s.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -141,7 +141,7 @@
 	if x.requestInfo.TimeLeft > 0 {
 		x.deadline = min(x.deadline, x.request.arrivedAt+x.requestInfo.TimeLeft)
 	}
-	if x.relay.outlastsStop(x.deadline) {
+	if x.relay.outlastsStop(route.Name, x.deadline) {
 		return &refusal{status: statusUnavailable, reason: "stopping", retryAfter: minRetryAfter}
 	}
 	x.forwardInfo.LastEventID = x.requestInfo.LastEventID
--- a/relay/output.go
+++ b/relay/output.go
@@ -212,6 +212,7 @@
 // logAnswer records a forwarded response in the metrics and the log.
 func (x *exchange) logAnswer(a *attempt) {
 	now := x.relay.clock.Now()
+	x.relay.durations.Record(now, x.route.Name, now-x.request.arrivedAt)
 	x.relay.metrics.recordAnswer(x.route.Name, a.head.Status, a.firstByteAt-x.request.arrivedAt, now-x.request.arrivedAt)
 	x.relay.options.Logger.Log(event.RequestAnswered, zap.String("request", x.requestInfo.ID), zap.String("route", x.route.Name),
 		zap.String("server", a.server.record.Server), zap.String("version", a.version), zap.String("resumes", x.requestInfo.Resumes),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
 )
@@ -84,10 +85,12 @@
 	catalog  atomic.Pointer[catalog.Catalog]
 	leaseEnd atomic.Int64 // end of the lease, in clock.Millis
 	stopping atomic.Bool  // a planned stop has begun, so the relay is not ready
-	stopAt   atomic.Int64 // when a planned stop ends at the latest, in clock.Millis; valid once closing is set
+	stopAt   atomic.Int64 // when a planned stop ends at the latest, in clock.Millis; 0 before a stop
 	closing  atomic.Bool  // callers' connections are closed once they are idle
 	metrics  *metrics
 
+	durations *forecast.Durations // of requests that were answered
+
 	quarantine  *quarantine.Quarantine
 	limiter     *ratelimit.Limiter
 	origins     StreamOrigins
@@ -132,7 +135,7 @@
 	}
 	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger, r.limiter, r.origins)
 	r.catalog.Store(&catalog.Catalog{})
-	r.metrics = newMetrics(r)
+	r.metrics, r.durations = newMetrics(r), forecast.NewDurations()
 	r.leaseEnd.Store(-1)
 	go r.accept()
 	go r.clock.Every(ctx, periodicCheckInterval, r.runPeriodicChecks)
@@ -296,10 +299,9 @@
 		return nil
 	}
 	r.options.Logger.Log(event.ProcessStopping)
-	startedAt := r.clock.Now()
-	r.clock.Sleep(ctx, min(loadBalancerWait, r.options.Grace/2))
-	deadline := startedAt + r.options.Grace - stopTimeReserve
+	deadline := r.clock.Now() + r.options.Grace - stopTimeReserve
 	r.stopAt.Store(int64(deadline))
+	r.clock.Sleep(ctx, min(loadBalancerWait, r.options.Grace/2))
 	r.closing.Store(true)
 	r.closeConns(ctx, deadline)
 	r.drainBacklog()
@@ -309,10 +311,17 @@
 	return nil
 }
 
-// outlastsStop reports whether a new request with the given deadline could last beyond the
-// end of a planned stop, which would cut it.
-func (r *Relay) outlastsStop(deadline clock.Millis) bool {
-	return r.closing.Load() && int64(deadline) > r.stopAt.Load()
+// outlastsStop reports whether a new request of a route with the given deadline may last beyond the
+// end of a planned stop, which would cut it. While the load balancer still sends requests, those are
+// refused that would outlast the stop if they lasted as long as another one of the route has lately;
+// after that, all whose deadline is later than the stop.
+func (r *Relay) outlastsStop(route string, deadline clock.Millis) bool {
+	stopAt := clock.Millis(r.stopAt.Load())
+	if stopAt == 0 || deadline <= stopAt {
+		return false
+	}
+	now := r.clock.Now()
+	return r.closing.Load() || now+r.durations.Longest(now, route) > stopAt
 }
 
 // closeConns closes each connection as soon as it is idle. It returns when none is left, or
