entry: a short planned stop refuses new requests in time

What it accepted until the end was cut: in entry.TestShortPlannedStopRefusesInTime, a stop of 4 s, callers got EOF.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// TimeLeft returns the time until the deadline of ctx, and false if it has none.
+func (c Clock) TimeLeft(ctx context.Context) (Millis, bool) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0, false
+	}
+	return max(FromDuration(time.Until(deadline)), 0), true
+}
+
 // Every calls f repeatedly until ctx is done. It waits for interval before each
 // call, so calls never overlap and a slow call delays the next one.
 func (c Clock) Every(ctx context.Context, interval Millis, f func()) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -218,7 +218,8 @@
 
 // Stop makes /readyz fail, waits for Timeouts.StopWait so that the load balancer stops
 // sending requests, lets every request finish and stops the entry. When ctx ends first, the remaining requests
-// are aborted.
+// are aborted, so the wait is at most half of the time that ctx leaves: what is accepted after it could
+// not finish.
 func (e *Entry) Stop(ctx context.Context) error {
 	if !e.stopping.CompareAndSwap(false, true) {
 		<-e.stopped
@@ -226,7 +227,11 @@
 	}
 	e.options.Logger.Log(event.ProcessStopping)
 	e.leases.leaving.Store(true)
-	e.options.Clock.Sleep(ctx, e.options.Timeouts.StopWait)
+	wait := e.options.Timeouts.StopWait
+	if left, ok := e.options.Clock.TimeLeft(ctx); ok {
+		wait = min(wait, left/2)
+	}
+	e.options.Clock.Sleep(ctx, wait)
 	e.refusingNewWork.Store(true)
 	err := e.app.ShutdownWithContext(ctx)
 	e.awaitOpenClaims(ctx)
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -1,11 +1,14 @@
 package entry_test
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -345,6 +348,38 @@
 	})
 }
 
+// Guards against requests that an entry accepts until the end of a planned stop, which then cuts them,
+// because the stop is shorter than the time for the load balancer.
+func TestShortPlannedStopRefusesInTime(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 1, 0, func(o *entry.Options, _ *standin.EngineOptions) { o.Timeouts.StopWait = clock.Minute })
+	s.configurePlannedStop(configuration.StopEntry, "entry-0", 4*clock.Second)
+	var callers sync.WaitGroup
+	for number := 0; ; number++ {
+		callers.Go(func() {
+			r, err := http.DefaultClient.Do(request(t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatBody(longPrompt(50), false)))
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				return // nothing was sent
+			}
+			if err != nil {
+				t.Errorf("request %d: got %v, want an answer or a refusal", number, err)
+				return
+			}
+			_ = r.Body.Close()
+			if r.StatusCode != http.StatusOK && r.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("request %d: got status %d, want 200 or 503", number, r.StatusCode)
+			}
+		})
+		s.clock.Sleep(t.Context(), 20)
+		select {
+		case <-s.entries[0].Stopped():
+			callers.Wait()
+			return
+		default:
+		}
+	}
+}
+
 // answersOK reports whether an entry answers a path with status 200.
 func (s *site) answersOK(e int, path string) bool {
 	r, err := http.Get(s.url(e, path))
