roster: a late heartbeat does not bring back a server whose departure a new leader acknowledged

Traced in the logs: the new leader, whose list is empty, records the departure of a server that it does not know (24.404 s) and acknowledges it (26.444 s). A heartbeat of the same run that was sent before comes 4.2 s after the departure (28.591 s). A departure names no run, so the heartbeat counted as that of a new one, and relays that had started again used the server. Ruled out: a leader that acknowledges before it knows every lease; both relays had learned of the departure in time.

A registry now ignores heartbeats of a server for 10 s after its departure if it did not know it. What remains: if the leader changes once more within that time, the next one does not know the departure.

--- a/roster/registry.go
+++ b/roster/registry.go
@@ -16,6 +16,11 @@
 // newest has come from another writer.
 const orderRetention = 60 * clock.Second
 
+// lateHeartbeatTime is how long heartbeats of a server are ignored whose departure was announced to a
+// registry that did not know it. The departure does not tell the run, so that a heartbeat that was sent
+// before it and arrives late could not be told from that of a new run.
+const lateHeartbeatTime = 10 * clock.Second
+
 // Record is the registry's knowledge of a server.
 type Record struct {
 	Announcement
@@ -29,6 +34,8 @@
 	record       Record
 	updatedAt    clock.Millis // time of the newest announcement or of the departure
 	changeNumber uint64       // number of the record's newest change
+	// departedUnknown is set if the server has departed and this registry did not know it before.
+	departedUnknown bool
 }
 
 // AcceptResult is the result of processing an announcement.
@@ -87,7 +94,7 @@
 		r.servers[a.Server] = known
 	}
 	previous := known.record
-	known.record, known.updatedAt = Record{Announcement: a}, now
+	known.record, known.updatedAt, known.departedUnknown = Record{Announcement: a}, now, false
 	if previous.Address != a.Address {
 		r.removeAddress(previous.Address, known)
 		r.byAddress[a.Address] = append(r.byAddress[a.Address], known)
@@ -106,6 +113,9 @@
 	if now-k.updatedAt >= orderRetention {
 		return false
 	}
+	if k.departedUnknown && now-k.updatedAt < lateHeartbeatTime {
+		return true
+	}
 	return !a.isNewerThan(k.record.Announcement) || returnsWithoutRestart(k.record, a)
 }
 
@@ -124,7 +134,7 @@
 		return Stale
 	}
 	if !ok {
-		known = &registration{record: Record{Announcement: Announcement{Server: server}}}
+		known = &registration{record: Record{Announcement: Announcement{Server: server}}, departedUnknown: true}
 		r.servers[server] = known
 	}
 	r.markGone(now, known)
