frame: short lines are parsed without a copy

Cause: each line of a head or of a chunked body was copied before it was checked. A chunked answer of 16 MiB in chunks of one byte has 32 million lines, and under the race detector on a busy machine reading it took longer than the 20 s that TestAnswersWithoutEnd/chunks waits.

Change: a line that is complete in the buffer is checked there.

--- a/frame/head.go
+++ b/frame/head.go
@@ -211,6 +211,10 @@
 		if *limit < 0 {
 			return "", ErrTooLarge
 		}
+		if err == nil && line == nil {
+			line = part // most lines are complete in the buffer: no copy
+			break
+		}
 		line = append(line, part...)
 		if err == nil {
 			break
