ratelimit: the cost of reports does not grow with the entries

Cause: each report about demand made the partition search all entries for ended leases and free parts, 358 µs with 460 entries. A server that names another limit in each answer had a change reported for each that differs by a tenth.

Change: ended leases are searched for every 100 ms, and a part that the entry holds already is granted again without a search. A change of a rate is reported if it is a fifth or more, and at most every 5 s; the beginning and the end of a limit at once.

--- a/ratelimit/limit_test.go
+++ b/ratelimit/limit_test.go
@@ -133,6 +133,21 @@
 	})
 }
 
+// Guards against reports about servers that name another limit in each answer.
+func TestVaryingLimitsAreReportedSeldom(t *testing.T) {
+	l, known, reports := ratelimit.NewLimits(), gossip.Position{}, 0
+	const seconds = 60
+	for now := clock.Millis(0); now < seconds*clock.Second; now += 100 {
+		l.Record(now, testRun, ratelimit.NewLimit(float64(2+now/100%5)), now, now)
+		var report ratelimit.Report
+		report, known = l.Report(now, known)
+		reports += len(report)
+	}
+	if want := seconds / 5; reports > want {
+		t.Errorf("reports in %d s: got %d, want at most %d", seconds, reports, want)
+	}
+}
+
 // Guards against reports that grow with the number of limited servers: a thousand limits are told
 // in reports of bounded size, each of them once.
 func TestReportsAreBounded(t *testing.T) {
--- a/ratelimit/limits.go
+++ b/ratelimit/limits.go
@@ -23,8 +23,11 @@
 	// follows with the next reports.
 	maxReported = 64
 	// reportedChange is the smallest relative change of a rate that is reported to other
-	// processes. Servers that name a slightly different limit in each answer cost nothing.
-	reportedChange = 0.1
+	// processes, and changeInterval the shortest time between two such reports about a server, so
+	// that servers that name another limit in each answer cost little. The entries that use such a
+	// server read its limit from their own answers.
+	reportedChange = 0.2
+	changeInterval = 5 * clock.Second
 	// reportDelay is how long a report may have been on its way. A reported limit that is less
 	// strict than the known one counts as older by this time.
 	reportDelay = 1 * clock.Second
@@ -44,8 +47,9 @@
 // record is what is known of one run of a server.
 type record struct {
 	statement
-	reported Limit  // the limit at the newest reported change
-	position uint64 // number of that change
+	reported   Limit  // the limit at the newest reported change
+	position   uint64 // number of that change
+	reportedAt clock.Millis
 }
 
 // Reported is the limit of one run of a server in a report. Ages stand in place of times, because
@@ -70,12 +74,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	return l.add(run, statement{limit: limit, earliest: sentAt, latest: arrivedAt})
+	return l.add(now, run, statement{limit: limit, earliest: sentAt, latest: arrivedAt})
 }
 
 // add takes over a statement. It reports whether the limit that holds has changed. The caller holds
 // the lock.
-func (l *Limits) add(run Run, s statement) bool {
+func (l *Limits) add(now clock.Millis, run Run, s statement) bool {
 	known, ok := l.runs[run]
 	if !ok {
 		if !s.limit.Exists() || len(l.runs) >= maxRuns {
@@ -83,30 +87,30 @@
 		}
 		known = &record{statement: s}
 		l.runs[run] = known
-		l.markChanged(known)
+		l.markChanged(now, known)
 		return true
 	}
 	former := known.limit
 	known.statement = known.next(s)
-	if differs(known.limit, known.reported) {
-		l.markChanged(known)
+	if known.mustBeReported(now) {
+		l.markChanged(now, known)
 	}
 	return known.limit != former
 }
 
-// differs reports whether a limit is so different from the one reported last that it must be
-// reported.
-func differs(limit, reported Limit) bool {
-	if limit.Exists() != reported.Exists() {
+// mustBeReported reports whether the limit has begun or ended since it was reported last, or has
+// changed much and not just before.
+func (r *record) mustBeReported(now clock.Millis) bool {
+	if r.limit.Exists() != r.reported.Exists() {
 		return true
 	}
-	return math.Abs(limit.rate-reported.rate) > reportedChange*reported.rate
+	return math.Abs(r.limit.rate-r.reported.rate) > reportedChange*r.reported.rate && now-r.reportedAt >= changeInterval
 }
 
 // markChanged gives a record the next position. The caller holds the lock.
-func (l *Limits) markChanged(r *record) {
+func (l *Limits) markChanged(now clock.Millis, r *record) {
 	l.position++
-	r.position, r.reported = l.position, r.limit
+	r.position, r.reported, r.reportedAt = l.position, r.limit, now
 }
 
 // Limit returns the limit of a run of a server.
@@ -191,7 +195,7 @@
 		if known, ok := l.runs[r.Run]; ok && known.limit.isStricterThan(s.limit) {
 			s.earliest -= reportDelay
 		}
-		l.add(r.Run, s)
+		l.add(now, r.Run, s)
 	}
 	l.expire(now)
 }
--- a/ratelimit/partition.go
+++ b/ratelimit/partition.go
@@ -18,6 +18,9 @@
 	// minMisplaced is the part of the ring that must belong to other participants before a change
 	// of demand divides it anew: each division leaves some servers unused for a moment.
 	minMisplaced = 0.15
+	// expiryInterval is the shortest time between two searches for what has ended, so that the cost of
+	// a report does not grow with the participants.
+	expiryInterval = 100 * clock.Millisecond
 	// participantTimeout is how long a participant gets a part of the ring after its latest
 	// report.
 	participantTimeout = 2 * clock.Second
@@ -46,8 +49,9 @@
 	settledAt    clock.Millis
 	number       uint64 // of the newest grant
 	participants map[string]*participant
-	targetsAt    clock.Millis
-	outdated     bool // the targets are not for the present participants and total
+	expireAt     clock.Millis // when the next search for what has ended is due
+	checkAt      clock.Millis // when the demand is compared with the targets next
+	outdated     bool         // the targets are not for the present participants and total
 }
 
 // participant is what a partition knows of a participant.
@@ -131,8 +135,10 @@
 	q.holds = slices.DeleteFunc(q.holds, func(h hold) bool {
 		return h.number < held.Number || h.number == held.Number && h.reported
 	})
-	if !held.Interval.IsEmpty() {
-		q.holds = append(q.holds, hold{number: held.Number, reported: true, interval: held.Interval, until: until})
+	isGranted := slices.ContainsFunc(q.holds, func(h hold) bool { return h.number == held.Number && h.interval == held.Interval })
+	if !held.Interval.IsEmpty() && !isGranted {
+		// Before the grants, so that the newest one stays last.
+		q.holds = slices.Insert(q.holds, 0, hold{number: held.Number, reported: true, interval: held.Interval, until: until})
 	}
 }
 
@@ -148,6 +154,10 @@
 // grant grants the largest part of the wanted interval that no other participant can hold. The
 // caller holds the lock.
 func (p *Partition) grant(now clock.Millis, q *participant, wanted Interval) Grant {
+	if last := len(q.holds) - 1; last >= 0 && !q.holds[last].reported && q.holds[last].interval == wanted && q.holds[last].until > now {
+		q.holds[last].until = now + p.lease // nobody else can hold it
+		return Grant{Partition: p.instance, Number: q.holds[last].number, Interval: wanted}
+	}
 	var taken []Interval
 	for _, other := range p.participants {
 		if other == q {
@@ -157,25 +167,25 @@
 			taken = append(taken, h.interval)
 		}
 	}
-	next := hold{interval: wanted.largestWithout(taken), until: now + p.lease}
-	if last := len(q.holds) - 1; last >= 0 && !q.holds[last].reported && q.holds[last].interval == next.interval {
-		next.number = q.holds[last].number
-		q.holds[last] = next
-	} else {
-		p.number++
-		next.number = p.number
-		q.holds = append(q.holds, next)
-	}
-	return Grant{Partition: p.instance, Number: next.number, Interval: next.interval}
+	p.number++
+	g := Grant{Partition: p.instance, Number: p.number, Interval: wanted.largestWithout(taken)}
+	q.holds = append(q.holds, hold{number: g.Number, interval: g.Interval, until: now + p.lease})
+	return g
 }
 
 // updateTargets divides the ring anew if participants have come or gone, or if their demand has
 // changed much. The caller holds the lock.
 func (p *Partition) updateTargets(now clock.Millis) {
-	if !p.outdated && (now-p.targetsAt < targetInterval || p.misplaced() < minMisplaced) {
-		return
+	if !p.outdated {
+		if now < p.checkAt {
+			return
+		}
+		p.checkAt = now + targetInterval
+		if p.misplaced() < minMisplaced {
+			return
+		}
 	}
-	p.outdated, p.targetsAt = false, now
+	p.outdated, p.checkAt = false, now+targetInterval
 	names := lo.Keys(lo.PickBy(p.participants, func(_ string, q *participant) bool { return q.active }))
 	slices.Sort(names)
 	sum := lo.SumBy(names, func(name string) int { return p.participants[name].weight })
@@ -217,9 +227,13 @@
 	return q.weight
 }
 
-// expire drops holds whose leases have ended, and participants that no longer report. The caller
-// holds the lock.
+// expire drops holds whose leases have ended, and participants that no longer report, from time to
+// time. The caller holds the lock.
 func (p *Partition) expire(now clock.Millis) {
+	if now < p.expireAt {
+		return
+	}
+	p.expireAt = now + expiryInterval
 	for name, q := range p.participants {
 		q.holds = slices.DeleteFunc(q.holds, func(h hold) bool { return h.until <= now })
 		if q.active && now-q.reportedAt > participantTimeout {
