relay: a stopping relay resets no connections that callers open at its end

Cause: the relay stopped accepting connections as soon as none was open, and closed its listener only after the last request that it had accepted meanwhile, here 0.5 s later. What callers opened between the two waited in the backlog and was reset. Ruled out: a cut at the grace time (connections_cut 0) and an overlapping kill, which came 0.4 s later.

What remains: a connection that is opened in the instant in which the listener closes is reset by the system.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -152,13 +152,18 @@
 // Address returns the address that the relay is bound to.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-// accept serves new connections until the listener is closed, or until drainBacklog has
-// ended the acceptance.
+// accept serves new connections until the listener is closed. It closes the listener itself at the
+// end of drainBacklog: connections that were opened to a listener that accepts no more would be
+// reset once it is closed, with the requests that they carry.
 func (r *Relay) accept() {
 	defer close(r.acceptEnded)
 	for {
 		conn, err := r.listener.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = r.listener.Close()
+			return
+		}
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
@@ -306,7 +311,6 @@
 	r.closeConns(ctx, deadline)
 	r.drainBacklog()
 	r.closeConns(ctx, deadline)
-	_ = r.listener.Close()
 	r.options.Logger.Log(event.ProcessStopped, zap.Int("connections_cut", r.closeAll()))
 	return nil
 }
@@ -335,8 +339,8 @@
 	}
 }
 
-// drainBacklog accepts the connections that wait in the listener's backlog, and none after
-// them. Closing the listener would reset them, with the requests that they carry.
+// drainBacklog accepts the connections that wait in the listener's backlog, and closes the listener.
+// Later ones are refused, so that callers know that nothing was run.
 func (r *Relay) drainBacklog() {
 	if tcp, ok := r.listener.(*net.TCPListener); ok {
 		_ = tcp.SetDeadline(r.clock.Deadline(stopInterval))
