--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -11,6 +11,15 @@
 	Number   uint64 // number of changes of its records
 }
 
+// Known returns the number of the newest change that a process knows which has been told the changes
+// up to a position. It knows none if that is a position of another set.
+func (p Position) Known(told Position) uint64 {
+	if told.Instance != p.Instance {
+		return 0
+	}
+	return min(told.Number, p.Number)
+}
+
 // WirePosition is the JSON form of Position.
 type WirePosition struct {
 	Instance uint64 `json:"instance"`
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -14,10 +14,8 @@
 }
 
 func (l *list) Report(_ clock.Millis, since gossip.Position) (int, gossip.Position) {
-	if since.Instance != l.instance {
-		since.Number = 0
-	}
-	return int(l.records - since.Number), gossip.Position{Instance: l.instance, Number: l.records}
+	position := gossip.Position{Instance: l.instance, Number: l.records}
+	return int(l.records - position.Known(since)), position
 }
 
 func (l *list) Merge(_ clock.Millis, report int) { l.merged += report }
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -15,14 +15,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
-	if since.Instance != q.instance {
-		since.Number = 0
-	}
 	position := gossip.Position{Instance: q.instance, Number: q.position}
-	if since.Number >= q.position {
+	known := position.Known(since)
+	if known == position.Number {
 		return Report{}, position
 	}
-	return q.changedSince(now, since.Number), position
+	return q.changedSince(now, known), position
 }
 
 // changedSince returns the records of the parts that changed after a change with the given
--- a/ratelimit/limits.go
+++ b/ratelimit/limits.go
@@ -149,22 +149,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	if since.Instance != l.instance {
-		since.Number = 0
-	}
 	position := gossip.Position{Instance: l.instance, Number: l.position}
-	if since.Number >= l.position {
+	known := position.Known(since)
+	if known == position.Number {
 		return nil, position
 	}
-	changed := l.changedSince(since.Number)
+	changed := l.changedSince(known)
 	if len(changed) > maxReported {
 		changed = changed[:maxReported]
 		position.Number = l.runs[changed[maxReported-1]].position
 	}
 	report := make(Report, len(changed))
 	for i, run := range changed {
-		known := l.runs[run]
-		report[i] = Reported{Run: run, Limit: known.limit, EarliestAge: now - known.earliest, LatestAge: now - known.latest}
+		r := l.runs[run]
+		report[i] = Reported{Run: run, Limit: r.limit, EarliestAge: now - r.earliest, LatestAge: now - r.latest}
 	}
 	return report, position
 }
