--- a/control/streams.go
+++ b/control/streams.go
@@ -10,7 +10,7 @@
 	"github.com/galenaslip/galenaslip/continuation"
 )
 
-// maxStreamRecords bounds the records of streams at a member, and so their memory: some 40 MB.
+// maxStreamRecords bounds the records of streams at a member, and so their memory: some 55 MB.
 const maxStreamRecords = 1 << 18
 
 // wireStream is the JSON form of continuation.Record, and of the answer to a lookup. Its keys are
