--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,8 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(s *site, trouble bool) (bool, error){
 	"versions": versionsCase,
+	"partial":  partialCase,
+	"records":  recordsCase,
 }
 
 func main() {
