--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 	"partial":  partialCase,
 	"records":  recordsCase,
 	"leave":    leaveCase,
+	"silence":  silenceCase,
 }
 
 func main() {
