--- a/review/harness/leave.go
+++ b/review/harness/leave.go
@@ -48,7 +48,7 @@
 	time.Sleep(2 * heartbeatInterval)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() { s.sendPostings(stop) })
+	clients.Go(func() { s.sendPostings(postingInterval, stop) })
 	if trouble {
 		leaving.setCheckInLag(lateCheckIn)
 	}
@@ -88,7 +88,7 @@
 }
 
 // sendPostings sends requests that may run once, to the relays in turn, until stop is closed.
-func (s *site) sendPostings(stop chan struct{}) {
+func (s *site) sendPostings(interval time.Duration, stop chan struct{}) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	client := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -96,7 +96,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(postingInterval):
+		case <-time.After(interval):
 		}
 		wait.Go(func() {
 			q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/post/x?work=%d", s.relay(n%2), postingTime), strings.NewReader("posting"))
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 	"records":  recordsCase,
 	"leave":    leaveCase,
 	"silence":  silenceCase,
+	"deadly":   deadlyCase,
 }
 
 func main() {
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -30,6 +30,7 @@
 	stopped    chan struct{} // closed at the end of the boot
 	announced  chan struct{} // closed when the boot sends no more check-ins
 	ran        []string      // requests that are not streams
+	deadly     func()        // runs the request that crashes the server
 	checkInLag time.Duration // time that a check-in is on its way
 	// beforeEvent is called before each event of a stream. It returns bytes that end the answer in
 	// place of the event, or nil.
@@ -41,6 +42,7 @@
 	conn    net.Conn
 	request *http.Request
 	id      string // X-Request-Id
+	body    string // of the request
 }
 
 func (s *site) newServer(n int, service, id string) *server {
@@ -156,10 +158,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
 			return
 		}
-		if !v.handle(&answer{conn: c, request: q, id: q.Header.Get("X-Request-Id")}, version) {
+		if !v.handle(&answer{conn: c, request: q, id: q.Header.Get("X-Request-Id"), body: string(body)}, version) {
 			return
 		}
 	}
@@ -186,6 +189,10 @@
 		v.running--
 		v.mu.Unlock()
 	}()
+	if events == 0 && w.body == deadlyBody {
+		v.deadly()
+		return false
+	}
 	if events == 0 {
 		return v.work(w)
 	}
