replica: a member whose disk refused a write goes on once the disk takes writes

Each disk that was ever full cost the group a voter, and the third one its quorum. Ruled out: an election that does not end (the remaining members never reach a quorum), and a leader that keeps failing (each of the three fails once). Tests missed it because the simulation of replica restarted a member after a failed write, which the runtime did not.

It uses no file again that has seen a failure, because a later sync of such a file can succeed without the data. - replica: a write that has failed is repeated, at growing intervals up to an election timeout. Meanwhile the member casts no votes, does not campaign, confirms nothing that is not durable, and still answers heartbeats; its replies say for how long its disk has taken no writes. A leader hands over once a quorum of the others has stored entries since; without one it stays and keeps its lease.

TestDiskFailure asked for Status.Failure after one failed write, which described the fault; it now asks for DiskFailure, for another leader, and for the member's return with what was committed meanwhile.

Shown: with the former behaviour TestDisksFullInTurn does not end (the second commit waits for a quorum for ever), and TestCommitsWhileMajorityOfDisksWorks fails.

--- a/control/codec.go
+++ b/control/codec.go
@@ -47,9 +47,10 @@
 	Change       json.RawMessage `json:"change"`
 }
 
-// wireMember is a member of the control group in the members API. Silent is the
-// time since the last message from the member, and MissingEntries the number of
-// committed log entries that it lacks.
+// wireMember is a member of the control group in the members API. SilentFor is
+// the time since the last message from the member, DiskFailingFor the time for
+// which its disk has taken no writes, and MissingEntries the number of committed
+// log entries that it lacks.
 type wireMember struct {
 	Identity         string       `json:"identity"`
 	Name             string       `json:"name"`
@@ -58,6 +59,7 @@
 	Voter            bool         `json:"voter"`
 	Leader           bool         `json:"leader"`
 	SilentFor        clock.Millis `json:"silent_ms"`
+	DiskFailingFor   clock.Millis `json:"disk_failing_ms"`
 	MissingEntries   uint64       `json:"behind"`
 }
 
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -196,7 +196,8 @@
 			return wireMember{
 				Identity: m.Identity, Name: m.Name, Address: m.Address, AvailabilityZone: m.AvailabilityZone,
 				Voter: m.Voter, Leader: m.Identity == status.LeaderIdentity,
-				SilentFor: status.Progress[m.Identity].SilentFor, MissingEntries: missingEntries(status, m.Identity),
+				SilentFor: status.Progress[m.Identity].SilentFor, DiskFailingFor: status.Progress[m.Identity].DiskFailingFor,
+				MissingEntries: missingEntries(status, m.Identity),
 			}
 		}),
 	}
@@ -269,8 +270,9 @@
 
 // wireState is the response of /debug/state. Commit and Applied are indexes in the
 // replicated log. Founded reports whether the group has been formed, and Excluded
-// whether the other members no longer accept this member. MessagesSent and
-// MessagesFailed count replication messages.
+// whether the other members no longer accept this member. DiskFailure is the error
+// with which the disk refuses writes. MessagesSent and MessagesFailed count
+// replication messages.
 type wireState struct {
 	Name           string            `json:"name"`
 	Identity       string            `json:"identity"`
@@ -282,6 +284,8 @@
 	LeaderLease    clock.Millis      `json:"leader_lease_ms"`
 	Founded        bool              `json:"founded"`
 	Excluded       bool              `json:"outside"`
+	DiskFailure    string            `json:"disk_failure,omitempty"`
+	DiskFailures   uint64            `json:"disk_failures"`
 	Group          wireMembers       `json:"group"`
 	State          summary           `json:"state"`
 	Entries        []wireLeasedEntry `json:"entries"`
@@ -301,12 +305,21 @@
 	Claims      int    `json:"claims"`
 }
 
+// errorText returns the message of an error, or nothing without one.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 func (c *Control) debugState(f fiber.Ctx) error {
 	status := c.log.Load().Status()
 	return respondValue(f, wireState{
 		Name: c.options.Name, Identity: status.Identity, Epoch: status.Epoch, Address: c.options.Advertise,
 		Role: status.Role.String(), Commit: status.Commit, Applied: status.Applied,
 		LeaderLease: status.LeaseRemaining, Founded: status.Founded, Excluded: status.Excluded,
+		DiskFailure: errorText(status.DiskFailure), DiskFailures: status.DiskFailures,
 		Group: c.members(), State: c.machine.summary(),
 		MessagesSent: c.peerClient.messagesSent.Load(), MessagesFailed: c.peerClient.messagesFailed.Load(),
 		Placement: toWirePlacement(*c.placementController.view.Load()),
--- a/control/leader.go
+++ b/control/leader.go
@@ -127,7 +127,8 @@
 		return membership.Member{
 			Identity: m.Identity, Name: m.Name, AvailabilityZone: m.AvailabilityZone,
 			Voter: m.Voter, Leader: m.Identity == status.Identity,
-			SilentFor: status.Progress[m.Identity].SilentFor, Behind: missingEntries(status, m.Identity),
+			SilentFor: status.Progress[m.Identity].SilentFor, DiskFailingFor: status.Progress[m.Identity].DiskFailingFor,
+			Behind: missingEntries(status, m.Identity),
 		}
 	}))
 	l.mu.Unlock()
@@ -168,12 +169,14 @@
 func (l *leaderTasks) now() clock.Millis { return l.control.options.Clock.Now() }
 
 // transferLeadership transfers leadership to the other voter with the most
-// complete log. It does nothing when this member does not lead or is the only
-// voter.
+// complete log whose disk takes writes. It does nothing when this member does
+// not lead or there is no such voter.
 func (c *Control) transferLeadership(ctx context.Context) {
 	log := c.log.Load()
 	status := log.Status()
-	otherVoters := lo.Filter(status.Members, func(m replica.Member, _ int) bool { return m.Voter && m.Identity != status.Identity })
+	otherVoters := lo.Filter(status.Members, func(m replica.Member, _ int) bool {
+		return m.Voter && m.Identity != status.Identity && status.Progress[m.Identity].DiskFailingFor == 0
+	})
 	if status.Role != replica.Leader || len(otherVoters) == 0 {
 		return
 	}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -69,6 +69,12 @@
 		return lo.Ternary(s.Role == replica.Leader, 1.0, 0.0)
 	}))
 	gauge("term", "Term of the group.", status(func(s replica.Status) float64 { return float64(s.Term) }))
+	gauge("disk_refuses_writes", "1 while the disk refuses writes.", status(func(s replica.Status) float64 {
+		return lo.Ternary(s.DiskFailure != nil, 1.0, 0.0)
+	}))
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "galenaslip_control_disk_failures_total", Help: "Times that the disk began to refuse writes.",
+	}, status(func(s replica.Status) float64 { return float64(s.DiskFailures) })))
 	gauge("commit_index", "Newest committed entry.", status(func(s replica.Status) float64 { return float64(s.Commit) }))
 	gauge("applied_index", "Newest applied entry.", status(func(s replica.Status) float64 { return float64(s.Applied) }))
 	gauge("revision", "Configuration revision.", func() float64 { return float64(c.machine.summary().Revision) })
--- a/control/server.go
+++ b/control/server.go
@@ -170,8 +170,8 @@
 
 func (c *Control) getReadiness(f fiber.Ctx) error {
 	status := c.log.Load().Status()
-	if c.stopping.Load() || status.Leader == "" || status.Failure != nil {
-		return notRunError("no leader is known, the disk has failed, or the process is stopping")
+	if c.stopping.Load() || status.Leader == "" || status.Failure != nil || status.DiskFailure != nil {
+		return notRunError("no leader is known, the disk refuses writes, or the process is stopping")
 	}
 	return f.SendString("ready")
 }
--- a/membership/policy.go
+++ b/membership/policy.go
@@ -59,9 +59,14 @@
 	Voter            bool
 	Leader           bool
 	SilentFor        clock.Millis // time since the leader last heard from the member
+	DiskFailingFor   clock.Millis // how long the member's disk has taken no writes; 0 if it works
 	Behind           uint64       // number of committed entries that the member lacks
 }
 
+// lostFor returns how long the member has been of no use to the group: without a message, or
+// without a disk that takes writes.
+func (m Member) lostFor() clock.Millis { return max(m.SilentFor, m.DiskFailingFor) }
+
 // Action is one membership change. It removes the identity Remove and makes the identity
 // Promote a voter. Either may be empty.
 type Action struct {
@@ -81,9 +86,9 @@
 	return &Policy{options: options.withDefaults(), observedSince: now, lastDecidedAt: now}
 }
 
-// observedSilence returns the part of the member's silence that this policy has observed.
-func (p *Policy) observedSilence(now clock.Millis, m Member) clock.Millis {
-	return min(m.SilentFor, now-p.observedSince)
+// observed returns the part of a duration until now that this policy has observed.
+func (p *Policy) observed(now, duration clock.Millis) clock.Millis {
+	return min(duration, now-p.observedSince)
 }
 
 // Decide returns the next membership change, if one is due. The caller makes the change and
@@ -94,7 +99,7 @@
 	}
 	p.lastDecidedAt = now
 	members = lo.Map(members, func(m Member, _ int) Member {
-		m.SilentFor = p.observedSilence(now, m)
+		m.SilentFor, m.DiskFailingFor = p.observed(now, m.SilentFor), p.observed(now, m.DiskFailingFor)
 		return m
 	})
 	learners := promotableLearners(members)
@@ -132,7 +137,7 @@
 		return Action{}, false
 	}
 	for _, v := range members {
-		if v.Voter && !v.Leader && v.SilentFor >= p.options.VoterTimeout {
+		if v.Voter && !v.Leader && v.lostFor() >= p.options.VoterTimeout {
 			return Action{Remove: v.Identity, Promote: chooseLearner(v, members, learners).Identity}, true
 		}
 	}
@@ -157,7 +162,7 @@
 	if len(voters) <= minVoters || len(voters)%2 != 0 {
 		return Action{}, false
 	}
-	lost, ok := lo.Find(voters, func(m Member) bool { return !m.Leader && m.SilentFor >= p.options.VoterTimeout })
+	lost, ok := lo.Find(voters, func(m Member) bool { return !m.Leader && m.lostFor() >= p.options.VoterTimeout })
 	return Action{Remove: lost.Identity}, ok
 }
 
@@ -177,10 +182,10 @@
 	return Action{}, false
 }
 
-// promotableLearners returns the learners that are reachable and have caught up.
+// promotableLearners returns the learners that are reachable, have caught up and can store entries.
 func promotableLearners(members []Member) []Member {
 	return lo.Filter(members, func(m Member, _ int) bool {
-		return !m.Voter && m.SilentFor < maxReachableSilence && m.Behind <= maxPromotionLag
+		return !m.Voter && m.SilentFor < maxReachableSilence && m.DiskFailingFor == 0 && m.Behind <= maxPromotionLag
 	})
 }
 
--- a/membership/policy_test.go
+++ b/membership/policy_test.go
@@ -22,6 +22,11 @@
 	return membership.Member{Identity: identity, Name: name, AvailabilityZone: zone, SilentFor: silent, Behind: behind}
 }
 
+func withDiskFailingFor(m membership.Member, failing clock.Millis) membership.Member {
+	m.DiskFailingFor = failing
+	return m
+}
+
 // Guards against a voter that is replaced too early or not at all, and against the promotion
 // of a learner that is lost, lags behind or is in a zone that already has a voter.
 func TestDecide(t *testing.T) {
@@ -33,6 +38,10 @@
 	}{
 		{"all well", []membership.Member{voter("b", "z2", 0), voter("c", "z3", lost-1), learner("d", "d", "z1", 0, 0)}, membership.Action{}},
 		{"lost", []membership.Member{voter("b", "z2", 0), voter("c", "z3", lost), learner("d", "d", "z1", 0, 0)}, membership.Action{Remove: "c", Promote: "d"}},
+		{"disk fails", []membership.Member{voter("b", "z2", 0), withDiskFailingFor(voter("c", "z3", 0), lost), learner("d", "d", "z1", 0, 0)}, membership.Action{Remove: "c", Promote: "d"}},
+		{"disk has failed for a short time", []membership.Member{voter("b", "z2", 0), withDiskFailingFor(voter("c", "z3", 0), lost-1), learner("d", "d", "z1", 0, 0)}, membership.Action{}},
+		{"disk of the learner fails", []membership.Member{voter("b", "z2", 0), voter("c", "z3", lost), withDiskFailingFor(learner("d", "d", "z1", 0, 0), 1)}, membership.Action{}},
+		{"disk of one of four voters fails", []membership.Member{voter("b", "z2", 0), withDiskFailingFor(voter("c", "z3", 0), lost), voter("d", "z1", 0)}, membership.Action{Remove: "c"}},
 		{"no learner", []membership.Member{voter("b", "z2", 0), voter("c", "z3", lost)}, membership.Action{}},
 		{"learner lost", []membership.Member{voter("c", "z3", lost), learner("d", "d", "z1", lost, 0)}, membership.Action{}},
 		{"learner behind", []membership.Member{voter("c", "z3", lost), learner("d", "d", "z1", 0, 65)}, membership.Action{}},
--- a/replica/batch.go
+++ b/replica/batch.go
@@ -23,8 +23,12 @@
 }
 
 // nextBatch returns the next batch for the disk. At most one batch is in flight;
-// everything that arrives while it is being written goes into the next one.
-func (c *core) nextBatch() (batch, bool) {
+// everything that arrives while it is being written goes into the next one. A batch that could
+// not be written stays in flight and is returned again.
+func (c *core) nextBatch(now clock.Millis) (batch, bool) {
+	if b, ok := c.failedBatchDue(now); ok {
+		return b, true
+	}
 	if c.batchInFlight {
 		return batch{}, false
 	}
@@ -43,13 +47,13 @@
 		return batch{}, false
 	}
 	c.voteChanged, c.snapshotToWrite, c.snapshotReplacesLog = false, nil, false
-	c.batchInFlight = true
+	c.batchInFlight, c.disk.writeBegunAt = true, now
 	return b, true
 }
 
 // batchWritten records that a batch is durable and releases its messages.
 func (c *core) batchWritten(now clock.Millis, b batch) {
-	c.batchInFlight = false
+	c.batchInFlight, c.disk.failure = false, nil
 	if b.vote != nil {
 		c.durableTerm = b.vote.Term
 	}
@@ -71,8 +75,17 @@
 	}
 }
 
-// persist writes a batch to the journal. All its entries share one sync.
-func persist(j *storage.Journal, b batch) error {
+// persist writes a batch to the journal. All its entries share one sync. After a failure it
+// repairs the journal first, so that the batch can be passed again, and returns the number of bytes
+// that this has cut off.
+func persist(j *storage.Journal, b batch) (cutBytes int, err error) {
+	if cutBytes, err = j.Repair(); err != nil {
+		return 0, err
+	}
+	return cutBytes, writeRecords(j, b)
+}
+
+func writeRecords(j *storage.Journal, b batch) error {
 	if b.vote != nil {
 		if err := j.SaveVote(*b.vote); err != nil {
 			return err
--- a/replica/codec.go
+++ b/replica/codec.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/storage"
 )
 
@@ -47,6 +48,7 @@
 	Reject           bool              `json:"reject,omitempty"`
 	Transfer         bool              `json:"transfer,omitempty"`
 	Done             bool              `json:"done,omitempty"`
+	DiskFailingFor   clock.Millis      `json:"disk_failing_ms,omitempty"`
 	Members          []byte            `json:"members,omitempty"`
 	Data             []byte            `json:"data,omitempty"`
 	Entries          []wireEntry       `json:"entries,omitempty"`
@@ -64,7 +66,7 @@
 		Kind: name, From: m.From, To: m.To, Name: m.Name, Address: m.Address,
 		Epoch: m.Epoch, Term: m.Term, Index: m.Index, LogTerm: m.LogTerm,
 		Commit: m.Commit, Round: m.Round, Hint: m.Hint, Offset: m.Offset,
-		Reject: m.Reject, Transfer: m.Transfer, Done: m.Done,
+		Reject: m.Reject, Transfer: m.Transfer, Done: m.Done, DiskFailingFor: m.DiskFailingFor,
 		Members: m.Members, Data: m.Data, FolderID: m.FolderID, FounderFolderIDs: m.FounderFolderIDs,
 	}
 	for _, e := range m.Entries {
@@ -89,7 +91,7 @@
 		Kind: kind, From: w.From, To: w.To, Name: w.Name, Address: w.Address,
 		Epoch: w.Epoch, Term: w.Term, Index: w.Index, LogTerm: w.LogTerm,
 		Commit: w.Commit, Round: w.Round, Hint: w.Hint, Offset: w.Offset,
-		Reject: w.Reject, Transfer: w.Transfer, Done: w.Done,
+		Reject: w.Reject, Transfer: w.Transfer, Done: w.Done, DiskFailingFor: w.DiskFailingFor,
 		Members: w.Members, Data: w.Data, FolderID: w.FolderID, FounderFolderIDs: w.FounderFolderIDs,
 	}
 	for i, e := range w.Entries {
--- a/replica/core.go
+++ b/replica/core.go
@@ -119,6 +119,7 @@
 	messagesAfterWrite  []envelope        // to be sent once the next batch is durable
 	readyMessages       []envelope        // may be sent immediately
 	batchInFlight       bool
+	disk                diskState
 	durableTerm         uint64 // newest term that is durable on this member
 	durableIndex        uint64 // index up to which entries are durable on this member
 }
@@ -204,7 +205,7 @@
 }
 
 // mayVote reports whether this member may take part in elections.
-func (c *core) mayVote() bool { return c.founded && !c.excluded }
+func (c *core) mayVote() bool { return c.founded && !c.excluded && !c.diskFails() }
 
 // mayCampaign reports whether this member may become a candidate. A voter whose removal
 // is not committed yet still may: only its log may be complete enough to win.
@@ -215,15 +216,19 @@
 // resetElectionTimer restarts the election timeout with random jitter.
 func (c *core) resetElectionTimer(now clock.Millis) {
 	jitter := clock.Millis(c.random.Int64N(int64(c.options.electionTimeout)))
-	c.electionDue = now + c.options.electionTimeout + jitter
+	c.electionDue = now + c.options.electionTimeout + jitter + c.electionDelay(now)
 }
 
-// nextTick returns the time at which tick has to be called next.
+// nextTick returns the time at which tick has to be called next, or a batch has to be written again.
 func (c *core) nextTick() clock.Millis {
+	due := c.electionDue
 	if c.role == Leader {
-		return c.leadership.heartbeatDue
+		due = c.leadership.heartbeatDue
 	}
-	return c.electionDue
+	if c.disk.failedBatch != nil {
+		due = min(due, c.disk.retryAt)
+	}
+	return due
 }
 
 // tick runs the timers that have expired.
--- a/replica/election.go
+++ b/replica/election.go
@@ -54,7 +54,7 @@
 // campaign starts an election. Unless a leadership transfer asked for it, a member that
 // heard from a leader recently may not vote for itself either.
 func (c *core) campaign(now clock.Millis, transfer bool) {
-	if !transfer && c.hearsLeader(now) {
+	if !transfer && c.hearsLeader(now) || c.diskFails() {
 		return
 	}
 	c.role, c.leader = Candidate, Member{}
--- a/replica/heartbeat.go
+++ b/replica/heartbeat.go
@@ -42,9 +42,9 @@
 	})
 }
 
-func (c *core) onHeartbeat(m Message) {
+func (c *core) onHeartbeat(now clock.Millis, m Message) {
 	c.commitIndex = max(c.commitIndex, min(m.Commit, c.log.last()))
-	c.send(m.From, Message{Kind: MessageHeartbeatReply, Round: m.Round})
+	c.send(m.From, Message{Kind: MessageHeartbeatReply, Round: m.Round, DiskFailingFor: c.diskFailingFor(now)})
 }
 
 func (c *core) onHeartbeatReply(now clock.Millis, m Message) {
@@ -53,6 +53,7 @@
 		return
 	}
 	p.heardAt = now
+	p.noteDisk(now, m.DiskFailingFor)
 	p.round = max(p.round, min(m.Round, c.leadership.round))
 	c.confirmRounds()
 }
--- a/replica/leadership.go
+++ b/replica/leadership.go
@@ -14,6 +14,8 @@
 	heartbeatDue clock.Millis
 	completed    uint64 // index of the newest committed membership entry that completed a change
 	transfer     transfer
+
+	nextHandoverAt clock.Millis // earliest time of the next transfer because of this member's disk
 }
 
 // transfer is a leadership transfer in progress. The lease is not extended during it.
@@ -60,6 +62,7 @@
 	if now >= l.heartbeatDue {
 		c.heartbeat(now)
 		c.resendAll(now)
+		c.handOverIfDiskFails(now)
 	}
 	c.advanceTransfer(now)
 }
--- a/replica/message.go
+++ b/replica/message.go
@@ -1,6 +1,9 @@
 package replica
 
-import "github.com/galenaslip/galenaslip/storage"
+import (
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/storage"
+)
 
 // MessageKind is the kind of a message between members.
 type MessageKind uint8
@@ -53,10 +56,11 @@
 	Hint             uint64 // in a rejection: highest index up to which the logs may agree
 	Offset           uint64 // byte offset in a snapshot
 	Reject           bool
-	Transfer         bool   // the vote request is part of a leadership transfer
-	Done             bool   // this is the last part of a snapshot
-	Members          []byte // encoded membership of a snapshot
-	Data             []byte // bytes of a snapshot from Offset on
+	Transfer         bool         // the vote request is part of a leadership transfer
+	Done             bool         // this is the last part of a snapshot
+	DiskFailingFor   clock.Millis // in a heartbeat reply: how long the sender's disk has taken no writes; 0 if it works
+	Members          []byte       // encoded membership of a snapshot
+	Data             []byte       // bytes of a snapshot from Offset on
 	Entries          []storage.Entry
 	FolderID         string            // folder ID of the sender
 	FounderFolderIDs map[string]string // folder IDs of all founding members, by identity; empty until the group is founded
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -102,8 +102,9 @@
 
 // Progress is the replication state of another member, as the leader knows it.
 type Progress struct {
-	MatchIndex uint64       // index up to which entries are known to be durable on the member
-	SilentFor  clock.Millis // time since the leader last heard from the member
+	MatchIndex     uint64       // index up to which entries are known to be durable on the member
+	SilentFor      clock.Millis // time since the leader last heard from the member
+	DiskFailingFor clock.Millis // how long the member's disk has taken no writes; 0 if it works
 }
 
 // Status describes a member at the time of the call to Replica.Status.
@@ -124,7 +125,9 @@
 	Progress       map[string]Progress // by identity; nil unless this member is the leader
 	Founded        bool                // false until all founding members have been reached
 	Excluded       bool                // the member isn't in the group and must join again; see AbandonIdentity
-	Failure        error               // failure of the disk or the state machine; the member is inactive until restarted
+	Failure        error               // failure of the state machine; the member is inactive until restarted
+	DiskFailure    error               // why the disk refuses writes; the member tries again and casts no votes meanwhile
+	DiskFailures   uint64              // number of times that the disk began to refuse writes
 }
 
 // Replica is one member of the replicated log.
@@ -380,7 +383,7 @@
 	if s.Role == Leader {
 		s.Progress = map[string]Progress{}
 		for _, x := range p.peers {
-			s.Progress[x.identity] = Progress{MatchIndex: x.matchIndex, SilentFor: now - x.heardAt}
+			s.Progress[x.identity] = Progress{MatchIndex: x.matchIndex, SilentFor: now - x.heardAt, DiskFailingFor: x.diskFailingFor(now)}
 		}
 	}
 	return s
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -16,6 +16,10 @@
 	round          uint64            // newest heartbeat round that the peer answered
 	snapshot       *storage.Snapshot // the snapshot being sent; nil if none
 	snapshotOffset uint64            // offset of the next part to send, in bytes
+
+	diskFailingSince clock.Millis // when the peer's disk began to take no writes; 0 if it works
+	storedAt         clock.Millis // when the peer last confirmed that it has stored an entry
+	diskWorksSince   clock.Millis // when the peer's disk was last known to fail, or the start of the term
 }
 
 // appendAsLeader sets the index and term of new entries and appends them to the leader's
@@ -40,7 +44,7 @@
 		}
 		p, ok := c.leadership.peers[m.Identity]
 		if !ok {
-			p = &peer{identity: m.Identity, nextIndex: c.log.last(), heardAt: now}
+			p = &peer{identity: m.Identity, nextIndex: c.log.last(), heardAt: now, diskWorksSince: now}
 		}
 		peers[m.Identity] = p
 	}
@@ -100,9 +104,10 @@
 }
 
 // sendEntries sends the next entries, or the next part of a snapshot, to a peer. At most
-// one such message is in flight; entries that are appended meanwhile go into the next one.
+// one such message is in flight; entries that are appended meanwhile go into the next one. A
+// peer whose disk fails could not store them.
 func (c *core) sendEntries(now clock.Millis, p *peer) {
-	if p.awaitingReply || p.nextIndex > c.log.last() && p.matchIndex+1 == p.nextIndex {
+	if p.awaitingReply || p.diskFailingSince != 0 || p.nextIndex > c.log.last() && p.matchIndex+1 == p.nextIndex {
 		return
 	}
 	p.awaitingReply, p.sentAt = true, now
@@ -173,6 +178,9 @@
 	case m.Reject:
 		p.nextIndex = max(p.matchIndex+1, min(m.Hint+1, p.nextIndex-1))
 	case m.Index >= p.matchIndex:
+		if m.Index > p.matchIndex {
+			p.storedAt = now
+		}
 		p.matchIndex, p.nextIndex = m.Index, m.Index+1
 		if p.snapshot != nil && p.matchIndex >= p.snapshot.Index {
 			p.snapshot = nil
--- a/replica/runtime.go
+++ b/replica/runtime.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -47,8 +48,9 @@
 
 // writeResult is a batch that the writer has processed.
 type writeResult struct {
-	batch batch
-	err   error
+	batch    batch
+	cutBytes int // bytes of former writes that had failed and were cut off
+	err      error
 }
 
 // loop is the goroutine that owns the core and connects it to the other goroutines.
@@ -69,6 +71,8 @@
 	requests          []request                 // not answered yet
 	nextSnapshotIndex uint64                    // index at which the next snapshot is due
 	role              Role                      // role that was logged last
+	diskFails         bool                      // whether the latest log event of the disk was its failure
+	cutBytes          int                       // bytes cut off since that event
 	loggedExcluded    bool                      // the exclusion from the group was logged
 }
 
@@ -99,7 +103,8 @@
 	for {
 		select {
 		case b := <-in:
-			out <- writeResult{batch: b, err: persist(j, b)}
+			cutBytes, err := persist(j, b)
+			out <- writeResult{batch: b, cutBytes: cutBytes, err: err}
 		case <-ctx.Done():
 			return
 		}
@@ -164,13 +169,24 @@
 	}
 }
 
+// batchWritten passes the result of a write to the core. The core repeats a write that the disk has
+// refused. A member whose confirmed data can no longer be read leaves the group, because it must
+// not vote under this identity again; see AbandonIdentity.
 func (l *loop) batchWritten(w writeResult) {
-	if w.err != nil {
-		l.fail(w.err)
-		return
-	}
-	if l.failure == nil {
+	var refused *storage.Error
+	l.cutBytes += w.cutBytes
+	switch {
+	case l.failure != nil:
+	case w.err == nil:
 		l.core.batchWritten(l.now(), w.batch)
+	case !errors.As(w.err, &refused):
+		l.fail(w.err)
+	case refused.Outcome == storage.Damaged:
+		l.replica.options.Log(event.JournalDamaged, zap.Error(w.err))
+		l.core.excluded = true
+		l.core.stepDownIfExcluded(l.now())
+	default:
+		l.core.batchFailed(l.now(), w.batch, w.err)
 	}
 }
 
@@ -212,7 +228,7 @@
 // startWrite passes the next batch to the writer. A batch without records is done at once.
 func (l *loop) startWrite() {
 	for l.failure == nil {
-		b, ok := l.core.nextBatch()
+		b, ok := l.core.nextBatch(l.now())
 		if !ok {
 			return
 		}
--- a/replica/status.go
+++ b/replica/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/storage"
 )
 
 // publishedStatus is what the loop publishes for Replica.Status.
@@ -25,6 +26,7 @@
 			Leader: c.leader.Address, LeaderIdentity: c.leader.Identity,
 			Commit: c.commitIndex, Members: c.current().value.members,
 			Founded: c.founded, Excluded: c.excluded && l.failure == nil, Failure: l.failure,
+			DiskFailure: c.disk.failure, DiskFailures: c.disk.failures,
 		},
 	}
 	if c.role == Leader {
@@ -37,15 +39,32 @@
 	l.logChanges(p.status)
 }
 
-// logChanges logs a change of the role or an exclusion from the group since the last call.
+// logChanges logs a change of the role or the disk or an exclusion from the group since the last
+// call.
 func (l *loop) logChanges(s Status) {
 	c := l.core
 	if s.Excluded && !l.loggedExcluded {
 		l.loggedExcluded = true
 		l.replica.options.Log(event.MemberNotAccepted, zap.String("identity", s.Identity))
 	}
+	l.logDisk()
 	if c.role != l.role {
 		l.role = c.role
 		l.replica.options.Log(event.RoleChanged, zap.String("role", c.role.String()), zap.Uint64("term", c.vote.Term))
 	}
 }
+
+// logDisk logs that the disk has begun to refuse writes or takes them again.
+func (l *loop) logDisk() {
+	d := &l.core.disk
+	if l.core.diskFails() == l.diskFails {
+		return
+	}
+	l.diskFails = l.core.diskFails()
+	if l.diskFails {
+		l.replica.options.Log(event.DiskRefusesWrites, zap.Stringer("outcome", storage.OutcomeOf(d.failure)), zap.Error(d.failure))
+		return
+	}
+	l.replica.options.Log(event.DiskTakesWrites, zap.Int64("after_ms", int64(l.now()-d.failingSince)), zap.Int("cut_bytes", l.cutBytes))
+	l.cutBytes = 0
+}
--- a/replica/step.go
+++ b/replica/step.go
@@ -25,6 +25,9 @@
 		c.send(m.From, Message{Kind: MessageHello, FolderID: c.vote.FolderID})
 		return
 	}
+	if c.diskFails() && (m.Kind == MessagePreVote || m.Kind == MessageVote) {
+		return // A vote would have to be durable, and so would the term of the request.
+	}
 	if c.excluded || !c.acceptSender(now, m) || !c.stepTerm(now, m) {
 		return
 	}
@@ -122,7 +125,7 @@
 	case MessageAppendReply:
 		c.onAppendReply(now, m)
 	case MessageHeartbeat:
-		c.onHeartbeat(m)
+		c.onHeartbeat(now, m)
 	case MessageHeartbeatReply:
 		c.onHeartbeatReply(now, m)
 	case MessageSnapshot:
@@ -150,8 +153,12 @@
 	return envelope{to: member, message: m}
 }
 
-// sendAfterWrite sends a message once all pending records are durable.
+// sendAfterWrite sends a message once all pending records are durable. It drops the message while
+// the disk fails, because it would be outdated by the time the disk works again.
 func (c *core) sendAfterWrite(to string, m Message) {
+	if c.diskFails() {
+		return
+	}
 	c.messagesAfterWrite = append(c.messagesAfterWrite, c.envelopeFor(to, m))
 }
 
--- a/storage/doc.go
+++ b/storage/doc.go
@@ -11,6 +11,7 @@
 // Entries are never overwritten in place. When the segments are read, an entry whose index
 // is already present replaces that entry and all that follow it.
 //
-// After a failed write or sync the journal refuses all further operations, because the
-// content of the file is unknown until it is read again.
+// After a failed write or sync the journal refuses all further operations until Repair has
+// succeeded, because the content of the file is unknown: data of a failed sync can be read, but may
+// never reach the disk.
 package storage
--- a/storage/journal.go
+++ b/storage/journal.go
@@ -90,7 +90,8 @@
 	nextIndex      uint64    // index of the next new entry
 	currentFile    File
 	snapshot       uint64 // index of the newest snapshot; 0 means none
-	failure        error  // first failure; nil if none
+	failure        error  // failure since the last Repair; nil if none
+	closed         bool
 }
 
 func (j *Journal) path(name string) string {
@@ -101,8 +102,8 @@
 	return j.path(fmt.Sprintf(segmentFormat, number))
 }
 
-// recordFailure records the first failure, after which the journal refuses all operations. It
-// returns err.
+// recordFailure records a failure, after which the journal refuses all operations until Repair
+// succeeds. It returns err.
 func (j *Journal) recordFailure(err error) error {
 	if err != nil && j.failure == nil {
 		j.failure = err
@@ -112,27 +113,25 @@
 
 // checkUsable returns an error if an earlier operation failed or the journal was closed.
 func (j *Journal) checkUsable() error {
-	if j.failure == nil {
+	switch {
+	case j.closed:
+		return &Error{Outcome: Closed, Path: j.options.Folder, Reason: "the journal is closed"}
+	case j.failure != nil:
+		return &Error{Outcome: Closed, Path: j.options.Folder, Reason: "an earlier operation failed", Cause: j.failure}
+	default:
 		return nil
 	}
-	return &Error{Outcome: Closed, Path: j.options.Folder, Reason: "an earlier operation failed", Cause: j.failure}
 }
 
 // replaceFile replaces a file atomically and durably: it writes and syncs a temporary file,
 // renames it and syncs the folder.
 func (j *Journal) replaceFile(path string, data []byte) error {
 	temporary := path + temporarySuffix
-	f, err := j.disk.Create(temporary)
-	if err != nil {
-		return newFileError(temporary, "create", err)
-	}
-	if err := writeAndSync(f, temporary, data); err != nil {
-		_ = f.Close()
+	if err := j.writeFile(temporary, data); err != nil {
+		// A later attempt needs the space, and a file whose sync has failed is not used again.
+		_ = j.disk.Remove(temporary)
 		return err
 	}
-	if err := f.Close(); err != nil {
-		return newFileError(temporary, "close", err)
-	}
 	if err := j.disk.Rename(temporary, path); err != nil {
 		return newFileError(path, "rename", err)
 	}
@@ -142,6 +141,22 @@
 	return nil
 }
 
+// writeFile creates a file with the data and syncs it.
+func (j *Journal) writeFile(path string, data []byte) error {
+	f, err := j.disk.Create(path)
+	if err != nil {
+		return newFileError(path, "create", err)
+	}
+	if err := writeAndSync(f, path, data); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return newFileError(path, "close", err)
+	}
+	return nil
+}
+
 func writeAndSync(f File, path string, data []byte) error {
 	if _, err := f.Write(data); err != nil {
 		return newFileError(path, "write", err)
@@ -282,5 +297,5 @@
 	if j.currentFile != nil {
 		_ = j.currentFile.Close()
 	}
-	_ = j.recordFailure(errors.New("closed"))
+	j.closed = true
 }
--- a/storage/storagetest/disk.go
+++ b/storage/storagetest/disk.go
@@ -41,11 +41,12 @@
 	names          map[string]*fakeFile // files by path, as the running process sees them
 	durable        map[string]*fakeFile // files by path, as they remain after a power loss
 	unsyncedNames  []nameChange
-	locks          map[string]bool // held locks, by path
+	locks          map[string]bool // whether a lock is held, by path; a path that is missing has no file yet
 	generation     int             // number of restarts; file handles of earlier generations fail
 	steps          int             // operations so far that could fail
 	stepsToFailure int             // operations until the one that fails; 0 means none
 	failure        error           // error of that operation
+	refusal        error           // error of every operation that writes; nil if the disk takes writes
 	crashed        bool
 }
 
@@ -65,6 +66,21 @@
 	d.stepsToFailure, d.failure = steps, failure
 }
 
+// Refuse makes every operation that writes fail until Refuse is called with nil. A write that fails
+// may write a part of the data, and a sync that fails loses the data that it covers.
+func (d *Disk) Refuse(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refusal = err
+}
+
+// Refuses reports whether the disk refuses writes.
+func (d *Disk) Refuses() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refusal != nil
+}
+
 // Steps returns the number of operations so far that could fail.
 func (d *Disk) Steps() int {
 	d.mu.Lock()
@@ -86,7 +102,9 @@
 	defer d.mu.Unlock()
 	d.generation++
 	d.crashed, d.stepsToFailure = false, 0
-	d.locks = map[string]bool{}
+	for path := range d.locks {
+		d.locks[path] = false
+	}
 	if powerLost {
 		d.losePower()
 	}
@@ -142,6 +160,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.names, d.durable, d.unsyncedNames = map[string]*fakeFile{}, map[string]*fakeFile{}, nil
+	clear(d.locks)
 }
 
 // FlipBit flips one bit of the byte at offset. It reports false if there is no such byte.
@@ -186,11 +205,11 @@
 	}
 	d.steps++
 	if d.stepsToFailure == 0 {
-		return nil
+		return d.refusal
 	}
 	d.stepsToFailure--
 	if d.stepsToFailure > 0 {
-		return nil
+		return d.refusal
 	}
 	d.crashed = errors.Is(d.failure, ErrCrashed)
 	return d.failure
@@ -332,13 +351,16 @@
 	if d.locks[path] {
 		return nil, syscall.EWOULDBLOCK
 	}
+	if _, exists := d.locks[path]; !exists && d.refusal != nil {
+		return nil, d.refusal
+	}
 	d.locks[path] = true
 	generation := d.generation
 	return func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if d.generation == generation {
-			delete(d.locks, path)
+			d.locks[path] = false
 		}
 	}, nil
 }
