control: a member whose disk is full when it opens its log waits for it

What operators see: a member that is started while its disk is full ends with "disk full" and has to be started again until there is room; a member that has to take a new identity meanwhile logs `control_start_failed` and tries again only because it still looks excluded.

Cause: opening the log writes to the folder (the vote and the newest segment are written to new files), and an error of it was final.

Change: if the disk is full, read-only or has an input/output error, an unavailableLog takes the place of the log, and the check of the membership opens it again every half second. Meanwhile the process answers health checks and its state, is not ready, and refuses everything else as not run. A wrong owner, a locked folder or missing permission still end the start with the reason. EFBIG counts as full, so that a limit on file sizes behaves like a full disk.

Shown: TestMemberWaitsForFullDisk fails before ("disk full: log: write: no space left on device" from New) and passes five times in a row.

--- a/control/control.go
+++ b/control/control.go
@@ -147,7 +147,7 @@
 	c.forwarder = newAnnouncementForwarder(c)
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
-	if err := c.openLog(); err != nil {
+	if err := c.openLogOrWait(); err != nil {
 		listener.closeAll()
 		return nil, nil, err
 	}
--- a/control/start.go
+++ b/control/start.go
@@ -14,7 +14,6 @@
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/membership"
 	"github.com/galenaslip/galenaslip/replica"
-	"github.com/galenaslip/galenaslip/storage"
 )
 
 // logFolder is the name of the replicated log's folder in the data folder.
@@ -80,10 +79,14 @@
 
 // maintainMembership keeps this process in the group until ctx ends: with a new
 // identity it asks to join, and after its removal from the group it takes a new
-// identity.
+// identity. It opens the log if that was not possible before.
 func (c *Control) maintainMembership(ctx context.Context) {
 	leaderSeenAt := c.options.Clock.Now()
 	c.options.Clock.Every(ctx, membershipCheckInterval, func() {
+		if u, ok := c.log.Load().Log.(unavailableLog); ok {
+			c.reopenLog(u)
+			return
+		}
 		status := c.log.Load().Status()
 		now := c.options.Clock.Now()
 		if status.Leader != "" {
@@ -144,12 +147,7 @@
 	previous := c.log.Load()
 	c.options.Logger.Log(event.MemberRejoining, zap.String("former", previous.Status().Identity))
 	previous.release()
-	err := replica.AbandonIdentity(storage.OSFileSystem{}, filepath.Join(c.options.Folder, logFolder))
-	if err == nil {
-		c.machine.reset()
-		err = c.openLog()
-	}
-	if err != nil {
-		c.options.Logger.Log(event.ControlStartFailed, zap.Error(err))
+	if err := c.openNewLog(true); err != nil {
+		c.waitForLog(unavailableLog{failure: err, setAside: true})
 	}
 }
--- a/storage/outcome.go
+++ b/storage/outcome.go
@@ -22,7 +22,7 @@
 	WrongOwner
 	// Locked means that another process uses the folder.
 	Locked
-	// Full means that the disk has no space left.
+	// Full means that the disk has no space left, or that a file may not become larger.
 	Full
 	// ReadOnly means that the disk or the folder cannot be written to.
 	ReadOnly
@@ -67,6 +67,23 @@
 	return Failed
 }
 
+// IsTemporary reports whether an operation that failed with the error may succeed later although
+// nobody changes the settings: the disk was full, read-only or had an input/output error.
+func IsTemporary(err error) bool {
+	var e *Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Outcome {
+	case Full:
+		return true
+	case ReadOnly:
+		return !errors.Is(e.Cause, os.ErrPermission)
+	default:
+		return errors.Is(e.Cause, syscall.EIO)
+	}
+}
+
 // newDamagedError returns an error with the outcome Damaged.
 func newDamagedError(path, format string, values ...any) error {
 	return &Error{Outcome: Damaged, Path: path, Reason: fmt.Sprintf(format, values...)}
@@ -76,7 +93,7 @@
 func newFileError(path, action string, cause error) error {
 	outcome := Failed
 	switch {
-	case errors.Is(cause, syscall.ENOSPC), errors.Is(cause, syscall.EDQUOT):
+	case errors.Is(cause, syscall.ENOSPC), errors.Is(cause, syscall.EDQUOT), errors.Is(cause, syscall.EFBIG):
 		outcome = Full
 	case errors.Is(cause, syscall.EROFS), errors.Is(cause, os.ErrPermission):
 		outcome = ReadOnly
