relay: messages without end take no memory that others need

Report of another operator: a faulty server sends bytes without end, and the machine that called it runs out of memory; other clients' requests end with it.

Seen here: each answer and head is bounded, but their sum is not, or not fairly. - Heads are not counted. 64 KiB of the smallest header fields take 620 KB in memory (measured), so that some 500 such answers fill a relay of 284 MB. The same holds for callers' heads. - One pool bounds all bodies together, and one server could take all of it: answers of sound servers then failed (502), even small ones. - The text of a refusal (`Not-Run`) was read to its end and kept. If it never ended, the request was not sent to another server, and one that must not run twice was answered 502 although it had not run.

Change: heads count in the pool beyond 8 KiB each; a holder (a server, or all callers together) gets no more than it leaves free for the others; 8 KiB of each request need no reservation; the text of a refusal and answers to other requests are discarded as they arrive, a refusal's up to 64 KiB and 50 ms. The option BodyMemory is now MessageMemory.

--- a/frame/body.go
+++ b/frame/body.go
@@ -16,7 +16,7 @@
 	maxTrailers = 8 << 10
 	// firstReserve is the size of the first part of a body for which memory is reserved, in
 	// bytes. A message that only announces a large body gets no more.
-	firstReserve = 64 << 10
+	firstReserve = 8 << 10
 )
 
 // Body reads the body of a message and detects whether it is complete. It is not safe
@@ -190,14 +190,14 @@
 // nextLine reads the next line of a chunked body: a chunk header, the line end after a
 // chunk or a trailer line. It reduces limit by the number of bytes read.
 func (b *Body) nextLine(limit *int) (string, error) {
-	nextLine, err := readLine(b.reader, limit)
+	nextLine, err := readLine(b.reader, limit, nil)
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	return nextLine, err
 }
 
-// Memory limits the memory of all bodies that are held at the same time.
+// Memory limits the memory of all messages that are held at the same time.
 type Memory interface {
 	// Reserve reserves a number of bytes and reports whether that many are left.
 	Reserve(bytes int) bool
@@ -234,6 +234,26 @@
 	}
 }
 
+// Discard reads the rest of the body and keeps nothing of it. It returns ErrTooLarge if that has
+// more than limit bytes.
+func (b *Body) Discard(limit int) error {
+	if b.Remaining() > int64(limit) {
+		return ErrTooLarge
+	}
+	buffer := make([]byte, min(limit, 4096))
+	for discarded := 0; discarded <= limit; {
+		n, err := b.Read(buffer)
+		discarded += n
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return ErrTooLarge
+}
+
 // nextCapacity returns the capacity of the memory for a body of which the given number of
 // bytes has arrived: the rest of the body if that is known and small, otherwise double.
 func (b *Body) nextCapacity(arrived, limit int) int {
--- a/frame/frame_test.go
+++ b/frame/frame_test.go
@@ -38,7 +38,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := reader(tt.text)
-			h, err := frame.ReadRequest(r, 4096)
+			h, err := frame.ReadRequest(r, 4096, nil)
 			if err == nil {
 				_, err = frame.RequestBody(r, h)
 			}
@@ -82,7 +82,7 @@
 
 // Guards against forwarding hop-by-hop header fields.
 func TestEndToEnd(t *testing.T) {
-	h, err := frame.ReadRequest(reader("GET / HTTP/1.1\r\nHost: a\r\nConnection: x-hop, close\r\nX-Hop: 1\r\nKeep-Alive: 3\r\nX-Kept: 2\r\nTE: x\r\n\r\n"), 4096)
+	h, err := frame.ReadRequest(reader("GET / HTTP/1.1\r\nHost: a\r\nConnection: x-hop, close\r\nX-Hop: 1\r\nKeep-Alive: 3\r\nX-Kept: 2\r\nTE: x\r\n\r\n"), 4096, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -97,12 +97,12 @@
 
 // Guards against buffering more of a message than the limits allow.
 func TestLimits(t *testing.T) {
-	_, err := frame.ReadRequest(reader("GET /"+strings.Repeat("a", 5000)+" HTTP/1.1\r\nHost: a\r\n\r\n"), 4096)
+	_, err := frame.ReadRequest(reader("GET /"+strings.Repeat("a", 5000)+" HTTP/1.1\r\nHost: a\r\n\r\n"), 4096, nil)
 	if !errors.Is(err, frame.ErrTooLarge) {
 		t.Errorf("head: got %v, want %v", err, frame.ErrTooLarge)
 	}
 	r := reader("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n5\r\nabcde\r\n0\r\n\r\n")
-	h, err := frame.ReadRequest(r, 4096)
+	h, err := frame.ReadRequest(r, 4096, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,7 +118,7 @@
 // responseBody reads the head of a response to a GET request and returns its body.
 func responseBody(t *testing.T, r *bufio.Reader) *frame.Body {
 	t.Helper()
-	head, err := frame.ReadResponse(r, 4096)
+	head, err := frame.ReadResponse(r, 4096, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,7 +179,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		r := reader(string(data))
-		h, err := frame.ReadResponse(r, 4096)
+		h, err := frame.ReadResponse(r, 4096, nil)
 		if err != nil {
 			return
 		}
--- a/frame/head.go
+++ b/frame/head.go
@@ -16,12 +16,21 @@
 	// ErrMalformed means that the bytes are not a valid or not an unambiguous HTTP/1
 	// message.
 	ErrMalformed = errors.New("malformed message")
-	// ErrNoMemory means that no memory is left for the body of a message.
+	// ErrNoMemory means that no memory is left for the message.
 	ErrNoMemory = errors.New("no memory is left for the message")
 	// ErrUnsupported means that the transfer encoding is not supported.
 	ErrUnsupported = errors.New("unsupported transfer encoding")
 )
 
+const (
+	// FreeHeadBytes is the memory of a head, in bytes, up to which nothing is reserved for it.
+	FreeHeadBytes = 8 << 10
+	// headReserve is the smallest part of the memory of a head that is reserved, in bytes.
+	headReserve = 4 << 10
+	// fieldBytes is the memory of a header field besides the bytes of its line.
+	fieldBytes = 96
+)
+
 // Header is one header field.
 type Header struct {
 	Name  string
@@ -128,9 +137,10 @@
 }
 
 // ReadRequest reads the head of a request. It returns ErrTooLarge if the head has more
-// than limit bytes.
-func ReadRequest(r *bufio.Reader, limit int) (Head, error) {
-	line, headers, err := readHead(r, limit)
+// than limit bytes, and ErrNoMemory if memory, unless nil, has none left for it. What was
+// reserved stays so, also after an error.
+func ReadRequest(r *bufio.Reader, limit int, memory Memory) (Head, error) {
+	line, headers, err := readHead(r, limit, memory)
 	if err != nil {
 		return Head{}, err
 	}
@@ -147,10 +157,9 @@
 	return h, nil
 }
 
-// ReadResponse reads the head of a response. It returns ErrTooLarge if the head has more
-// than limit bytes.
-func ReadResponse(r *bufio.Reader, limit int) (Head, error) {
-	line, headers, err := readHead(r, limit)
+// ReadResponse reads the head of a response. Its limits are those of ReadRequest.
+func ReadResponse(r *bufio.Reader, limit int, memory Memory) (Head, error) {
+	line, headers, err := readHead(r, limit, memory)
 	if err != nil {
 		return Head{}, err
 	}
@@ -178,14 +187,18 @@
 // readHead reads the start line and the header fields up to the empty line. It returns
 // errors of the reader unchanged, so that callers can distinguish a connection that was
 // closed between two messages from a malformed message.
-func readHead(r *bufio.Reader, limit int) (string, []Header, error) {
-	startLine, err := readLine(r, &limit)
+func readHead(r *bufio.Reader, limit int, memory Memory) (string, []Header, error) {
+	counted := &headMemory{memory: memory, reserved: FreeHeadBytes}
+	startLine, err := readLine(r, &limit, counted)
 	if err != nil {
 		return "", nil, err
 	}
 	var headers []Header
 	for {
-		line, err := readLine(r, &limit)
+		line, err := readLine(r, &limit, counted)
+		if err == nil {
+			err = counted.add(fieldBytes)
+		}
 		if err != nil {
 			return "", nil, err
 		}
@@ -201,9 +214,34 @@
 	}
 }
 
+// headMemory counts the memory of a head and reserves what exceeds FreeHeadBytes.
+type headMemory struct {
+	memory   Memory
+	used     int
+	reserved int
+}
+
+// add counts a number of bytes. It returns ErrNoMemory if no memory is left for them. A nil
+// headMemory counts nothing.
+func (m *headMemory) add(bytes int) error {
+	if m == nil || m.memory == nil {
+		return nil
+	}
+	m.used += bytes
+	if m.used <= m.reserved {
+		return nil
+	}
+	missing := max(m.used-m.reserved, headReserve)
+	if !m.memory.Reserve(missing) {
+		return ErrNoMemory
+	}
+	m.reserved += missing
+	return nil
+}
+
 // readLine reads a line that ends in CR LF and returns it without its end. It rejects
 // a bare LF or CR, and reduces limit by the number of bytes read.
-func readLine(r *bufio.Reader, limit *int) (string, error) {
+func readLine(r *bufio.Reader, limit *int, memory *headMemory) (string, error) {
 	var line []byte
 	for {
 		part, err := r.ReadSlice('\n')
@@ -211,6 +249,9 @@
 		if *limit < 0 {
 			return "", ErrTooLarge
 		}
+		if memoryErr := memory.add(len(part)); memoryErr != nil {
+			return "", memoryErr
+		}
 		if err == nil && line == nil {
 			line = part // most lines are complete in the buffer: no copy
 			break
--- a/frame/property_test.go
+++ b/frame/property_test.go
@@ -57,7 +57,7 @@
 			data = message[:cut]
 		}
 		r := bufio.NewReaderSize(&fragmentReader{data: data, sizes: rapid.SliceOf(rapid.IntRange(1, 64)).Draw(t, "sizes")}, 16)
-		h, err := frame.ReadResponse(r, 4096)
+		h, err := frame.ReadResponse(r, 4096, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -48,6 +48,9 @@
 const (
 	maxResponseHead = 64 << 10
 	maxResponseBody = 16 << 20
+	// maxDiscardedBody and discardTimeout bound what is read of a body that is not needed.
+	maxDiscardedBody = 64 << 10
+	discardTimeout   = 50 * clock.Millisecond
 	// maxStrayResponses is the number of responses to other requests that an attempt
 	// skips before it fails.
 	maxStrayResponses = 2
@@ -252,7 +255,7 @@
 func (a *attempt) findHead(conn *serverConn) (head frame.Head, strays int, err error) {
 	x := a.exchange
 	for {
-		head, err = readFinalHead(conn)
+		head, err = a.readFinalHead(conn)
 		if err != nil {
 			return head, strays, err
 		}
@@ -291,15 +294,27 @@
 	if body.EndsWithConnection() {
 		return errors.New("server sent a response to another request that ends with the connection")
 	}
-	_, err = body.ReadAll(maxResponseBody, &a.exchange.memory)
-	return err
+	return body.Discard(maxResponseBody)
 }
 
+// discardBody reads the body of a response that is not needed, so that the connection can be used
+// again. It gives up a long or slow body, and with it the connection.
+func (a *attempt) discardBody() {
+	x := a.exchange
+	_ = a.conn.SetReadDeadline(x.relay.clock.Deadline(discardTimeout))
+	if err := a.body.Discard(maxDiscardedBody); err != nil {
+		a.reusable = false
+	}
+}
+
+// memory returns the memory for the response.
+func (a *attempt) memory() messageMemory { return a.exchange.memory.of(&a.server.memory) }
+
 // readFinalHead reads the head of a response. It skips informational responses, up to a
 // limit.
-func readFinalHead(conn *serverConn) (frame.Head, error) {
+func (a *attempt) readFinalHead(conn *serverConn) (frame.Head, error) {
 	for range maxInterimResponses {
-		head, err := frame.ReadResponse(conn.reader, maxResponseHead)
+		head, err := frame.ReadResponse(conn.reader, maxResponseHead, a.memory())
 		if err != nil || head.Status >= 200 {
 			return head, err
 		}
@@ -310,7 +325,7 @@
 // readBody reads the body of a response that is not streamed. It reports whether
 // the body is complete.
 func (a *attempt) readBody() ([]byte, bool) {
-	data, err := a.body.ReadAll(maxResponseBody, &a.exchange.memory)
+	data, err := a.body.ReadAll(maxResponseBody, a.memory())
 	if err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
--- a/relay/broken_stream_test.go
+++ b/relay/broken_stream_test.go
@@ -74,7 +74,7 @@
 // takes the end of the connection for the end of the body.
 func readBody(t *testing.T, c *client) (string, error) {
 	t.Helper()
-	head, err := frame.ReadResponse(c.reader, 1<<16)
+	head, err := frame.ReadResponse(c.reader, 1<<16, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -209,9 +209,9 @@
 	c.receiving, c.served = true, true
 	c.setReadDeadline(limits.HeaderTimeout)
 	c.mu.Unlock()
-	req := request{arrivedAt: c.relay.clock.Now(), memory: reservation{pool: &c.relay.bodyMemory}}
+	req := request{arrivedAt: c.relay.clock.Now(), memory: reservation{pool: &c.relay.messageMemory}}
 	var err error
-	req.head, err = frame.ReadRequest(c.reader, limits.HeaderBytes)
+	req.head, err = frame.ReadRequest(c.reader, limits.HeaderBytes, req.memory.of(&c.relay.callerMemory))
 	if err != nil {
 		return c.refuseUnreadable(req, err, statusHeaderTooLarge)
 	}
@@ -241,7 +241,7 @@
 		}
 	}
 	var err error
-	req.body, err = body.ReadAll(limit, &req.memory)
+	req.body, err = body.ReadAll(limit, req.memory.of(&c.relay.callerMemory))
 	return err
 }
 
--- a/relay/cut_answer_test.go
+++ b/relay/cut_answer_test.go
@@ -32,7 +32,7 @@
 	s.t.Helper()
 	c := s.client()
 	c.get(path, "1")
-	head, err := frame.ReadResponse(c.reader, 1<<16)
+	head, err := frame.ReadResponse(c.reader, 1<<16, nil)
 	if err != nil {
 		return head, "", err
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/continuation"
@@ -61,7 +63,7 @@
 	lastFailure   *fullResponse // newest failure for which a server sent a response
 	out           output
 	position      streamPosition       // of the caller, if the response is streamed
-	memory        reservation          // for the bodies of responses
+	memory        reservation          // for the responses of servers
 	origin        *continuation.Origin // of the stream; nil before its first event
 	recordedAt    clock.Millis         // when the origin was recorded last
 	partIDs       []string             // IDs of the parts of the prompt
@@ -80,11 +82,11 @@
 
 func newExchange(c *callerConn, req request) *exchange {
 	return &exchange{
-		relay: c.relay, caller: c, request: req, memory: reservation{pool: &c.relay.bodyMemory}, serverEnded: &atomic.Bool{},
+		relay: c.relay, caller: c, request: req, memory: reservation{pool: &c.relay.messageMemory}, serverEnded: &atomic.Bool{},
 	}
 }
 
-// releaseMemory releases the memory of the bodies of the request and its responses.
+// releaseMemory releases the memory of the request and its responses.
 func (x *exchange) releaseMemory() {
 	x.request.memory.release()
 	x.memory.release()
@@ -307,18 +309,16 @@
 // caller, unless it is a failure after which the request may be sent again. Its
 // results are those of makeAttempt.
 func (x *exchange) forwardResponse(a *attempt) (keepOpen, done bool) {
+	if a.responseInfo.NotRun {
+		a.setResult(lo.Ternary(a.head.Status == statusMisdirected, resultWrongServer, resultNotRun), nil)
+		a.discardBody()
+		return false, false
+	}
 	body, ok := a.readBody()
 	if !ok {
 		return x.afterFailure(a)
 	}
-	switch {
-	case a.responseInfo.NotRun && a.head.Status == statusMisdirected:
-		a.setResult(resultWrongServer, nil)
-		return false, false
-	case a.responseInfo.NotRun:
-		a.setResult(resultNotRun, nil)
-		return false, false
-	case a.head.Status >= 500 || guaranteesNotRun(a.head.Status) || x.out.headSent: // no other status resumes a stream
+	if a.head.Status >= 500 || guaranteesNotRun(a.head.Status) || x.out.headSent { // no other status resumes a stream
 		x.possibleRuns++
 		a.setResult(resultFailed, nil)
 		x.lastFailure = &fullResponse{attempt: a, body: body}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -106,7 +106,7 @@
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
 	for {
-		head, err := frame.ReadRequest(r, 1<<16)
+		head, err := frame.ReadRequest(r, 1<<16, nil)
 		if err != nil {
 			return
 		}
@@ -322,7 +322,7 @@
 // read reads a response. The error is that of reading its head or its body.
 func (c *client) read() (frame.Head, string, error) {
 	c.t.Helper()
-	head, err := frame.ReadResponse(c.reader, 1<<16)
+	head, err := frame.ReadResponse(c.reader, 1<<16, nil)
 	if err != nil {
 		return head, "", err
 	}
--- a/relay/hostile_test.go
+++ b/relay/hostile_test.go
@@ -247,13 +247,13 @@
 
 // Guards against answers that use up the memory of the VM together: one that finds none left
 // ends as a failure, and its memory is free again afterwards.
-func TestBodyMemory(t *testing.T) {
+func TestMessageMemory(t *testing.T) {
 	const size = 1 << 20
 	large := strings.Repeat("x", size)
 	b := newBackend(t, func(req receivedRequest) {
 		respondOK(req, large[:len(large)>>min(3, strings.Count(req.head.Target, "h"))])
 	})
-	s := newFixtureWith(t, func(o *relay.Options) { o.BodyMemory = size / 2 }, b)
+	s := newFixtureWith(t, func(o *relay.Options) { o.MessageMemory = size / 2 }, b)
 	// The memory of a request is released after its response was written. On one connection
 	// the next request is handled after that.
 	c := s.client()
--- a/relay/kept_connection_test.go
+++ b/relay/kept_connection_test.go
@@ -49,7 +49,7 @@
 // readStatus reads the response to a request with the given method and returns its status.
 func readStatus(t *testing.T, c *client, method string) int {
 	t.Helper()
-	head, err := frame.ReadResponse(c.reader, 1<<16)
+	head, err := frame.ReadResponse(c.reader, 1<<16, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -233,7 +233,7 @@
 		defer func() { _ = conn.Close() }()
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		ready <- struct{}{}
-		_, err = frame.ReadRequest(bufio.NewReader(conn), 1<<16)
+		_, err = frame.ReadRequest(bufio.NewReader(conn), 1<<16, nil)
 		arrived <- err == nil
 	}()
 	c := newFixtureWith(t, func(o *relay.Options) { o.Protocol = waitingProtocol{ready: ready} }, &backend{listener: listener}).client()
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -110,7 +110,7 @@
 	s = newFixture(t, newBackend(t, answer), newBackend(t, answer))
 	c := s.client()
 	c.ask("system session", "1")
-	answerHead, err := frame.ReadResponse(c.reader, 1<<16)
+	answerHead, err := frame.ReadResponse(c.reader, 1<<16, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,8 +41,8 @@
 	// denialFreshness is how recently the leader must have confirmed the catalog for a request
 	// to be denied by it: a newer one may have the route or the key.
 	denialFreshness = 1500 * clock.Millisecond
-	// defaultBodyMemory is the default of Options.BodyMemory.
-	defaultBodyMemory = 64 << 20
+	// defaultMessageMemory is the default of Options.MessageMemory.
+	defaultMessageMemory = 64 << 20
 	// periodicCheckInterval is the time between two calls of runPeriodicChecks.
 	periodicCheckInterval = 250 * clock.Millisecond
 )
@@ -70,9 +70,9 @@
 	// StreamOrigins holds the origins of streams; when nil, the relay knows those of its own streams
 	// alone.
 	StreamOrigins StreamOrigins
-	// BodyMemory bounds the memory of all bodies that are held at the same time, in bytes;
-	// defaultBodyMemory when 0.
-	BodyMemory int
+	// MessageMemory bounds the memory of all messages that are held at the same time, in bytes;
+	// defaultMessageMemory when 0.
+	MessageMemory int
 }
 
 // Relay is a running relay. Its exported methods are safe for concurrent use.
@@ -91,12 +91,13 @@
 
 	durations *forecast.Durations // of requests that were answered
 
-	quarantine  *quarantine.Quarantine
-	limiter     *ratelimit.Limiter
-	origins     StreamOrigins
-	versions    versionTable
-	bodyMemory  memoryPool    // for the bodies of requests and responses
-	acceptEnded chan struct{} // closed when no more connections are accepted
+	quarantine    *quarantine.Quarantine
+	limiter       *ratelimit.Limiter
+	origins       StreamOrigins
+	versions      versionTable
+	messageMemory memoryPool    // for requests and responses
+	callerMemory  memoryHolder  // for requests; guarded by the lock of the pool
+	acceptEnded   chan struct{} // closed when no more connections are accepted
 
 	mu    sync.Mutex // guards conns
 	conns map[*callerConn]struct{}
@@ -124,7 +125,7 @@
 	if r.quarantine == nil {
 		r.quarantine = quarantine.New(quarantine.Options{Entry: options.Name})
 	}
-	r.bodyMemory.limit = int64(lo.CoalesceOrEmpty(options.BodyMemory, defaultBodyMemory))
+	r.messageMemory.limit = int64(lo.CoalesceOrEmpty(options.MessageMemory, defaultMessageMemory))
 	if options.Limits == nil {
 		options.Limits = ratelimit.NewLimits()
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -261,7 +261,7 @@
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
 	for {
-		head, err := frame.ReadRequest(r, 1<<16)
+		head, err := frame.ReadRequest(r, 1<<16, nil)
 		if errors.Is(err, frame.ErrMalformed) {
 			unexpected <- "no request"
 		}
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -103,7 +103,7 @@
 			return err
 		case len(pending) > maxEventBytes:
 			return errors.Errorf("stream event is larger than %d bytes", maxEventBytes)
-		case len(pending) > reserved && !x.memory.Reserve(len(pending)):
+		case len(pending) > reserved && !a.memory().Reserve(len(pending)):
 			return frame.ErrNoMemory
 		case len(pending) > reserved:
 			reserved += len(pending)
