platform: calls of a member that never end take a bounded part of its memory

Cause, the same as in the relay: each call's body was bounded (16 MiB, for announcements too), their number and their sum were not, and a caller that stopped sending held its connection for ever. By arithmetic, 18 calls fill a member of 280 MB.

The pool and ReadAll move from relay and frame to package memory, so that both use one copy.

--- a/control/control.go
+++ b/control/control.go
@@ -20,10 +20,10 @@
 	"github.com/galenaslip/galenaslip/replica"
 )
 
-// maxBody is the largest request or response body in bytes. The largest message
-// is a snapshot whose claims have reached their limit of 64 MiB; base64 makes it
-// a third larger.
-const maxBody = 128 << 20
+// maxBody is the largest request or response body in bytes. The largest messages
+// are a log entry with a command of replica.MaxCommandBytes, which base64 makes a
+// third larger, and the list of 12,000 servers. Snapshots are sent in parts.
+const maxBody = 16 << 20
 
 // Options are the settings of a control process.
 type Options struct {
--- a/frame/body.go
+++ b/frame/body.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/memory"
 )
 
 const (
@@ -14,9 +16,6 @@
 	maxChunkLine = 1024
 	// maxTrailers is the largest size of all trailer lines of a body together, in bytes.
 	maxTrailers = 8 << 10
-	// firstReserve is the size of the first part of a body for which memory is reserved, in
-	// bytes. A message that only announces a large body gets no more.
-	firstReserve = 8 << 10
 )
 
 // Body reads the body of a message and detects whether it is complete. It is not safe
@@ -197,41 +196,9 @@
 	return nextLine, err
 }
 
-// Memory limits the memory of all messages that are held at the same time.
-type Memory interface {
-	// Reserve reserves a number of bytes and reports whether that many are left.
-	Reserve(bytes int) bool
-}
-
-// ReadAll reads the rest of the body. It returns ErrTooLarge if that has more than
-// limit bytes, and ErrNoMemory if memory, unless nil, has none left for it. What was
-// reserved stays so, also after an error.
-func (b *Body) ReadAll(limit int, memory Memory) ([]byte, error) {
-	if n := b.Remaining(); n > int64(limit) {
-		return nil, ErrTooLarge
-	}
-	var data []byte
-	buffer := make([]byte, 4096)
-	for {
-		n, err := b.Read(buffer)
-		if len(data)+n > limit {
-			return nil, ErrTooLarge
-		}
-		if len(data)+n > cap(data) {
-			size := b.nextCapacity(len(data)+n, limit)
-			if memory != nil && !memory.Reserve(size-cap(data)) {
-				return nil, ErrNoMemory
-			}
-			data = append(make([]byte, 0, size), data...)
-		}
-		data = append(data, buffer[:n]...)
-		if errors.Is(err, io.EOF) {
-			return data, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
+// ReadAll reads the rest of the body; see memory.ReadAll.
+func (b *Body) ReadAll(limit int, budget memory.Budget) ([]byte, error) {
+	return memory.ReadAll(b, b.Remaining(), limit, budget)
 }
 
 // Discard reads the rest of the body and keeps nothing of it. It returns ErrTooLarge if that has
@@ -240,28 +207,7 @@
 	if b.Remaining() > int64(limit) {
 		return ErrTooLarge
 	}
-	buffer := make([]byte, min(limit, 4096))
-	for discarded := 0; discarded <= limit; {
-		n, err := b.Read(buffer)
-		discarded += n
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return ErrTooLarge
-}
-
-// nextCapacity returns the capacity of the memory for a body of which the given number of
-// bytes has arrived: the rest of the body if that is known and small, otherwise double.
-func (b *Body) nextCapacity(arrived, limit int) int {
-	capacity := max(2*arrived, min(firstReserve, limit))
-	if rest := b.Remaining(); rest >= 0 {
-		capacity = min(capacity, arrived+int(rest))
-	}
-	return min(capacity, limit)
+	return memory.Discard(b, limit)
 }
 
 // AppendChunk appends the data as one chunk to b and returns the result. Empty data
--- a/frame/head.go
+++ b/frame/head.go
@@ -7,17 +7,19 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/memory"
 )
 
 // Errors of parsing a message.
 var (
 	// ErrTooLarge means that a head or a body exceeds its limit.
-	ErrTooLarge = errors.New("message is larger than allowed")
+	ErrTooLarge = memory.ErrTooLarge
 	// ErrMalformed means that the bytes are not a valid or not an unambiguous HTTP/1
 	// message.
 	ErrMalformed = errors.New("malformed message")
 	// ErrNoMemory means that no memory is left for the message.
-	ErrNoMemory = errors.New("no memory is left for the message")
+	ErrNoMemory = memory.ErrNoMemory
 	// ErrUnsupported means that the transfer encoding is not supported.
 	ErrUnsupported = errors.New("unsupported transfer encoding")
 )
@@ -137,10 +139,10 @@
 }
 
 // ReadRequest reads the head of a request. It returns ErrTooLarge if the head has more
-// than limit bytes, and ErrNoMemory if memory, unless nil, has none left for it. What was
+// than limit bytes, and ErrNoMemory if the budget, unless nil, has none left for it. What was
 // reserved stays so, also after an error.
-func ReadRequest(r *bufio.Reader, limit int, memory Memory) (Head, error) {
-	line, headers, err := readHead(r, limit, memory)
+func ReadRequest(r *bufio.Reader, limit int, budget memory.Budget) (Head, error) {
+	line, headers, err := readHead(r, limit, budget)
 	if err != nil {
 		return Head{}, err
 	}
@@ -158,8 +160,8 @@
 }
 
 // ReadResponse reads the head of a response. Its limits are those of ReadRequest.
-func ReadResponse(r *bufio.Reader, limit int, memory Memory) (Head, error) {
-	line, headers, err := readHead(r, limit, memory)
+func ReadResponse(r *bufio.Reader, limit int, budget memory.Budget) (Head, error) {
+	line, headers, err := readHead(r, limit, budget)
 	if err != nil {
 		return Head{}, err
 	}
@@ -187,8 +189,8 @@
 // readHead reads the start line and the header fields up to the empty line. It returns
 // errors of the reader unchanged, so that callers can distinguish a connection that was
 // closed between two messages from a malformed message.
-func readHead(r *bufio.Reader, limit int, memory Memory) (string, []Header, error) {
-	counted := &headMemory{memory: memory, reserved: FreeHeadBytes}
+func readHead(r *bufio.Reader, limit int, budget memory.Budget) (string, []Header, error) {
+	counted := &headMemory{budget: budget, reserved: FreeHeadBytes}
 	startLine, err := readLine(r, &limit, counted)
 	if err != nil {
 		return "", nil, err
@@ -216,7 +218,7 @@
 
 // headMemory counts the memory of a head and reserves what exceeds FreeHeadBytes.
 type headMemory struct {
-	memory   Memory
+	budget   memory.Budget
 	used     int
 	reserved int
 }
@@ -224,7 +226,7 @@
 // add counts a number of bytes. It returns ErrNoMemory if no memory is left for them. A nil
 // headMemory counts nothing.
 func (m *headMemory) add(bytes int) error {
-	if m == nil || m.memory == nil {
+	if m == nil || m.budget == nil {
 		return nil
 	}
 	m.used += bytes
@@ -232,7 +234,7 @@
 		return nil
 	}
 	missing := max(m.used-m.reserved, headReserve)
-	if !m.memory.Reserve(missing) {
+	if !m.budget.Reserve(missing) {
 		return ErrNoMemory
 	}
 	m.reserved += missing
@@ -241,7 +243,7 @@
 
 // readLine reads a line that ends in CR LF and returns it without its end. It rejects
 // a bare LF or CR, and reduces limit by the number of bytes read.
-func readLine(r *bufio.Reader, limit *int, memory *headMemory) (string, error) {
+func readLine(r *bufio.Reader, limit *int, counted *headMemory) (string, error) {
 	var line []byte
 	for {
 		part, err := r.ReadSlice('\n')
@@ -249,7 +251,7 @@
 		if *limit < 0 {
 			return "", ErrTooLarge
 		}
-		if memoryErr := memory.add(len(part)); memoryErr != nil {
+		if memoryErr := counted.add(len(part)); memoryErr != nil {
 			return "", memoryErr
 		}
 		if err == nil && line == nil {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/memory"
 	"github.com/galenaslip/galenaslip/quarantine"
 )
 
@@ -308,7 +309,7 @@
 }
 
 // memory returns the memory for the response.
-func (a *attempt) memory() messageMemory { return a.exchange.memory.of(&a.server.memory) }
+func (a *attempt) memory() memory.Share { return a.exchange.memory.Of(&a.server.answers) }
 
 // readFinalHead reads the head of a response. It skips informational responses, up to a
 // limit.
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/frame"
+	"github.com/galenaslip/galenaslip/memory"
 	"github.com/galenaslip/galenaslip/pace"
 )
 
@@ -38,7 +39,7 @@
 	hasBody   bool // the caller declared a body, even an empty one
 	arrivedAt clock.Millis
 	refusal   *refusal // set if the request could not be read
-	memory    reservation
+	memory    memory.Reservation
 }
 
 // callerConn is a caller's connection. serve and readLoop each run in a goroutine
@@ -186,13 +187,13 @@
 		}
 		req, err := c.readRequest()
 		if err != nil {
-			req.memory.release()
+			req.memory.Release()
 			return
 		}
 		select {
 		case c.requests <- req:
 		case <-c.done:
-			req.memory.release()
+			req.memory.Release()
 			return
 		}
 		if req.refusal != nil {
@@ -209,9 +210,9 @@
 	c.receiving, c.served = true, true
 	c.setReadDeadline(limits.HeaderTimeout)
 	c.mu.Unlock()
-	req := request{arrivedAt: c.relay.clock.Now(), memory: reservation{pool: &c.relay.messageMemory}}
+	req := request{arrivedAt: c.relay.clock.Now(), memory: c.relay.messageMemory.Begin()}
 	var err error
-	req.head, err = frame.ReadRequest(c.reader, limits.HeaderBytes, req.memory.of(&c.relay.callerMemory))
+	req.head, err = frame.ReadRequest(c.reader, limits.HeaderBytes, req.memory.Of(&c.relay.callers))
 	if err != nil {
 		return c.refuseUnreadable(req, err, statusHeaderTooLarge)
 	}
@@ -241,7 +242,7 @@
 		}
 	}
 	var err error
-	req.body, err = body.ReadAll(limit, req.memory.of(&c.relay.callerMemory))
+	req.body, err = body.ReadAll(limit, req.memory.Of(&c.relay.callers))
 	return err
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/forecast"
+	"github.com/galenaslip/galenaslip/memory"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
 )
@@ -63,7 +64,7 @@
 	lastFailure   *fullResponse // newest failure for which a server sent a response
 	out           output
 	position      streamPosition       // of the caller, if the response is streamed
-	memory        reservation          // for the responses of servers
+	memory        memory.Reservation   // for the responses of servers
 	origin        *continuation.Origin // of the stream; nil before its first event
 	recordedAt    clock.Millis         // when the origin was recorded last
 	partIDs       []string             // IDs of the parts of the prompt
@@ -82,14 +83,14 @@
 
 func newExchange(c *callerConn, req request) *exchange {
 	return &exchange{
-		relay: c.relay, caller: c, request: req, memory: reservation{pool: &c.relay.messageMemory}, serverEnded: &atomic.Bool{},
+		relay: c.relay, caller: c, request: req, memory: c.relay.messageMemory.Begin(), serverEnded: &atomic.Bool{},
 	}
 }
 
 // releaseMemory releases the memory of the request and its responses.
 func (x *exchange) releaseMemory() {
-	x.request.memory.release()
-	x.memory.release()
+	x.request.memory.Release()
+	x.memory.Release()
 }
 
 // run handles the request and reports whether the caller's connection stays open.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -81,7 +81,7 @@
 		"servers_paused":    float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.PauseLeft > 0 && !v.gone() })),
 		"parts_suspect":     float64(len(s.Suspects)),
 		"parts_quarantined": float64(lo.CountBy(s.Suspects, func(v quarantine.Suspect) bool { return v.Quarantined })),
-		"message_bytes":     float64(g.relay.messageMemory.inUse()),
+		"message_bytes":     float64(g.relay.messageMemory.InUse()),
 		"log_lines_lost":    float64(g.relay.options.Logger.DroppedLines()),
 	} {
 		description := prometheus.NewDesc("galenaslip_relay_"+name, "See docs/metrics.md.", nil, nil)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/forecast"
+	"github.com/galenaslip/galenaslip/memory"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
 )
@@ -95,8 +96,8 @@
 	limiter       *ratelimit.Limiter
 	origins       StreamOrigins
 	versions      versionTable
-	messageMemory memoryPool    // for requests and responses
-	callerMemory  memoryHolder  // for requests; guarded by the lock of the pool
+	messageMemory *memory.Pool  // for requests and responses
+	callers       memory.Source // of requests
 	acceptEnded   chan struct{} // closed when no more connections are accepted
 
 	mu    sync.Mutex // guards conns
@@ -125,7 +126,7 @@
 	if r.quarantine == nil {
 		r.quarantine = quarantine.New(quarantine.Options{Entry: options.Name})
 	}
-	r.messageMemory.limit = int64(lo.CoalesceOrEmpty(options.MessageMemory, defaultMessageMemory))
+	r.messageMemory = memory.NewPool(lo.CoalesceOrEmpty(options.MessageMemory, defaultMessageMemory))
 	if options.Limits == nil {
 		options.Limits = ratelimit.NewLimits()
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
 	"github.com/galenaslip/galenaslip/withdrawal"
@@ -69,7 +70,7 @@
 	wrongServer                   bool           // a server with another name answers at the address
 	sendsIDs                      atomic.Bool    // a response has carried the ID of its request; not guarded by the lock
 	recentStreams                 []recentStream // streams that have begun here within announcementDelay, oldest first
-	memory                        memoryHolder   // for its answers; guarded by the lock of the pool
+	answers                       memory.Source
 	withdrawal                    withdrawal.State
 	formerWithdrawal              withdrawal.State // that of the run before, in case the record of the present run was wrong
 }
