engine: answers without end share one bounded memory, and a refusal counts whatever its text

Cause, as in the relay: each response was bounded (16 MiB, an event 1 MiB), not their sum, and the text of a refusal was read to its end before its header counted. A call refused with a text that never ends was reported as one that may have run.

Change: responses and events that are being read take their memory from one pool (64 MiB), with the servers as sources. Of a refusal's text 64 KiB are read; one that is longer is left out, one that breaks off still is no refusal, as TestCutAnswerIsNoAnswer asks. The relay makes the same difference now.

What remains: an answer that was read is not counted while the entry forwards or records it, and bodies of callers of the entry are bounded each (BodyBytes), not together.

Shown: before, TestRefusalWithoutEnd gets "malformed: body exceeds bytes", and in TestAnswersWithoutEndLeaveMemory all 40 answers are read up to their own limits.

--- a/engine/call.go
+++ b/engine/call.go
@@ -35,14 +35,15 @@
 		return Answer{}, failure
 	}
 	defer e.close()
-	body, failure := e.readBody()
+	answer := Answer{Status: e.response.StatusCode(), Headers: endToEndHeaders(e.response)}
+	if answer.Status == fasthttp.StatusServiceUnavailable && e.statesNotRun() {
+		return answer, refusedFailure(e, answer.Status)
+	}
+	body, failure := e.readBody(c.options.MaxBodyBytes)
 	if failure != nil {
 		return Answer{}, failure
 	}
-	answer := Answer{Status: e.response.StatusCode(), Headers: endToEndHeaders(e.response), Body: body}
-	if answer.Status == fasthttp.StatusServiceUnavailable && e.statesNotRun() {
-		return answer, &Failure{Kind: Refused, Address: r.Address, Status: answer.Status, Body: body, NotRun: true}
-	}
+	answer.Body = body
 	return answer, nil
 }
 
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory"
 	"github.com/galenaslip/galenaslip/stream"
 )
 
@@ -78,13 +79,15 @@
 		return nil, refusedFailure(e, status)
 	}
 	e.conn.readTimeout.Store(int64(c.options.ReadTimeout))
-	return &Stream{exchange: e, reader: stream.NewReader(e.response.BodyStream(), c.options.MaxEventBytes)}, nil
+	reader := stream.NewReader(e.response.BodyStream(), c.options.MaxEventBytes).WithBudget(e.memory.Of(e.source))
+	return &Stream{exchange: e, reader: reader}, nil
 }
 
-// refusedFailure returns the Failure for a response with an error status.
+// refusedFailure returns the Failure for a response with an error status. A text that is too long is
+// left out, but a response that breaks off is none.
 func refusedFailure(e *exchange, status int) *Failure {
-	body, failure := e.readBody()
-	if failure != nil {
+	body, failure := e.readBody(maxRefusalBytes)
+	if failure != nil && failure.Kind != Malformed {
 		return failure
 	}
 	return &Failure{
@@ -107,7 +110,7 @@
 	case errors.Is(err, io.EOF):
 		s.exchange.bodyRead = true
 		return e, io.EOF
-	case errors.Is(err, stream.ErrEventTooLarge):
+	case errors.Is(err, stream.ErrEventTooLarge), errors.Is(err, memory.ErrNoMemory):
 		return e, &Failure{Kind: Malformed, Address: s.exchange.address, Cause: err}
 	}
 	return e, classifyError(s.exchange.address, s.exchange.conn, err)
--- a/engine/client.go
+++ b/engine/client.go
@@ -4,12 +4,12 @@
 	"bufio"
 	"cmp"
 	"context"
-	"io"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory"
 )
 
 // Header names of the protocol.
@@ -32,8 +32,12 @@
 	DefaultPoolSize        = 256
 	DefaultMaxBodyBytes    = 16 << 20
 	DefaultMaxEventBytes   = 1 << 20
+	DefaultMemoryBytes     = 64 << 20
 )
 
+// maxRefusalBytes bounds what is read of the text of a refusal.
+const maxRefusalBytes = 64 << 10
+
 // Options configure a Client. Zero values select the defaults.
 type Options struct {
 	Clock           clock.Clock
@@ -43,6 +47,7 @@
 	PoolSize        int          // idle connections kept for each address
 	MaxBodyBytes    int          // largest response body, in bytes
 	MaxEventBytes   int          // largest server-sent event, in bytes
+	MemoryBytes     int          // memory of all responses that are read at the same time, in bytes
 }
 
 func (o Options) withDefaults() Options {
@@ -52,6 +57,7 @@
 	o.PoolSize = cmp.Or(o.PoolSize, DefaultPoolSize)
 	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
 	o.MaxEventBytes = cmp.Or(o.MaxEventBytes, DefaultMaxEventBytes)
+	o.MemoryBytes = cmp.Or(o.MemoryBytes, DefaultMemoryBytes)
 	return o
 }
 
@@ -59,12 +65,13 @@
 type Client struct {
 	options Options
 	pool    *pool
+	memory  *responseMemory
 }
 
 // New returns a client and a function that closes its idle connections.
 func New(options Options) (*Client, func()) {
 	options = options.withDefaults()
-	c := &Client{options: options, pool: newPool(options)}
+	c := &Client{options: options, pool: newPool(options), memory: newResponseMemory(options.MemoryBytes)}
 	return c, c.pool.close
 }
 
@@ -116,6 +123,8 @@
 	response     *fasthttp.Response
 	stopWatching func() bool // stops watching the context; false if it has ended already
 	bodyRead     bool        // the body was read to its end
+	memory       memory.Reservation
+	source       *memory.Source // the server, as a source of responses
 }
 
 // open sends a request and reads the response header. The connection is closed when ctx
@@ -134,6 +143,7 @@
 		return nil, classifyError(r.Address, conn, err)
 	}
 	e := &exchange{client: c, address: r.Address, id: id, conn: conn, response: response, stopWatching: stopWatching}
+	e.memory, e.source = c.memory.begin(r.Address)
 	if conn.reused && !e.hasOwnID() {
 		e.close()
 		return nil, &Failure{Kind: Malformed, Address: r.Address, Cause: errors.New("the answer is not marked as that to this call")}
@@ -193,21 +203,22 @@
 	return w.Flush()
 }
 
-// readBody returns the rest of the body. A body above the client's limit is an error.
-func (e *exchange) readBody() ([]byte, *Failure) {
+// readBody returns the rest of the body. A body above the limit, or for which no memory is left, is
+// an error.
+func (e *exchange) readBody(limit int) ([]byte, *Failure) {
 	// HEAD, 204 and 304 have no body.
 	if e.response.BodyStream() == nil {
 		e.bodyRead = true
 		return nil, nil
 	}
-	limit := int64(e.client.options.MaxBodyBytes)
-	body, err := io.ReadAll(io.LimitReader(e.response.BodyStream(), limit+1))
-	if err != nil {
+	const unknownLength = -1
+	body, err := memory.ReadAll(e.response.BodyStream(), unknownLength, limit, e.memory.Of(e.source))
+	switch {
+	case errors.Is(err, memory.ErrTooLarge), errors.Is(err, memory.ErrNoMemory):
+		return nil, &Failure{Kind: Malformed, Address: e.address, Cause: err}
+	case err != nil:
 		return nil, classifyError(e.address, e.conn, err)
 	}
-	if int64(len(body)) > limit {
-		return nil, &Failure{Kind: Malformed, Address: e.address, Cause: errors.Errorf("body exceeds %d bytes", limit)}
-	}
 	e.bodyRead = true
 	return body, nil
 }
@@ -218,6 +229,7 @@
 	notCancelled := e.stopWatching()
 	reusable := notCancelled && e.bodyRead && e.hasOwnID() && !e.response.ConnectionClose()
 	_ = e.response.CloseBodyStream()
+	e.client.memory.end(e.address, &e.memory)
 	if reusable {
 		e.client.pool.put(poolKey{e.address, e.id != ""}, e.conn)
 		return
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -299,13 +300,16 @@
 }
 
 // discardBody reads the body of a response that is not needed, so that the connection can be used
-// again. It gives up a long or slow body, and with it the connection.
-func (a *attempt) discardBody() {
-	x := a.exchange
-	_ = a.conn.SetReadDeadline(x.relay.clock.Deadline(discardTimeout))
-	if err := a.body.Discard(maxDiscardedBody); err != nil {
-		a.reusable = false
+// again. It gives up a long or slow body, and with it the connection, and returns an error only for
+// one that breaks off.
+func (a *attempt) discardBody() error {
+	_ = a.conn.SetReadDeadline(a.exchange.relay.clock.Deadline(discardTimeout))
+	err := a.body.Discard(maxDiscardedBody)
+	var timeout net.Error
+	if errors.Is(err, frame.ErrTooLarge) || errors.As(err, &timeout) && timeout.Timeout() {
+		return nil
 	}
+	return err
 }
 
 // memory returns the memory for the response.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -311,8 +311,11 @@
 // results are those of makeAttempt.
 func (x *exchange) forwardResponse(a *attempt) (keepOpen, done bool) {
 	if a.responseInfo.NotRun {
+		if err := a.discardBody(); err != nil {
+			a.failAfterSend(err)
+			return x.afterFailure(a)
+		}
 		a.setResult(lo.Ternary(a.head.Status == statusMisdirected, resultWrongServer, resultNotRun), nil)
-		a.discardBody()
 		return false, false
 	}
 	body, ok := a.readBody()
--- a/stream/reader.go
+++ b/stream/reader.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenaslip/galenaslip/memory"
 )
 
 // Done is the data of the event that ends a complete stream.
@@ -30,7 +32,9 @@
 	line          []byte
 	data          []byte
 	name          string
-	hasData       bool // the current event has a data field
+	hasData       bool          // the current event has a data field
+	budget        memory.Budget // for the largest event so far; nil if it is not bounded
+	reserved      int           // bytes
 }
 
 // NewReader returns a reader that returns ErrEventTooLarge for events larger than
@@ -39,6 +43,26 @@
 	return &Reader{source: bufio.NewReader(source), maxEventBytes: maxEventBytes}
 }
 
+// WithBudget returns the reader with a budget for its memory. It returns memory.ErrNoMemory for an
+// event that finds none.
+func (r *Reader) WithBudget(b memory.Budget) *Reader {
+	r.budget = b
+	return r
+}
+
+// reserve reserves the memory of the current event.
+func (r *Reader) reserve() error {
+	missing := cap(r.line) + cap(r.data) - r.reserved
+	if r.budget == nil || missing <= 0 {
+		return nil
+	}
+	if !r.budget.Reserve(missing) {
+		return memory.ErrNoMemory
+	}
+	r.reserved += missing
+	return nil
+}
+
 // Next returns the next event or comment. If the stream ends within an event, it
 // returns io.ErrUnexpectedEOF.
 func (r *Reader) Next() (Event, error) {
@@ -96,7 +120,7 @@
 	if len(r.data) > r.maxEventBytes {
 		return ErrEventTooLarge
 	}
-	return nil
+	return r.reserve()
 }
 
 // readLine returns the next line without its line ending.
@@ -108,6 +132,9 @@
 		if len(r.line) > r.maxEventBytes+len("data: \r\n") {
 			return nil, ErrEventTooLarge
 		}
+		if noMemory := r.reserve(); noMemory != nil {
+			return nil, noMemory
+		}
 		if err == nil {
 			return bytes.TrimSuffix(r.line[:len(r.line)-1], []byte("\r")), nil
 		}
