relay: a stream goes on only after control has confirmed the versions since it broke off

Seen here: with servers that join under new names it cannot happen, because a name and its run have one version, and a name that a relay does not know gets no requests. It can with servers that start again under their names: two relays then hold different versions for one server, for as long as one of them is out of step, at most its lease. That relay continues a stream of the former version at the new run, in the same answer or for a caller that takes it up, and records a wrong version for streams that begin there.

Cause: the version of a server was read from the list that the relay happened to have. Only streams without a record waited for a confirmation.

Change: before the first event that continues a stream is passed on, the relay waits for a confirmation of control that it has asked for after the stream broke off or the caller came back. If the server that continues the stream, or the one that began it, turns out to be of another version, the events are dropped and the stream goes on elsewhere, or it is cut or refused. The server works meanwhile, and the relay asks at once, so that a relay in touch loses little time. If the version of a recorded stream seems to be gone, the relay asks before it refuses.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -77,6 +77,7 @@
 	tooLate          bool                 // no server was chosen because the request would wait too long at its engine; see package forecast
 	run              quarantine.ServerRun // identifies the server until it starts again
 	version          string               // version of the server's software
+	versionConfirmed bool                 // control has confirmed the version since the stream broke off
 	versionUncertain atomic.Bool          // the server was restarted with another version under its name
 	chosenAt         clock.Millis         // when the server was chosen, before the request was sent
 	firstByteSeen    bool                 // recordFirstByte was called, so the prompt no longer counts as unprocessed
--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
@@ -54,6 +55,7 @@
 	table          continuation.Table
 	confirmedAfter clock.Millis
 	updated        chan struct{} // closed at the next update
+	waiting        int           // requests that wait for an update
 }
 
 // update stores what control has confirmed after the given time; table is nil if it has not changed.
@@ -81,11 +83,28 @@
 	return v.table, v.confirmedAfter, v.updated
 }
 
-// awaitConfirmed returns the versions of a service that control has confirmed after the given time. It
-// returns false if it has not within maxConfirmationWait, or if the caller disconnects.
+// addWaiting counts requests that wait for an update.
+func (v *versionTable) addWaiting(n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.waiting += n
+}
+
+// isAwaited reports whether a request waits for an update.
+func (v *versionTable) isAwaited() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.waiting > 0
+}
+
+// awaitConfirmed waits until control has confirmed the servers and the versions in service after the
+// given time, and returns these versions. It returns false if control has not within
+// maxConfirmationWait, or if the caller disconnects.
 func (x *exchange) awaitConfirmed(after clock.Millis) (continuation.Table, bool) {
 	timeout, release := x.relay.clock.After(min(maxConfirmationWait, x.deadline-x.relay.clock.Now()))
 	defer release()
+	x.relay.versions.addWaiting(1)
+	defer x.relay.versions.addWaiting(-1)
 	for {
 		table, confirmedAfter, updated := x.relay.versions.get()
 		if confirmedAfter >= after {
@@ -123,8 +142,13 @@
 		}
 		versions = table.Versions(x.service)
 	}
-	known, inService := x.relay.fleet.origins(x.relay.clock.Now(), x.service)
-	origin, verdict := continuation.Decide(knowledge, recorded, x.service, lo.Union(versions, known), inService)
+	origin, verdict := x.decideOrigin(knowledge, recorded, versions)
+	if verdict == continuation.VersionGone && knowledge == continuation.Recorded {
+		// A server of the version may have been announced that this relay has not heard of.
+		if _, confirmed := x.awaitConfirmed(x.request.arrivedAt); confirmed {
+			origin, verdict = x.decideOrigin(knowledge, recorded, versions)
+		}
+	}
 	switch verdict {
 	case continuation.VersionGone:
 		return x.refuseStream("stream_version_gone", origin)
@@ -133,12 +157,53 @@
 	}
 	x.requirements.service = x.service
 	x.fixOrigin(origin)
+	x.continuesAfter = x.request.arrivedAt
 	x.relay.options.Logger.Log(event.StreamTakenUp, zap.String("request", x.requestInfo.ID), zap.String("resumes", x.requestInfo.Resumes),
 		zap.String("service", origin.Service), zap.String("version", origin.Version), zap.Bool("recorded", knowledge == continuation.Recorded),
 		zap.String("last_event", x.requestInfo.LastEventID), zap.Int64("took_ms", int64(x.relay.clock.Now()-x.request.arrivedAt)))
 	return nil
 }
 
+// decideOrigin decides at servers of which origin the stream goes on, by the servers that the relay
+// knows.
+func (x *exchange) decideOrigin(k continuation.Knowledge, recorded continuation.Origin, versions []string) (continuation.Origin, continuation.Verdict) {
+	known, inService := x.relay.fleet.origins(x.relay.clock.Now(), x.service)
+	return continuation.Decide(k, recorded, x.service, lo.Union(versions, known), inService)
+}
+
+var (
+	errVersionUnconfirmed = errors.New("control has not confirmed the version of the server, nor that of the one that began the stream")
+	errVersionChanged     = errors.New("the server has been started again at another version than the one that began the stream")
+)
+
+// confirmVersion is called before events of an attempt continue a stream. It waits until control has
+// confirmed the servers after the stream broke off, and returns an error unless the server that
+// continues it, and the one that began it, still are of the version that the relay took them for. A
+// relay that is cut off or was frozen may not have heard that one of them has been started again.
+func (x *exchange) confirmVersion(a *attempt) error {
+	if x.continuesAfter == 0 || a.versionConfirmed {
+		return nil
+	}
+	if _, confirmed := x.awaitConfirmed(x.continuesAfter); !confirmed {
+		return errVersionUnconfirmed
+	}
+	if !x.relay.fleet.hasVersion(a.server, x.origin.Version) || a.versionUncertain.Load() {
+		return errVersionChanged
+	}
+	if x.begunAt != nil && !x.relay.fleet.hasVersion(x.begunAt, x.origin.Version) {
+		return errVersionUnconfirmed
+	}
+	a.versionConfirmed = true
+	return nil
+}
+
+// hasVersion reports whether the newest run of a server is of a version.
+func (f *fleet) hasVersion(s *server, version string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.record.Version == version
+}
+
 // allowsService reports whether the route of the request leads to a service.
 func (x *exchange) allowsService(service string) bool {
 	return lo.SomeBy(x.route.Shares, func(s catalog.Share) bool { return s.Service == service && s.Weight > 0 })
@@ -158,6 +223,7 @@
 // recordOrigin records where the stream has begun, before its first event is sent to the caller.
 func (x *exchange) recordOrigin(a *attempt) {
 	if x.origin == nil {
+		x.begunAt = a.server
 		x.fixOrigin(continuation.Origin{Service: x.service, Version: a.version})
 	}
 	if x.route.RepeatPolicy != catalog.Resumable {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -47,32 +47,37 @@
 
 // exchange is one request of a caller together with its attempts and its response.
 type exchange struct {
-	relay         *Relay
-	caller        *callerConn
-	request       request
-	requestInfo   RequestInfo
-	route         catalog.Route
-	service       string
-	forwardInfo   ForwardInfo
-	requirements  requirements
-	revision      uint64 // revision of the catalog that the request was routed by
-	deadline      clock.Millis
-	possibleRuns  int           // number of attempts in which a server may have run the request
-	attempts      int           // number of attempts so far
-	unsent        int           // number of attempts in which nothing reached a server
-	unsentTime    clock.Millis  // time spent on these attempts
-	lastFailure   *fullResponse // newest failure for which a server sent a response
-	out           output
-	position      streamPosition       // of the caller, if the response is streamed
-	memory        memory.Reservation   // for the responses of servers
-	origin        *continuation.Origin // of the stream; nil before its first event
-	recordedAt    clock.Millis         // when the origin was recorded last
-	partIDs       []string             // IDs of the parts of the prompt
-	probe         bool                 // the request is let through although a part of its prompt is quarantined
-	tried         quarantine.Key       // the suspect part of its prompt of which the request is a trial; zero if it is none
-	trialBegun    bool                 // the trial has been sent
-	serverEnded   *atomic.Bool         // a server has ended under the request
-	requestDigest string               // identifies requests with the same path, caller and body; "" until it is needed
+	relay        *Relay
+	caller       *callerConn
+	request      request
+	requestInfo  RequestInfo
+	route        catalog.Route
+	service      string
+	forwardInfo  ForwardInfo
+	requirements requirements
+	revision     uint64 // revision of the catalog that the request was routed by
+	deadline     clock.Millis
+	possibleRuns int           // number of attempts in which a server may have run the request
+	attempts     int           // number of attempts so far
+	unsent       int           // number of attempts in which nothing reached a server
+	unsentTime   clock.Millis  // time spent on these attempts
+	lastFailure  *fullResponse // newest failure for which a server sent a response
+	out          output
+	position     streamPosition       // of the caller, if the response is streamed
+	memory       memory.Reservation   // for the responses of servers
+	origin       *continuation.Origin // of the stream; nil before its first event
+	begunAt      *server              // the server that began the stream; nil if another relay has begun it
+	recordedAt   clock.Millis         // when the origin was recorded last
+
+	// continuesAfter is when the stream broke off that this request continues; 0 if it continues none.
+	continuesAfter clock.Millis
+	versionChanged bool           // the server of the latest attempt turned out to be of another version
+	partIDs        []string       // IDs of the parts of the prompt
+	probe          bool           // the request is let through although a part of its prompt is quarantined
+	tried          quarantine.Key // the suspect part of its prompt of which the request is a trial; zero if it is none
+	trialBegun     bool           // the trial has been sent
+	serverEnded    *atomic.Bool   // a server has ended under the request
+	requestDigest  string         // identifies requests with the same path, caller and body; "" until it is needed
 }
 
 // fullResponse is a server's complete response.
@@ -386,6 +391,8 @@
 		return x.abandon()
 	case x.lastFailure != nil && !guaranteesNotRun(x.lastFailure.attempt.head.Status):
 		return x.out.fullResponse(x.lastFailure.attempt, x.lastFailure.body)
+	case x.versionChanged && !x.out.headSent:
+		return x.refuse(*x.refuseStream("stream_version_gone", *x.origin))
 	case x.possibleRuns > 0 && now >= x.deadline:
 		return x.refuse(refusal{status: statusGatewayTimeout, reason: "timeout"})
 	case x.possibleRuns > 0:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -228,7 +228,11 @@
 
 // Report returns what control and the other entries need to know of this relay.
 func (r *Relay) Report() control.Report {
-	return control.Report{Loads: r.fleet.loads(), Demands: r.fleet.demands(), Share: r.shareReport()}
+	report := control.Report{Loads: r.fleet.loads(), Demands: r.fleet.demands(), Share: r.shareReport()}
+	if r.versions.isAwaited() {
+		report.MaxWait = clock.Millisecond
+	}
+	return report
 }
 
 // loadCatalog puts a document in force and reports whether it could be decoded.
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -39,13 +39,25 @@
 	if x.relay.clock.Now() >= x.deadline {
 		return x.timeOut(a), true
 	}
-	if x.out.headSent && (x.route.RepeatPolicy != catalog.Resumable || x.position.unplaced || a.versionUncertain.Load()) {
+	return x.afterBrokenStream(a, err)
+}
+
+// afterBrokenStream handles an attempt whose stream broke off with an error. Its results are those of
+// makeAttempt.
+func (x *exchange) afterBrokenStream(a *attempt, err error) (keepOpen, done bool) {
+	x.versionChanged = errors.Is(err, errVersionChanged)
+	unconfirmed := errors.Is(err, errVersionUnconfirmed)
+	switch {
+	case !x.out.headSent && unconfirmed:
+		return x.refuse(*x.refuseStream("stream_version_unknown", *x.origin)), true
+	case !x.out.headSent:
+		return false, false
+	case unconfirmed, x.route.RepeatPolicy != catalog.Resumable, x.position.unplaced, a.versionUncertain.Load():
 		return x.out.cutStream(), true
 	}
-	if x.out.headSent {
-		x.relay.options.Logger.Log(event.StreamResumed, zap.String("request", x.requestInfo.ID),
-			zap.String("server", a.server.record.Server), zap.String("version", a.version), zap.String("last_event", x.forwardInfo.LastEventID), zap.Error(err))
-	}
+	x.continuesAfter = x.relay.clock.Now()
+	x.relay.options.Logger.Log(event.StreamResumed, zap.String("request", x.requestInfo.ID),
+		zap.String("server", a.server.record.Server), zap.String("version", a.version), zap.String("last_event", x.forwardInfo.LastEventID), zap.Error(err))
 	return false, false
 }
 
@@ -55,15 +67,19 @@
 // forwardResponseEvents forwards the events of a response. If the caller has a part of the
 // stream, the response must continue that.
 func (x *exchange) forwardResponseEvents(a *attempt) error {
-	if !x.out.headSent {
+	filter := eventFilter{}
+	if x.out.headSent {
+		var err error
+		if filter, err = newEventFilter(x.position, x.out.streamHead, a.head); err != nil {
+			return err
+		}
+	} else {
 		x.position = newStreamPosition(x.requestInfo.LastEventID)
-		return x.forwardEvents(a, &eventFilter{})
 	}
-	filter, err := newEventFilter(x.position, x.out.streamHead, a.head)
-	if err != nil {
+	if err := x.forwardEvents(a, &filter); err != nil {
 		return err
 	}
-	return x.forwardEvents(a, &filter)
+	return x.confirmVersion(a) // of a server that adds no event
 }
 
 // forwardEvents forwards the events that pass the filter until the stream ends. It returns
@@ -121,6 +137,9 @@
 	if len(events) == 0 && (!ended || x.out.headSent) {
 		return nil
 	}
+	if err := x.confirmVersion(a); err != nil {
+		return err
+	}
 	if !x.out.headSent {
 		x.recordOrigin(a)
 	}
