relay: a stream that ends inside an event is broken off, however it is framed

Cause: a partial event at the end counted as a break only if the response ended with its connection. With a last chunk or a length the rest was passed on as it was.

Change: whatever ends the response, bytes of an event that is not complete mean that the stream broke off; it goes on elsewhere or is cut. Line ends after the last event are no event, and a body whose Content-Type names something else than events is passed on as before.

--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -153,7 +153,7 @@
 
 // respondOK sends a response with status 200 and a body.
 func respondOK(req receivedRequest, body string) {
-	write(req, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", req.head.Get("Id"), len(body), body))
+	write(req, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", req.head.Get("Id"), len(body), body))
 }
 
 // notRun refuses the request with the guarantee that it did not run.
--- a/relay/hostile_test.go
+++ b/relay/hostile_test.go
@@ -196,17 +196,61 @@
 	}
 }
 
-// Guards against a stream that a crashing server ends in the middle of an event, on a
-// connection whose end is the end of the answer: it is not complete.
+// Guards against a stream that a server ends in the middle of an event and that looks complete to the
+// caller, whatever ends the response: the connection, the last chunk or the length. It goes on at another
+// server or is cut.
 func TestStreamThatEndsInAnEvent(t *testing.T) {
-	b := newBackend(t, func(req receivedRequest) {
-		write(req, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nid: 1\ndata: a\n\nid: 2\nda")
-		_ = req.conn.Close()
-	})
-	c := newFixture(t, b).client()
-	c.get("/stream/", "1")
-	if _, body, err := c.read(); err == nil {
-		t.Errorf("got %q as a complete stream, want a failure", body)
+	const head, whole = "HTTP/1.1 200 OK\r\nId: 1\r\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, partial := range []string{"id: 2\nda", "id: 2\ndata: b\n", "id", "data: b\r\n", ": comment"} {
+		text := "id: 1\ndata: a\n\n" + partial
+		for name, response := range map[string]string{
+			"until close": head + "\r\n" + text,
+			"length":      withLength(head, text),
+			"chunked":     asChunk(head, text),
+			"typed":       asChunk(head+"Content-Type: text/event-stream; charset=utf-8\r\n", text),
+		} {
+			breaking := newBackend(t, func(req receivedRequest) {
+				write(req, response)
+				_ = req.conn.Close()
+			})
+			c := newFixture(t, breaking).client()
+			c.get("/stream/", "1")
+			if _, body, err := c.read(); err == nil {
+				t.Errorf("%s, %q: got %q as a complete stream, want a failure", name, partial, body)
+			}
+			resuming := newBackend(t, func(req receivedRequest) {
+				if req.head.Get("From-Event") == "" {
+					write(req, response)
+					_ = req.conn.Close()
+					return
+				}
+				write(req, withLength(head+"Content-Type: text/event-stream; charset=utf-8\r\n", whole))
+			})
+			if name != "typed" {
+				continue
+			}
+			c = newFixture(t, resuming, resuming).client()
+			c.get("/stream/", "1")
+			if _, body, err := c.read(); err != nil || body != whole {
+				t.Errorf("%s, %q: got %q and %v, want %q", name, partial, body, err, whole)
+			}
+		}
+	}
+}
+
+// Guards against whole streams that are taken for broken ones because line ends follow their last event,
+// or because they are no events.
+func TestWholeStreamIsNotTakenForBroken(t *testing.T) {
+	for _, text := range []string{
+		withLength("HTTP/1.1 200 OK\r\nId: 1\r\n", "data: a\n\n\n"), withLength("HTTP/1.1 200 OK\r\nId: 1\r\n", ""),
+		withLength("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: application/json\r\n", `{"tokens":0}`),
+	} {
+		c := newFixture(t, newBackend(t, func(req receivedRequest) { write(req, text) })).client()
+		c.get("/stream/", "1")
+		_, want, _ := strings.Cut(text, "\r\n\r\n")
+		if _, body, err := c.read(); err != nil || body != want {
+			t.Errorf("got %q and %v, want %q", body, err, want)
+		}
 	}
 }
 
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -102,9 +103,9 @@
 		}
 		complete, partial := splitEvents(pending)
 		switch {
-		case ended && a.body.EndedWithConnection() && len(partial) > 0:
-			// A server that crashes closes its connections too.
-			ended, err = false, io.ErrUnexpectedEOF
+		case ended && a.sendsEvents() && !isBlank(partial):
+			// Whatever ends the response, a stream that ends inside an event was broken off.
+			ended, err = false, errPartialEvent
 		case ended && !filter.resumes:
 			complete, partial = pending, nil
 		}
@@ -151,6 +152,18 @@
 	return nil
 }
 
+// errPartialEvent is the error of a stream that ends inside an event.
+var errPartialEvent = errors.New("the stream ends inside an event")
+
+// sendsEvents reports whether the body of the response consists of events.
+func (a *attempt) sendsEvents() bool {
+	mediaType, _, _ := strings.Cut(a.head.Get("Content-Type"), ";")
+	return mediaType == "" || strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
+// isBlank reports whether the rest of a stream consists of line ends, which are no event.
+func isBlank(rest []byte) bool { return len(bytes.Trim(rest, "\r\n")) == 0 }
+
 // splitEvents returns the complete events at the beginning of data and the partial
 // event after them.
 func splitEvents(data []byte) (complete, partial []byte) {
