relay: the leader's check-ins decide which version of a server a stream has

Cause: the version of a server that answers was that of the newest announcement.

Change: the relay asks the leader, after a stream broke off or was taken up, for the newest heartbeats of the server that began it and of the one that goes on. While the new run is silent, the last heartbeat of the former one becomes overdue. So what a server has answered is certain only if it was not overdue then, or if a heartbeat has followed. A stream record names the server that began it. Requests share the next call, so that the end of a server or a relay costs few calls. This takes the place of the confirmation by watches for these streams; a relay that is out of step gets the same answer.

Weighed: heartbeats with the watches (a change for each one that is late: 100 a second at 12,000 servers and 1% lateness, most of a node's budget); refused and reset connections (a relay without traffic sees none; network resets look the same); the run's identity in answers (servers send none).

What remains: a server that is back at another version within a third of the silence time (1.36 s) with late check-ins, and a late check-in of the former run.

--- a/continuation/continuation_test.go
+++ b/continuation/continuation_test.go
@@ -205,7 +205,8 @@
 			}
 			text := ""
 			for _, stream := range []string{"a", "b"} {
-				origin, knowledge := r.Lookup(0, stream)
+				found, knowledge := r.Lookup(0, stream)
+				origin := found.Origin
 				if knowledge == continuation.Contradictory {
 					origin = continuation.Origin{}
 				}
--- a/continuation/records.go
+++ b/continuation/records.go
@@ -18,11 +18,14 @@
 type Record struct {
 	Stream string // ID of the request that brought the first event
 	Origin Origin
+	Server string       // the server that began the stream
+	Age    clock.Millis // time since it began
 }
 
 // Valid reports whether the record can be kept.
 func (r Record) Valid() bool {
-	return r.Stream != "" && len(r.Stream) <= maxStreamIDBytes && len(r.Origin.Service) <= maxNameBytes && len(r.Origin.Version) <= maxNameBytes
+	return r.Stream != "" && len(r.Stream) <= maxStreamIDBytes && len(r.Origin.Service) <= maxNameBytes && len(r.Origin.Version) <= maxNameBytes &&
+		len(r.Server) <= maxNameBytes
 }
 
 // Records holds records of streams for Retention. When there are too many, the oldest ones are
@@ -38,6 +41,8 @@
 // keptRecord is the record of a stream.
 type keptRecord struct {
 	origin        Origin
+	server        string
+	begunAt       clock.Millis
 	contradictory bool
 	until         clock.Millis
 }
@@ -67,7 +72,7 @@
 		kept.contradictory = true
 	}
 	if !ok {
-		kept.origin = record.Origin
+		kept.origin, kept.server, kept.begunAt = record.Origin, record.Server, now-record.Age
 	}
 	kept.until = now + Retention
 	r.byStream[record.Stream] = kept
@@ -79,17 +84,17 @@
 }
 
 // Lookup returns what is known of the origin of a stream.
-func (r *Records) Lookup(now clock.Millis, stream string) (Origin, Knowledge) {
+func (r *Records) Lookup(now clock.Millis, stream string) (Record, Knowledge) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	kept, ok := r.byStream[stream]
 	switch {
 	case !ok || kept.until <= now:
-		return Origin{}, Unrecorded
+		return Record{}, Unrecorded
 	case kept.contradictory:
-		return Origin{}, Contradictory
+		return Record{}, Contradictory
 	}
-	return kept.origin, Recorded
+	return Record{Stream: stream, Origin: kept.origin, Server: kept.server, Age: now - kept.begunAt}, Recorded
 }
 
 // Len returns the number of records.
--- a/continuation/simulation_test.go
+++ b/continuation/simulation_test.go
@@ -205,10 +205,10 @@
 
 // decide is the chooser in use.
 func decide(s *simulation, r *simulatedRelay, stream *simulatedStream) []*simulatedServer {
-	origin, knowledge := r.own.Lookup(s.now, stream.id)
+	found, knowledge := r.own.Lookup(s.now, stream.id)
 	for _, holder := range s.holders(stream.id)[:continuation.AskedCount] {
 		if knowledge == continuation.Unrecorded && holder.running {
-			origin, knowledge = holder.records.Lookup(s.now, stream.id)
+			found, knowledge = holder.records.Lookup(s.now, stream.id)
 		}
 	}
 	if knowledge == continuation.Unrecorded {
@@ -216,7 +216,7 @@
 		r.table, r.servers, r.confirmed = s.table, slices.Clone(s.servers), s.now
 	}
 	inService := lo.Map(serving(r.servers), func(v *simulatedServer, _ int) continuation.Origin { return v.origin })
-	origin, verdict := continuation.Decide(knowledge, origin, "s", r.table.Versions("s"), inService)
+	origin, verdict := continuation.Decide(knowledge, found.Origin, "s", r.table.Versions("s"), inService)
 	if verdict != continuation.GoesOn {
 		return nil
 	}
@@ -231,7 +231,8 @@
 // ownRecords is another one: a relay knows the streams that it has begun itself, and takes the others to
 // have begun at the version of most servers.
 func ownRecords(s *simulation, r *simulatedRelay, stream *simulatedStream) []*simulatedServer {
-	origin, knowledge := r.own.Lookup(s.now, stream.id)
+	found, knowledge := r.own.Lookup(s.now, stream.id)
+	origin := found.Origin
 	if knowledge != continuation.Recorded {
 		counts := lo.CountValuesBy(serving(r.servers), func(v *simulatedServer) continuation.Origin { return v.origin })
 		origin = lo.MaxBy(lo.Keys(counts), func(a, b continuation.Origin) bool { return counts[a] > counts[b] })
--- /dev/null
+++ b/control/heartbeats.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/continuation"
+	"github.com/galenaslip/galenaslip/replica"
+)
+
+const (
+	// onTimeShare is the age of a heartbeat up to which it is not overdue, as a share of
+	// Options.ServerTimeout: a little more than one interval.
+	onTimeShare = 1.0 / 3
+	// heartbeatCallTimeout bounds a call for heartbeats to one member.
+	heartbeatCallTimeout = 300 * clock.Millisecond
+	// heartbeatMembers is the number of members that are asked in turn.
+	heartbeatMembers = 3
+	// maxAskedServers bounds the servers of one call.
+	maxAskedServers = 4096
+)
+
+// wireHeartbeatsRequest is the body of a call for the newest heartbeats of servers.
+type wireHeartbeatsRequest struct {
+	Servers []string `json:"servers"`
+}
+
+// wireHeartbeat is the JSON form of continuation.Heartbeat.
+type wireHeartbeat struct {
+	Server  string       `json:"server"`
+	Version string       `json:"version,omitempty"`
+	Age     clock.Millis `json:"age_ms"`
+}
+
+// wireHeartbeats is the answer. Servers that the leader does not know are left out.
+type wireHeartbeats struct {
+	OnTime     clock.Millis    `json:"on_time_ms"`
+	Heartbeats []wireHeartbeat `json:"heartbeats"`
+}
+
+// postHeartbeats answers with the newest heartbeats of servers that the leader has received.
+func (c *Control) postHeartbeats(f fiber.Ctx) error {
+	var request wireHeartbeatsRequest
+	if err := json.Unmarshal(f.Body(), &request); err != nil || len(request.Servers) > maxAskedServers {
+		return invalidError(fiber.StatusBadRequest, errors.Errorf("want up to %d servers", maxAskedServers))
+	}
+	status := c.log.Load().Status()
+	if status.Role != replica.Leader || status.LeaseRemaining <= 0 {
+		return notLeaderError{leader: status.Leader}
+	}
+	answer := wireHeartbeats{OnTime: clock.Millis(onTimeShare * float64(c.serverTimeout()))}
+	answer.Heartbeats = c.serverRegistry.heartbeats(status.Term, request.Servers)
+	if err := c.confirmLeading(status.Term); err != nil {
+		return err
+	}
+	return respondValue(f, answer)
+}
+
+// serverTimeout returns Options.ServerTimeout or its default.
+func (c *Control) serverTimeout() clock.Millis {
+	return lo.CoalesceOrEmpty(c.options.ServerTimeout, DefaultServerTimeout)
+}
+
+// heartbeats returns the newest heartbeats of servers in a term.
+func (s *serverRegistry) heartbeats(term uint64, servers []string) []wireHeartbeat {
+	s.receive(term, nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.control.options.Clock.Now()
+	return lo.FilterMap(servers, func(server string, _ int) (wireHeartbeat, bool) {
+		a, age, ok := s.registry.Heartbeat(now, server)
+		return wireHeartbeat{Server: server, Version: a.Version, Age: age}, ok
+	})
+}
+
+// heartbeatCall is a call for heartbeats that several streams share.
+type heartbeatCall struct {
+	servers    map[string]struct{}
+	done       chan struct{} // closed once the fields below are set
+	askedAt    clock.Millis
+	heartbeats map[string]continuation.Heartbeat
+	err        error
+}
+
+// heartbeatCalls asks the leader for heartbeats, one call at a time. Requests that come meanwhile share
+// the next one. It is safe for concurrent use.
+type heartbeatCalls struct {
+	mu      sync.Mutex
+	next    *heartbeatCall // not begun yet; nil if none is wanted
+	running bool
+}
+
+// join adds servers to the next call and returns it. It runs the calls if nobody does.
+func (h *heartbeatCalls) join(servers []string, call func(*heartbeatCall)) *heartbeatCall {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.next == nil {
+		h.next = &heartbeatCall{servers: map[string]struct{}{}, done: make(chan struct{})}
+	}
+	for _, server := range servers {
+		h.next.servers[server] = struct{}{}
+	}
+	if !h.running {
+		h.running = true
+		go h.run(call)
+	}
+	return h.next
+}
+
+// run makes calls until none is wanted.
+func (h *heartbeatCalls) run(call func(*heartbeatCall)) {
+	for {
+		h.mu.Lock()
+		c := h.next
+		h.next = nil
+		h.running = c != nil
+		h.mu.Unlock()
+		if c == nil {
+			return
+		}
+		call(c)
+		close(c.done)
+	}
+}
+
+// Heartbeats returns the newest heartbeats of servers that the control leader has received, by server,
+// and a time before which it was not asked.
+func (d *StreamDirectory) Heartbeats(ctx context.Context, servers []string) (map[string]continuation.Heartbeat, clock.Millis, error) {
+	c := d.heartbeatCalls.join(servers, d.callHeartbeats)
+	select {
+	case <-c.done:
+		return c.heartbeats, c.askedAt, c.err
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// callHeartbeats asks members in turn until one has the answer of the leader.
+func (d *StreamDirectory) callHeartbeats(c *heartbeatCall) {
+	data, err := json.Marshal(wireHeartbeatsRequest{Servers: lo.Keys(c.servers)})
+	if err != nil {
+		panic(errors.WithStack(err)) // cannot happen: strings can be encoded
+	}
+	c.err = errors.New("no control member is known")
+	members := d.memberAddresses()
+	for attempt := range min(len(members), heartbeatMembers) {
+		c.askedAt = d.clock.Now()
+		address := members[(int(d.heartbeatMember.Load())+attempt)%len(members)]
+		if c.heartbeats, c.err = d.askHeartbeats(address, data); c.err == nil {
+			return
+		}
+		d.heartbeatMember.Add(1) // the next call begins with another member
+	}
+}
+
+// askHeartbeats asks one member.
+func (d *StreamDirectory) askHeartbeats(address string, request []byte) (map[string]continuation.Heartbeat, error) {
+	_, body, err := d.peerClient.exchange(fasthttp.MethodPost, address, pathHeartbeats, request, heartbeatCallTimeout)
+	if err != nil {
+		return nil, err
+	}
+	var answer wireHeartbeats
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, errors.Wrap(err, "decoding heartbeats")
+	}
+	return lo.SliceToMap(answer.Heartbeats, func(h wireHeartbeat) (string, continuation.Heartbeat) {
+		return h.Server, continuation.Heartbeat{Server: h.Server, Version: h.Version, Age: h.Age, OnTime: answer.OnTime}
+	}), nil
+}
--- a/control/server.go
+++ b/control/server.go
@@ -35,6 +35,7 @@
 	pathWatch          = "/v1/watch"
 	pathStreams        = "/v1/streams"
 	pathStreamLookup   = "/v1/streams/lookup"
+	pathHeartbeats     = "/v1/servers/heartbeats"
 )
 
 // headerForwarded marks a request that a member has forwarded to the leader.
@@ -80,6 +81,7 @@
 	app.Post(pathServers, c.requireToken(peersOnly, c.atLeader(c.postServers)))
 	app.Post(pathServerBatch, c.requireToken(peersOnly, c.atLeader(c.postServerBatch)))
 	app.Post(pathServersInForce, c.requireToken(peersOnly, c.atLeader(c.postServersInForce)))
+	app.Post(pathHeartbeats, c.requireToken(peersOnly, c.atLeader(c.postHeartbeats)))
 	app.Post(pathWatch, c.requireToken(peersOnly, c.postWatch))
 	app.Post(pathStreams, c.requireToken(peersOnly, c.postStreams))
 	app.Post(pathStreamLookup, c.requireToken(peersOnly, c.postStreamLookup))
--- a/control/servers.go
+++ b/control/servers.go
@@ -41,11 +41,7 @@
 
 // reset replaces the registry with an empty one for a term.
 func (s *serverRegistry) reset(term uint64) {
-	silence := s.control.options.ServerTimeout
-	if silence == 0 {
-		silence = DefaultServerTimeout
-	}
-	s.registry, s.epoch = roster.New(silence), term
+	s.registry, s.epoch = roster.New(s.control.serverTimeout()), term
 }
 
 // run marks servers without recent heartbeats as silent until ctx ends.
--- a/control/stream_directory.go
+++ b/control/stream_directory.go
@@ -38,6 +38,9 @@
 	own        *continuation.Records // of streams that this entry has begun or looked up
 	queue      chan continuation.Record
 	dropped    atomic.Uint64 // records that did not fit into the queue or reached no holder
+
+	heartbeatCalls  heartbeatCalls
+	heartbeatMember atomic.Int64 // index of the member that is asked first, modulo their number
 }
 
 // NewStreamDirectory returns a directory. It tells nothing until Run is called, and nothing is found
@@ -153,22 +156,22 @@
 
 // Lookup returns what is known of the origin of a stream. It asks the holders unless the stream is one
 // of this entry's own, and once more after a short time if none of them knows it.
-func (d *StreamDirectory) Lookup(ctx context.Context, stream string) (continuation.Origin, continuation.Knowledge) {
+func (d *StreamDirectory) Lookup(ctx context.Context, stream string) (continuation.Record, continuation.Knowledge) {
 	if stream == "" {
-		return continuation.Origin{}, continuation.Unrecorded
+		return continuation.Record{}, continuation.Unrecorded
 	}
-	origin, knowledge := d.own.Lookup(d.clock.Now(), stream)
+	record, knowledge := d.own.Lookup(d.clock.Now(), stream)
 	for attempt := 0; knowledge == continuation.Unrecorded && attempt < 2; attempt++ {
 		if attempt > 0 && !d.clock.Sleep(ctx, lookupPause) {
 			break
 		}
-		origin, knowledge = d.ask(stream)
+		record, knowledge = d.ask(stream)
 	}
-	return origin, knowledge
+	return record, knowledge
 }
 
 // ask asks the holders of a stream's record at the same time.
-func (d *StreamDirectory) ask(stream string) (continuation.Origin, continuation.Knowledge) {
+func (d *StreamDirectory) ask(stream string) (continuation.Record, continuation.Knowledge) {
 	holders := continuation.Holders(stream, d.memberAddresses())
 	holders = holders[:min(len(holders), continuation.AskedCount)]
 	found := make([]*wireStream, len(holders))
@@ -180,7 +183,7 @@
 	answers := continuation.NewRecords(1)
 	for _, w := range lo.Compact(found) {
 		if w.Contradictory {
-			return continuation.Origin{}, continuation.Contradictory
+			return continuation.Record{}, continuation.Contradictory
 		}
 		answers.Add(d.clock.Now(), w.record())
 	}
--- a/control/streams.go
+++ b/control/streams.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/continuation"
 )
 
@@ -16,10 +17,14 @@
 // wireStream is the JSON form of continuation.Record, and of the answer to a lookup. Its keys are
 // short, because each stream is recorded.
 type wireStream struct {
-	Stream        string `json:"id"`
-	Service       string `json:"s,omitempty"`
-	Version       string `json:"v,omitempty"`
-	Contradictory bool   `json:"contradictory,omitempty"` // records with different origins were found
+	Stream  string `json:"id"`
+	Service string `json:"s,omitempty"`
+	Version string `json:"v,omitempty"`
+	Server  string `json:"n,omitempty"`
+	// Age is the time since the stream began, in ms. Records are told with little delay, so that it is
+	// left out there.
+	Age           clock.Millis `json:"a,omitempty"`
+	Contradictory bool         `json:"contradictory,omitempty"` // records with different origins were found
 }
 
 // wireStreams is a list of streams: the body of a message with records, and the answer to a lookup,
@@ -35,13 +40,15 @@
 
 func encodeStreams(records []continuation.Record) ([]byte, error) {
 	data, err := json.Marshal(wireStreams{Streams: lo.Map(records, func(r continuation.Record, _ int) wireStream {
-		return wireStream{Stream: r.Stream, Service: r.Origin.Service, Version: r.Origin.Version}
+		return wireStream{Stream: r.Stream, Service: r.Origin.Service, Version: r.Origin.Version, Server: r.Server, Age: r.Age}
 	})})
 	return data, errors.WithStack(err)
 }
 
 func (w wireStream) record() continuation.Record {
-	return continuation.Record{Stream: w.Stream, Origin: continuation.Origin{Service: w.Service, Version: w.Version}}
+	return continuation.Record{
+		Stream: w.Stream, Origin: continuation.Origin{Service: w.Service, Version: w.Version}, Server: w.Server, Age: max(w.Age, 0),
+	}
 }
 
 // postStreams keeps records of streams that an entry has begun.
@@ -66,12 +73,13 @@
 	now := c.options.Clock.Now()
 	answer := wireStreams{}
 	for _, stream := range lookup.Streams {
-		origin, knowledge := c.streams.Lookup(now, stream)
+		found, knowledge := c.streams.Lookup(now, stream)
 		if knowledge == continuation.Unrecorded {
 			continue
 		}
 		answer.Streams = append(answer.Streams, wireStream{
-			Stream: stream, Service: origin.Service, Version: origin.Version, Contradictory: knowledge == continuation.Contradictory,
+			Stream: stream, Service: found.Origin.Service, Version: found.Origin.Version, Server: found.Server, Age: found.Age,
+			Contradictory: knowledge == continuation.Contradictory,
 		})
 	}
 	return respondValue(f, answer)
--- a/control/versions_test.go
+++ b/control/versions_test.go
@@ -44,7 +44,8 @@
 	other := g.directory()
 	found := func(d *control.StreamDirectory) bool {
 		for i := range streams {
-			origin, knowledge := d.Lookup(t.Context(), record(i, v1).Stream)
+			found, knowledge := d.Lookup(t.Context(), record(i, v1).Stream)
+			origin := found.Origin
 			if knowledge != continuation.Recorded || origin != lo.Ternary(i%2 == 0, v1, v2) {
 				return false
 			}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -68,6 +68,7 @@
 type attempt struct {
 	exchange         *exchange
 	server           *server
+	forwardedTo      string               // name of the server
 	uncachedTokens   int                  // prompt tokens that the server probably has not cached
 	decodeCost       float64              // estimated work of generating the output, in equivalent prompt tokens (see engine.go)
 	repeatable       bool                 // the request may be sent to another server if this attempt fails
--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -29,24 +29,38 @@
 )
 
 // StreamOrigins records which service and which version of its servers began a stream, and finds that
-// for streams that other relays have begun. Add does not block.
+// for streams that other relays have begun. Add does not block. Heartbeats returns the newest heartbeats
+// of servers that the control leader has received, by server, and a time before which it was not asked.
 type StreamOrigins interface {
 	Add(record continuation.Record)
-	Lookup(ctx context.Context, stream string) (continuation.Origin, continuation.Knowledge)
+	Lookup(ctx context.Context, stream string) (continuation.Record, continuation.Knowledge)
+	Heartbeats(ctx context.Context, servers []string) (map[string]continuation.Heartbeat, clock.Millis, error)
 }
 
-// ownOrigins are the origins of a relay's own streams.
+// ownOrigins are the origins of a relay's own streams. It takes the servers that the relay knows for
+// servers whose heartbeats have just arrived.
 type ownOrigins struct {
-	clock   clock.Clock
+	relay   *Relay
 	records *continuation.Records
 }
 
 // Add implements StreamOrigins.
-func (o ownOrigins) Add(record continuation.Record) { o.records.Add(o.clock.Now(), record) }
+func (o *ownOrigins) Add(record continuation.Record) { o.records.Add(o.relay.clock.Now(), record) }
 
 // Lookup implements StreamOrigins.
-func (o ownOrigins) Lookup(_ context.Context, stream string) (continuation.Origin, continuation.Knowledge) {
-	return o.records.Lookup(o.clock.Now(), stream)
+func (o *ownOrigins) Lookup(_ context.Context, stream string) (continuation.Record, continuation.Knowledge) {
+	return o.records.Lookup(o.relay.clock.Now(), stream)
+}
+
+// Heartbeats implements StreamOrigins.
+func (o *ownOrigins) Heartbeats(_ context.Context, servers []string) (map[string]continuation.Heartbeat, clock.Millis, error) {
+	heartbeats := map[string]continuation.Heartbeat{}
+	for _, name := range servers {
+		if version, ok := o.relay.fleet.versionOf(name); ok {
+			heartbeats[name] = continuation.Heartbeat{Server: name, Version: version}
+		}
+	}
+	return heartbeats, o.relay.clock.Now(), nil
 }
 
 // versionTable is the table of versions that control has confirmed last. It is safe for concurrent use.
@@ -55,7 +69,6 @@
 	table          continuation.Table
 	confirmedAfter clock.Millis
 	updated        chan struct{} // closed at the next update
-	waiting        int           // requests that wait for an update
 }
 
 // update stores what control has confirmed after the given time; table is nil if it has not changed.
@@ -83,28 +96,11 @@
 	return v.table, v.confirmedAfter, v.updated
 }
 
-// addWaiting counts requests that wait for an update.
-func (v *versionTable) addWaiting(n int) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.waiting += n
-}
-
-// isAwaited reports whether a request waits for an update.
-func (v *versionTable) isAwaited() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.waiting > 0
-}
-
-// awaitConfirmed waits until control has confirmed the servers and the versions in service after the
-// given time, and returns these versions. It returns false if control has not within
-// maxConfirmationWait, or if the caller disconnects.
+// awaitConfirmed returns the versions of a service that control has confirmed after the given time. It
+// returns false if it has not within maxConfirmationWait, or if the caller disconnects.
 func (x *exchange) awaitConfirmed(after clock.Millis) (continuation.Table, bool) {
 	timeout, release := x.relay.clock.After(min(maxConfirmationWait, x.deadline-x.relay.clock.Now()))
 	defer release()
-	x.relay.versions.addWaiting(1)
-	defer x.relay.versions.addWaiting(-1)
 	for {
 		table, confirmedAfter, updated := x.relay.versions.get()
 		if confirmedAfter >= after {
@@ -129,10 +125,11 @@
 	defer cancel()
 	recorded, knowledge := x.relay.origins.Lookup(ctx, x.requestInfo.Resumes)
 	if knowledge == continuation.Recorded {
-		if !x.allowsService(recorded.Service) {
-			return x.refuseStream("stream_service_gone", recorded)
+		if !x.allowsService(recorded.Origin.Service) {
+			return x.refuseStream("stream_service_gone", recorded.Origin)
 		}
-		x.service = recorded.Service
+		x.service = recorded.Origin.Service
+		x.begunBy, x.begunAt = recorded.Server, x.relay.clock.Now()-recorded.Age
 	}
 	var versions []string
 	if knowledge == continuation.Unrecorded {
@@ -142,11 +139,11 @@
 		}
 		versions = table.Versions(x.service)
 	}
-	origin, verdict := x.decideOrigin(knowledge, recorded, versions)
+	origin, verdict := x.decideOrigin(knowledge, recorded.Origin, versions)
 	if verdict == continuation.VersionGone && knowledge == continuation.Recorded {
 		// A server of the version may have been announced that this relay has not heard of.
 		if _, confirmed := x.awaitConfirmed(x.request.arrivedAt); confirmed {
-			origin, verdict = x.decideOrigin(knowledge, recorded, versions)
+			origin, verdict = x.decideOrigin(knowledge, recorded.Origin, versions)
 		}
 	}
 	switch verdict {
@@ -157,7 +154,7 @@
 	}
 	x.requirements.service = x.service
 	x.fixOrigin(origin)
-	x.continuesAfter = x.request.arrivedAt
+	x.continues = true
 	x.relay.options.Logger.Log(event.StreamTakenUp, zap.String("request", x.requestInfo.ID), zap.String("resumes", x.requestInfo.Resumes),
 		zap.String("service", origin.Service), zap.String("version", origin.Version), zap.Bool("recorded", knowledge == continuation.Recorded),
 		zap.String("last_event", x.requestInfo.LastEventID), zap.Int64("took_ms", int64(x.relay.clock.Now()-x.request.arrivedAt)))
@@ -172,36 +169,43 @@
 }
 
 var (
-	errVersionUnconfirmed = errors.New("control has not confirmed the version of the server, nor that of the one that began the stream")
-	errVersionChanged     = errors.New("the server has been started again at another version than the one that began the stream")
+	errVersionUnconfirmed = errors.New("it is not certain which version of the server began the stream")
+	errVersionChanged     = errors.New("it is not certain that the server still is of the version that began the stream")
 )
 
-// confirmVersion is called before events of an attempt continue a stream. It waits until control has
-// confirmed the servers after the stream broke off, and returns an error unless the server that
-// continues it, and the one that began it, still are of the version that the relay took them for. A
-// relay that is cut off or was frozen may not have heard that one of them has been started again.
+// confirmVersion is called before events of an attempt continue a stream. It returns an error unless
+// control confirms that the server that continues it, and the one that began it, answered at the version
+// that the relay takes them for. Either may have been started again under its name: a relay that is cut
+// off or was frozen has not heard of it, and the heartbeats of the new run may be late.
 func (x *exchange) confirmVersion(a *attempt) error {
-	if x.continuesAfter == 0 || a.versionConfirmed {
+	if !x.continues || a.versionConfirmed {
 		return nil
 	}
-	if _, confirmed := x.awaitConfirmed(x.continuesAfter); !confirmed {
+	ctx, cancel := context.WithTimeout(context.Background(), min(maxConfirmationWait, x.deadline-x.relay.clock.Now()).Duration())
+	defer cancel()
+	server := a.forwardedTo
+	heartbeats, askedAt, err := x.relay.origins.Heartbeats(ctx, lo.Uniq(lo.Compact([]string{server, x.begunBy})))
+	switch {
+	case err != nil:
+		return errors.Wrap(errVersionUnconfirmed, err.Error())
+	case x.begunBy != "" && !heartbeats[x.begunBy].Confirms(x.origin.Version, x.begunAt, askedAt):
 		return errVersionUnconfirmed
-	}
-	if !x.relay.fleet.hasVersion(a.server, x.origin.Version) || a.versionUncertain.Load() {
+	case !heartbeats[server].Confirms(x.origin.Version, a.firstByteAt, askedAt), a.versionUncertain.Load():
 		return errVersionChanged
 	}
-	if x.begunAt != nil && !x.relay.fleet.hasVersion(x.begunAt, x.origin.Version) {
-		return errVersionUnconfirmed
-	}
 	a.versionConfirmed = true
 	return nil
 }
 
-// hasVersion reports whether the newest run of a server is of a version.
-func (f *fleet) hasVersion(s *server, version string) bool {
+// versionOf returns the version of a server that the relay knows.
+func (f *fleet) versionOf(server string) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return s.record.Version == version
+	s, ok := f.servers[server]
+	if !ok {
+		return "", false
+	}
+	return s.record.Version, true
 }
 
 // allowsService reports whether the route of the request leads to a service.
@@ -223,7 +227,7 @@
 // recordOrigin records where the stream has begun, before its first event is sent to the caller.
 func (x *exchange) recordOrigin(a *attempt) {
 	if x.origin == nil {
-		x.begunAt = a.server
+		x.begunBy, x.begunAt = a.forwardedTo, x.relay.clock.Now()
 		x.fixOrigin(continuation.Origin{Service: x.service, Version: a.version})
 	}
 	if x.route.RepeatPolicy != catalog.Resumable {
@@ -231,7 +235,7 @@
 	}
 	x.recordedAt = x.relay.clock.Now()
 	for _, stream := range lo.Compact([]string{x.requestInfo.ID, x.requestInfo.Resumes}) {
-		x.relay.origins.Add(continuation.Record{Stream: stream, Origin: *x.origin})
+		x.relay.origins.Add(continuation.Record{Stream: stream, Origin: *x.origin, Server: a.forwardedTo})
 		x.relay.fleet.rememberStream(a, stream)
 	}
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -66,11 +66,11 @@
 	position     streamPosition       // of the caller, if the response is streamed
 	memory       memory.Reservation   // for the responses of servers
 	origin       *continuation.Origin // of the stream; nil before its first event
-	begunAt      *server              // the server that began the stream; nil if another relay has begun it
+	begunBy      string               // the server that began the stream; "" if that is not recorded
+	begunAt      clock.Millis         // when it did
+	continues    bool                 // the request continues a stream that broke off
 	recordedAt   clock.Millis         // when the origin was recorded last
 
-	// continuesAfter is when the stream broke off that this request continues; 0 if it continues none.
-	continuesAfter clock.Millis
 	versionChanged bool           // the server of the latest attempt turned out to be of another version
 	partIDs        []string       // IDs of the parts of the prompt
 	probe          bool           // the request is let through although a part of its prompt is quarantined
@@ -248,7 +248,8 @@
 	}
 	x.attempts++
 	x.requirements.refusable = nil // it has been sent
-	x.forwardInfo.Server = a.server.record.Server
+	a.forwardedTo = a.server.record.Server
+	x.forwardInfo.Server = a.forwardedTo
 	return a
 }
 
--- a/relay/out_of_step_test.go
+++ b/relay/out_of_step_test.go
@@ -1,97 +1,117 @@
 package relay_test
 
 import (
+	"context"
+	"errors"
 	"runtime"
 	"strings"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/continuation"
-	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/relay"
 )
 
-// confirmWhenAwaited lets control confirm what the relay knows whenever a stream waits for that, until
-// the end of the test.
-func (s *fixture) confirmWhenAwaited() {
-	stopped := make(chan struct{})
-	s.t.Cleanup(func() { close(stopped) })
-	go func() {
-		for {
-			select {
-			case <-stopped:
-				return
-			default:
-				if s.awaitsConfirmation() {
-					s.updateServers()
-				}
-			}
-		}
-	}()
+// leaderOrigins are the origins of streams, with the heartbeats that the leader has received.
+type leaderOrigins struct {
+	fakeOrigins
+	clock      clock.Clock
+	heartbeats map[string]continuation.Heartbeat // nil if the leader cannot be reached
+}
+
+func (o *leaderOrigins) Add(r continuation.Record) { o.records.Add(o.clock.Now(), r) }
+
+func (o *leaderOrigins) Lookup(_ context.Context, stream string) (continuation.Record, continuation.Knowledge) {
+	return o.records.Lookup(o.clock.Now(), stream)
+}
+
+func (o *leaderOrigins) Heartbeats(context.Context, []string) (map[string]continuation.Heartbeat, clock.Millis, error) {
+	if o.heartbeats == nil {
+		return nil, 0, errors.New("the leader does not answer")
+	}
+	return o.heartbeats, o.clock.Now(), nil
 }
 
-// awaitsConfirmation reports whether a stream waits for control to confirm the servers.
-func (s *fixture) awaitsConfirmation() bool {
-	runtime.Gosched()
-	return s.relay.Report().MaxWait > 0
+// testOnTime is the age up to which heartbeats are not overdue in these tests.
+const testOnTime = clock.Second
+
+func heartbeat(version string, age clock.Millis) continuation.Heartbeat {
+	return continuation.Heartbeat{Version: version, Age: age, OnTime: testOnTime}
 }
 
-// restartedRecord returns the record of a server that was started again with another version.
-func restartedRecord(name, version string, b *backend) roster.Record {
-	r := versionRecord(name, version, b)
-	r.StartedAt, r.Sequence = 2, 1
-	return r
+// newLeaderFixture returns a relay that asks the leader for heartbeats.
+func newLeaderFixture(t *testing.T) (*fixture, *leaderOrigins) {
+	t.Helper()
+	o := &leaderOrigins{fakeOrigins: newFakeOrigins()}
+	s := newFixtureWith(t, func(options *relay.Options) { options.StreamOrigins, o.clock = o, options.Clock })
+	return s, o
 }
 
-// Guards against a stream that a caller takes up at a relay which was cut off or frozen, and that goes
-// on at a server whose new run, at another version, the relay has not heard of.
-func TestRelayOutOfStepContinuesNoStream(t *testing.T) {
+// Guards against a stream that a caller takes up and that goes on at another version than that of the
+// server that began it. One of the two was started again under its name, and this relay has not heard of
+// it, because it was cut off or frozen, or the heartbeats of the new run are late.
+func TestTakenUpStreamNeedsCertainVersions(t *testing.T) {
+	const age = 3 * clock.Second // of the stream
+	onTime := heartbeat("v1", 0)
 	tests := []struct {
-		name    string
-		restart string // version of the server since it was started again, as control confirms it
-		want    int
-		reason  string // of the refusal
+		name          string
+		begins, takes continuation.Heartbeat // newest heartbeats of the server that began the stream and the one that goes on
+		want          string                 // reason of the refusal; "" if the stream goes on
 	}{
-		{"started again at another version", "v2", 503, "stream_version"},
-		{"started again at the same version", "v1", 200, ""},
-		{"not started again", "", 200, ""},
-		{"cut off", "unconfirmed", 503, "stream_version_unknown"},
+		{"both on time", onTime, onTime, ""},
+		{"begun just before the server was lost", heartbeat("v1", age+testOnTime), onTime, ""},
+		{"begun when the server was overdue", heartbeat("v1", age+testOnTime+1), onTime, "stream_version_unknown"},
+		{"begun when the server was overdue, at another version now", heartbeat("v2", 0), onTime, "stream_version_unknown"},
+		{"the server that goes on is of another version", onTime, heartbeat("v2", 0), "stream_version_gone"},
+		{"the server that goes on is overdue", onTime, heartbeat("v1", testOnTime+1), "stream_version_gone"},
+		{"the server that began is not known", continuation.Heartbeat{}, onTime, "stream_version_unknown"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			b := newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
-			s := newFixtureWithOrigins(t, newFakeOrigins(continuation.Record{Stream: "stream", Origin: originOf("v1")}))
-			s.updateServers(versionRecord("a", "v1", b))
-			s.manual.Advance(1)
+			s, o := newLeaderFixture(t)
+			o.Add(continuation.Record{Stream: "stream", Origin: originOf("v1"), Server: "a"})
+			s.manual.Advance(age)
+			s.updateServers(versionRecord("b", "v1", b))
+			o.heartbeats = map[string]continuation.Heartbeat{"a": tt.begins, "b": tt.takes}
 			c := s.client()
-			c.takeUp("next", "stream", 2)
-			for b.count() == 0 || !s.awaitsConfirmation() {
-				runtime.Gosched()
-			}
-			switch tt.restart {
-			case "unconfirmed":
-				s.manual.Advance(clock.Second)
-			case "":
-				s.updateServers()
-			default:
-				s.updateServers(restartedRecord("a", tt.restart, b))
-				s.confirmWhenAwaited()
-			}
+			c.takeUp("next", "stream")
 			head, body, err := c.read()
-			if err != nil || head.Status != tt.want || !strings.Contains(body, tt.reason) {
-				t.Errorf("got status %d, %q and %v, want %d %s", head.Status, body, err, tt.want, tt.reason)
+			if tt.want == "" && (err != nil || head.Status != 200) || tt.want != "" && (head.Status != 503 || !strings.Contains(body, tt.want)) {
+				t.Errorf("got status %d, %q and %v, want %q (or the rest of the stream)", head.Status, body, err, tt.want)
 			}
 		})
 	}
 }
 
-// Guards against a stream that a relay which is out of step resumes in the same answer at another
-// version: the server that goes on was started again, or the one that began the stream had been.
-func TestRelayOutOfStepResumesNoStream(t *testing.T) {
+// Guards against a relay that is cut off from control and continues streams by what it knew before.
+func TestRelayCutOffContinuesNoStream(t *testing.T) {
+	b := newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
+	s, o := newLeaderFixture(t)
+	o.Add(continuation.Record{Stream: "stream", Origin: originOf("v1"), Server: "a"})
+	s.updateServers(versionRecord("b", "v1", b))
+	c := s.client()
+	c.takeUp("next", "stream")
+	if head, body, err := c.read(); head.Status != 503 || !strings.Contains(body, "stream_version_unknown") {
+		t.Errorf("got status %d, %q and %v, want 503 stream_version_unknown", head.Status, body, err)
+	}
+}
+
+// Guards against a stream that a relay resumes in the same answer at another version: the server that
+// goes on was started again, or the one that began the stream had been.
+func TestResumedStreamNeedsCertainVersions(t *testing.T) {
+	onTime, overdue := heartbeat("v1", 0), heartbeat("v1", 2*testOnTime)
 	for _, tt := range []struct {
-		name      string
-		restarted string // the server that was started again; "" for none
-		wantWhole bool
-	}{{"the one that goes on", "b", false}, {"the one that began", "a", false}, {"none", "", true}} {
+		name        string
+		heartbeats  map[string]continuation.Heartbeat
+		wantWhole   bool
+		wantAtOther int
+	}{
+		{"both on time", map[string]continuation.Heartbeat{"a": onTime, "b": onTime}, true, 1},
+		{"the one that goes on is of another version", map[string]continuation.Heartbeat{"a": onTime, "b": heartbeat("v2", 0)}, false, 1},
+		{"the one that began was overdue", map[string]continuation.Heartbeat{"a": overdue, "b": onTime}, false, 1},
+		{"the leader does not answer", nil, false, 1},
+	} {
 		t.Run(tt.name, func(t *testing.T) {
 			begun := make(chan struct{})
 			a := newBackend(t, func(req receivedRequest) {
@@ -100,7 +120,8 @@
 				_ = req.conn.Close()
 			})
 			b := newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
-			s := newFixture(t)
+			s, o := newLeaderFixture(t)
+			o.heartbeats = tt.heartbeats
 			s.updateServers(versionRecord("a", "v1", a))
 			c := s.client()
 			c.get("/stream/", "1")
@@ -108,16 +129,7 @@
 				runtime.Gosched()
 			}
 			s.updateServers(versionRecord("b", "v1", b))
-			s.manual.Advance(1)
 			close(begun)
-			for b.count() == 0 || !s.awaitsConfirmation() {
-				runtime.Gosched()
-			}
-			if tt.restarted == "" {
-				s.updateServers()
-			} else {
-				s.updateServers(restartedRecord(tt.restarted, "v2", map[string]*backend{"a": a, "b": b}[tt.restarted]))
-			}
 			_, body, err := c.read()
 			if got := err == nil; got != tt.wantWhole {
 				t.Errorf("whole stream: got %v (%v, %q), want %v", got, err, body, tt.wantWhole)
@@ -125,6 +137,9 @@
 			if hasRest := strings.Contains(body, "id: 3"); hasRest != tt.wantWhole {
 				t.Errorf("events of the other server: got %v, want %v", hasRest, tt.wantWhole)
 			}
+			if got := b.count(); got != tt.wantAtOther {
+				t.Errorf("requests at the other server: got %d, want %d", got, tt.wantAtOther)
+			}
 		})
 	}
 }
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -108,7 +108,6 @@
 		_ = req.conn.Close()
 	}
 	s = newFixture(t, newBackend(t, answer), newBackend(t, answer))
-	s.confirmWhenAwaited()
 	c := s.client()
 	c.ask("system session", "1")
 	answerHead, err := frame.ReadResponse(c.reader, 1<<16, nil)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -133,7 +133,7 @@
 	r.limiter = ratelimit.NewLimiter(options.Limits)
 	r.origins = options.StreamOrigins
 	if r.origins == nil {
-		r.origins = ownOrigins{clock: options.Clock, records: continuation.NewRecords(maxOwnStreams)}
+		r.origins = &ownOrigins{relay: r, records: continuation.NewRecords(maxOwnStreams)}
 	}
 	r.fleet = newFleet(options.AvailabilityZone, options.Clock, options.Logger, r.limiter, r.origins)
 	r.catalog.Store(&catalog.Catalog{})
@@ -228,11 +228,7 @@
 
 // Report returns what control and the other entries need to know of this relay.
 func (r *Relay) Report() control.Report {
-	report := control.Report{Loads: r.fleet.loads(), Demands: r.fleet.demands(), Share: r.shareReport()}
-	if r.versions.isAwaited() {
-		report.MaxWait = clock.Millisecond
-	}
-	return report
+	return control.Report{Loads: r.fleet.loads(), Demands: r.fleet.demands(), Share: r.shareReport()}
 }
 
 // loadCatalog puts a document in force and reports whether it could be decoded.
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -56,7 +56,7 @@
 	case unconfirmed, x.route.RepeatPolicy != catalog.Resumable, x.position.unplaced, a.versionUncertain.Load():
 		return x.out.cutStream(), true
 	}
-	x.continuesAfter = x.relay.clock.Now()
+	x.continues = true
 	x.relay.options.Logger.Log(event.StreamResumed, zap.String("request", x.requestInfo.ID),
 		zap.String("server", a.server.record.Server), zap.String("version", a.version), zap.String("last_event", x.forwardInfo.LastEventID), zap.Error(err))
 	return false, false
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -9,6 +9,9 @@
 	"strings"
 	"testing"
 
+	"github.com/samber/lo"
+
+	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/frame"
@@ -88,9 +91,9 @@
 	return newFixtureWith(t, func(o *relay.Options) { o.StreamOrigins = origins })
 }
 
-// takeUp sends the request of a caller that takes up a stream after an event.
-func (c *client) takeUp(id, resumes string, lastEvent int) {
-	c.send(fmt.Sprintf("GET /stream/ HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: k\r\nLast-Event: %d\r\nResumes: %s\r\n\r\n", id, lastEvent, resumes))
+// takeUp sends the request of a caller that takes up a stream after its second event.
+func (c *client) takeUp(id, resumes string) {
+	c.send(fmt.Sprintf("GET /stream/ HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: k\r\nLast-Event: 2\r\nResumes: %s\r\n\r\n", id, resumes))
 }
 
 // fakeOrigins are the origins of streams as other relays have recorded them.
@@ -106,10 +109,17 @@
 
 func (o fakeOrigins) Add(r continuation.Record) { o.records.Add(0, r) }
 
-func (o fakeOrigins) Lookup(_ context.Context, stream string) (continuation.Origin, continuation.Knowledge) {
+func (o fakeOrigins) Lookup(_ context.Context, stream string) (continuation.Record, continuation.Knowledge) {
 	return o.records.Lookup(0, stream)
 }
 
+// Heartbeats answers that each server is of the version of its heartbeat, or of v1, and on time.
+func (o fakeOrigins) Heartbeats(_ context.Context, servers []string) (map[string]continuation.Heartbeat, clock.Millis, error) {
+	return lo.SliceToMap(servers, func(s string) (string, continuation.Heartbeat) {
+		return s, continuation.Heartbeat{Server: s, Version: "v1", OnTime: clock.Hour}
+	}), 0, nil
+}
+
 // originOf returns the origin of streams that began at a version of the only service.
 func originOf(version string) continuation.Origin {
 	return continuation.Origin{Service: "s", Version: version}
@@ -180,7 +190,7 @@
 func (s *fixture) takeUp(resumes string, versions []string) (head frame.Head, body string) {
 	s.t.Helper()
 	c := s.client()
-	c.takeUp("next", resumes, 2)
+	c.takeUp("next", resumes)
 	done := make(chan struct{})
 	var err error
 	go func() {
@@ -219,8 +229,8 @@
 		if head, _, err := c.read(); err != nil || head.Status != 200 {
 			t.Fatalf("got %d and %v, want a whole stream", head.Status, err)
 		}
-		if origin, knowledge := origins.Lookup(t.Context(), fmt.Sprintf("stream-%d", i)); knowledge != continuation.Recorded || origin != originOf("v2") {
-			t.Errorf("recorded: got %v %v, want v2", knowledge, origin)
+		if found, knowledge := origins.Lookup(t.Context(), fmt.Sprintf("stream-%d", i)); knowledge != continuation.Recorded || found.Origin != originOf("v2") {
+			t.Errorf("recorded: got %v %v, want v2", knowledge, found.Origin)
 		}
 	}
 }
@@ -232,10 +242,10 @@
 	b := newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
 	s.updateServers(versionRecord("a", "v1", b))
 	c := s.client()
-	c.takeUp("second", "first", 2)
+	c.takeUp("second", "first")
 	c.wantStatus(200)
-	if origin, knowledge := origins.Lookup(t.Context(), "second"); knowledge != continuation.Recorded || origin != originOf("v1") {
-		t.Errorf("the second request: got %v %v, want v1", knowledge, origin)
+	if found, knowledge := origins.Lookup(t.Context(), "second"); knowledge != continuation.Recorded || found.Origin != originOf("v1") {
+		t.Errorf("the second request: got %v %v, want v1", knowledge, found.Origin)
 	}
 }
 
--- a/roster/registry.go
+++ b/roster/registry.go
@@ -195,6 +195,15 @@
 	return a != b
 }
 
+// Heartbeat returns the newest announcement of a server and its age.
+func (r *Registry) Heartbeat(now clock.Millis, server string) (Announcement, clock.Millis, bool) {
+	known, ok := r.servers[server]
+	if !ok || known.departedUnknown {
+		return Announcement{}, 0, false
+	}
+	return known.record.Announcement, now - known.updatedAt, true
+}
+
 // CheckTimeouts marks servers that have become silent and removes those that have been
 // gone for goneRetention. It reports whether there are changes for the entries.
 func (r *Registry) CheckTimeouts(now clock.Millis) bool {
