control: entries tell members that were started again their records of streams anew

Cause: members keep the records in memory, and an entry told each record once. A promise to callers rested on what one process remembers.

Change: a member's answer names its process. A holder that has not been heard from for 2 s is asked with an empty message while the entry has records.

Weighed: records on the members' disks (also covers the loss of all relays and members together; some 16 MB a member at the target, and a file of its own with its own failures) is left for later.

What remains: streams whose relay and holders are lost together; one version in service decides for those.

--- a/continuation/records.go
+++ b/continuation/records.go
@@ -97,6 +97,20 @@
 	return Record{Stream: stream, Origin: kept.origin, Server: kept.server, Age: now - kept.begunAt}, Recorded
 }
 
+// All returns the records that are kept and not contradictory.
+func (r *Records) All(now clock.Millis) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	all := make([]Record, 0, len(r.byStream))
+	for stream, kept := range r.byStream {
+		if !kept.contradictory {
+			all = append(all, Record{Stream: stream, Origin: kept.origin, Server: kept.server, Age: now - kept.begunAt})
+		}
+	}
+	return all
+}
+
 // Len returns the number of records.
 func (r *Records) Len() int {
 	r.mu.Lock()
--- a/control/control.go
+++ b/control/control.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -92,6 +93,7 @@
 	propagation         *changePropagation
 	quarantine          *quarantine.Quarantine
 	streams             *continuation.Records // of streams that entries have begun
+	runID               string                // identifies this process
 	limits              *ratelimit.Limits
 	shares              *limitShares
 	compressor          documentCompressor
@@ -131,7 +133,7 @@
 		propagation: newChangePropagation(options.EntryLease), quarantine: quarantine.New(quarantine.Options{Entry: options.Name}),
 	}
 	c.machine.onCatalogChange = c.changed.notify
-	c.streams = continuation.NewRecords(maxStreamRecords)
+	c.streams, c.runID = continuation.NewRecords(maxStreamRecords), uuid.NewString()[:8]
 	c.limits, c.shares = ratelimit.NewLimits(), newLimitShares(c)
 	c.serverRegistry = newServerRegistry(c)
 	if c.options.OpenLog == nil {
--- a/control/stream_directory.go
+++ b/control/stream_directory.go
@@ -23,6 +23,9 @@
 	// lookupPause is the time after which a record that was not found is looked for once more: it may
 	// still be on its way.
 	lookupPause = 3 * streamBatchInterval
+	// holderCheckInterval is how long a holder of records may not have been heard from before it is asked
+	// whether it still is the process that has taken them.
+	holderCheckInterval = 2 * clock.Second
 	// streamQueueSize is the number of records that wait to be told.
 	streamQueueSize = 4096
 	// maxLocalStreams bounds the records of an entry's own streams.
@@ -39,6 +42,8 @@
 	queue      chan continuation.Record
 	dropped    atomic.Uint64 // records that did not fit into the queue or reached no holder
 
+	holders *recordHolders
+
 	heartbeatCalls  heartbeatCalls
 	heartbeatMember atomic.Int64 // index of the member that is asked first, modulo their number
 }
@@ -48,7 +53,7 @@
 func NewStreamDirectory(c clock.Clock, token string) *StreamDirectory {
 	return &StreamDirectory{
 		clock: c, peerClient: newPeerClient(token), own: continuation.NewRecords(maxLocalStreams),
-		queue: make(chan continuation.Record, streamQueueSize),
+		queue: make(chan continuation.Record, streamQueueSize), holders: newRecordHolders(),
 	}
 }
 
@@ -82,18 +87,48 @@
 	}
 }
 
-// Run tells holders of the records until ctx ends. Records that come together are told together.
+// Run tells holders of the records until ctx ends. Records that come together are told together. A
+// holder that was started again is told all records of this entry anew.
 func (d *StreamDirectory) Run(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
+		check, release := d.clock.After(holderCheckInterval)
 		select {
 		case first := <-d.queue:
 			d.tell(d.takeQueued(first))
+		case <-check:
 		case <-ctx.Done():
-			d.peerClient.httpClient.CloseIdleConnections()
-			return
 		}
+		release()
+		d.checkHolders()
 		d.clock.Sleep(ctx, streamBatchInterval)
 	}
+	d.peerClient.httpClient.CloseIdleConnections()
+}
+
+// checkHolders sends an empty message to each holder of this entry's records that has not been heard
+// from lately, and all records to those that were started again since they took them.
+func (d *StreamDirectory) checkHolders() {
+	now := d.clock.Now()
+	members := d.memberAddresses()
+	if due := d.holders.due(now, members); len(due) > 0 && len(d.own.All(now)) > 0 {
+		d.sendBatches(lo.SliceToMap(due, func(holder string) (string, []continuation.Record) { return holder, nil }))
+	}
+	restarted := d.holders.takeRestarted()
+	if len(restarted) == 0 {
+		return
+	}
+	batches := map[string][]continuation.Record{}
+	for _, r := range d.own.All(now) {
+		holders := continuation.Holders(r.Stream, members)
+		for _, holder := range lo.Intersect(holders[:min(len(holders), continuation.HolderCount)], restarted) {
+			batches[holder] = append(batches[holder], r)
+		}
+	}
+	for holder, records := range batches {
+		for _, batch := range lo.Chunk(records, streamQueueSize) {
+			d.sendBatches(map[string][]continuation.Record{holder: batch})
+		}
+	}
 }
 
 // takeQueued returns a record and those that wait behind it.
@@ -139,11 +174,7 @@
 	var wait sync.WaitGroup
 	for holder, batch := range batches {
 		wait.Go(func() {
-			data, err := encodeStreams(batch)
-			if err == nil {
-				_, err = d.peerClient.call(fasthttp.MethodPost, holder, pathStreams, data, streamCallTimeout)
-			}
-			if err != nil {
+			if err := d.sendBatch(holder, batch); err != nil {
 				mu.Lock()
 				defer mu.Unlock()
 				failed = append(failed, batch...)
@@ -154,6 +185,22 @@
 	return failed
 }
 
+// sendBatch sends records to a holder.
+func (d *StreamDirectory) sendBatch(holder string, batch []continuation.Record) error {
+	data, err := encodeStreams(batch)
+	if err != nil {
+		return err
+	}
+	_, body, err := d.peerClient.exchange(fasthttp.MethodPost, holder, pathStreams, data, streamCallTimeout)
+	if err != nil {
+		return err
+	}
+	var answer wireHolder
+	_ = json.Unmarshal(body, &answer) // the answer of a former build is empty
+	d.holders.heard(d.clock.Now(), holder, answer.Run)
+	return nil
+}
+
 // Lookup returns what is known of the origin of a stream. It asks the holders unless the stream is one
 // of this entry's own, and once more after a short time if none of them knows it.
 func (d *StreamDirectory) Lookup(ctx context.Context, stream string) (continuation.Record, continuation.Knowledge) {
--- a/control/streams.go
+++ b/control/streams.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// wireHolder is the answer to a message with records. Run identifies the member's process: one that was
+// started again has lost its records.
+type wireHolder struct {
+	Run string `json:"run"`
+}
+
 // postStreams keeps records of streams that an entry has begun.
 func (c *Control) postStreams(f fiber.Ctx) error {
 	var w wireStreams
@@ -61,7 +67,7 @@
 	for _, stream := range w.Streams {
 		c.streams.Add(now, stream.record())
 	}
-	return f.SendStatus(fiber.StatusNoContent)
+	return respondValue(f, wireHolder{Run: c.runID})
 }
 
 // postStreamLookup answers which of the given streams are recorded here.
--- a/control/versions_test.go
+++ b/control/versions_test.go
@@ -67,6 +67,37 @@
 	})
 }
 
+// Guards against streams whose origin is lost although the entry that has begun them runs, because all
+// members were killed and started again since: the entry tells them its records anew.
+func TestStreamOriginsOutliveMembers(t *testing.T) {
+	const streams = 30
+	g := newSeededGroup(t, 3)
+	origin := continuation.Origin{Service: "s", Version: "v1"}
+	entry := g.directory()
+	stream := func(i int) string { return fmt.Sprintf("stream-%d", i) }
+	for i := range streams {
+		entry.Add(continuation.Record{Stream: stream(i), Origin: origin, Server: "s1"})
+	}
+	foundAll := func() bool {
+		other := g.directory()
+		for i := range streams {
+			if found, knowledge := other.Lookup(t.Context(), stream(i)); knowledge != continuation.Recorded || found.Origin != origin || found.Server != "s1" {
+				return false
+			}
+		}
+		return true
+	}
+	g.eventually("the records to be told", foundAll)
+	names := lo.Keys(g.running)
+	for _, name := range names {
+		g.crash(name)
+	}
+	for _, name := range names {
+		g.start(name)
+	}
+	g.eventually("the records to be told again", foundAll)
+}
+
 // versionWatcher is an entry that watches the group for servers and versions.
 type versionWatcher struct {
 	mu      sync.Mutex
