control: a departure that was acknowledged holds after all members were started again

Cause: departures were kept in the list of the leader of a term alone. Each new leader began with an empty list and took the late check-in for that of a running server.

A new leader's list begins with the departures. A Leave may tell its run (`born`); one of a former run no longer ends the next one.

--- a/control/codec.go
+++ b/control/codec.go
@@ -14,11 +14,13 @@
 	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/placement"
+	"github.com/galenaslip/galenaslip/roster"
 )
 
 // command is the content of one log entry: a configuration change, a claim
-// command, a catalog document or changes of the table of versions. Exactly one of change,
-// claim, document and versions is set; baseRevision and idempotencyKey belong to change.
+// command, a catalog document, changes of the table of versions or departures of
+// servers. Exactly one of change, claim, document, versions and departures is set;
+// baseRevision and idempotencyKey belong to change.
 type command struct {
 	proposedAt     clock.Millis // time of day at the leader that proposed the command
 	change         configuration.Change
@@ -27,6 +29,7 @@
 	claim          claim.Command
 	document       *catalog.Document
 	versions       []continuation.Change
+	departures     []roster.Announcement
 }
 
 // wireCommand is the JSON form of command.
@@ -39,6 +42,8 @@
 
 	Document *wireDocument             `json:"document,omitempty"`
 	Versions []continuation.WireChange `json:"versions,omitempty"`
+
+	Departures wireServers `json:"departures,omitempty"`
 }
 
 // wireChangeRequest is the body of a configuration change request.
@@ -98,6 +103,7 @@
 	}
 	w.Document = (*wireDocument)(c.document)
 	w.Versions = lo.Map(c.versions, func(c continuation.Change, _ int) continuation.WireChange { return continuation.ToWireChange(c) })
+	w.Departures = toWireAnnouncements(c.departures)
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -117,8 +123,9 @@
 	}
 	c.document = (*catalog.Document)(w.Document)
 	c.versions = lo.Map(w.Versions, func(w continuation.WireChange, _ int) continuation.Change { return w.Change() })
-	if err == nil && c.change == nil && c.claim == nil && c.document == nil && len(c.versions) == 0 {
-		err = errors.New("command contains no change, claim, document or versions")
+	c.departures, _ = fromWireAnnouncements(w.Departures)
+	if err == nil && c.change == nil && c.claim == nil && c.document == nil && len(c.versions) == 0 && len(c.departures) == 0 {
+		err = errors.New("command contains no change, claim, document, versions or departures")
 	}
 	return c, err
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -5,23 +5,26 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/claim"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/continuation"
+	"github.com/galenaslip/galenaslip/roster"
 )
 
 // Machine is the replicated state machine of the control group. It holds the
-// configuration, the catalog, the claims and the versions of backend servers. It is safe for concurrent use:
-// handlers read it while the log applies entries.
+// configuration, the catalog, the claims, and the versions and departures of backend
+// servers. It is safe for concurrent use: handlers read it while the log applies entries.
 type Machine struct {
 	mu              sync.RWMutex
 	configurations  *configuration.Machine
 	catalogs        *catalog.Machine
 	claims          *claim.Machine
 	versions        continuation.Table
+	departures      roster.Departures
 	onCatalogChange func() // called without mu after a command that may have changed the catalog
 }
 
@@ -67,11 +70,17 @@
 		}
 		return nil, nil
 	}
+	if len(c.departures) > 0 {
+		m.departures = m.departures.With(lo.Map(c.departures, func(a roster.Announcement, _ int) roster.Departure {
+			return roster.Departure{Announcement: a, At: c.proposedAt}
+		})...)
+		return nil, nil
+	}
 	return claim.EncodeResult(m.claims.Apply(c.proposedAt, c.claim))
 }
 
-// Snapshot returns the encoded state: the configuration, the catalog, the claims and
-// the versions, each preceded by its length as an unsigned varint.
+// Snapshot returns the encoded state: the configuration, the catalog, the claims, the
+// versions and the departures, each preceded by its length as an unsigned varint.
 func (m *Machine) Snapshot() []byte {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -83,8 +92,12 @@
 	if err != nil {
 		panic(err) // cannot happen: every state can be encoded
 	}
+	departures, err := encodeDepartures(m.departures)
+	if err != nil {
+		panic(err) // cannot happen: every state can be encoded
+	}
 	var data []byte
-	for _, section := range [][]byte{configurations, m.catalogs.Snapshot(), m.claims.Snapshot(), versions} {
+	for _, section := range [][]byte{configurations, m.catalogs.Snapshot(), m.claims.Snapshot(), versions, departures} {
 		data = binary.AppendUvarint(data, uint64(len(section)))
 		data = append(data, section...)
 	}
@@ -115,28 +128,39 @@
 		}
 		snapshot = rest
 	}
-	versions, err := restoreVersions(snapshot)
+	versions, departures, err := restoreServers(snapshot)
 	if err != nil {
 		return err
 	}
 	defer m.onCatalogChange()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.configurations, m.catalogs, m.claims, m.versions = configurations, catalogs, claims, versions
+	m.configurations, m.catalogs, m.claims, m.versions, m.departures = configurations, catalogs, claims, versions, departures
 	return nil
 }
 
-// restoreVersions returns the versions in the last section of a snapshot. A snapshot of a former build
-// has none.
-func restoreVersions(snapshot []byte) (continuation.Table, error) {
-	if len(snapshot) == 0 {
-		return continuation.Table{}, nil
+// restoreServers returns the versions and departures in the last sections of a snapshot. A snapshot of a
+// former build lacks the departures, or both.
+func restoreServers(snapshot []byte) (versions continuation.Table, departures roster.Departures, err error) {
+	var section []byte
+	if len(snapshot) > 0 {
+		if section, snapshot, err = nextSection(snapshot); err == nil {
+			versions, err = continuation.DecodeTable(section)
+		}
 	}
-	section, _, err := nextSection(snapshot)
-	if err != nil {
-		return continuation.Table{}, err
+	if err == nil && len(snapshot) > 0 {
+		if section, _, err = nextSection(snapshot); err == nil {
+			departures, err = decodeDepartures(section)
+		}
 	}
-	return continuation.DecodeTable(section)
+	return versions, departures, err
+}
+
+// Departures returns the acknowledged departures of backend servers.
+func (m *Machine) Departures() roster.Departures {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.departures
 }
 
 // Versions returns the versions of backend servers at which streams may have begun.
@@ -197,7 +221,8 @@
 func (m *Machine) reset() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.configurations, m.catalogs, m.claims, m.versions = configuration.NewMachine(), &catalog.Machine{}, claim.NewMachine(), continuation.Table{}
+	m.configurations, m.catalogs, m.claims = configuration.NewMachine(), &catalog.Machine{}, claim.NewMachine()
+	m.versions, m.departures = continuation.Table{}, roster.Departures{}
 }
 
 // summary describes the state machine in /debug/state and in the metrics. Stops
--- a/control/servers.go
+++ b/control/servers.go
@@ -39,9 +39,13 @@
 	return s
 }
 
-// reset replaces the registry with an empty one for a term.
+// reset replaces the registry for a term with one that holds the departures alone.
 func (s *serverRegistry) reset(term uint64) {
 	s.registry, s.epoch = roster.New(s.control.serverTimeout()), term
+	now := s.control.options.Clock.Now()
+	for _, d := range s.control.machine.Departures().All() {
+		s.registry.Restore(now, d.Announcement)
+	}
 }
 
 // run marks servers without recent heartbeats as silent until ctx ends.
@@ -87,7 +91,7 @@
 // apply applies one announcement. The caller holds the lock.
 func (s *serverRegistry) apply(now clock.Millis, announcement roster.Announcement) roster.AcceptResult {
 	if announcement.State == roster.Gone {
-		return s.registry.RecordDeparture(now, announcement.Server)
+		return s.registry.RecordDeparture(now, announcement.Server, announcement.StartedAt)
 	}
 	return s.registry.Accept(now, announcement)
 }
@@ -196,7 +200,7 @@
 		return err
 	}
 	c.serverRegistry.receive(status.Term, announcements)
-	return nil
+	return c.commitDepartures(announcements)
 }
 
 func (c *Control) postServers(f fiber.Ctx) error {
--- a/roster/departure_test.go
+++ b/roster/departure_test.go
@@ -26,14 +26,14 @@
 			first.Sequence = 31
 			r.Accept(0, first)
 		}
-		r.RecordDeparture(0, "a")
+		r.RecordDeparture(0, "a", 0)
 		if got := r.Accept(tt.after, heartbeat); got != tt.want {
 			t.Errorf("heartbeat %d ms after the departure, server known %v: got %v, want %v", tt.after, tt.known, got, tt.want)
 		}
 	}
 	r := roster.New(4 * clock.Second)
 	r.Accept(0, heartbeat)
-	r.RecordDeparture(0, "a")
+	r.RecordDeparture(0, "a", 0)
 	restarted := heartbeat
 	restarted.StartedAt, restarted.Sequence = 6, 1
 	if got, want := r.Accept(1, restarted), roster.Changed; got != want {
--- a/roster/queue_test.go
+++ b/roster/queue_test.go
@@ -31,7 +31,7 @@
 // deliver applies an announcement to a registry, as the leader does.
 func deliver(r *roster.Registry, a roster.Announcement) {
 	if a.State == roster.Gone {
-		r.RecordDeparture(0, a.Server)
+		r.RecordDeparture(0, a.Server, 0)
 		return
 	}
 	r.Accept(0, a)
--- a/roster/registry.go
+++ b/roster/registry.go
@@ -125,22 +125,41 @@
 	return known.State == Gone && a.StartedAt <= known.StartedAt
 }
 
-// RecordDeparture marks a server as gone. It also records servers that this registry
+// RecordDeparture marks a server as gone, unless the departure is that of a run before the newest one;
+// startedAt is 0 if it does not tell the run. It also records servers that this registry
 // does not know: after a change of leader the registry is new, while entries may still
 // know and use the server.
-func (r *Registry) RecordDeparture(now clock.Millis, server string) AcceptResult {
+func (r *Registry) RecordDeparture(now clock.Millis, server string, startedAt int64) AcceptResult {
 	known, ok := r.servers[server]
-	if ok && known.record.State == Gone {
+	if ok && (known.record.State == Gone || startedAt != 0 && startedAt < known.record.StartedAt) {
 		return Stale
 	}
 	if !ok {
-		known = &registration{record: Record{Announcement: Announcement{Server: server}}, departedUnknown: true}
+		known = &registration{record: Record{Announcement: Announcement{Server: server, StartedAt: startedAt}}, departedUnknown: startedAt == 0}
 		r.servers[server] = known
 	}
+	known.record.StartedAt = max(known.record.StartedAt, startedAt)
 	r.markGone(now, known)
 	return Changed
 }
 
+// Restore adds the departure of a server that an earlier registry has acknowledged.
+func (r *Registry) Restore(now clock.Millis, a Announcement) {
+	known := &registration{record: Record{Announcement: a}, updatedAt: now, departedUnknown: a.State == Gone && a.StartedAt == 0}
+	r.servers[a.Server] = known
+	r.byAddress[a.Address] = append(r.byAddress[a.Address], known)
+	r.assignChangeNumber(known)
+}
+
+// Announcement returns the newest announcement of a server, or its departure.
+func (r *Registry) Announcement(server string) (Announcement, bool) {
+	known, ok := r.servers[server]
+	if !ok {
+		return Announcement{}, false
+	}
+	return known.record.Announcement, true
+}
+
 // markGone marks a server as gone and records the change.
 func (r *Registry) markGone(now clock.Millis, known *registration) {
 	known.record.Announcement = known.record.WithState(Gone)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -87,7 +87,7 @@
 func TestLeave(t *testing.T) {
 	r := roster.New(4 * clock.Second)
 	r.Accept(0, server("a", 7, 1))
-	if got, want := r.RecordDeparture(1, "a"), roster.Changed; got != want {
+	if got, want := r.RecordDeparture(1, "a", 0), roster.Changed; got != want {
 		t.Errorf("leave: got %d, want %d", got, want)
 	}
 	if got, want := r.Accept(2, server("a", 7, 2)), roster.Stale; got != want {
@@ -97,7 +97,7 @@
 		t.Errorf("new start: got %d, want %d", got, want)
 	}
 	// A new leader may learn of a server only from its departure.
-	if got, want := r.RecordDeparture(4, "unknown"), roster.Changed; got != want {
+	if got, want := r.RecordDeparture(4, "unknown", 0), roster.Changed; got != want {
 		t.Errorf("unknown server: got %d, want %d", got, want)
 	}
 }
