relay: a silent server is left only if another one can take over

Cause: silence interrupted each attempt that may be repeated, without a look whether anything better exists. An idempotent request that is no stream had a deadline of its own for the same reason.

Change: a silent attempt is interrupted only if a server that responds may take over, one of the same version if the response has begun, and a request with one usable server has the whole time. Otherwise it ends with its server, its connection (keep-alive probes), its deadline or the grace time.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -69,6 +69,8 @@
 	exchange         *exchange
 	server           *server
 	forwardedTo      string               // name of the server
+	requirements     requirements         // that the server was chosen for
+	onlyServer       bool                 // no other server could be chosen
 	uncachedTokens   int                  // prompt tokens that the server probably has not cached
 	decodeCost       float64              // estimated work of generating the output, in equivalent prompt tokens (see engine.go)
 	repeatable       bool                 // the request may be sent to another server if this attempt fails
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -28,29 +28,30 @@
 	refusable *forecast.Request
 }
 
-// pickServer chooses a server and registers the attempt there. It returns nil if all
-// servers are excluded or unusable, or if the request would begin too late; in that
-// case it sets a.tooLate.
-func (f *fleet) pickServer(now clock.Millis, req requirements, a *attempt) *server {
+// pickServer chooses a server, registers the attempt there and reports whether it did. It
+// does not if all servers are excluded or unusable, or if the request would begin too late;
+// in that case it sets a.tooLate.
+func (f *fleet) pickServer(now clock.Millis, req requirements, a *attempt) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates := f.usableServers(now, req)
 	if len(candidates) == 0 {
-		return nil
+		return false
 	}
+	a.onlyServer = len(candidates) == 1
 	req.decodeCost = f.estimateDecodeCost(req)
 	s := f.pickWithinLimits(now, req, candidates)
 	if s == nil {
-		return nil
+		return false
 	}
 	if req.forEngine {
 		a.engineWork = f.engineCost(now, s) + float64(req.promptTokens)
 		if a.tooLate = req.refusable != nil && f.pool(req.service).waits.TooLate(now, *req.refusable, a.engineWork); a.tooLate {
-			return nil
+			return false
 		}
 	}
 	f.registerAttempt(now, s, req, a)
-	return s
+	return true
 }
 
 // registerAttempt counts an attempt at the server that was chosen for it. The caller holds the lock.
@@ -63,7 +64,7 @@
 	if req.affinityPartID != "" {
 		s.promptPartChosenAt[req.affinityPartID] = now
 	}
-	a.run, a.version = s.run(), s.record.Version
+	a.server, a.requirements, a.run, a.version = s, req, s.run(), s.record.Version
 	f.limiter.Take(now, ratelimit.Run(a.run), req.service, req.urgency)
 	s.attempts[a] = struct{}{}
 	s.unprocessedTokens += a.uncachedTokens
@@ -77,8 +78,7 @@
 func (f *fleet) usableServers(now clock.Millis, req requirements) []*server {
 	var responsive, fallback []*server
 	for _, s := range f.servers {
-		if s.record.Service != req.service || s.record.State != roster.Serving || !s.withdrawal.Accepts(now) || s.wrongServer || s.blockedUntil > now ||
-			req.version != nil && s.record.Version != *req.version || lo.Contains(req.excluded, s.record.Server) || !f.hasFreeConnection(s) {
+		if !f.isUsable(now, s, req) {
 			continue
 		}
 		if s.unresponsive || s.isSilent(now) {
@@ -94,6 +94,27 @@
 	return responsive
 }
 
+// isUsable reports whether a server may get the request. The caller holds the lock.
+func (f *fleet) isUsable(now clock.Millis, s *server, req requirements) bool {
+	return s.record.Service == req.service && s.record.State == roster.Serving && s.withdrawal.Accepts(now) && !s.wrongServer && s.blockedUntil <= now &&
+		(req.version == nil || s.record.Version == *req.version) && !lo.Contains(req.excluded, s.record.Server) && f.hasFreeConnection(s)
+}
+
+// hasAlternative reports whether another server that responds may take over from an attempt: one of the
+// same version if the response has begun. The caller holds the lock.
+func (f *fleet) hasAlternative(now clock.Millis, a *attempt) bool {
+	req := a.requirements
+	if a.firstByteSeen {
+		req.version = &a.version
+	}
+	for _, s := range f.servers {
+		if s != a.server && !s.unresponsive && !s.isSilent(now) && f.isUsable(now, s, req) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasFreeConnection reports whether there is an idle connection to the server, or
 // this entry's share of the server's connections permits another one.
 func (f *fleet) hasFreeConnection(s *server) bool {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -242,8 +242,7 @@
 	if !x.route.Public && !x.relay.Leased() {
 		return a
 	}
-	a.server = x.relay.fleet.pickServer(x.relay.clock.Now(), x.requirements, a)
-	if a.server == nil {
+	if !x.relay.fleet.pickServer(x.relay.clock.Now(), x.requirements, a) {
 		return a
 	}
 	x.attempts++
@@ -288,9 +287,9 @@
 }
 
 // attemptDeadline returns the deadline of an attempt. It leaves time for another
-// attempt if the request may be sent to another server.
+// attempt if the request may be sent to another server and there is one.
 func (x *exchange) attemptDeadline(a *attempt, now clock.Millis) clock.Millis {
-	if !a.repeatable || x.route.Stream {
+	if !a.repeatable || a.onlyServer || x.route.Stream {
 		return x.deadline
 	}
 	wait := max(clock.Millis(attemptTimeoutTargets*float64(x.route.Target)), minAttemptTime)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -123,8 +123,9 @@
 
 // checkResponsive marks a server as unresponsive if it sends no bytes while requests
 // wait for it. Requests that may run again are interrupted and sent to another server
-// if the retry budget allows it. A stream that has begun gets more time, because the
-// server may have paused it. The caller holds the lock.
+// if there is one and the retry budget allows it: silence alone is no reason to give
+// up an answer. A stream that has begun gets more time, because the server may have
+// paused it. The caller holds the lock.
 func (f *fleet) checkResponsive(now clock.Millis, s *server) {
 	earliestChosenAt := now
 	for a := range s.attempts {
@@ -139,7 +140,7 @@
 		if !a.repeatable || a.firstByteSeen && silence < streamUnresponsiveAfter || now-a.chosenAt < unresponsiveAfter {
 			continue
 		}
-		if a.exchange.relay.budget.takeRetry(now, s.record.Service, 1) {
+		if f.hasAlternative(now, a) && a.exchange.relay.budget.takeRetry(now, s.record.Service, 1) {
 			a.interruptForRetry()
 		}
 	}
