relay: the retry budget shows what is spent, what is left and what it refuses

Each service now has gauges of both and a counter of refusals, the state dump has the same with the number of requests, and retry_refused (450) names the service and the request, at most once a second. No decision changes.

--- a/event/relay.go
+++ b/event/relay.go
@@ -1,6 +1,6 @@
 package event
 
-// Events of the relay, 420 to 449.
+// Events of the relay, 420 to 459.
 var (
 	RequestAnswered       = define(420, "request_answered", Info, "A backend server's whole answer was passed on.")
 	RequestRefused        = define(421, "request_refused", Info, "The relay answered a request itself; the fields sends and runs give how often it was sent and how many servers may have run it.")
@@ -29,4 +29,5 @@
 	ServerLimited         = define(448, "server_limited", Info, "A backend server names another limit than before in its answers, or none any more (0): the requests a second that it takes from all entries together.")
 	StreamTakenUp         = define(449, "stream_taken_up", Info, "A caller takes up a stream that has broken off; it goes on at servers of the version that began it, which was recorded or is the only one.")
 	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
+	RetryRefused          = define(450, "retry_refused", Warn, "A request was not sent again because the retry budget of its service is used up; at most one line a second.")
 )
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -32,10 +34,20 @@
 	services   map[string]*window
 }
 
+// RetryUsage is what a relay has used of the retry budget of a service in the latest window.
+type RetryUsage struct {
+	Service  string
+	Requests int     // new requests
+	Retries  float64 // retries that the budget has granted
+	Left     float64 // further retries that it grants
+	Refused  uint64  // retries that it has refused since the process started
+}
+
 // window counts the requests and retries of one service, separately for each of the
 // latest intervals.
 type window struct {
 	intervals []intervalCounts
+	refused   uint64 // retries refused since the process started
 }
 
 // intervalCounts counts the requests and retries of one interval of length budgetInterval.
@@ -93,17 +105,42 @@
 	defer b.mu.Unlock()
 	w := b.window(service)
 	currentInterval := w.currentInterval(now, b.limits.Window)
-	requests, retries := 0, 0
+	requests, retries := w.counts(now, b.limits.Window)
+	if float64(retries+1) > b.allowed(requests)*share {
+		w.refused++
+		return false
+	}
+	currentInterval.retries++
+	return true
+}
+
+// allowed returns how many retries a number of requests within a window allows.
+func (b *budget) allowed(requests int) float64 {
+	return budgetSafety * (b.limits.Ratio*float64(requests) + float64(b.limits.ExtraRetries)/float64(b.entryCount))
+}
+
+// counts returns the numbers of requests and retries in the latest window of the given length.
+func (w *window) counts(now, length clock.Millis) (requests, retries int) {
 	for _, s := range w.intervals {
 		retries += s.retries
-		if s.start > now-b.limits.Window {
+		if s.start > now-length {
 			requests += s.requests
 		}
 	}
-	allowed := budgetSafety * (b.limits.Ratio*float64(requests) + float64(b.limits.ExtraRetries)/float64(b.entryCount))
-	if float64(retries+1) > allowed*share {
-		return false
+	return requests, retries
+}
+
+// usage returns what was used of the budget of each service, ordered by service.
+func (b *budget) usage(now clock.Millis) []RetryUsage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var usages []RetryUsage
+	for service, w := range b.services {
+		w.currentInterval(now, b.limits.Window)
+		requests, retries := w.counts(now, b.limits.Window)
+		left := max(b.allowed(requests)-float64(retries), 0)
+		usages = append(usages, RetryUsage{Service: service, Requests: requests, Retries: float64(retries), Left: left, Refused: w.refused})
 	}
-	currentInterval.retries++
-	return true
+	slices.SortFunc(usages, func(a, b RetryUsage) int { return cmp.Compare(a.Service, b.Service) })
+	return usages
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/samber/lo"
+	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/continuation"
+	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/memory"
 	"github.com/galenaslip/galenaslip/quarantine"
@@ -362,7 +364,17 @@
 	if mayHaveRun && !x.mayRepeatAfterLoss(now) {
 		return false
 	}
-	return a.hasRetryGrant() || x.relay.budget.takeRetry(now, x.service, x.retryShare(a.result))
+	return a.hasRetryGrant() || x.takeRetry(now, a)
+}
+
+// takeRetry takes a retry from the budget of the service and reports whether one was left.
+func (x *exchange) takeRetry(now clock.Millis, a *attempt) bool {
+	r := x.relay
+	if r.budget.takeRetry(now, x.service, x.retryShare(a.result)) {
+		return true
+	}
+	r.retryRefusals.Log(now, event.RetryRefused, zap.String("service", x.service), zap.String("request", x.requestInfo.ID), zap.Stringer("result", a.result))
+	return false
 }
 
 // mayRepeatAfterLoss reports whether the request may be sent to another server after it has lost
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -59,12 +59,29 @@
 	return m
 }
 
+// Metrics of the retry budget of each service.
+var (
+	retriesSpent   = newServiceDesc("retries_spent")
+	retriesLeft    = newServiceDesc("retries_left")
+	retriesRefused = newServiceDesc("retries_refused_total")
+)
+
+func newServiceDesc(name string) *prometheus.Desc {
+	return prometheus.NewDesc("galenaslip_relay_"+name, "See docs/metrics.md.", []string{"service"}, nil)
+}
+
 // gauges collects the gauges of the relay's state. It reads the state once for all
 // of them.
 type gauges struct{ relay *Relay }
 
 // Describe implements prometheus.Collector.
-func (g gauges) Describe(out chan<- *prometheus.Desc) { prometheus.DescribeByCollect(g, out) }
+func (g gauges) Describe(out chan<- *prometheus.Desc) {
+	prometheus.DescribeByCollect(g, out)
+	// No service has asked for a retry yet.
+	for _, description := range []*prometheus.Desc{retriesSpent, retriesLeft, retriesRefused} {
+		out <- description
+	}
+}
 
 // Collect implements prometheus.Collector.
 func (g gauges) Collect(out chan<- prometheus.Metric) {
@@ -87,6 +104,11 @@
 		description := prometheus.NewDesc("galenaslip_relay_"+name, "See docs/metrics.md.", nil, nil)
 		out <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value)
 	}
+	for _, u := range s.Retries {
+		out <- prometheus.MustNewConstMetric(retriesSpent, prometheus.GaugeValue, u.Retries, u.Service)
+		out <- prometheus.MustNewConstMetric(retriesLeft, prometheus.GaugeValue, u.Left, u.Service)
+		out <- prometheus.MustNewConstMetric(retriesRefused, prometheus.CounterValue, float64(u.Refused), u.Service)
+	}
 }
 
 func newHistogram(name, help string) *prometheus.HistogramVec {
@@ -120,6 +142,7 @@
 	Servers     []ServerState
 	Suspects    []quarantine.Suspect // parts of prompts under which servers have ended
 	LimitShare  float64              // the part of servers' limits that this relay may use, 0 to 1
+	Retries     []RetryUsage         // by service
 }
 
 // ServerState is the relay's view of one backend server. Latency is in ms.
@@ -144,7 +167,7 @@
 		Name: r.options.Name, Ready: r.Ready(), Revision: r.catalog.Load().Revision(),
 		LeaseLeft: clock.Millis(r.leaseEnd.Load()) - now, Connections: r.forEachConn(func(*callerConn) {}),
 	}
-	s.Suspects, s.LimitShare = r.quarantine.Suspects(now), r.limiter.Share(now)
+	s.Suspects, s.LimitShare, s.Retries = r.quarantine.Suspects(now), r.limiter.Share(now), r.budget.usage(now)
 	f := r.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -175,6 +198,16 @@
 	Servers     []wireServerState `json:"servers"`
 	Suspects    []wireSuspect     `json:"suspects"`
 	LimitShare  float64           `json:"limit_share"`
+	Retries     []wireRetryUsage  `json:"retries"`
+}
+
+// wireRetryUsage is the JSON form of RetryUsage.
+type wireRetryUsage struct {
+	Service  string  `json:"service"`
+	Requests int     `json:"requests"`
+	Retries  float64 `json:"retries"`
+	Left     float64 `json:"left"`
+	Refused  uint64  `json:"refused"`
 }
 
 // wireSuspect is the JSON form of quarantine.Suspect.
@@ -219,6 +252,9 @@
 	for _, v := range s.Servers {
 		w.Servers = append(w.Servers, wireServerState(v))
 	}
+	for _, u := range s.Retries {
+		w.Retries = append(w.Retries, wireRetryUsage(u))
+	}
 	for _, v := range s.Suspects {
 		w.Suspects = append(w.Suspects, wireSuspect{
 			Service: v.Service, Part: v.Text(), Quarantined: v.Quarantined, Servers: v.Servers, Answers: v.Survivals,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,6 +46,9 @@
 	defaultMessageMemory = 64 << 20
 	// periodicCheckInterval is the time between two calls of runPeriodicChecks.
 	periodicCheckInterval = 250 * clock.Millisecond
+	// retryRefusalLogInterval is the shortest time between two log lines about retries that the
+	// budget refuses.
+	retryRefusalLogInterval = 1 * clock.Second
 )
 
 // Options are the settings of a Relay.
@@ -83,12 +86,14 @@
 	listener net.Listener
 	fleet    *fleet
 	budget   *budget
-	catalog  atomic.Pointer[catalog.Catalog]
-	leaseEnd atomic.Int64 // end of the lease, in clock.Millis
-	stopping atomic.Bool  // a planned stop has begun, so the relay is not ready
-	stopAt   atomic.Int64 // when a planned stop ends at the latest, in clock.Millis; 0 before a stop
-	closing  atomic.Bool  // callers' connections are closed once they are idle
-	metrics  *metrics
+	// retryRefusals logs retries that the budget refuses.
+	retryRefusals *event.Limiter
+	catalog       atomic.Pointer[catalog.Catalog]
+	leaseEnd      atomic.Int64 // end of the lease, in clock.Millis
+	stopping      atomic.Bool  // a planned stop has begun, so the relay is not ready
+	stopAt        atomic.Int64 // when a planned stop ends at the latest, in clock.Millis; 0 before a stop
+	closing       atomic.Bool  // callers' connections are closed once they are idle
+	metrics       *metrics
 
 	durations *forecast.Durations // of requests that were answered
 
@@ -119,8 +124,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
 		options: options, clock: options.Clock, listener: listener,
-		budget: newBudget(options.Retry),
-		conns:  map[*callerConn]struct{}{}, acceptEnded: make(chan struct{}),
+		budget: newBudget(options.Retry), retryRefusals: event.NewLimiter(options.Logger, retryRefusalLogInterval),
+		conns: map[*callerConn]struct{}{}, acceptEnded: make(chan struct{}),
 		quarantine: options.Quarantine,
 	}
 	if r.quarantine == nil {
