retry: the retry budget of a service holds however often its relays start

Cause: the fixed number of retries was divided by the number of entries that the relay had been told last, and each process began with its whole part of it. What its predecessor had used a moment ago was forgotten, and relays with different numbers (8 before the first word, 1 from a leader whose list of entries has just begun) took parts that add up to more than the whole. It is a bound on the sum of all entries, kept by what each of them remembers.

Now the fixed number is divided by fractions that are granted with the lease (ratelimit.Partition, next to the ring of the servers' limits), so that those in use never add up to more than 1, over changes of the leader too. Within a window an entry uses no more of the fixed number than the smallest fraction that it has held throughout that window (retry.SharedBudget). At the begin of any window all entries together hold at most the whole, so they use at most the whole in it; one that has just started uses none until a window has passed. What the ratio allows is counted by each entry for its own requests, as before, and is there from the first request on. Package retry now has both budgets.

Weighed: equal parts that grow from zero with the time since the start (the predecessor may have used its whole part an instant before: up to twice the whole); a count on disk (entries have none); tokens by the second (half of the fixed number at once, or half of it in the long run); parts of the ring (they move when others come and go, so that what was held throughout a window becomes small).

Each rule of SharedBudget that is taken out fails its tests. The relay tests' fixture has held its fraction for a window before the test begins, and updates that named no share name the whole, so that as many retries as before are allowed in them. In the simulation of ratelimit, an entry that freezes twice is excused until its lease ends by its own clock.

--- a/control/shares.go
+++ b/control/shares.go
@@ -31,7 +31,7 @@
 
 func newLimitShares(c *Control) *limitShares {
 	s := &limitShares{control: c, member: ratelimit.NewPartition(c.options.Clock.Now(), lease.WithMargin(c.options.EntryLease))}
-	s.member.SetTotal(ratelimit.Interval{})
+	s.member.SetTotal(ratelimit.Grant{})
 	return s
 }
 
@@ -64,7 +64,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &ShareReport{Held: s.granted}
-	r.Held.Interval = s.member.Held(now)
+	r.Held.Interval, r.Held.Fraction = s.member.Held(now)
 	if isDelegate {
 		r.Weight = s.member.Weight(now)
 	}
@@ -79,7 +79,7 @@
 	if granted != nil {
 		s.granted = *granted
 	}
-	s.member.SetTotal(s.granted.Interval)
+	s.member.SetTotal(s.granted)
 }
 
 // grantTo returns the next grant of a partition to the sender of a watch, or nil if it is of a
--- a/control/shares_test.go
+++ b/control/shares_test.go
@@ -49,7 +49,8 @@
 	go w.Run(g.t.Context())
 }
 
-// update stores the grant of an entry and fails the test if another one may use a part of it.
+// update stores the grant of an entry and fails the test if another one may use a part of it, or if
+// the fractions of all entries add up to more than the whole.
 func (l *limitingEntries) update(e *limitingEntry, confirmedAfter clock.Millis, response control.WatchResponse) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -59,7 +60,11 @@
 	}
 	e.held, e.leaseEnd = *response.Share, confirmedAfter+sharesLease
 	now := l.g.clock.Now()
+	fractions := 0.0
 	for _, other := range l.entries {
+		if now < other.leaseEnd {
+			fractions += other.held.Fraction
+		}
 		if other == e || now >= min(e.leaseEnd, other.leaseEnd) {
 			continue
 		}
@@ -68,19 +73,25 @@
 			l.g.t.Errorf("two entries hold %v and %v", a, b)
 		}
 	}
+	if fractions > 1+fractionTolerance {
+		l.g.t.Errorf("fractions of all entries: got %g, want at most 1", fractions)
+	}
 }
 
-// total returns the part of the ring that is in use, and that of the first entry.
+// total returns the smaller of the part of the ring and the sum of the fractions that are in use,
+// and the part of the ring of the first entry.
 func (l *limitingEntries) total() (total, first float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.g.clock.Now()
+	ring, fractions := 0.0, 0.0
 	for _, e := range l.entries {
 		if now < e.leaseEnd {
-			total += e.held.Interval.Size()
+			ring += e.held.Interval.Size()
+			fractions += e.held.Fraction
 		}
 	}
-	return total, l.entries[0].held.Interval.Size()
+	return min(ring, fractions), l.entries[0].held.Interval.Size()
 }
 
 // knowLimit reports whether all entries know the same limit of a server.
@@ -95,10 +106,15 @@
 	return true
 }
 
-// sharesLease is the duration of the entries' leases in these tests.
-const sharesLease = 1500 * clock.Millisecond
+const (
+	// sharesLease is the duration of the entries' leases in these tests.
+	sharesLease = 1500 * clock.Millisecond
+	// fractionTolerance allows for the rounding of sums of fractions.
+	fractionTolerance = 1e-9
+)
 
-// Guards against two entries that use the same part of servers' limits, against a part that no
+// Guards against two entries that use the same part of servers' limits or together more than the
+// whole of a limit without positions, as the fixed number of retries, against a part that no
 // entry uses for long, and against a limit that only the entry knows that has read it: with a few
 // entries, with many of which most watch members in place of the leader, and after the leader was
 // lost.
--- a/ratelimit/codec.go
+++ b/ratelimit/codec.go
@@ -42,15 +42,16 @@
 	Partition uint64       `json:"partition"`
 	Number    uint64       `json:"number"`
 	Interval  WireInterval `json:"interval"`
+	Fraction  float64      `json:"fraction,omitempty"` // missing in messages of former builds
 }
 
 // ToWireGrant returns the JSON form of a grant.
 func ToWireGrant(g Grant) WireGrant {
-	return WireGrant{Partition: g.Partition, Number: g.Number, Interval: WireInterval{g.Interval.Begin, g.Interval.End}}
+	return WireGrant{Partition: g.Partition, Number: g.Number, Interval: WireInterval{g.Interval.Begin, g.Interval.End}, Fraction: g.Fraction}
 }
 
 // Grant returns the grant that has a JSON form.
 func (w WireGrant) Grant() Grant {
 	interval := Interval{Begin: min(w.Interval[0], ringSize), End: min(w.Interval[1], ringSize)}
-	return Grant{Partition: w.Partition, Number: w.Number, Interval: interval}
+	return Grant{Partition: w.Partition, Number: w.Number, Interval: interval, Fraction: min(max(w.Fraction, 0), 1)}
 }
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -12,6 +12,10 @@
 // only ones that send requests to it: a server with a low limit is used by few entries, and the
 // rates of all entries add up to the limit.
 //
+// Fractions. A limit without positions, as the fixed number of retries of package retry, is divided
+// in the same way by fractions of the whole. An entry keeps its fraction when others come and go,
+// where its part of the ring may have to move.
+//
 // Rates. An entry sends to a limited server at the rate of the points that it holds (Limiter).
 // Some unused requests are saved up, so that a limit is used although requests come unevenly.
 // Within 4 s, a server that takes r requests a second gets at most 5.5 r + 5 requests.
--- a/ratelimit/partition.go
+++ b/ratelimit/partition.go
@@ -26,26 +26,41 @@
 	participantTimeout = 2 * clock.Second
 )
 
-// Grant is a part of the ring that a participant may use while its lease is valid.
+// Grant is what a participant may use while its lease is valid.
 type Grant struct {
-	Partition uint64 // identifies the Partition that has granted it
-	Number    uint64 // number of the grant; a later one replaces it
-	Interval  Interval
+	Partition uint64   // identifies the Partition that has granted it
+	Number    uint64   // number of the grant; a later one replaces it
+	Interval  Interval // its part of the ring
+	Fraction  float64  // its part of limits that have no positions on the ring, from 0 to 1
 }
 
+// isEmpty reports whether the grant allows nothing.
+func (g Grant) isEmpty() bool { return g.Interval.IsEmpty() && g.Fraction <= 0 }
+
+// allowsSame reports whether two grants allow the same.
+func (g Grant) allowsSame(other Grant) bool {
+	return g.Interval == other.Interval && g.Fraction == other.Fraction
+}
+
+// whole is all that a partition can divide.
+var whole = Grant{Interval: wholeRing, Fraction: 1}
+
 // Partition divides the ring among participants: entries, or members of the control group that
-// divide their part among entries of their own. It is safe for concurrent use.
+// divide their part among entries of their own. In the same way it divides limits without
+// positions; there a participant keeps its fraction when others come and go, where its part of the
+// ring may have to move. It is safe for concurrent use.
 //
 // A part is granted only once no other participant can hold it: the others have told that they
 // hold a later grant without it, or the leases that came with it have ended. So the parts that
-// are in use never overlap, whatever happens to messages. While a new partition does not know
-// yet who holds what, participants keep what they have.
+// are in use never overlap, and their fractions never add up to more than the whole, whatever
+// happens to messages. While a new partition does not know yet who holds what, participants keep
+// what they have.
 type Partition struct {
 	instance uint64
 	lease    clock.Millis // how long a participant may use a grant after it has asked for it
 
 	mu           sync.Mutex
-	total        Interval // what is divided
+	total        Grant // what is divided
 	settledAt    clock.Millis
 	number       uint64 // of the newest grant
 	participants map[string]*participant
@@ -58,20 +73,18 @@
 type participant struct {
 	weight       int // its demand
 	targetWeight int // its demand when the targets were set
-	target       Interval
+	target       Grant
 	reportedAt   clock.Millis
 	active       bool  // it has reported lately
 	held         Grant // as reported
 	holds        []hold
 }
 
-// hold is a part of the ring that a participant may hold until its lease ends: what it was
-// granted, or what it has reported. Its number is that of the grant, or 0 if another partition has
-// granted it.
+// hold is what a participant may hold until its lease ends: what it was granted, or what it has
+// reported. Its number is that of the grant, or 0 if another partition has granted it.
 type hold struct {
-	number   uint64
+	Grant
 	reported bool
-	interval Interval
 	until    clock.Millis
 }
 
@@ -79,23 +92,23 @@
 // until the given lease time has passed.
 func NewPartition(now, lease clock.Millis) *Partition {
 	return &Partition{
-		instance: 1 + uint64(rand.Uint32()), lease: lease, total: wholeRing, settledAt: now + lease,
+		instance: 1 + uint64(rand.Uint32()), lease: lease, total: whole, settledAt: now + lease,
 		participants: map[string]*participant{},
 	}
 }
 
-// SetTotal makes the partition divide an interval in place of the whole ring. What participants
-// hold outside of it is taken back with their next grants.
-func (p *Partition) SetTotal(total Interval) {
+// SetTotal makes the partition divide what a grant allows in place of the whole. What participants
+// hold beyond it is taken back with their next grants.
+func (p *Partition) SetTotal(total Grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.total != total {
+	if !p.total.allowsSame(total) {
 		p.total, p.outdated = total, true
 	}
 }
 
 // Report records what a participant reports: its demand, the newest grant that it has received,
-// and in it the interval that it uses or has passed on.
+// and in it what it uses or has passed on.
 func (p *Partition) Report(now clock.Millis, name string, weight int, held Grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,46 +146,56 @@
 // granted, until its entries have given that up.
 func (q *participant) acknowledge(held Grant, until clock.Millis) {
 	q.holds = slices.DeleteFunc(q.holds, func(h hold) bool {
-		return h.number < held.Number || h.number == held.Number && h.reported
+		return h.Number < held.Number || h.Number == held.Number && h.reported
 	})
-	isGranted := slices.ContainsFunc(q.holds, func(h hold) bool { return h.number == held.Number && h.interval == held.Interval })
-	if !held.Interval.IsEmpty() && !isGranted {
+	isGranted := slices.ContainsFunc(q.holds, func(h hold) bool { return h.Number == held.Number && h.allowsSame(held) })
+	if !held.isEmpty() && !isGranted {
 		// Before the grants, so that the newest one stays last.
-		q.holds = slices.Insert(q.holds, 0, hold{number: held.Number, reported: true, interval: held.Interval, until: until})
+		q.holds = slices.Insert(q.holds, 0, hold{Grant: held, reported: true, until: until})
 	}
 }
 
-// wanted returns the part of the ring that a participant should get. The caller holds the lock.
-func (p *Partition) wanted(now clock.Millis, q *participant) Interval {
+// wanted returns what a participant should get. The caller holds the lock.
+func (p *Partition) wanted(now clock.Millis, q *participant) Grant {
 	if now < p.settledAt {
-		return q.held.Interval.Intersect(p.total)
+		return Grant{Interval: q.held.Interval.Intersect(p.total.Interval), Fraction: min(q.held.Fraction, p.total.Fraction)}
 	}
 	p.updateTargets(now)
 	return q.target
 }
 
-// grant grants the largest part of the wanted interval that no other participant can hold. The
-// caller holds the lock.
-func (p *Partition) grant(now clock.Millis, q *participant, wanted Interval) Grant {
-	if last := len(q.holds) - 1; last >= 0 && !q.holds[last].reported && q.holds[last].interval == wanted && q.holds[last].until > now {
+// grant grants the largest part of what is wanted that no other participant can hold. The caller
+// holds the lock.
+func (p *Partition) grant(now clock.Millis, q *participant, wanted Grant) Grant {
+	if last := len(q.holds) - 1; last >= 0 && !q.holds[last].reported && q.holds[last].allowsSame(wanted) && q.holds[last].until > now {
 		q.holds[last].until = now + p.lease // nobody else can hold it
-		return Grant{Partition: p.instance, Number: q.holds[last].number, Interval: wanted}
+		return q.holds[last].Grant
 	}
 	var taken []Interval
+	free := p.total.Fraction
 	for _, other := range p.participants {
 		if other == q {
 			continue
 		}
+		free -= other.heldFraction()
 		for _, h := range other.holds {
-			taken = append(taken, h.interval)
+			taken = append(taken, h.Interval)
 		}
 	}
 	p.number++
-	g := Grant{Partition: p.instance, Number: p.number, Interval: wanted.largestWithout(taken)}
-	q.holds = append(q.holds, hold{number: g.Number, interval: g.Interval, until: now + p.lease})
+	g := Grant{
+		Partition: p.instance, Number: p.number,
+		Interval: wanted.Interval.largestWithout(taken), Fraction: max(min(wanted.Fraction, free), 0),
+	}
+	q.holds = append(q.holds, hold{Grant: g, until: now + p.lease})
 	return g
 }
 
+// heldFraction returns the largest fraction that a participant may hold.
+func (q *participant) heldFraction() float64 {
+	return lo.Max(lo.Map(q.holds, func(h hold, _ int) float64 { return h.Fraction }))
+}
+
 // updateTargets divides the ring anew if participants have come or gone, or if their demand has
 // changed much. The caller holds the lock.
 func (p *Partition) updateTargets(now clock.Millis) {
@@ -189,15 +212,19 @@
 	names := lo.Keys(lo.PickBy(p.participants, func(_ string, q *participant) bool { return q.active }))
 	slices.Sort(names)
 	sum := lo.SumBy(names, func(name string) int { return p.participants[name].weight })
-	before, begin := 0, p.total.Begin
+	total, before := p.total.Interval, 0
+	begin := total.Begin
 	for _, name := range names {
 		q := p.participants[name]
 		before += q.weight
-		end := begin
-		if sum > 0 && !p.total.IsEmpty() {
-			end = p.total.Begin + uint64(float64(p.total.End-p.total.Begin)*float64(before)/float64(sum))
+		end, fraction := begin, 0.0
+		if sum > 0 {
+			fraction = p.total.Fraction * float64(q.weight) / float64(sum)
+		}
+		if sum > 0 && !total.IsEmpty() {
+			end = total.Begin + uint64(float64(total.End-total.Begin)*float64(before)/float64(sum))
 		}
-		q.target, q.targetWeight = Interval{Begin: begin, End: end}, q.weight
+		q.target, q.targetWeight = Grant{Interval: Interval{Begin: begin, End: end}, Fraction: fraction}, q.weight
 		begin = end
 	}
 }
@@ -237,7 +264,7 @@
 	for name, q := range p.participants {
 		q.holds = slices.DeleteFunc(q.holds, func(h hold) bool { return h.until <= now })
 		if q.active && now-q.reportedAt > participantTimeout {
-			q.active, q.target, p.outdated = false, Interval{}, true
+			q.active, q.target, p.outdated = false, Grant{}, true
 		}
 		if !q.active && len(q.holds) == 0 {
 			delete(p.participants, name)
@@ -245,18 +272,21 @@
 	}
 }
 
-// Held returns the smallest interval with all parts that participants may hold.
-func (p *Partition) Held(now clock.Millis) Interval {
+// Held returns the smallest interval with all parts of the ring that participants may hold, and the
+// largest sum of their fractions.
+func (p *Partition) Held(now clock.Millis) (Interval, float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
 	var held Interval
+	fraction := 0.0
 	for _, q := range p.participants {
+		fraction += q.heldFraction()
 		for _, h := range q.holds {
-			held = held.hull(h.interval)
+			held = held.hull(h.Interval)
 		}
 	}
-	return held
+	return held, fraction
 }
 
 // Weight returns the demand of all participants that have reported lately.
--- a/ratelimit/partition_test.go
+++ b/ratelimit/partition_test.go
@@ -16,12 +16,16 @@
 	return p.Grant(now, name)
 }
 
-// wantSize fails the test if a grant does not cover the wanted part of the ring.
+// wantSize fails the test if a grant does not cover the wanted part of the ring, or has another
+// fraction.
 func wantSize(t *testing.T, what string, g ratelimit.Grant, want float64) {
 	t.Helper()
 	if got := g.Interval.Size(); got < want-1e-6 || got > want+1e-6 {
 		t.Errorf("%s: got %g of the ring, want %g", what, got, want)
 	}
+	if got := g.Fraction; got < want-1e-6 || got > want+1e-6 {
+		t.Errorf("%s: got the fraction %g, want %g", what, got, want)
+	}
 }
 
 // Guards against a part of the ring that is granted again although a late copy of an old report
@@ -78,27 +82,27 @@
 // against one that gives up a part while its entries may use it.
 func TestMemberDividesItsPart(t *testing.T) {
 	leader, member := settled(), settled()
-	member.SetTotal(ratelimit.Interval{})
+	member.SetTotal(ratelimit.Grant{})
 	wantSize(t, "before the leader's grant", exchange(member, 0, "a", 3, ratelimit.Grant{}), 0)
 	granted := exchange(leader, 10, "member", member.Weight(10), ratelimit.Grant{})
-	member.SetTotal(granted.Interval)
+	member.SetTotal(granted)
 	a := exchange(member, 20, "a", 3, ratelimit.Grant{})
 	wantSize(t, "the only entry", a, 1)
-	granted.Interval = member.Held(30)
+	granted.Interval, granted.Fraction = member.Held(30)
 	granted = exchange(leader, 30, "member", member.Weight(30), granted)
 	other := exchange(leader, 40, "other", 3, ratelimit.Grant{})
-	granted.Interval = member.Held(50)
+	granted.Interval, granted.Fraction = member.Held(50)
 	granted = exchange(leader, 50, "member", member.Weight(50), granted)
-	member.SetTotal(granted.Interval)
+	member.SetTotal(granted)
 	wantSize(t, "the member when another one has come", granted, 0.5)
 	held := granted
-	held.Interval = member.Held(60)
+	held.Interval, held.Fraction = member.Held(60)
 	exchange(leader, 60, "member", member.Weight(60), held)
 	wantSize(t, "the other member while the entry may use all", exchange(leader, 70, "other", 3, other), 0)
 	a = exchange(member, 80, "a", 3, a)
 	wantSize(t, "the entry", a, 0.5)
 	exchange(member, 90, "a", 3, a)
-	held.Interval = member.Held(100)
+	held.Interval, held.Fraction = member.Held(100)
 	exchange(leader, 100, "member", member.Weight(100), held)
 	wantSize(t, "the other member once the entry has given up its half", exchange(leader, 110, "other", 3, other), 0.5)
 }
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/ratelimit"
+	"github.com/galenaslip/galenaslip/retry"
 )
 
 const (
@@ -31,6 +32,7 @@
 type simulatedEntry struct {
 	name         string
 	limiter      *ratelimit.Limiter
+	budget       *retry.SharedBudget
 	held         ratelimit.Grant
 	leaseEnd     clock.Millis
 	demand       float64 // requests a second
@@ -64,6 +66,7 @@
 	limits    *ratelimit.Limits
 	limit     ratelimit.Limit
 	policy    policy
+	noExcuses bool           // entries are never excused, but their clocks run on while they are frozen
 	sent      []clock.Millis // requests that the server got and that count
 	calm      bool           // messages take one step and none is lost
 }
@@ -82,6 +85,7 @@
 // start starts an entry with nothing but the limits, which come with its first lease.
 func (s *simulation) start(e *simulatedEntry) {
 	e.limiter, e.held, e.leaseEnd, e.running = ratelimit.NewLimiter(s.limits), ratelimit.Grant{}, 0, true
+	e.budget = retry.NewSharedBudget(retryLimits)
 	e.nextReport, e.nextRequest = s.now, s.now
 	e.reportNumber++
 }
@@ -108,12 +112,15 @@
 	}
 	for e.demand > 0 && s.now >= e.nextRequest {
 		e.nextRequest = max(e.nextRequest, s.now-clock.Second) + clock.Millis(float64(clock.Second)/e.demand)
-		if s.policy.take(e, s.now) && s.now >= e.excusedUntil {
+		if s.policy.take(e, s.now) && s.counts(e) {
 			s.sent = append(s.sent, s.now)
 		}
 	}
 }
 
+// counts reports whether requests of the entry count, because it is not excused.
+func (s *simulation) counts(e *simulatedEntry) bool { return s.noExcuses || s.now >= e.excusedUntil }
+
 // send sends a message, which may be late, lost or doubled.
 func (s *simulation) send(m message) {
 	copies, delay := 1, simulationStep
@@ -149,6 +156,7 @@
 		e.reportNumber++
 		e.held, e.leaseEnd, e.nextReport = m.held, m.sentAt+simulationLease, s.now+watchPause
 		e.limiter.SetGrant(e.held, e.leaseEnd)
+		e.budget.SetShare(s.now, e.held.Fraction, e.leaseEnd)
 	}
 }
 
@@ -156,7 +164,7 @@
 func (s *simulation) checkShares() {
 	for i, a := range s.entries {
 		for _, b := range s.entries[:i] {
-			if s.now >= min(a.leaseEnd, b.leaseEnd) || !a.running || !b.running || s.now < max(a.excusedUntil, b.excusedUntil) {
+			if s.now >= min(a.leaseEnd, b.leaseEnd) || !a.running || !b.running || !s.counts(a) || !s.counts(b) {
 				continue
 			}
 			x, y := a.held.Interval, b.held.Interval
@@ -184,28 +192,35 @@
 	return 1.5*limitWindow.Duration().Seconds()*s.limit.Rate() + 5
 }
 
-// disturb changes something at random: entries end, start, freeze, are cut off, or get other
-// demand; or another leader takes over.
+// disturb changes something at random: entries end, start, freeze, are cut off, get other demand, or
+// are replaced by others; or another leader takes over.
 func (s *simulation) disturb() {
 	e := rapid.SampledFrom(s.entries).Draw(s.t, "entry")
-	switch rapid.IntRange(0, 6).Draw(s.t, "disturbance") {
+	switch rapid.IntRange(0, 7).Draw(s.t, "disturbance") {
 	case 0:
 		e.running = false
 	case 1:
 		s.start(e)
 		e.excusedUntil = s.now + simulationLease
-	case 2: // frozen: it takes up old leases when it goes on
+	case 2: // frozen: it takes up old leases when it goes on, unless its clock has run on
 		frozen := clock.Millis(rapid.IntRange(100, 6000).Draw(s.t, "frozen"))
 		e.nextReport, e.nextRequest = max(e.nextReport, s.now+frozen), s.now+frozen
-		e.excusedUntil = s.now + frozen + simulationLease
-		e.leaseEnd += frozen
-		e.limiter.SetGrant(e.held, e.leaseEnd)
+		if !s.noExcuses {
+			e.leaseEnd += frozen
+			e.excusedUntil = max(s.now+frozen+simulationLease, e.leaseEnd)
+			e.limiter.SetGrant(e.held, e.leaseEnd)
+		}
 	case 3, 4:
 		e.cut = !e.cut
 	case 5:
 		e.demand = rapid.SampledFrom([]float64{0, 0.5, 3, 20}).Draw(s.t, "demand")
 	case 6:
 		s.partition = ratelimit.NewPartition(s.now, simulationLease)
+	case 7:
+		e.running = false
+		next := &simulatedEntry{name: fmt.Sprintf("entry-%d", len(s.entries)), demand: e.demand, excusedUntil: s.now + simulationLease}
+		s.entries = append(s.entries, next)
+		s.start(next)
 	}
 }
 
--- a/relay/deadly_request_test.go
+++ b/relay/deadly_request_test.go
@@ -26,7 +26,7 @@
 
 // renewLease has the control leader renew the lease, without news.
 func (s *fixture) renewLease() {
-	s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, LoadsKept: true})
+	s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, LoadsKept: true, Share: wholeShare()})
 }
 
 // post sends a request with a body.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -210,7 +210,7 @@
 
 // sendWithRetries sends the request, with retries, until the caller gets a response.
 func (x *exchange) sendWithRetries() bool {
-	x.relay.budget.countRequest(x.relay.clock.Now(), x.service)
+	x.relay.budget.CountRequest(x.relay.clock.Now(), x.service)
 	x.relay.limiter.CountRequest(x.relay.clock.Now())
 	if r := x.checkQuarantine(); r != nil {
 		return x.refuse(*r)
@@ -370,7 +370,7 @@
 // takeRetry takes a retry from the budget of the service and reports whether one was left.
 func (x *exchange) takeRetry(now clock.Millis, a *attempt) bool {
 	r := x.relay
-	if r.budget.takeRetry(now, x.service, x.retryShare(a.result)) {
+	if r.budget.Take(now, x.service, x.retryShare(a.result)) {
 		return true
 	}
 	r.retryRefusals.Log(now, event.RetryRefused, zap.String("service", x.service), zap.String("request", x.requestInfo.ID), zap.Stringer("result", a.result))
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -31,8 +31,12 @@
 	promptPartRetention = 60 * clock.Second
 )
 
-// maxEntries bounds the number of entries that an update reports. The number multiplies times.
-const maxEntries = 100_000
+const (
+	// maxEntries bounds the number of entries that an update reports. The number multiplies times.
+	maxEntries = 100_000
+	// assumedEntries is the number of entries assumed until control reports it.
+	assumedEntries = 8
+)
 
 // fleet holds the backend servers and what is known about them. Methods that
 // other types call acquire the lock; for the others, the caller must hold it.
@@ -140,7 +144,7 @@
 		if !a.repeatable || a.firstByteSeen && silence < streamUnresponsiveAfter || now-a.chosenAt < unresponsiveAfter {
 			continue
 		}
-		if f.hasAlternative(now, a) && a.exchange.relay.budget.takeRetry(now, s.record.Service, 1) {
+		if f.hasAlternative(now, a) && a.exchange.relay.budget.Take(now, s.record.Service, 1) {
 			a.interruptForRetry()
 		}
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -126,7 +126,7 @@
 		{-1, 1}, {0, 1}, {300, 300}, {1 << 61, 100_000}, {1<<63 - 1, 100_000},
 	}
 	for _, tt := range tests {
-		s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: tt.reported})
+		s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: tt.reported, Share: wholeShare()})
 		if got := s.relay.State().Entries; got != tt.want {
 			t.Errorf("%d entries: got %d, want %d", tt.reported, got, tt.want)
 		}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/galenaslip/galenaslip/frame"
 	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/relay"
+	"github.com/galenaslip/galenaslip/retry"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -26,6 +27,9 @@
 // ends. A test that reaches it fails.
 const testTimeout = 20 * time.Second
 
+// retryWindow is the window of the retry budgets.
+const retryWindow = 10 * clock.Second
+
 // testProtocol is a relay.Protocol with header names that only these tests use.
 type testProtocol struct{}
 
@@ -203,8 +207,17 @@
 	return newFixtureWith(t, func(*relay.Options) {}, servers...)
 }
 
-// newFixtureWith is newFixture with adjusted options of the relay.
+// newFixtureWith is newFixture with adjusted options of the relay. The relay has held its part of
+// retry budgets for a whole window.
 func newFixtureWith(t *testing.T, adjust func(o *relay.Options), servers ...*backend) *fixture {
+	t.Helper()
+	s := newStartedFixture(t, adjust, servers...)
+	s.holdShare(retryWindow)
+	return s
+}
+
+// newStartedFixture is newFixtureWith with a relay that has just started.
+func newStartedFixture(t *testing.T, adjust func(o *relay.Options), servers ...*backend) *fixture {
 	t.Helper()
 	c, manual := clock.NewManual(1_700_000_000_000)
 	share := []catalog.Share{{Service: "s", Weight: 1}}
@@ -225,7 +238,7 @@
 	options := relay.Options{
 		Name: "entry", AvailabilityZone: "z", Listen: "127.0.0.1:0", Protocol: testProtocol{}, Format: fixedFormat{definition},
 		Clock: c, Logger: logger, Lease: 4 * clock.Second, Grace: 8 * clock.Second,
-		Retry: relay.RetryLimits{Ratio: 0.2, Window: 10 * clock.Second, ExtraRetries: 50},
+		Retry: retry.Limits{Ratio: 0.2, Window: retryWindow, ExtraRetries: 50},
 	}
 	adjust(&options)
 	r, release, err := relay.New(options)
@@ -245,9 +258,17 @@
 	return s
 }
 
-// wholeShare returns the part of servers' limits of a relay that is the only entry.
+// holdShare advances the clock by a time in which the relay keeps its lease and its part of limits.
+func (s *fixture) holdShare(duration clock.Millis) {
+	const step = clock.Second // shorter than the lease
+	for end := s.clock.Now() + duration; s.clock.Now() < end; s.updateServers() {
+		s.manual.Advance(min(step, end-s.clock.Now()))
+	}
+}
+
+// wholeShare returns the part of servers' limits and retry budgets of a relay that is the only entry.
 func wholeShare() *ratelimit.Grant {
-	return &ratelimit.Grant{Partition: 1, Number: 1, Interval: ratelimit.Interval{End: 1 << 32}}
+	return &ratelimit.Grant{Partition: 1, Number: 1, Interval: ratelimit.Interval{End: 1 << 32}, Fraction: 1}
 }
 
 // advanceToNextCheck advances the clock by delay and waits until the relay has finished
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -38,13 +38,12 @@
 		zap.Float64("rate", held.Limit), zap.Float64("own_rate", held.Rate), zap.String("request", x.requestInfo.ID))
 }
 
-// setShare stores the part of servers' limits that control has granted with a lease.
-func (r *Relay) setShare(share *ratelimit.Grant, leaseEnd clock.Millis) {
-	if share == nil {
-		r.limiter.SetGrant(ratelimit.Grant{}, 0)
-		return
-	}
-	r.limiter.SetGrant(*share, leaseEnd)
+// setShare stores the part of servers' limits and of retry budgets that control has granted with a
+// lease.
+func (r *Relay) setShare(now clock.Millis, share *ratelimit.Grant, leaseEnd clock.Millis) {
+	granted := lo.FromPtr(share)
+	r.limiter.SetGrant(granted, leaseEnd)
+	r.budget.SetShare(now, granted.Fraction, leaseEnd)
 }
 
 // shareReport returns the demand that decides about the relay's part of servers' limits, and the
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
+	"github.com/galenaslip/galenaslip/retry"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -95,6 +96,7 @@
 		"servers_leaving":   float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.SaysLeaving && !v.gone() })),
 		"servers_limited":   float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.Limit > 0 && !v.gone() })),
 		"limit_share":       s.LimitShare,
+		"retry_share":       s.RetryShare,
 		"servers_paused":    float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.PauseLeft > 0 && !v.gone() })),
 		"parts_suspect":     float64(len(s.Suspects)),
 		"parts_quarantined": float64(lo.CountBy(s.Suspects, func(v quarantine.Suspect) bool { return v.Quarantined })),
@@ -142,7 +144,8 @@
 	Servers     []ServerState
 	Suspects    []quarantine.Suspect // parts of prompts under which servers have ended
 	LimitShare  float64              // the part of servers' limits that this relay may use, 0 to 1
-	Retries     []RetryUsage         // by service
+	RetryShare  float64              // the part of the fixed number of retries that this relay may use, 0 to 1
+	Retries     []retry.Usage        // by service
 }
 
 // ServerState is the relay's view of one backend server. Latency is in ms.
@@ -167,7 +170,8 @@
 		Name: r.options.Name, Ready: r.Ready(), Revision: r.catalog.Load().Revision(),
 		LeaseLeft: clock.Millis(r.leaseEnd.Load()) - now, Connections: r.forEachConn(func(*callerConn) {}),
 	}
-	s.Suspects, s.LimitShare, s.Retries = r.quarantine.Suspects(now), r.limiter.Share(now), r.budget.usage(now)
+	s.Suspects, s.LimitShare, s.Retries = r.quarantine.Suspects(now), r.limiter.Share(now), r.budget.Usage(now)
+	s.RetryShare = r.budget.Share(now)
 	f := r.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -198,10 +202,11 @@
 	Servers     []wireServerState `json:"servers"`
 	Suspects    []wireSuspect     `json:"suspects"`
 	LimitShare  float64           `json:"limit_share"`
+	RetryShare  float64           `json:"retry_share"`
 	Retries     []wireRetryUsage  `json:"retries"`
 }
 
-// wireRetryUsage is the JSON form of RetryUsage.
+// wireRetryUsage is the JSON form of retry.Usage.
 type wireRetryUsage struct {
 	Service  string  `json:"service"`
 	Requests int     `json:"requests"`
@@ -247,7 +252,7 @@
 func EncodeState(s State) ([]byte, error) {
 	w := wireState{
 		Name: s.Name, Ready: s.Ready, Revision: s.Revision, LeaseLeft: s.LeaseLeft, Entries: s.Entries,
-		Connections: s.Connections, Attempts: s.Attempts, LimitShare: s.LimitShare,
+		Connections: s.Connections, Attempts: s.Attempts, LimitShare: s.LimitShare, RetryShare: s.RetryShare,
 	}
 	for _, v := range s.Servers {
 		w.Servers = append(w.Servers, wireServerState(v))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/galenaslip/galenaslip/memory"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
+	"github.com/galenaslip/galenaslip/retry"
 )
 
 // defaultLimits apply until the first catalog is loaded and where a catalog sets no
@@ -65,7 +66,7 @@
 	Lease clock.Millis
 	// Grace is the longest time that a planned stop may take.
 	Grace clock.Millis
-	Retry RetryLimits
+	Retry retry.Limits
 	// Quarantine holds what all relays know about parts of prompts that end servers; an empty
 	// one is used when nil.
 	Quarantine *quarantine.Quarantine
@@ -85,7 +86,7 @@
 	clock    clock.Clock
 	listener net.Listener
 	fleet    *fleet
-	budget   *budget
+	budget   *retry.SharedBudget
 	// retryRefusals logs retries that the budget refuses.
 	retryRefusals *event.Limiter
 	catalog       atomic.Pointer[catalog.Catalog]
@@ -124,7 +125,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
 		options: options, clock: options.Clock, listener: listener,
-		budget: newBudget(options.Retry), retryRefusals: event.NewLimiter(options.Logger, retryRefusalLogInterval),
+		budget: retry.NewSharedBudget(options.Retry), retryRefusals: event.NewLimiter(options.Logger, retryRefusalLogInterval),
 		conns: map[*callerConn]struct{}{}, acceptEnded: make(chan struct{}),
 		quarantine: options.Quarantine,
 	}
@@ -223,10 +224,9 @@
 	now := r.clock.Now()
 	r.metrics.serversRefused.Add(float64(update.Refused.Count))
 	r.fleet.applyUpdate(now, update)
-	r.budget.setEntryCount(update.EntryCount)
 	leaseEnd := confirmedAfter + r.options.Lease
 	r.leaseEnd.Store(int64(leaseEnd))
-	r.setShare(update.Share, leaseEnd)
+	r.setShare(now, update.Share, leaseEnd)
 	r.versions.update(confirmedAfter, update.Versions)
 	return true
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -380,7 +380,7 @@
 	for _, step := range steps {
 		s.manual.Advance(step.advance)
 		if step.confirm {
-			s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1})
+			s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, Share: wholeShare()})
 		}
 		c := s.client()
 		c.get("/none/", "1")
@@ -535,7 +535,7 @@
 	b := newBackend(t, func(req receivedRequest) { respondOK(req, "ran") })
 	s := newFixture(t, b)
 	record := func(state roster.State, started int64) control.WatchResponse {
-		return control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, Servers: []roster.Record{{Announcement: roster.Announcement{
+		return control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, Share: wholeShare(), Servers: []roster.Record{{Announcement: roster.Announcement{
 			Server: "server-0", Service: "s", Address: b.listener.Addr().String(), Slots: 4, State: state, StartedAt: started,
 		}}}}
 	}
@@ -569,7 +569,7 @@
 		{roster.Serving, 4, 200}, {roster.Leaving, 5, 503}, {roster.Serving, 4, 503}, {roster.Serving, 5, 503}, {roster.Serving, 6, 200},
 	}
 	for i, step := range steps {
-		s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, Servers: []roster.Record{{
+		s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: 1, EntryCount: 1, Share: wholeShare(), Servers: []roster.Record{{
 			Announcement: roster.Announcement{
 				Server: "server-0", Service: "s", Address: b.listener.Addr().String(), Slots: 4, State: step.state, StartedAt: 1, Sequence: step.sequence,
 			},
--- a/relay/withdrawal_test.go
+++ b/relay/withdrawal_test.go
@@ -39,7 +39,7 @@
 // list updates the relay with a record of one server.
 func (s *fixture) list(epoch uint64, b *backend, state roster.State, startedAt int64, sequence uint64) {
 	s.t.Helper()
-	s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: epoch, EntryCount: 1, Servers: []roster.Record{{
+	s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: epoch, EntryCount: 1, Share: wholeShare(), Servers: []roster.Record{{
 		Announcement: roster.Announcement{
 			Server: "server-0", Service: "s", Address: b.listener.Addr().String(), AvailabilityZone: "z", Slots: 4,
 			State: state, StartedAt: startedAt, Sequence: sequence,
