ratelimit: a new leader does not renew grants whose leases have ended

Two entries could use the same part of servers' limits, and together more than the whole of the fixed number of retries, for up to a lease after a change of the leader.

Cause: an entry reported its newest grant also after the lease that came with it had ended. The leader had granted that part to another entry since; the next leader does not know that yet and lets each entry keep what it reports.

Entries, and members that divide a part among their own entries, now keep their grant in a Holding. It reports nothing once the lease has ended, and it drops a grant of another partition that answers a report of a grant whose lease has ended meanwhile.

--- a/control/delegate.go
+++ b/control/delegate.go
@@ -123,7 +123,7 @@
 	}
 	d.confirmation, d.others = next, response
 	d.others.EntryCount = max(response.EntryCount-d.reported, 0)
-	d.control.shares.setGranted(response.Share)
+	d.control.shares.setGranted(response.Share, askedAt+d.control.options.EntryLease)
 	d.mu.Unlock()
 	if changed {
 		d.control.changed.notify()
--- a/control/shares.go
+++ b/control/shares.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/ratelimit"
@@ -26,7 +28,7 @@
 	mu      sync.Mutex
 	term    uint64               // term of leader
 	leader  *ratelimit.Partition // divides the whole in a term that this member leads
-	granted ratelimit.Grant      // the newest grant of the leader to this member
+	granted ratelimit.Holding    // what the leader has granted to this member
 }
 
 func newLimitShares(c *Control) *limitShares {
@@ -63,23 +65,22 @@
 func (s *limitShares) memberReport(now clock.Millis, isDelegate bool) *ShareReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := &ShareReport{Held: s.granted}
-	r.Held.Interval, r.Held.Fraction = s.member.Held(now)
+	r := &ShareReport{Held: s.granted.Report(now)}
+	if r.Held.Partition != 0 {
+		r.Held.Interval, r.Held.Fraction = s.member.Held(now)
+	}
 	if isDelegate {
 		r.Weight = s.member.Weight(now)
 	}
 	return r
 }
 
-// setGranted stores what the leader has granted to this member, nil if it is of a former build.
-func (s *limitShares) setGranted(granted *ratelimit.Grant) {
+// setGranted stores what the leader has granted to this member, nil if it is of a former build, with
+// the end of the leases of the entries that may use it.
+func (s *limitShares) setGranted(granted *ratelimit.Grant, until clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.granted = ratelimit.Grant{}
-	if granted != nil {
-		s.granted = *granted
-	}
-	s.member.SetTotal(s.granted)
+	s.member.SetTotal(s.granted.Set(s.control.options.Clock.Now(), lo.FromPtr(granted), until))
 }
 
 // grantTo returns the next grant of a partition to the sender of a watch, or nil if it is of a
--- a/entry/rate_limit.go
+++ b/entry/rate_limit.go
@@ -55,7 +55,7 @@
 	}
 	names := lo.Map(d.leases.entries(), func(e lease.Entry, _ int) string { return e.Name })
 	interval := d.share.update(now, names, d.options.Name)
-	d.limiter.SetGrant(ratelimit.Grant{Interval: interval}, now+min(d.leases.remaining(), 4*tickInterval))
+	d.limiter.SetGrant(now, ratelimit.Grant{Interval: interval}, now+min(d.leases.remaining(), 4*tickInterval))
 }
 
 // recordLimit records how many requests the server of an assignment takes if its answer says so.
--- a/ratelimit/bench_test.go
+++ b/ratelimit/bench_test.go
@@ -25,7 +25,7 @@
 				}
 			}
 			l := ratelimit.NewLimiter(limits)
-			l.SetGrant(ratelimit.Grant{Interval: ratelimit.Interval{End: 1 << 32 / 460}}, clock.Hour)
+			l.SetGrant(0, ratelimit.Grant{Interval: ratelimit.Interval{End: 1 << 32 / 460}}, clock.Hour)
 			for i := 0; b.Loop(); i++ {
 				l.Allows(clock.Millis(i), runs[i%servers], "s", ratelimit.Urgency{})
 			}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -57,15 +57,14 @@
 type Limiter struct {
 	limits *Limits
 
-	mu         sync.Mutex
-	granted    Grant        // the part of the ring that this entry holds
-	grantUntil clock.Millis // the end of the lease that came with it
-	demand     float64      // recent requests a second at demandAt
-	demandAt   clock.Millis
-	buckets    map[Run]*bucket
-	refused    map[string]map[int]refusals // by service and rank
-	returnAt   map[string]clock.Millis     // when the caller of a service that was refused last comes back
-	expireAt   clock.Millis                // when buckets of former limits are searched for next
+	mu       sync.Mutex
+	holding  Holding // the part of the ring that this entry holds
+	demand   float64 // recent requests a second at demandAt
+	demandAt clock.Millis
+	buckets  map[Run]*bucket
+	refused  map[string]map[int]refusals // by service and rank
+	returnAt map[string]clock.Millis     // when the caller of a service that was refused last comes back
+	expireAt clock.Millis                // when buckets of former limits are searched for next
 }
 
 // refusals are the refusals of a rank for the limits of servers.
@@ -97,19 +96,19 @@
 // Limits returns the limits that the limiter keeps.
 func (l *Limiter) Limits() *Limits { return l.limits }
 
-// SetGrant sets the part of the ring that this entry holds, and the end of the lease that came
-// with it.
-func (l *Limiter) SetGrant(granted Grant, until clock.Millis) {
+// SetGrant stores the grant that has answered the latest report of this entry, with the end of its
+// lease, and returns what of it the entry holds; see Holding.Set.
+func (l *Limiter) SetGrant(now clock.Millis, granted Grant, until clock.Millis) Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.granted, l.grantUntil = granted, until
+	return l.holding.Set(now, granted, until)
 }
 
-// Granted returns the part of the ring that this entry holds or has held.
-func (l *Limiter) Granted() Grant {
+// ReportGrant returns the grant that this entry reports to control.
+func (l *Limiter) ReportGrant(now clock.Millis) Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.granted
+	return l.holding.Report(now)
 }
 
 // CountRequest counts a request of a caller for the demand of this entry.
@@ -144,10 +143,7 @@
 
 // validShare returns the part of the ring that this entry may use. The caller holds the lock.
 func (l *Limiter) validShare(now clock.Millis) Interval {
-	if now >= l.grantUntil {
-		return Interval{}
-	}
-	return l.granted.Interval
+	return l.holding.Current(now).Interval
 }
 
 // Allows reports whether a request of a service may be sent to a server now.
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -16,7 +16,7 @@
 	limits := ratelimit.NewLimits()
 	limits.Record(0, testRun, ratelimit.NewLimit(rate), 0, 0)
 	l := ratelimit.NewLimiter(limits)
-	l.SetGrant(wholeRing, clock.Minute)
+	l.SetGrant(0, wholeRing, clock.Minute)
 	return l
 }
 
@@ -50,7 +50,7 @@
 // Guards against an entry that goes on after its lease has ended: another one may have its part.
 func TestNothingIsSentWithoutLease(t *testing.T) {
 	l := newLimiter(30)
-	l.SetGrant(wholeRing, 10*clock.Second)
+	l.SetGrant(0, wholeRing, 10*clock.Second)
 	l.Allows(0, testRun, "s", ratelimit.Urgency{})
 	if got, want := tryTake(l, 9*clock.Second, ratelimit.Urgency{}), true; got != want {
 		t.Errorf("with a lease: got %v, want %v", got, want)
@@ -58,7 +58,7 @@
 	if got, want := tryTake(l, 10*clock.Second, ratelimit.Urgency{}), false; got != want {
 		t.Errorf("after the lease: got %v, want %v", got, want)
 	}
-	l.SetGrant(wholeRing, clock.Minute)
+	l.SetGrant(0, wholeRing, clock.Minute)
 	if got, want := tryTake(l, 10*clock.Second, ratelimit.Urgency{}), false; got != want {
 		t.Errorf("with requests saved before the lease ended: got %v, want %v", got, want)
 	}
@@ -136,7 +136,7 @@
 			sum, users := 0.0, 0
 			for i := range uint64(entries) {
 				l := ratelimit.NewLimiter(limits)
-				l.SetGrant(ratelimit.Grant{Interval: ratelimit.Interval{Begin: i * (1 << 32) / entries, End: (i + 1) * (1 << 32) / entries}}, clock.Minute)
+				l.SetGrant(0, ratelimit.Grant{Interval: ratelimit.Interval{Begin: i * (1 << 32) / entries, End: (i + 1) * (1 << 32) / entries}}, clock.Minute)
 				if r := l.ServerRate(0, run).Rate; r > 0 {
 					sum, users = sum+r, users+1
 				}
--- a/ratelimit/partition_test.go
+++ b/ratelimit/partition_test.go
@@ -106,3 +106,31 @@
 	exchange(leader, 100, "member", member.Weight(100), held)
 	wantSize(t, "the other member once the entry has given up its half", exchange(leader, 110, "other", 3, other), 0.5)
 }
+
+// Guards against a part of the ring that two entries use after a change of the leader: the lease of
+// one had ended, the former leader granted its part to another, and the new leader renews what the
+// first one reports.
+func TestNewLeaderDoesNotRenewEndedGrants(t *testing.T) {
+	const lease = simulationLease
+	tests := []struct {
+		name                 string
+		reportAt, answeredAt clock.Millis
+	}{
+		{"reported after the lease", lease, lease + 100},
+		{"answered after the lease", lease - 1, lease},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			former := settled()
+			var a, b ratelimit.Holding
+			a.Set(0, exchange(former, 0, "a", 1, a.Report(0)), lease)
+			wantSize(t, "the first entry", a.Current(lease-1), 1)
+			reported := a.Report(tt.reportAt)
+			b.Set(lease, exchange(former, lease, "b", 1, b.Report(lease)), 2*lease)
+			wantSize(t, "the other entry after the lease", b.Current(lease), 1)
+			p := ratelimit.NewPartition(lease, lease)
+			a.Set(tt.answeredAt, exchange(p, tt.answeredAt, "a", 1, reported), tt.reportAt+lease)
+			wantSize(t, "the first entry by the new leader", a.Current(tt.answeredAt), 0)
+		})
+	}
+}
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -108,7 +108,7 @@
 	if s.now >= e.nextReport {
 		e.reportNumber++
 		e.nextReport = s.now + watchTimeout
-		s.send(message{entry: e, number: e.reportNumber, sentAt: s.now, weight: 1 + int(10*e.demand), held: e.held})
+		s.send(message{entry: e, number: e.reportNumber, sentAt: s.now, weight: 1 + int(10*e.demand), held: e.limiter.ReportGrant(s.now)})
 	}
 	for e.demand > 0 && s.now >= e.nextRequest {
 		e.nextRequest = max(e.nextRequest, s.now-clock.Second) + clock.Millis(float64(clock.Second)/e.demand)
@@ -154,8 +154,8 @@
 			continue // the entry no longer waits for it
 		}
 		e.reportNumber++
-		e.held, e.leaseEnd, e.nextReport = m.held, m.sentAt+simulationLease, s.now+watchPause
-		e.limiter.SetGrant(e.held, e.leaseEnd)
+		e.leaseEnd, e.nextReport = m.sentAt+simulationLease, s.now+watchPause
+		e.held = e.limiter.SetGrant(s.now, m.held, e.leaseEnd)
 		e.budget.SetShare(s.now, e.held.Fraction, e.leaseEnd)
 	}
 }
@@ -208,7 +208,7 @@
 		if !s.noExcuses {
 			e.leaseEnd += frozen
 			e.excusedUntil = max(s.now+frozen+simulationLease, e.leaseEnd)
-			e.limiter.SetGrant(e.held, e.leaseEnd)
+			e.limiter.SetGrant(s.now, e.held, e.leaseEnd)
 		}
 	case 3, 4:
 		e.cut = !e.cut
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -41,19 +41,19 @@
 // setShare stores the part of servers' limits and of retry budgets that control has granted with a
 // lease.
 func (r *Relay) setShare(now clock.Millis, share *ratelimit.Grant, leaseEnd clock.Millis) {
-	granted := lo.FromPtr(share)
-	r.limiter.SetGrant(granted, leaseEnd)
+	granted := r.limiter.SetGrant(now, lo.FromPtr(share), leaseEnd)
 	r.budget.SetShare(now, granted.Fraction, leaseEnd)
 }
 
 // shareReport returns the demand that decides about the relay's part of servers' limits, and the
 // part that it holds. A relay that stops needs none.
 func (r *Relay) shareReport() *control.ShareReport {
-	weight := r.limiter.Weight(r.clock.Now())
+	now := r.clock.Now()
+	weight := r.limiter.Weight(now)
 	if r.closing.Load() {
 		weight = 0
 	}
-	return &control.ShareReport{Weight: weight, Held: r.limiter.Granted()}
+	return &control.ShareReport{Weight: weight, Held: r.limiter.ReportGrant(now)}
 }
 
 // pickWithinLimits chooses one of the servers whose limits allow a request now, or returns nil if
