replica: a member without a leader says why

The only line was role_changed.

A member now writes replica_leader_changed (208) and membership_adopted (209) for changes, at most ten lines a second together, and no_leader (210) every three seconds while it knows no leader: the cause as far as it can tell by itself, term, role, last vote, elections and pre-votes so far, newest and committed membership with index and epoch, log position, state of the disk with the write in flight, and for each peer when it was heard and the newest answers in both directions. Status has the number of elections and the time without a leader.

Voters send the reason of a refusal in the field hint of the reply, which was unused there. The decoders of older members refuse unknown fields, so a new field would have lost these replies during a rollout. Two refusals that were silent are now sent: a vote that is refused because of a leader that is heard, and (pre-)votes of a member whose disk refuses writes. Neither changes or names a term that isn't durable; a candidate ignores them except for its log lines.

--- a/replica/core.go
+++ b/replica/core.go
@@ -106,7 +106,8 @@
 	leaderHeardAt     clock.Millis      // when the last message from a leader arrived, or the start time
 	electionDue       clock.Millis      // when the election timer expires
 	votesGranted      map[string]bool   // by identity, in the current election or pre-vote
-	knownSenders      map[string]Member // by identity; addresses for replies to non-members
+	knownSenders      map[string]sender // by identity; addresses for replies to non-members
+	elections         electionRecord
 	reportedFolderIDs map[string]string // by identity; those received until the group is founded
 	incomingSnapshot  *incomingSnapshot
 
@@ -132,7 +133,7 @@
 		random:            rand.New(rand.NewPCG(options.seed, xxhash.Sum64String(state.Vote.Identity))),
 		vote:              state.Vote,
 		snapshot:          state.Snapshot,
-		knownSenders:      map[string]Member{},
+		knownSenders:      map[string]sender{},
 		reportedFolderIDs: map[string]string{},
 	}
 	c.options.self.Identity = state.Vote.Identity
@@ -245,7 +246,7 @@
 	case !c.founded:
 		c.sendHellos()
 	case c.mayVote() && c.mayCampaign():
-		c.preCampaign()
+		c.preCampaign(now)
 	case c.mayVote():
 		c.checkIfRemoved()
 	}
--- a/replica/election.go
+++ b/replica/election.go
@@ -39,8 +39,9 @@
 }
 
 // preCampaign asks the voters whether they would vote for this member.
-func (c *core) preCampaign() {
+func (c *core) preCampaign(now clock.Millis) {
 	c.role, c.leader = PreCandidate, Member{}
+	c.elections.preVotes, c.elections.stoodAt = c.elections.preVotes+1, now
 	c.requestVotes(Message{Kind: MessagePreVote, Term: c.vote.Term + 1})
 }
 
@@ -61,6 +62,7 @@
 	c.vote.Term++
 	c.vote.VotedFor = c.identity()
 	c.voteChanged = true
+	c.elections.started, c.elections.stoodAt = c.elections.started+1, now
 	c.resetElectionTimer(now)
 	c.requestVotes(Message{Kind: MessageVote, Transfer: transfer})
 }
@@ -89,10 +91,12 @@
 }
 
 func (c *core) onPreVote(now clock.Millis, m Message) {
-	if m.Term <= c.vote.Term || !c.candidateUpToDate(m) || c.hearsLeader(now) {
-		c.sendAfterWrite(m.From, Message{Kind: MessagePreVoteReply, Reject: true})
+	if r := c.preVoteRefusal(now, m); r != refusalNone {
+		c.noteGiven(now, m, r)
+		c.sendAfterWrite(m.From, Message{Kind: MessagePreVoteReply, Reject: true, Hint: uint64(r)})
 		return
 	}
+	c.noteGiven(now, m, refusalNone)
 	c.sendAfterWrite(m.From, Message{Kind: MessagePreVoteReply, Term: m.Term})
 }
 
@@ -107,9 +111,10 @@
 }
 
 func (c *core) onVote(now clock.Millis, m Message) {
-	voteAvailable := c.vote.VotedFor == "" || c.vote.VotedFor == m.From
-	if !voteAvailable || !c.candidateUpToDate(m) || !m.Transfer && c.hearsLeader(now) {
-		c.sendAfterWrite(m.From, Message{Kind: MessageVoteReply, Reject: true})
+	r := c.voteRefusal(now, m)
+	c.noteGiven(now, m, r)
+	if r != refusalNone {
+		c.sendAfterWrite(m.From, Message{Kind: MessageVoteReply, Reject: true, Hint: uint64(r)})
 		return
 	}
 	if c.vote.VotedFor == "" {
--- a/replica/export_test.go
+++ b/replica/export_test.go
@@ -164,3 +164,19 @@
 	}
 	return nil
 }
+
+// NoLeaderCause returns why the member knows no leader, as its log lines say.
+func (c *Core) NoLeaderCause(now, since clock.Millis) string { return c.core.noLeaderCause(now, since) }
+
+// Leader returns the identity of the leader, or an empty string.
+func (c *Core) Leader() string { return c.core.leader.Identity }
+
+// Answers returns the newest answers to the member's vote and pre-vote requests, by identity, as its
+// log lines say.
+func (c *Core) Answers() map[string]string {
+	answers := map[string]string{}
+	for identity, a := range c.core.elections.received {
+		answers[identity] = a.String()
+	}
+	return answers
+}
--- a/replica/message.go
+++ b/replica/message.go
@@ -53,7 +53,7 @@
 	LogTerm          uint64 // term of the entry at Index
 	Commit           uint64
 	Round            uint64 // number of a heartbeat round; a reply repeats it
-	Hint             uint64 // in a rejection: highest index up to which the logs may agree
+	Hint             uint64 // in a rejected append: highest index up to which the logs may agree; in a refused vote: the refusal, 0 from older members
 	Offset           uint64 // byte offset in a snapshot
 	Reject           bool
 	Transfer         bool         // the vote request is part of a leadership transfer
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -128,6 +128,9 @@
 	Failure        error               // failure of the state machine; the member is inactive until restarted
 	DiskFailure    error               // why the disk refuses writes; the member tries again and casts no votes meanwhile
 	DiskFailures   uint64              // number of times that the disk began to refuse writes
+	Elections      uint64              // number of elections that this member started
+	NoLeaderFor    clock.Millis        // how long no leader has been known; 0 if one is
+	NoLeaderTotal  clock.Millis        // how long no leader was known since the start, all times together
 }
 
 // Replica is one member of the replicated log.
@@ -379,6 +382,7 @@
 	if p.leaseUntil > now && s.Applied >= p.leaseIndex {
 		s.LeaseRemaining = p.leaseUntil - now
 	}
+	s.NoLeaderFor, s.NoLeaderTotal = p.leaderless.durations(now)
 	s.Members = slices.Clone(s.Members)
 	if s.Role == Leader {
 		s.Progress = map[string]Progress{}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -157,7 +157,12 @@
 // start starts a member on its existing or a new disk.
 func (g *group) start(name string) *replica.Replica {
 	g.tb.Helper()
-	r, stop, err := replica.New(g.options(name))
+	return g.startWith(name, g.options(name))
+}
+
+func (g *group) startWith(name string, options replica.Options) *replica.Replica {
+	g.tb.Helper()
+	r, stop, err := replica.New(options)
 	if err != nil {
 		g.tb.Fatal(err)
 	}
--- a/replica/runtime.go
+++ b/replica/runtime.go
@@ -74,6 +74,7 @@
 	diskFails         bool                      // whether the latest log event of the disk was its failure
 	cutBytes          int                       // bytes cut off since that event
 	loggedExcluded    bool                      // the exclusion from the group was logged
+	elections         electionLog
 }
 
 // start starts the member's goroutines and returns a function that waits for their end.
@@ -123,10 +124,11 @@
 // handleNextEvent waits for an event and handles it. With a message or a proposal it also
 // handles the others that are already queued.
 func (l *loop) handleNextEvent(ctx context.Context) {
-	delay := l.core.nextTick() - l.now()
+	due := l.core.nextTick()
 	if l.failure != nil {
-		delay = l.replica.options.ElectionTimeout
+		due = l.now() + l.replica.options.ElectionTimeout
 	}
+	delay := l.elections.nextReport(due) - l.now()
 	timer, release := l.replica.options.Clock.After(delay)
 	defer release()
 	var applierJobs chan<- applierJob
--- a/replica/status.go
+++ b/replica/status.go
@@ -14,6 +14,7 @@
 	leaseUntil clock.Millis
 	leaseIndex uint64 // the lease is valid once this entry is applied
 	peers      []peer
+	leaderless leaderless
 }
 
 // publish makes the current state available to Replica.Status.
@@ -27,6 +28,7 @@
 			Commit: c.commitIndex, Members: c.current().value.members,
 			Founded: c.founded, Excluded: c.excluded && l.failure == nil, Failure: l.failure,
 			DiskFailure: c.disk.failure, DiskFailures: c.disk.failures,
+			Elections: c.elections.started,
 		},
 	}
 	if c.role == Leader {
@@ -35,6 +37,9 @@
 			p.peers = append(p.peers, *x)
 		}
 	}
+	now := l.now()
+	l.elections.observe(now, l)
+	p.leaderless = l.elections.leaderless
 	l.replica.publishedStatus.Store(p)
 	l.logChanges(p.status)
 }
--- a/replica/step.go
+++ b/replica/step.go
@@ -8,7 +8,7 @@
 	if m.To != c.identity() {
 		return
 	}
-	c.rememberSender(m)
+	c.rememberSender(now, m)
 	switch m.Kind {
 	case MessageHello:
 		c.onHello(m)
@@ -26,21 +26,28 @@
 		return
 	}
 	if c.diskFails() && (m.Kind == MessagePreVote || m.Kind == MessageVote) {
+		c.refuseAtOnce(now, m, refusalDiskFails)
 		return // A vote would have to be durable, and so would the term of the request.
 	}
-	if c.excluded || !c.acceptSender(now, m) || !c.stepTerm(now, m) {
+	if c.excluded || !c.acceptSender(now, m) {
+		return
+	}
+	c.noteReceived(now, m)
+	if !c.stepTerm(now, m) {
 		return
 	}
 	c.handleMessage(now, m)
 }
 
 // rememberSender stores the sender's address, so that a sender that isn't in the known
-// membership can be answered.
-func (c *core) rememberSender(m Message) {
+// membership can be answered, and when it was heard.
+func (c *core) rememberSender(now clock.Millis, m Message) {
 	if len(c.knownSenders) >= maxKnownSenders {
 		clear(c.knownSenders)
 	}
-	c.knownSenders[m.From] = Member{Identity: m.From, Name: m.Name, Address: m.Address}
+	c.knownSenders[m.From] = sender{
+		member: Member{Identity: m.From, Name: m.Name, Address: m.Address}, heardAt: now, epoch: m.Epoch,
+	}
 }
 
 // onExcluded handles the report that this member no longer belongs to the group. A member
@@ -83,6 +90,9 @@
 // necessary. It reports whether the message should be processed.
 func (c *core) stepTerm(now clock.Millis, m Message) bool {
 	if m.Term < c.vote.Term {
+		if m.Kind == MessagePreVote {
+			c.noteGiven(now, m, refusalOldTerm)
+		}
 		if m.fromLeader() || m.Kind == MessagePreVote {
 			// The reply tells a former leader or a pre-candidate the newer term.
 			c.sendAfterWrite(m.From, Message{Kind: MessageAppendReply, Reject: true})
@@ -96,6 +106,7 @@
 	case m.Kind == MessagePreVote, m.Kind == MessagePreVoteReply && !m.Reject:
 		return true // The sender has not moved to this term yet.
 	case m.Kind == MessageVote && !m.Transfer && c.hearsLeader(now):
+		c.refuseAtOnce(now, m, refusalHearsLeader)
 		return false
 	default:
 		c.becomeFollower(now, m.Term, Member{})
@@ -148,7 +159,7 @@
 	}
 	member, ok := c.current().value.find(to)
 	if !ok {
-		member = c.knownSenders[to]
+		member = c.knownSenders[to].member
 	}
 	return envelope{to: member, message: m}
 }
