control: metrics show the elections and the time without a leader

A member that cannot open its log because its disk is full wrote one line and was silent from then on.

There are galenaslip_control_elections_total, galenaslip_control_no_leader_ms and galenaslip_control_no_leader_ms_total, and a member without a log writes no_leader with the error every three seconds.

--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -1,9 +1,11 @@
 package control_test
 
 import (
+	"bytes"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -97,3 +99,59 @@
 		}
 	}
 }
+
+// Guards against a member that waits for its disk in silence, so that its log does not say why it
+// takes no part in elections.
+func TestMemberWithoutLogReportsNoLeader(t *testing.T) {
+	t.Parallel()
+	c, manual := clock.NewManual(0)
+	output := &lockedBuffer{}
+	logger, closeLogger := event.NewWithOutput(output, "c1", event.Info)
+	m, release, err := control.New(control.Options{
+		Name: "c1", Listen: "127.0.0.1:0", Folder: t.TempDir(), Clock: c, Logger: logger,
+		OpenLog: func(replica.Options) (control.Log, func(), error) {
+			return nil, nil, &storage.Error{Outcome: storage.Full, Path: "log", Cause: syscall.ENOSPC}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const seconds = 10
+	for range 10 * seconds {
+		manual.Advance(100)
+		request(t, http.MethodGet, "http://"+m.Address()+"/readyz", "", "")
+	}
+	_, metrics := request(t, http.MethodGet, "http://"+m.Address()+"/metrics", "", "")
+	if !strings.Contains(metrics, "galenaslip_control_no_leader_ms 10000\n") {
+		t.Error("the metrics do not show 10 s without a leader")
+	}
+	release()
+	closeLogger()
+	lines := strings.Count(output.String(), `"msg":"no_leader"`)
+	if lines < 1 || lines > seconds/3 {
+		t.Errorf("got %d lines in %d s, want 1 to %d", lines, seconds, seconds/3)
+	}
+	if !strings.Contains(output.String(), `"cause":"disk_refuses_writes"`) {
+		t.Errorf("got no cause in %s", output.String())
+	}
+}
+
+// lockedBuffer is a buffer that is safe for concurrent use.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+// String returns what was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -72,9 +72,17 @@
 	gauge("disk_refuses_writes", "1 while the disk refuses writes.", status(func(s replica.Status) float64 {
 		return lo.Ternary(s.DiskFailure != nil, 1.0, 0.0)
 	}))
-	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "galenaslip_control_disk_failures_total", Help: "Times that the disk began to refuse writes.",
-	}, status(func(s replica.Status) float64 { return float64(s.DiskFailures) })))
+	counter := func(name, help string, value func(replica.Status) float64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "galenaslip_control_" + name, Help: help,
+		}, status(value)))
+	}
+	counter("disk_failures_total", "Times that the disk began to refuse writes.", func(s replica.Status) float64 { return float64(s.DiskFailures) })
+	counter("elections_total", "Elections that this member started.", func(s replica.Status) float64 { return float64(s.Elections) })
+	counter("no_leader_ms_total", "Milliseconds in which this member knew no leader, since the log was opened.", func(s replica.Status) float64 { return float64(s.NoLeaderTotal) })
+	gauge("no_leader_ms", "Milliseconds for which this member has known no leader; 0 if it knows one.", status(func(s replica.Status) float64 {
+		return float64(s.NoLeaderFor)
+	}))
 	gauge("commit_index", "Newest committed entry.", status(func(s replica.Status) float64 { return float64(s.Commit) }))
 	gauge("applied_index", "Newest applied entry.", status(func(s replica.Status) float64 { return float64(s.Applied) }))
 	gauge("revision", "Configuration revision.", func() float64 { return float64(c.machine.summary().Revision) })
--- a/control/unavailable_log.go
+++ b/control/unavailable_log.go
@@ -19,6 +19,8 @@
 	failure  error
 	since    clock.Millis
 	setAside bool // the files of the former identity are set aside before the log is opened
+	clock    clock.Clock
+	reportAt clock.Millis // when the next line that no leader is known is due
 }
 
 // Propose refuses the command.
@@ -46,7 +48,7 @@
 
 // Status returns the status of a member that knows nothing of the group.
 func (u unavailableLog) Status() replica.Status {
-	return replica.Status{Name: u.name, DiskFailure: u.failure, DiskFailures: 1}
+	return replica.Status{Name: u.name, DiskFailure: u.failure, DiskFailures: 1, NoLeaderFor: u.clock.Now() - u.since}
 }
 
 // openLogOrWait opens the replicated log. If the data folder refuses writes, it puts an
@@ -63,7 +65,8 @@
 // waitForLog puts an unavailableLog in the place of the log.
 func (c *Control) waitForLog(u unavailableLog) {
 	c.options.Logger.Log(event.DiskRefusesWrites, zap.Stringer("outcome", storage.OutcomeOf(u.failure)), zap.Error(u.failure))
-	u.name, u.since = c.options.Name, c.options.Clock.Now()
+	u.name, u.clock, u.since = c.options.Name, c.options.Clock, c.options.Clock.Now()
+	u.reportAt = u.since + replica.NoLeaderInterval
 	c.log.Store(&releasableLog{Log: u, release: func() {}})
 }
 
@@ -78,6 +81,10 @@
 		c.options.Logger.Log(event.ControlStartFailed, zap.Error(err))
 	}
 	u.failure = err
+	if now := c.options.Clock.Now(); now >= u.reportAt {
+		u.reportAt = now + replica.NoLeaderInterval
+		c.options.Logger.Log(event.NoLeader, zap.String("cause", replica.CauseDiskRefuses), zap.Int64("for_ms", int64(now-u.since)), zap.Error(err))
+	}
 	c.log.Store(&releasableLog{Log: u, release: func() {}})
 }
 
