replica: a member whose disk refuses writes forgets a leader that it no longer hears

Callers of a member whose disk was full got forwards to a leader that had been gone for any length of time: the member named it in its status until its disk took writes again, and its log lines said that a leader was known.

The election timer clears the leader when the member stands for election or asks whether it was removed. A member that may not vote (its disk refuses writes, or it is excluded) does neither, so nothing cleared it. Now the timer does. It runs out only if no leader is heard, so a member with a full disk still follows one that it hears.

Evidence: the case "the disk refuses writes" of TestNoLeaderCause failed before (leader: got "a", want none) and passes; go test ./replica passes.

--- a/replica/core.go
+++ b/replica/core.go
@@ -249,6 +249,8 @@
 		c.preCampaign(now)
 	case c.mayVote():
 		c.checkIfRemoved()
+	default:
+		c.leader = Member{}
 	}
 }
 
--- a/replica/election_log_test.go
+++ b/replica/election_log_test.go
@@ -28,6 +28,10 @@
 			s.stopForGood(leader)
 			s.stopForGood(other)
 		}},
+		{name: "the disk refuses writes", want: "disk_refuses_writes", end: func(s *sim, leader, observer, _ *simNode) {
+			s.stopForGood(leader)
+			observer.disk.Refuse(syscall.ENOSPC)
+		}},
 		{name: "the other disk refuses writes", want: "votes_refused", answer: "disk_refuses_writes", end: func(s *sim, leader, _, other *simNode) {
 			s.stopForGood(leader)
 			other.disk.Refuse(syscall.ENOSPC)
