replica: a test shows that slow sending leaves a group without a leader

A sender delivers one message after the other to each recipient, and a message takes as long as the recipient takes to answer the call. If that is about the heartbeat interval, messages are queued faster than they are sent. Up to 256 wait, the oldest first, so that heartbeats and their answers arrive later and later. Once an answer is older than the election timeout the leader steps down, and requests for votes wait behind the rest.

The queue of a recipient is now a type without goroutines (outbox), so that the simulation uses the same one.

--- a/replica/export_test.go
+++ b/replica/export_test.go
@@ -180,3 +180,15 @@
 	}
 	return answers
 }
+
+// Outbox holds the messages that wait for one recipient.
+type Outbox struct{ outbox outbox }
+
+// Put adds a message.
+func (o *Outbox) Put(m Message) { o.outbox.put(envelope{message: m}) }
+
+// Next removes the message to send next and returns it.
+func (o *Outbox) Next() (Message, bool) {
+	e, ok := o.outbox.next()
+	return e.message, ok
+}
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -11,11 +11,11 @@
 	ctx       context.Context
 	group     *sync.WaitGroup
 	transport Transport
-	queues    map[string]chan envelope // by identity and address; capacity sendCapacity, further messages are dropped
+	queues    map[string]*sendQueue // by identity and address
 }
 
 func newSenders(ctx context.Context, group *sync.WaitGroup, transport Transport) *senders {
-	return &senders{ctx: ctx, group: group, transport: transport, queues: map[string]chan envelope{}}
+	return &senders{ctx: ctx, group: group, transport: transport, queues: map[string]*sendQueue{}}
 }
 
 // send queues a message. It drops the message if the queue is full or there are too many
@@ -27,23 +27,69 @@
 		return
 	}
 	if !ok {
-		queue = make(chan envelope, sendCapacity)
+		queue = &sendQueue{wake: make(chan struct{}, 1)}
 		s.queues[key] = queue
 		s.group.Go(func() { s.run(queue) })
 	}
-	select {
-	case queue <- e:
-	default:
-	}
+	queue.put(e)
 }
 
-func (s *senders) run(queue <-chan envelope) {
-	for {
-		select {
-		case e := <-queue:
+func (s *senders) run(queue *sendQueue) {
+	for s.ctx.Err() == nil {
+		if e, ok := queue.next(); ok {
 			s.transport.Send(e.to, e.message)
+			continue
+		}
+		select {
+		case <-queue.wake:
 		case <-s.ctx.Done():
-			return
 		}
 	}
 }
+
+// sendQueue is an outbox that two goroutines share.
+type sendQueue struct {
+	wake chan struct{} // has an element after a message was put in
+
+	mu     sync.Mutex
+	outbox outbox
+}
+
+func (q *sendQueue) put(e envelope) {
+	q.mu.Lock()
+	q.outbox.put(e)
+	q.mu.Unlock()
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *sendQueue) next() (envelope, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.outbox.next()
+}
+
+// outbox holds the messages that wait for one recipient.
+type outbox struct {
+	messages []envelope
+}
+
+// put adds a message. It drops the message if sendCapacity messages wait.
+func (o *outbox) put(e envelope) {
+	if len(o.messages) < sendCapacity {
+		o.messages = append(o.messages, e)
+	}
+}
+
+// next removes the message to send next and returns it, if there is one.
+func (o *outbox) next() (envelope, bool) {
+	if len(o.messages) == 0 {
+		return envelope{}, false
+	}
+	e := o.messages[0]
+	o.messages[0] = envelope{}
+	o.messages = o.messages[1:]
+	return e, true
+}
--- a/replica/simulation_test.go
+++ b/replica/simulation_test.go
@@ -97,6 +97,8 @@
 	loss             float64                 // share of messages that are lost
 	delay            int                     // upper limit of most message delays, in ms
 
+	sendTime         clock.Millis // how long a link takes for each message; 0 if it takes any number at once
+	links            []*simLink
 	appendBytes      int     // limit of the entries in one append message and in one disk batch
 	syncDelay        int     // upper limit of the duration of a write, in ms
 	crashAtDiskError float64 // share of disk errors after which the process crashes
@@ -220,8 +222,17 @@
 	s.checkLeader(n)
 }
 
-// send sends a message that may be lost, duplicated or delayed.
+// send sends a message. It waits in the outbox if the link takes time for each message.
 func (s *sim) send(from, to string, m replica.Message) {
+	if s.sendTime > 0 {
+		s.link(from, to).outbox.Put(m)
+		return
+	}
+	s.transmit(from, to, m)
+}
+
+// transmit passes a message to the network, which may lose, duplicate or delay it.
+func (s *sim) transmit(from, to string, m replica.Message) {
 	if s.blockedUntil[from+">"+to] > s.now || s.random.Float64() < s.loss {
 		return
 	}
@@ -268,6 +279,7 @@
 // advance moves the time by one step and runs everything that is due.
 func (s *sim) advance() {
 	s.now += simStep
+	s.runLinks()
 	s.deliver()
 	s.scheduledActions = slices.DeleteFunc(s.scheduledActions, func(a scheduledAction) bool {
 		if a.at <= s.now {
