replica: a recipient that takes few messages gets current ones

Callers got "no leader is known" most of the time while sending a message took about a heartbeat interval, although a round trip was far shorter than the election timeout.

Cause: up to 256 messages waited for each recipient, the oldest first, and new ones were dropped when the queue was full. A queue that is filled faster than it is emptied so delays each message by as much as it holds: the leader's heartbeats were answered later than an election timeout, it stepped down, and requests for votes waited behind what was outdated. The same happened after a recipient had not answered for a while. The class of fault: a queue between members that prefers old messages to new ones.

Now the newest message of each kind waits, in the place of the one that it replaces, so that no kind keeps another from being sent. A newer message says all that an older one of its kind does (a round, a term, a position in the log), and the protocol repeats what is lost. The memory of a queue is bounded by the kinds.

Whether this is what the users saw is not shown: no run of real processes has been measured for it.

--- a/control/peers.go
+++ b/control/peers.go
@@ -35,8 +35,8 @@
 // peerClient is the HTTP client for requests to other processes, such as
 // replication messages and forwarded requests. It is also the transport of the
 // replicated log, which has a goroutine and a bounded queue for each peer: the
-// goroutine calls Send for each queued message, and messages that do not fit into
-// the queue are dropped. peerClient is safe for concurrent use.
+// goroutine calls Send for each queued message, and a newer message replaces a waiting
+// one of its kind. peerClient is safe for concurrent use.
 type peerClient struct {
 	token          string
 	httpClient     *fasthttp.Client
--- a/replica/runtime.go
+++ b/replica/runtime.go
@@ -19,8 +19,6 @@
 	proposalCapacity = 1024
 	// requestCapacity limits the other queued requests; further callers block.
 	requestCapacity = 64
-	// sendCapacity limits the queued messages to one member; further ones are dropped.
-	sendCapacity = 256
 	// applyCapacity limits the applier's queue, and also the number of jobs that wait in
 	// the loop until the queue has space.
 	applyCapacity = 16
--- a/replica/sender.go
+++ b/replica/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 )
 
@@ -18,8 +19,7 @@
 	return &senders{ctx: ctx, group: group, transport: transport, queues: map[string]*sendQueue{}}
 }
 
-// send queues a message. It drops the message if the queue is full or there are too many
-// queues.
+// send queues a message. It drops the message if there are too many queues.
 func (s *senders) send(e envelope) {
 	key := e.to.Identity + "@" + e.to.Address
 	queue, ok := s.queues[key]
@@ -71,16 +71,22 @@
 	return q.outbox.next()
 }
 
-// outbox holds the messages that wait for one recipient.
+// outbox holds the messages that wait for one recipient: the newest of each kind. A newer message says
+// all that an older one of its kind does, and the older one is lost as the network may lose it. So a
+// recipient that takes few messages receives current ones, however many were queued for it.
 type outbox struct {
 	messages []envelope
 }
 
-// put adds a message. It drops the message if sendCapacity messages wait.
+// put adds a message, or replaces the waiting one of the same kind.
 func (o *outbox) put(e envelope) {
-	if len(o.messages) < sendCapacity {
-		o.messages = append(o.messages, e)
+	for i := range o.messages {
+		if o.messages[i].message.Kind == e.message.Kind {
+			o.messages[i] = e
+			return
+		}
 	}
+	o.messages = append(o.messages, e)
 }
 
 // next removes the message to send next and returns it, if there is one.
@@ -89,7 +95,6 @@
 		return envelope{}, false
 	}
 	e := o.messages[0]
-	o.messages[0] = envelope{}
-	o.messages = o.messages[1:]
+	o.messages = slices.Delete(o.messages, 0, 1)
 	return e, true
 }
--- a/replica/slow_link_test.go
+++ b/replica/slow_link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -84,3 +85,26 @@
 	}
 	return false
 }
+
+// Guards against a member that receives what was queued while it did not answer before anything
+// current, and against a queue that takes memory without bound.
+func TestSilentMemberReceivesCurrentMessages(t *testing.T) {
+	var outbox replica.Outbox
+	const count = 10_000
+	for i := range uint64(count) {
+		outbox.Put(replica.Message{Kind: replica.MessageHeartbeat, Round: i + 1})
+		outbox.Put(replica.Message{Kind: replica.MessagePreVote, Term: i + 1})
+	}
+	var got []replica.Message
+	for {
+		m, ok := outbox.Next()
+		if !ok {
+			break
+		}
+		got = append(got, m)
+	}
+	want := []replica.Message{{Kind: replica.MessageHeartbeat, Round: count}, {Kind: replica.MessagePreVote, Term: count}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %d messages, first %+v, want %+v", len(got), got[:min(len(got), 2)], want)
+	}
+}
