replica: a member that has answered many others still reaches new ones

A group that replaces its members for long enough cannot replace the next one: the new member is in the membership but receives nothing, so it never becomes a voter, and with each voter lost for good the group comes closer to having no majority and no leader. Nothing in logs or metrics shows it.

Cause: a member keeps a queue with a goroutine for each identity and address that it has ever sent to, and at 256 of them it drops the messages to all further ones until it is started again. Every former identity counts, as it was answered.

Now queues without messages end when the table is full.

Evidence: TestNewMemberIsReachedAfterManyOthers failed before (the new member had received nothing after 60 s) and passes; it passes with the race detector, too. Not seen in a run of real processes.

--- a/replica/sender.go
+++ b/replica/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -19,15 +20,19 @@
 	return &senders{ctx: ctx, group: group, transport: transport, queues: map[string]*sendQueue{}}
 }
 
-// send queues a message. It drops the message if there are too many queues.
+// send queues a message. If there are too many queues, those without messages end; if none does, the
+// message is dropped.
 func (s *senders) send(e envelope) {
 	key := e.to.Identity + "@" + e.to.Address
 	queue, ok := s.queues[key]
 	if !ok && len(s.queues) >= maxKnownSenders {
-		return
+		maps.DeleteFunc(s.queues, func(_ string, q *sendQueue) bool { return q.endIfIdle() })
+		if len(s.queues) >= maxKnownSenders {
+			return
+		}
 	}
 	if !ok {
-		queue = &sendQueue{wake: make(chan struct{}, 1)}
+		queue = &sendQueue{wake: make(chan struct{}, 1), ended: make(chan struct{})}
 		s.queues[key] = queue
 		s.group.Go(func() { s.run(queue) })
 	}
@@ -42,6 +47,8 @@
 		}
 		select {
 		case <-queue.wake:
+		case <-queue.ended:
+			return
 		case <-s.ctx.Done():
 		}
 	}
@@ -49,10 +56,12 @@
 
 // sendQueue is an outbox that two goroutines share.
 type sendQueue struct {
-	wake chan struct{} // has an element after a message was put in
+	wake  chan struct{} // has an element after a message was put in
+	ended chan struct{} // closed when no more messages are put in
 
-	mu     sync.Mutex
-	outbox outbox
+	mu      sync.Mutex
+	outbox  outbox
+	sending bool // the message that next returned last is being sent
 }
 
 func (q *sendQueue) put(e envelope) {
@@ -68,7 +77,21 @@
 func (q *sendQueue) next() (envelope, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.outbox.next()
+	e, ok := q.outbox.next()
+	q.sending = ok
+	return e, ok
+}
+
+// endIfIdle ends the queue if no message waits or is being sent, and reports whether it did. put must
+// not be called at the same time or afterwards.
+func (q *sendQueue) endIfIdle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.sending || len(q.outbox.messages) > 0 {
+		return false
+	}
+	close(q.ended)
+	return true
 }
 
 // outbox holds the messages that wait for one recipient: the newest of each kind. A newer message says
