quarantine: a remembered part keeps only its ID in memory

What operators see: with prompts whose parts no other prompt has, a relay's memory grows by the header lines that bring them, far beyond the number of parts that the quarantine remembers (4,096 and 512).

Cause: the ID of a part is a piece of the header line in which it arrived. As the key of a map it keeps the whole line, which may have 64 KiB, from being freed. The number of keys was bounded, their memory was not.

Change: a key is copied when it is stored. Keys that are only looked up are not.

Shown: TestPartsKeepNoHeaders, with lines of 16 KiB, fails before for survivals (18.1 MB after 1,000 parts where 3.5 MB are allowed) and for ends (10.4 MB), and passes.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -239,7 +239,10 @@
 	if key.Kind == KindRequest {
 		return
 	}
-	count, _ := q.survived.Get(key)
+	count, ok := q.survived.Get(key)
+	if !ok {
+		key = key.clone()
+	}
 	q.survived.Add(key, min(count+1, maxSurvivals))
 }
 
@@ -322,6 +325,7 @@
 	if len(q.suspects) >= maxSuspects {
 		q.removeLeastSuspect()
 	}
+	key = key.clone()
 	record := &suspectRecord{ends: map[ServerRun]endRecord{}, survivals: map[string]int{}}
 	if count, ok := q.survived.Get(key); ok {
 		record.survivals[q.entry] = count
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -69,6 +69,12 @@
 	return k.ID
 }
 
+// clone returns a key that keeps no other memory than its own: the ID may be a part of a header line.
+func (k Key) clone() Key {
+	k.ID = strings.Clone(k.ID)
+	return k
+}
+
 // compare orders keys.
 func (k Key) compare(other Key) int {
 	return cmp.Or(cmp.Compare(k.Service, other.Service), cmp.Compare(k.Kind, other.Kind), cmp.Compare(k.ID, other.ID))
