relay: the prompt parts that servers may have cached are bounded in number

Cause: promptPartChosenAt had an entry for each part that a server was ever chosen for, by its ID, which also kept the whole header line. Entries older than a minute were ignored, not removed.

Change: package promptcache, without network, remembers at most 65,536 parts for all servers together, by a hash of their IDs, and drops those that were not used for a minute. Two generations of a map take the place of a search for the oldest part. Each run of a server has a number of its own, so that nothing has to be removed when it starts again. If callers send more different parts than that, the estimated work of some requests is too high. New gauge: galenaslip_relay_prompt_parts.

--- a/relay/choice.go
+++ b/relay/choice.go
@@ -58,12 +58,9 @@
 func (f *fleet) registerAttempt(now clock.Millis, s *server, req requirements, a *attempt) {
 	a.chosenAt, a.load, a.loadAge = now, s.load(now), now-s.otherEntriesReportedAt
 	a.uncachedTokens = req.promptTokens
-	if req.affinityPartID != "" && now-s.promptPartChosenAt[req.affinityPartID] < promptPartRetention && s.promptPartChosenAt[req.affinityPartID] > 0 {
+	if req.affinityPartID != "" && f.promptParts.Use(now, s.promptCache, req.affinityPartID) {
 		a.uncachedTokens -= req.sharedTokens
 	}
-	if req.affinityPartID != "" {
-		s.promptPartChosenAt[req.affinityPartID] = now
-	}
 	a.server, a.requirements, a.run, a.version = s, req, s.run(), s.record.Version
 	f.limiter.Take(now, ratelimit.Run(a.run), req.service, req.urgency)
 	s.attempts[a] = struct{}{}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/forecast"
+	"github.com/galenaslip/galenaslip/promptcache"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/roster"
@@ -26,9 +27,11 @@
 	// after the relay last received bytes from it: it may have lost only its connection
 	// to control.
 	silentGrace = 3 * clock.Second
-	// promptPartRetention is how long a server is assumed to keep a prompt part cached.
-	// Gone servers are remembered for the same time, unless they have said that they leave.
-	promptPartRetention = 60 * clock.Second
+	// goneRetention is how long gone servers are remembered, unless they have said that they leave.
+	goneRetention = 60 * clock.Second
+	// maxPromptParts bounds the parts of prompts that are remembered for all servers together. 32,768 of
+	// them are remembered for certain: the different ones of a minute at 546 requests a second.
+	maxPromptParts = 65_536
 )
 
 const (
@@ -53,6 +56,7 @@
 	endChecks         *quarantine.EndChecks
 	limiter           *ratelimit.Limiter
 	streamOrigins     StreamOrigins
+	promptParts       *promptcache.Table // parts that were sent to servers lately
 }
 
 // pool is the state of a service that concerns all of its servers together.
@@ -67,6 +71,7 @@
 	return &fleet{
 		zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entryCount: assumedEntries,
 		endChecks: quarantine.NewEndChecks(c, logServerEnd(logger)), limiter: limiter, streamOrigins: origins,
+		promptParts: promptcache.New(maxPromptParts),
 	}
 }
 
@@ -107,12 +112,13 @@
 }
 
 // runPeriodicChecks marks unresponsive servers, removes servers that have been gone for
-// longer than promptPartRetention, and closes expired idle connections. Relay calls it
+// longer than goneRetention, and closes expired idle connections. Relay calls it
 // every periodicCheckInterval.
 func (f *fleet) runPeriodicChecks(now clock.Millis) {
 	f.endChecks.DropExpired()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.promptParts.DropExpired(now)
 	for name, s := range f.servers {
 		f.checkResponsive(now, s)
 		s.closeExpired(now)
--- a/relay/fleet_update.go
+++ b/relay/fleet_update.go
@@ -83,7 +83,7 @@
 		if r.State == roster.Gone {
 			return
 		}
-		known = newServer(r)
+		known = newServer(r, f.promptParts.NewCache())
 		f.servers[r.Server] = known
 	}
 	if r.State == roster.Gone && r.StartedAt == 0 {
@@ -136,7 +136,7 @@
 // address, and closes its idle connections. The caller holds the lock.
 func (f *fleet) resetServer(s *server) {
 	s.discardIdle()
-	s.promptPartChosenAt = map[string]clock.Millis{}
+	s.promptCache = f.promptParts.NewCache()
 	s.unresponsive, s.wrongServer, s.blockedUntil, s.backOff = false, false, 0, 0
 	s.recordedFailureShare, s.otherEntriesRequests, s.otherEntriesUnprocessedTokens, s.otherEntriesDecodeCost, s.reportedLoad, s.latency = 0, 0, 0, 0, 0, 0
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -100,6 +100,7 @@
 		"servers_paused":    float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.PauseLeft > 0 && !v.gone() })),
 		"parts_suspect":     float64(len(s.Suspects)),
 		"parts_quarantined": float64(lo.CountBy(s.Suspects, func(v quarantine.Suspect) bool { return v.Quarantined })),
+		"prompt_parts":      float64(s.PromptParts),
 		"message_bytes":     float64(g.relay.messageMemory.InUse()),
 		"log_lines_lost":    float64(g.relay.options.Logger.DroppedLines()),
 	} {
@@ -143,6 +144,7 @@
 	Attempts    int // running attempts
 	Servers     []ServerState
 	Suspects    []quarantine.Suspect // parts of prompts under which servers have ended
+	PromptParts int                  // parts of prompts that are remembered, because servers may have them cached
 	LimitShare  float64              // the part of servers' limits that this relay may use, 0 to 1
 	RetryShare  float64              // the part of the fixed number of retries that this relay may use, 0 to 1
 	Retries     []retry.Usage        // by service
@@ -175,7 +177,7 @@
 	f := r.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.Entries = f.entryCount
+	s.Entries, s.PromptParts = f.entryCount, f.promptParts.Len()
 	for name, v := range f.servers {
 		s.Attempts += len(v.attempts)
 		limit := r.limiter.ServerRate(now, ratelimit.Run(v.run()))
--- a/relay/server.go
+++ b/relay/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/memory"
+	"github.com/galenaslip/galenaslip/promptcache"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
 	"github.com/galenaslip/galenaslip/withdrawal"
@@ -44,15 +45,15 @@
 	record   roster.Record
 	nameHash uint64 // hash of the name; gives all entries the same order of servers
 
-	attempts           map[*attempt]struct{}   // running attempts
-	unprocessedTokens  int                     // uncached prompt tokens of attempts that wait for their first byte
-	decodeCost         float64                 // estimated work of generating the output of attempts, in equivalent prompt tokens
-	openConns          int                     // number of connections, idle ones included
-	idle               []*serverConn           // idle connections, newest last
-	promptPartChosenAt map[string]clock.Millis // when the server was last chosen for a request with a prompt part, by ID of the part
-	lastByteAt         clock.Millis            // when the relay last received bytes from the server
-	listedByLeader     bool                    // an update from the current control leader has contained the server
-	listedAt           clock.Millis            // when an update from a control leader last contained the server
+	attempts          map[*attempt]struct{} // running attempts
+	unprocessedTokens int                   // uncached prompt tokens of attempts that wait for their first byte
+	decodeCost        float64               // estimated work of generating the output of attempts, in equivalent prompt tokens
+	openConns         int                   // number of connections, idle ones included
+	idle              []*serverConn         // idle connections, newest last
+	promptCache       promptcache.Cache     // of this run of the server
+	lastByteAt        clock.Millis          // when the relay last received bytes from the server
+	listedByLeader    bool                  // an update from the current control leader has contained the server
+	listedAt          clock.Millis          // when an update from a control leader last contained the server
 
 	otherEntriesRequests          float64 // running requests of other entries, as reported at otherEntriesReportedAt
 	otherEntriesUnprocessedTokens float64 // prompt tokens of these requests that the server has not processed yet
@@ -75,10 +76,10 @@
 	formerWithdrawal              withdrawal.State // that of the run before, in case the record of the present run was wrong
 }
 
-func newServer(r roster.Record) *server {
+func newServer(r roster.Record, c promptcache.Cache) *server {
 	return &server{
 		withdrawal: withdrawal.State{}.WithRun(uint64(r.StartedAt)),
-		record:     r, nameHash: xxhash.Sum64String(r.Server), attempts: map[*attempt]struct{}{}, promptPartChosenAt: map[string]clock.Millis{},
+		record:     r, nameHash: xxhash.Sum64String(r.Server), attempts: map[*attempt]struct{}{}, promptCache: c,
 	}
 }
 
--- a/relay/withdrawal.go
+++ b/relay/withdrawal.go
@@ -105,7 +105,7 @@
 	if s.withdrawal.Leaving() {
 		return leavingRetention
 	}
-	return promptPartRetention
+	return goneRetention
 }
 
 // accepts reports whether a server that was chosen may still get the request.
