continuation: records of streams take bounded memory, whatever their IDs

What operators see: a relay or member can grow far beyond the memory that docs/CAPACITY.md gives for its records of streams.

Cause: the number of records was bounded, not what goes with them. Each time that a stream was recorded again, the queue by age got another element, without a limit on their number. And the ID of a stream is a piece of a header line, which may have 64 KiB and stayed in memory with it.

Change: elements of the queue that are out of date are removed when they outnumber the records, and a stream that is recorded again within the same millisecond gets none. The ID is copied.

Shown: TestRecordsTakeBoundedMemory fails before in both cases (12.0 MB for one stream that is recorded 400,000 times, 23.6 MB for 1,000 IDs out of lines of 16 KiB, where 3.5 MB are allowed) and passes.

--- a/continuation/continuation_test.go
+++ b/continuation/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -220,3 +221,40 @@
 		}
 	})
 }
+
+// Guards against a stream that is recorded again and again, and against long header lines that the IDs
+// of streams keep in memory.
+func TestRecordsTakeBoundedMemory(t *testing.T) {
+	const limit, line = 1000, 16 << 10
+	tests := []struct {
+		name   string
+		rounds int
+		stream func(i int) string
+	}{
+		{"one stream again and again", 400_000, func(int) string { return "stream" }},
+		{"IDs out of header lines", 5000, func(i int) string { return fmt.Sprintf("%0*d", line, i)[line-8:] }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			records := continuation.NewRecords(limit)
+			before := heapBytes()
+			for i := range tt.rounds {
+				records.Add(clock.Millis(i/10), continuation.Record{Stream: tt.stream(i), Origin: continuation.Origin{Service: "s"}})
+			}
+			if got, want := heapBytes(), before+limit*line/8; got > want {
+				t.Errorf("memory: got %d bytes, want at most %d", got, want)
+			}
+			if got := records.Len(); got > limit {
+				t.Errorf("records: got %d, want at most %d", got, limit)
+			}
+			runtime.KeepAlive(records)
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/continuation/records.go
+++ b/continuation/records.go
@@ -1,6 +1,8 @@
 package continuation
 
 import (
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -74,12 +76,18 @@
 	if !ok {
 		kept.origin, kept.server, kept.begunAt = record.Origin, record.Server, now-record.Age
 	}
-	kept.until = now + Retention
-	r.byStream[record.Stream] = kept
-	r.byAge = append(r.byAge, agedStream{record.Stream, kept.until})
+	stream := strings.Clone(record.Stream) // the ID may be a part of a long header line
+	if kept.until != now+Retention {
+		kept.until = now + Retention
+		r.byAge = append(r.byAge, agedStream{stream, kept.until})
+	}
+	r.byStream[stream] = kept
 	for len(r.byStream) > r.limit {
 		r.dropOldest()
 	}
+	if len(r.byAge) > 2*r.limit {
+		r.byAge = slices.DeleteFunc(r.byAge, func(a agedStream) bool { return r.byStream[a.stream].until != a.until })
+	}
 	return true
 }
 
