continuation: versions that the table had no room for are forgotten

What operators see: nothing yet, by reading. A server that announces another version each time makes the leader's memory grow for as long as it leads.

Cause: Presence forgot a version when it was removed from the table. One that the table had no room for (64 versions of a service, 4,096 services) was never in it, and so never forgotten.

Change: each version that had no server for the retention is forgotten, whether it is in the table or not. One that is still in the table counts as seen at the begin of the term then, which is earlier, so it is removed as before.

--- a/continuation/continuation_test.go
+++ b/continuation/continuation_test.go
@@ -258,3 +258,19 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// Guards against versions that servers name and that are remembered for ever, because the table has no
+// room for them.
+func TestPresenceForgetsVersions(t *testing.T) {
+	const rounds = 20_000
+	presence := continuation.NewPresence(0)
+	before := heapBytes()
+	for i := range rounds {
+		name := fmt.Sprintf("%0100d", i)
+		presence.Update(clock.Millis(i)*continuation.Retention, continuation.Table{}, []continuation.Origin{{Service: name, Version: name}})
+	}
+	if got, want := heapBytes(), before+rounds*10; got > want {
+		t.Errorf("memory after %d versions: got %d bytes, want at most %d", rounds, got, want)
+	}
+	runtime.KeepAlive(presence)
+}
--- a/continuation/presence.go
+++ b/continuation/presence.go
@@ -1,6 +1,10 @@
 package continuation
 
-import "github.com/galenaslip/galenaslip/clock"
+import (
+	"maps"
+
+	"github.com/galenaslip/galenaslip/clock"
+)
 
 // Presence finds out which versions have had no server for Retention, for the leader of a term. Nothing
 // is known of the time before, so each version counts as present at the begin of the term.
@@ -32,8 +36,9 @@
 		}
 		if now-seenAt > Retention {
 			changes = append(changes, Change{Origin: o, Remove: true})
-			delete(p.seenAt, o)
 		}
 	}
+	// Those that are not in the table, too: it may have had no room for them.
+	maps.DeleteFunc(p.seenAt, func(_ Origin, at clock.Millis) bool { return now-at > Retention })
 	return changes
 }
