engine: idle connections to addresses that are not called any more are closed

What operators see: an entry keeps up to 256 open connections to each address of a server that it has ever called, also after other servers have taken their place.

Cause: the idle time of a connection was only looked at when the same address was called again.

Change: when a connection is put back, all that were idle for too long are closed, at most once per idle time.

Shown: TestIdleConnectionsToFormerServersAreClosed fails before (0 of 20 closed, and the servers still hold them when the test ends) and passes ten times in a row.

TestAnswersWithoutEndLeaveMemory failed once beside this change ("sound answer: got 0 bytes [...] no memory is left", 1 of 3 runs of the package, on a busy machine) and not in 30 runs alone and 12 of the package on.

--- a/engine/pool.go
+++ b/engine/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -25,6 +26,7 @@
 	maxPerAddress   int
 	mu              sync.Mutex
 	idleConnections map[poolKey][]*connection
+	expireAt        clock.Millis // when connections that were idle for too long are searched for next
 	closed          bool
 }
 
@@ -87,6 +89,29 @@
 	}
 	c.idleSince = p.clock.Now()
 	p.idleConnections[key] = append(p.idleConnections[key], c)
+	p.closeExpired(c.idleSince)
+}
+
+// closeExpired closes the connections that were idle for too long, those to addresses that are not called any more
+// included. It searches for them at most once per maxIdleTime. The caller holds the lock.
+func (p *pool) closeExpired(now clock.Millis) {
+	if now < p.expireAt {
+		return
+	}
+	p.expireAt = now + p.maxIdleTime
+	for key, idleConnections := range p.idleConnections {
+		kept := slices.DeleteFunc(idleConnections, func(c *connection) bool {
+			expired := now-c.idleSince >= p.maxIdleTime
+			if expired {
+				_ = c.Close()
+			}
+			return expired
+		})
+		p.idleConnections[key] = kept
+		if len(kept) == 0 {
+			delete(p.idleConnections, key)
+		}
+	}
 }
 
 func (p *pool) close() {
