memory: a source gets no more than it leaves to others, however much it asks for at once

What callers see: answers of sound servers can fail for want of memory beside one server that sends without end.

Cause: a reservation was compared with what was left before it, not after it. A buffer that doubles asks for half of its size at once, so that a source could get nearly the whole pool in place of a half.

Shown: TestSourceLeavesAsMuchToOthers fails before (1,048,576 bytes at once, 8,192 left) and passes.

--- a/memory/pool.go
+++ b/memory/pool.go
@@ -35,7 +35,7 @@
 func (p *Pool) reserve(s *Source, bytes int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s.bytes+bytes > p.limit-p.reserved {
+	if s.bytes+bytes > p.limit-p.reserved-bytes {
 		return false
 	}
 	p.reserved += bytes
--- a/memory/pool_test.go
+++ b/memory/pool_test.go
@@ -75,3 +75,23 @@
 		}
 	})
 }
+
+// Guards against a source that gets more than it leaves for the others, because it asks for much at once.
+func TestSourceLeavesAsMuchToOthers(t *testing.T) {
+	const limit = 1 << 20
+	for _, first := range []int{0, limit / 8, limit / 4, limit / 2} {
+		for _, step := range []int{limit / 64, limit / 8, limit / 4, limit/2 + 1, limit} {
+			pool := memory.NewPool(limit + memory.FreeBytes)
+			var other, source memory.Source
+			reservation := pool.Begin()
+			reservation.Of(&other).Reserve(memory.FreeBytes) // what needs no reservation
+			reservation.Of(&other).Reserve(first)
+			before := pool.InUse()
+			for reservation.Of(&source).Reserve(step) {
+			}
+			if got, want := pool.InUse()-before, limit+memory.FreeBytes-pool.InUse(); got > want {
+				t.Errorf("source beside %d bytes, %d at a time: got %d bytes, want no more than the %d that are left", before, step, got, want)
+			}
+		}
+	}
+}
