engine: a response of known length takes no more memory than that

What callers see: an answer that fits fails now and then with "no memory is left for the message" beside servers that send without end.

Cause: the response was read as one of unknown length, into a buffer that doubles. 100,000 bytes that arrive in odd portions take up to 200,000, more than a third server may get of the pool in the test.

Change: Content-Length is used where there is one.

Shown: TestKnownLengthTakesNoMoreMemory fails before and passes.

--- a/engine/client.go
+++ b/engine/client.go
@@ -211,8 +211,8 @@
 		e.bodyRead = true
 		return nil, nil
 	}
-	const unknownLength = -1
-	body, err := memory.ReadAll(e.response.BodyStream(), unknownLength, limit, e.memory.Of(e.source))
+	length := int64(e.response.Header.ContentLength()) // negative if it is not known
+	body, err := memory.ReadAll(e.response.BodyStream(), length, limit, e.memory.Of(e.source))
 	switch {
 	case errors.Is(err, memory.ErrTooLarge), errors.Is(err, memory.ErrNoMemory):
 		return nil, &Failure{Kind: Malformed, Address: e.address, Cause: err}
--- a/engine/memory_test.go
+++ b/engine/memory_test.go
@@ -99,3 +99,17 @@
 	}
 	calls.Wait()
 }
+
+// Guards against an answer of a known length that takes up to twice its length, and then fails beside
+// servers that leave memory for it.
+func TestKnownLengthTakesNoMoreMemory(t *testing.T) {
+	t.Parallel()
+	const length = 100_000
+	c, release := engine.New(engine.Options{Clock: clock.New(), MemoryBytes: 2*length + length/10})
+	t.Cleanup(release)
+	sound := endlessServer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length))
+	answer, err := c.Call(context.Background(), engine.Request{Method: "GET", Address: sound, Path: "/"})
+	if err != nil || len(answer.Body) != length {
+		t.Errorf("got %d bytes and %v, want %d bytes", len(answer.Body), err, length)
+	}
+}
