relay: a new leader that has not heard all entries does not shrink their number

After a change of the leader, relays could together open more connections to a server than it takes (max_connections of a service), so that it refused some. Probes of quarantined requests could come too often as well.

Cause: each relay divides by the number of entries that the leader has counted. A new leader begins to count at zero, so that the first relays that ask it are told 1, 2 and so on.

For four seconds after a change of the leader, the number that the former one had counted holds if it is larger; entries ask a leader several times a second. TestNewLeaderDoesNotShrinkNumberOfEntries failed before (got 1 of 34 entries).

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -19,10 +19,10 @@
 	unresponsiveAfter = 1200 * clock.Millisecond
 	// streamUnresponsiveAfter is the corresponding time for a stream that has begun.
 	streamUnresponsiveAfter = 3500 * clock.Millisecond
-	// unlistedGrace is the time after a change of the control leader for which a server
-	// that the new leader has not sent in an update does not count as silent yet. The
-	// server may be missing only because the leader has not received its next heartbeat.
-	unlistedGrace = 4 * clock.Second
+	// newLeaderGrace is the time after a change of the control leader for which the new
+	// leader may not have heard all servers and entries yet. A server that it has not sent in an
+	// update does not count as silent, and entries that it has not counted still count.
+	newLeaderGrace = 4 * clock.Second
 	// silentGrace is how long a server that misses heartbeats stays in normal use
 	// after the relay last received bytes from it: it may have lost only its connection
 	// to control.
@@ -53,6 +53,7 @@
 	serverListEpoch   uint64           // identifies the control leader's server list; another value means a new list
 	serverListEpochAt clock.Millis     // when this relay received the first update of that list
 	entryCount        int              // number of entries, this one included
+	formerEntryCount  int              // that number when the control leader changed; 0 if there was none before
 	endChecks         *quarantine.EndChecks
 	limiter           *ratelimit.Limiter
 	streamOrigins     StreamOrigins
@@ -122,7 +123,7 @@
 	for name, s := range f.servers {
 		f.checkResponsive(now, s)
 		s.closeExpired(now)
-		if !s.listedByLeader && now-f.serverListEpochAt > unlistedGrace {
+		if !s.listedByLeader && now-f.serverListEpochAt > newLeaderGrace {
 			s.record.Silent = true
 		}
 		if s.record.State == roster.Gone && len(s.attempts) == 0 && now-s.listedAt > s.goneRetention() {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -132,3 +132,29 @@
 		}
 	}
 }
+
+// Guards against relays that together open more connections to a server than it takes: a new leader
+// knows only the entries that have asked it, at first one, and each relay divides by that number.
+func TestNewLeaderDoesNotShrinkNumberOfEntries(t *testing.T) {
+	s := newFixture(t)
+	steps := []struct {
+		after    clock.Millis
+		epoch    uint64
+		reported int
+		want     int
+	}{
+		{0, 2, 34, 34},
+		{clock.Second, 3, 1, 34},
+		{clock.Second, 3, 40, 40},
+		{clock.Second, 3, 30, 34},
+		{2 * clock.Second, 3, 30, 30},
+		{clock.Second, 3, 28, 28},
+	}
+	for i, step := range steps {
+		s.manual.Advance(step.after)
+		s.relay.Update(s.clock.Now(), control.WatchResponse{Granted: true, Revision: 1, Epoch: step.epoch, EntryCount: step.reported, Share: wholeShare()})
+		if got := s.relay.State().Entries; got != step.want {
+			t.Errorf("step %d, %d entries of epoch %d: got %d, want %d", i, step.reported, step.epoch, got, step.want)
+		}
+	}
+}
--- a/relay/fleet_update.go
+++ b/relay/fleet_update.go
@@ -15,13 +15,16 @@
 func (f *fleet) applyUpdate(now clock.Millis, update control.WatchResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entryCount = min(max(update.EntryCount, 1), maxEntries)
 	if update.Epoch != f.serverListEpoch {
+		if f.serverListEpoch != 0 {
+			f.formerEntryCount = f.entryCount
+		}
 		f.serverListEpoch, f.serverListEpochAt = update.Epoch, now
 		for _, s := range f.servers {
 			s.listedByLeader = false
 		}
 	}
+	f.setEntryCount(now, update.EntryCount)
 	for _, r := range update.Servers {
 		f.applyRecord(now, r)
 	}
@@ -34,6 +37,15 @@
 	}
 }
 
+// setEntryCount stores the number of entries. A new leader counts only those that have asked it, so
+// the number that its predecessor had counted holds for a while if it is larger. The caller holds the lock.
+func (f *fleet) setEntryCount(now clock.Millis, reported int) {
+	f.entryCount = min(max(reported, 1), maxEntries)
+	if f.formerEntryCount > 0 && now-f.serverListEpochAt < newLeaderGrace {
+		f.entryCount = max(f.entryCount, f.formerEntryCount)
+	}
+}
+
 // demands returns the recent work of this entry's requests to engines, in equivalent
 // prompt tokens, one element for each service.
 func (f *fleet) demands() []control.ServiceDemand {
