--- a/replica/simulation_test.go
+++ b/replica/simulation_test.go
@@ -99,11 +99,12 @@
 
 	sendTime         clock.Millis // how long a link takes for each message; 0 if it takes any number at once
 	links            []*simLink
-	appendBytes      int     // limit of the entries in one append message and in one disk batch
-	syncDelay        int     // upper limit of the duration of a write, in ms
-	crashAtDiskError float64 // share of disk errors after which the process crashes
-	voters           int     // number of voters; the nodes after them are learners
-	faultsEnded      bool    // faults that were scheduled for a later time no longer happen
+	appendBytes      int          // limit of the entries in one append message and in one disk batch
+	syncDelay        int          // upper limit of the duration of a write, in ms
+	writeTime        clock.Millis // added to the duration of each write
+	crashAtDiskError float64      // share of disk errors after which the process crashes
+	voters           int          // number of voters; the nodes after them are learners
+	faultsEnded      bool         // faults that were scheduled for a later time no longer happen
 
 	leaders         map[string]string        // identity of the leader, by term
 	committed       map[uint64]storage.Entry // committed entries by index, as the first member committed them
@@ -211,7 +212,7 @@
 			break
 		}
 		n.batch = &b
-		n.writeDoneAt = s.now + clock.Millis(s.random.IntN(s.syncDelay))
+		n.writeDoneAt = s.now + s.writeTime + clock.Millis(s.random.IntN(s.syncDelay))
 	}
 	// A caller that has read a lease may rely on it even if the leader steps down later.
 	n.publishedLeaseEnd = max(n.publishedLeaseEnd, n.core.LeaseUntil())
