replica: a group with slow disks elects a leader

Callers got "no leader is known" from all members, for as long as writes took nearly an election timeout, although all members ran, reached each other and their disks took writes.

Cause: an election needs two writes one after the other, the candidate's vote and then the votes of the others, but the election timer ran from before the first one, with a jitter of one election timeout. The candidate asked for pre-votes again before the votes were stored and ignored them when they came; its voters, whose timers ran out as well, stood for election in the next term. Each round did the same. The class of fault: a timeout that is shorter than the work it waits for, and is repeated without being spread.

Now - votes of the current term count as long as the member stays in the term, also while it asks for pre-votes again; it has voted for itself, so nobody else can win that term; - the timer starts anew when a vote is stored, because the vote or the requests for votes are sent only then, and a member doesn't stand for election while a vote that it has cast is being stored; - the jitter grows by one election timeout with each timeout after an election that nobody has won, up to eight. It is as before while no election has failed and after a leader is heard, so a usual change of the leader takes as long as before, and a group without a majority, whose term doesn't grow, doesn't wait longer either.

Not shown: that the users' disks were this slow.

--- a/replica/batch.go
+++ b/replica/batch.go
@@ -36,6 +36,7 @@
 	if c.voteChanged {
 		vote := c.vote
 		b.vote = &vote
+		c.voteInFlight = true
 	}
 	b.entries = c.log.entriesFrom(c.firstUnwritten, c.options.limits.appendBytes)
 	c.firstUnwritten += uint64(len(b.entries))
@@ -55,7 +56,10 @@
 func (c *core) batchWritten(now clock.Millis, b batch) {
 	c.batchInFlight, c.disk.failure = false, nil
 	if b.vote != nil {
-		c.durableTerm = b.vote.Term
+		c.durableTerm, c.voteInFlight = b.vote.Term, false
+		if b.vote.VotedFor != "" && c.role != Leader {
+			c.resetElectionTimer(now) // The vote, or the requests for votes, are sent only now.
+		}
 	}
 	if b.snapshot != nil {
 		c.durableIndex = max(c.durableIndex, b.snapshot.Index)
--- a/replica/core.go
+++ b/replica/core.go
@@ -42,6 +42,8 @@
 	// promotionLag is the number of committed entries that a learner may still lack
 	// when it becomes a voter. They fit in one append message.
 	promotionLag = 64
+	// maxFailedTimeouts limits the jitter of the election timeout: it is one more election timeouts.
+	maxFailedTimeouts = 7
 	// maxKnownSenders limits the remembered message senders and the send queues.
 	maxKnownSenders = 256
 )
@@ -105,7 +107,10 @@
 	snapshotToRestore *storage.Snapshot // to be loaded into the state machine; nil if none
 	leaderHeardAt     clock.Millis      // when the last message from a leader arrived, or the start time
 	electionDue       clock.Millis      // when the election timer expires
-	votesGranted      map[string]bool   // by identity, in the current election or pre-vote
+	preVotesGranted   map[string]bool   // by identity, in the current pre-vote
+	votesGranted      map[string]bool   // by identity, in this member's election of the current term; nil if it has started none
+	failedTimeouts    int               // election timeouts without a leader since the first election that nobody has won, up to maxFailedTimeouts
+	leaderTerm        uint64            // newest term in which a leader was known, or the term at the start
 	knownSenders      map[string]sender // by identity; addresses for replies to non-members
 	elections         electionRecord
 	reportedFolderIDs map[string]string // by identity; those received until the group is founded
@@ -114,6 +119,7 @@
 	leadership leadership
 
 	voteChanged         bool              // vote has to be written in the next disk batch
+	voteInFlight        bool              // vote is part of the batch in flight
 	firstUnwritten      uint64            // index of the first entry that is not yet part of a disk batch
 	snapshotToWrite     *storage.Snapshot // to be written in the next disk batch; nil if none
 	snapshotReplacesLog bool              // snapshotToWrite replaces the whole log
@@ -148,7 +154,7 @@
 	}
 	c.commitIndex, c.dispatchedIndex = c.snapshot.Index, c.snapshot.Index
 	c.durableIndex, c.firstUnwritten = c.log.last(), c.log.last()+1
-	c.durableTerm = c.vote.Term
+	c.durableTerm, c.leaderTerm = c.vote.Term, c.vote.Term
 	c.founded = len(c.vote.FounderFolderIDs) > 0 || !c.isFounder()
 	// Before a restart the member may have heard from a leader whose lease relies on
 	// this member not voting for an election timeout.
@@ -214,9 +220,11 @@
 	return c.current().value.votes(c.identity()) || c.committed().value.votes(c.identity())
 }
 
-// resetElectionTimer restarts the election timeout with random jitter.
+// resetElectionTimer restarts the election timeout with random jitter. The jitter grows with elections that
+// nobody has won: members whose votes take long to store or to arrive must not all stand for election before
+// one of them can win.
 func (c *core) resetElectionTimer(now clock.Millis) {
-	jitter := clock.Millis(c.random.Int64N(int64(c.options.electionTimeout)))
+	jitter := clock.Millis(c.random.Int64N(int64(c.options.electionTimeout) * int64(1+c.failedTimeouts)))
 	c.electionDue = now + c.options.electionTimeout + jitter + c.electionDelay(now)
 }
 
@@ -241,10 +249,16 @@
 	if now < c.electionDue {
 		return
 	}
+	if c.vote.Term > c.leaderTerm {
+		c.failedTimeouts = min(c.failedTimeouts+1, maxFailedTimeouts)
+	}
 	c.resetElectionTimer(now)
 	switch {
 	case !c.founded:
 		c.sendHellos()
+	case c.mayVote() && c.votePending():
+		// The election in which it voted can still be won once the vote is stored.
+		c.leader = Member{}
 	case c.mayVote() && c.mayCampaign():
 		c.preCampaign(now)
 	case c.mayVote():
--- a/replica/election.go
+++ b/replica/election.go
@@ -15,7 +15,7 @@
 	if c.role != Follower {
 		c.resetElectionTimer(now)
 	}
-	c.role, c.leader, c.votesGranted = Follower, leader, nil
+	c.role, c.leader, c.preVotesGranted, c.votesGranted = Follower, leader, nil, nil
 	if term > c.vote.Term {
 		c.vote.Term, c.vote.VotedFor = term, ""
 		c.voteChanged = true
@@ -34,7 +34,7 @@
 	if c.role != Follower || c.leader.Identity != m.From {
 		c.becomeFollower(now, m.Term, leader)
 	}
-	c.leaderHeardAt = now
+	c.leaderHeardAt, c.failedTimeouts, c.leaderTerm = now, 0, c.vote.Term
 	c.resetElectionTimer(now)
 }
 
@@ -42,9 +42,15 @@
 func (c *core) preCampaign(now clock.Millis) {
 	c.role, c.leader = PreCandidate, Member{}
 	c.elections.preVotes, c.elections.stoodAt = c.elections.preVotes+1, now
+	c.preVotesGranted = map[string]bool{}
 	c.requestVotes(Message{Kind: MessagePreVote, Term: c.vote.Term + 1})
 }
 
+// votePending reports whether a vote that this member has cast is not durable yet.
+func (c *core) votePending() bool {
+	return c.vote.VotedFor != "" && (c.voteChanged || c.voteInFlight)
+}
+
 // checkIfRemoved sends pre-vote requests whose answers are not counted. It lets a
 // learner that receives nothing from a leader find out that it was removed.
 func (c *core) checkIfRemoved() {
@@ -64,13 +70,13 @@
 	c.voteChanged = true
 	c.elections.started, c.elections.stoodAt = c.elections.started+1, now
 	c.resetElectionTimer(now)
+	c.votesGranted = map[string]bool{}
 	c.requestVotes(Message{Kind: MessageVote, Transfer: transfer})
 }
 
 // requestVotes sends a vote or pre-vote request to every voter. This member's own vote
 // is a message to itself, so that it counts only once it is durable.
 func (c *core) requestVotes(m Message) {
-	c.votesGranted = map[string]bool{}
 	m.Index, m.LogTerm = c.log.last(), c.log.lastTerm()
 	reply := Message{Kind: m.Kind + 1, Term: m.Term}
 	for _, member := range c.current().value.members {
@@ -104,8 +110,8 @@
 	if c.role != PreCandidate || m.Reject || m.Term != c.vote.Term+1 {
 		return
 	}
-	c.votesGranted[m.From] = true
-	if c.current().value.hasMajority(c.votesGranted) {
+	c.preVotesGranted[m.From] = true
+	if c.current().value.hasMajority(c.preVotesGranted) {
 		c.campaign(now, false)
 	}
 }
@@ -125,8 +131,10 @@
 	c.sendAfterWrite(m.From, Message{Kind: MessageVoteReply})
 }
 
+// onVoteReply counts a vote. Votes of the current term count even if this member asks for pre-votes again
+// because they were late: it has voted for itself, so that no other member can win the term.
 func (c *core) onVoteReply(now clock.Millis, m Message) {
-	if c.role != Candidate || m.Reject {
+	if c.votesGranted == nil || c.role == Leader || m.Reject {
 		return
 	}
 	c.votesGranted[m.From] = true
--- a/replica/leadership.go
+++ b/replica/leadership.go
@@ -27,7 +27,8 @@
 
 // becomeLeader makes the member the leader of the current term.
 func (c *core) becomeLeader(now clock.Millis) {
-	c.role, c.votesGranted = Leader, nil
+	c.role, c.preVotesGranted, c.votesGranted = Leader, nil, nil
+	c.failedTimeouts, c.leaderTerm = 0, c.vote.Term
 	c.leader = c.options.self
 	c.leadership = leadership{
 		peers:      map[string]*peer{},
