roster: a leader knows a bounded number of servers, and forgets silent ones after an hour

What operators see: servers that crashed or were replaced under other names stay in the list of the leader, and so at all relays, as silent ones for as long as the leader leads; each choice of a server goes through them. A writer that announces other names all the time fills the leader's memory.

Cause: only gone servers were ever removed, and nothing bounded the others.

Change: a server that was silent for an hour counts as gone, which the entries learn as any other change. New gauge: galenaslip_control_servers.

--- a/control/metrics.go
+++ b/control/metrics.go
@@ -89,6 +89,9 @@
 	gauge("claims", "Recorded claims.", func() float64 { return float64(c.machine.summary().Claims) })
 	gauge("claim_bytes", "Estimated memory of the claims.", func() float64 { return float64(c.machine.summary().ClaimBytes) })
 	gauge("leased_entries", "Entries with a lease.", func() float64 { return float64(len(c.leaderTasks.renewals())) })
+	gauge("servers", "Backend servers that this member has a record of as the leader, gone ones included.", func() float64 {
+		return float64(c.serverRegistry.count())
+	})
 	gauge("messages_failed", "Replication messages not delivered.", func() float64 { return float64(c.peerClient.messagesFailed.Load()) })
 }
 
--- a/control/servers.go
+++ b/control/servers.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
@@ -66,6 +67,13 @@
 	s.control.changed.notify()
 }
 
+// count returns the number of servers that this member has a record of as the leader, gone ones included.
+func (s *serverRegistry) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Len()
+}
+
 // receive applies announcements to the registry of a leader term. It creates an
 // empty registry first when the term is new.
 func (s *serverRegistry) receive(term uint64, announcements []roster.Announcement) {
@@ -81,7 +89,11 @@
 	}
 	previousPosition := s.registry.LastChangeNumber()
 	for _, a := range announcements {
-		s.logChange(a, s.apply(now, a))
+		acceptance := s.apply(now, a)
+		s.logChange(a, acceptance)
+		if acceptance == roster.Full {
+			s.control.recordRefused(RefusedServers{Count: 1, Cause: errors.Errorf("%s: %d servers are known already", a.Server, roster.MaxServers)})
+		}
 	}
 	if s.registry.LastChangeNumber() != previousPosition {
 		s.publish(now)
--- a/roster/registry.go
+++ b/roster/registry.go
@@ -21,6 +21,15 @@
 // before it and arrives late could not be told from that of a new run.
 const lateHeartbeatTime = 10 * clock.Second
 
+const (
+	// SilentRetention is how long a silent server is remembered before it counts as gone. Until then it may
+	// have lost only its connection to control.
+	SilentRetention = 1 * clock.Hour
+	// MaxServers bounds the servers that a registry knows, without departures, which it forgets after
+	// goneRetention.
+	MaxServers = 50_000
+)
+
 // Record is the registry's knowledge of a server.
 type Record struct {
 	Announcement
@@ -50,6 +59,8 @@
 	Refreshed
 	// Changed means that the change must be reported to the entries.
 	Changed
+	// Full means that the registry knows MaxServers servers already.
+	Full
 )
 
 // Registry holds the newest announcement of each server. It numbers the changes of all
@@ -89,6 +100,9 @@
 	if ok && known.outranks(now, a) || a.State != Gone && r.superseded(now, a) {
 		return Stale
 	}
+	if !ok && len(r.servers) >= MaxServers {
+		return Full
+	}
 	if !ok {
 		known = &registration{}
 		r.servers[a.Server] = known
@@ -223,8 +237,11 @@
 	return known.record.Announcement, now - known.updatedAt, true
 }
 
-// CheckTimeouts marks servers that have become silent and removes those that have been
-// gone for goneRetention. It reports whether there are changes for the entries.
+// Len returns the number of servers that are known, gone ones included.
+func (r *Registry) Len() int { return len(r.servers) }
+
+// CheckTimeouts marks servers that have become silent, or gone after SilentRetention, and removes those
+// that have been gone for goneRetention. It reports whether there are changes for the entries.
 func (r *Registry) CheckTimeouts(now clock.Millis) bool {
 	before := r.changeNumber
 	for id, known := range r.servers {
@@ -233,6 +250,8 @@
 		case known.record.State == Gone && age >= goneRetention:
 			delete(r.servers, id)
 			r.removeAddress(known.record.Address, known)
+		case known.record.State != Gone && age >= SilentRetention:
+			r.markGone(now, known)
 		case known.record.State != Gone && !known.record.Silent && age >= r.silentAfter:
 			known.record.Silent = true
 			r.assignChangeNumber(known)
