relay: servers that no leader lists any more are forgotten

What operators see: after each change of the control leader, servers that crashed under the former one stay at every relay, and each choice of a server goes through them.

Cause: a relay removed a server only when the leader said that it is gone. A new leader does not know the servers that crashed before its term, so nobody says so.

Change: a server that no leader has listed for ten minutes, and that has sent no bytes meanwhile, is removed. Until then it is kept as one to fall back on, as before.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -23,6 +23,9 @@
 	// leader may not have heard all servers and entries yet. A server that it has not sent in an
 	// update does not count as silent, and entries that it has not counted still count.
 	newLeaderGrace = 4 * clock.Second
+	// unlistedRetention is how long a server is remembered that no leader lists any more and that sends no
+	// bytes. Until then it may have lost only its connection to control.
+	unlistedRetention = 10 * clock.Minute
 	// silentGrace is how long a server that misses heartbeats stays in normal use
 	// after the relay last received bytes from it: it may have lost only its connection
 	// to control.
@@ -113,7 +116,7 @@
 }
 
 // runPeriodicChecks marks unresponsive servers, removes servers that have been gone for
-// longer than goneRetention, and closes expired idle connections. Relay calls it
+// longer than goneRetention or that no leader lists any more, and closes expired idle connections. Relay calls it
 // every periodicCheckInterval.
 func (f *fleet) runPeriodicChecks(now clock.Millis) {
 	f.endChecks.DropExpired()
@@ -129,6 +132,10 @@
 		if s.record.State == roster.Gone && len(s.attempts) == 0 && now-s.listedAt > s.goneRetention() {
 			delete(f.servers, name)
 		}
+		if !s.listedByLeader && len(s.attempts) == 0 && now-max(s.unlistedAt, s.lastByteAt) > unlistedRetention {
+			s.discardIdle()
+			delete(f.servers, name)
+		}
 	}
 }
 
--- a/relay/fleet_update.go
+++ b/relay/fleet_update.go
@@ -21,7 +21,9 @@
 		}
 		f.serverListEpoch, f.serverListEpochAt = update.Epoch, now
 		for _, s := range f.servers {
-			s.listedByLeader = false
+			if s.listedByLeader {
+				s.listedByLeader, s.unlistedAt = false, now
+			}
 		}
 	}
 	f.setEntryCount(now, update.EntryCount)
--- a/relay/server.go
+++ b/relay/server.go
@@ -53,6 +53,7 @@
 	promptCache       promptcache.Cache     // of this run of the server
 	lastByteAt        clock.Millis          // when the relay last received bytes from the server
 	listedByLeader    bool                  // an update from the current control leader has contained the server
+	unlistedAt        clock.Millis          // when the leader changed that had listed the server; valid while listedByLeader is false
 	listedAt          clock.Millis          // when an update from a control leader last contained the server
 
 	otherEntriesRequests          float64 // running requests of other entries, as reported at otherEntriesReportedAt
