--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -13,8 +13,9 @@
 // TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) { testseed.Main(m) }
 
-// Guards against more retries than the percentage of requests, refusal of retries within the budget, sending a once-only call again, more attempts
-// than allowed, and delays that are out of range or not random.
+// Guards against more retries than the percentage of requests, refusal of retries within the
+// budget, sending a once-only call again, more attempts than allowed, and delays that are out of
+// range or not random.
 func TestBudget(t *testing.T) {
 	seenDelays := map[clock.Millis]bool{}
 	rapid.Check(t, func(t *rapid.T) {
