--- a/replica/export_test.go
+++ b/replica/export_test.go
@@ -192,3 +192,6 @@
 	e, ok := o.outbox.next()
 	return e.message, ok
 }
+
+// LastIndex returns the index of the last entry of the log.
+func (c *Core) LastIndex() uint64 { return c.core.log.last() }
