ratelimit: refusals of services are forgotten once they have no effect

What operators see: nothing yet, by reading. A relay keeps an element for each service whose servers were ever at their limits, whatever catalogs have renamed since.

Cause: refusals and the times at which callers come back were never removed. They have no effect after 10 s.

Change: they are removed with the buckets of limits that have ended, at most once a second. A rank without an element is treated as one whose refusals are old, as before.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -247,8 +248,8 @@
 	return min(int((position-offset+step-1)/step), all)
 }
 
-// expire removes the buckets of limits that have ended, at most once a second. The caller holds
-// the lock.
+// expire removes the buckets of limits that have ended, and refusals that have no effect any more, at
+// most once a second. The caller holds the lock.
 func (l *Limiter) expire(now clock.Millis) {
 	if now < l.expireAt {
 		return
@@ -259,6 +260,13 @@
 			delete(l.buckets, run)
 		}
 	}
+	maps.DeleteFunc(l.returnAt, func(_ string, at clock.Millis) bool { return at <= now })
+	for service, ranks := range l.refused {
+		maps.DeleteFunc(ranks, func(_ int, r refusals) bool { return now-r.latest >= max(scarcityTime, starvationBound) })
+		if len(ranks) == 0 {
+			delete(l.refused, service)
+		}
+	}
 }
 
 // RefuseFor records that a request of a service is refused because all of the given servers have
@@ -269,6 +277,7 @@
 	total := lo.SumBy(runs, func(run Run) float64 { return min(l.limits.Limit(run).Rate(), MaxRate) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.expire(now)
 	l.recordRefusal(now, service, u.Rank)
 	rate := total * l.validShare(now).Size()
 	if rate == 0 {
