replica: large entries are bounded in bytes on the disk and in memory

With documents of 1 MB a member would need 4 GB of disk before it, on disks of 128 MB, and keep 1 GB of entries in memory after it.

Cause: both limits were numbers of entries; a command may have 4 MiB.

--- a/replica/core.go
+++ b/replica/core.go
@@ -39,6 +39,8 @@
 	// defaultKeptEntries is the number of entries that stay in memory after a snapshot,
 	// so that a follower that is only slightly behind needs no snapshot.
 	defaultKeptEntries = 1024
+	// defaultKeptBytes is the size of these entries at most.
+	defaultKeptBytes = 8 << 20
 	// promotionLag is the number of committed entries that a learner may still lack
 	// when it becomes a voter. They fit in one append message.
 	promotionLag = 64
@@ -58,12 +60,13 @@
 
 // limits bounds memory use and message sizes.
 type limits struct {
-	keptEntries       uint64 // number of entries that stay in memory after a snapshot
+	keptEntries       uint64 // number of entries that stay in memory after a snapshot, at most
+	keptBytes         int    // and their size
 	appendBytes       int    // size of the entries in an append message or a disk batch
 	snapshotPartBytes uint64 // size of a part in a snapshot transfer
 }
 
-var defaultLimits = limits{keptEntries: defaultKeptEntries, appendBytes: defaultAppendBytes, snapshotPartBytes: defaultSnapshotPartBytes}
+var defaultLimits = limits{keptEntries: defaultKeptEntries, keptBytes: defaultKeptBytes, appendBytes: defaultAppendBytes, snapshotPartBytes: defaultSnapshotPartBytes}
 
 // lease returns the length of the leader lease. It is shorter than the time for which
 // voters refuse to vote after they heard from a leader.
--- a/replica/export_test.go
+++ b/replica/export_test.go
@@ -26,7 +26,7 @@
 		return nil, nil, state, nil, err
 	}
 	settings := coreOptionsOf(options)
-	settings.limits = limits{keptEntries: o.KeptEntries, appendBytes: o.AppendBytes, snapshotPartBytes: o.SnapshotPartBytes}
+	settings.limits = limits{keptEntries: o.KeptEntries, keptBytes: defaultKeptBytes, appendBytes: o.AppendBytes, snapshotPartBytes: o.SnapshotPartBytes}
 	c, err := newCore(now, settings, state)
 	return &Core{core: c}, j, state, release, err
 }
--- a/replica/log.go
+++ b/replica/log.go
@@ -71,6 +71,21 @@
 	l.entries = l.entries[:kept:kept]
 }
 
+// removable returns up to which index entries may be removed so that the newest ones up to the given
+// index stay: at most as many as given, and with at most the given size.
+func (l *entryLog) removable(index, kept uint64, keptBytes int) uint64 {
+	size := 0
+	for removable := index; ; removable-- {
+		if removable <= l.baseIndex || index-removable >= kept {
+			return removable
+		}
+		size += len(l.entries[removable-l.baseIndex-1].Data) + entryOverhead
+		if size > keptBytes {
+			return removable
+		}
+	}
+}
+
 // compact removes the entries up to and including index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.baseIndex {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -50,8 +50,10 @@
 	// shortest election timeout, by default 1,000 ms.
 	HeartbeatInterval, ElectionTimeout clock.Millis
 	FileSystem                         storage.FileSystem // nil means the operating system's file system
-	SnapshotEvery                      int                // number of entries between snapshots; 0 means DefaultSnapshotEvery
-	Log                                func(e event.Event, fields ...zap.Field)
+	// A snapshot is taken after SnapshotEvery entries, or earlier after entries of SnapshotBytes; 0 means
+	// the defaults.
+	SnapshotEvery, SnapshotBytes int
+	Log                          func(e event.Event, fields ...zap.Field)
 }
 
 const (
@@ -63,6 +65,9 @@
 	// DefaultSnapshotEvery is the default number of entries between snapshots. It limits
 	// the entries that are replayed after a restart.
 	DefaultSnapshotEvery = 4096
+	// DefaultSnapshotBytes is the default number of bytes of entries between snapshots. It limits the disk and
+	// the memory that large entries take.
+	DefaultSnapshotBytes = 16 << 20
 	// MaxCommandBytes is the largest command that Propose accepts.
 	MaxCommandBytes = 4 << 20
 )
@@ -194,6 +199,9 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if o.FileSystem == nil {
 		o.FileSystem = storage.OSFileSystem{}
 	}
--- a/replica/runtime.go
+++ b/replica/runtime.go
@@ -68,6 +68,7 @@
 	proposalTerm      uint64                    // term of the newest proposal
 	requests          []request                 // not answered yet
 	nextSnapshotIndex uint64                    // index at which the next snapshot is due
+	snapshotBytes     int                       // size of the entries that were dispatched since the latest snapshot
 	role              Role                      // role that was logged last
 	diskFails         bool                      // whether the latest log event of the disk was its failure
 	cutBytes          int                       // bytes cut off since that event
@@ -258,8 +259,12 @@
 			}
 		}
 		l.pendingJobs = append(l.pendingJobs, o)
-		if l.core.dispatchedIndex >= l.nextSnapshotIndex && t.snapshotToRestore == nil {
-			l.nextSnapshotIndex = l.core.dispatchedIndex + uint64(l.replica.options.SnapshotEvery)
+		for _, e := range t.entries {
+			l.snapshotBytes += len(e.Data) + entryOverhead
+		}
+		due := l.core.dispatchedIndex >= l.nextSnapshotIndex || l.snapshotBytes >= l.replica.options.SnapshotBytes
+		if due && t.snapshotToRestore == nil {
+			l.nextSnapshotIndex, l.snapshotBytes = l.core.dispatchedIndex+uint64(l.replica.options.SnapshotEvery), 0
 			l.pendingJobs = append(l.pendingJobs, applierJob{snapshot: true})
 		}
 	}
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -103,9 +103,7 @@
 	}
 	s := storage.Snapshot{Index: index, Term: term, Members: encodeMembership(effective.value), Data: data}
 	c.snapshot, c.snapshotToWrite = s, &s
-	if keptEntries := c.options.limits.keptEntries; index > keptEntries {
-		c.compact(index - keptEntries)
-	}
+	c.compact(c.log.removable(index, c.options.limits.keptEntries, c.options.limits.keptBytes))
 }
 
 // compact removes entries up to index from memory, except those that are not part of a disk
