membership: a learner takes the place of a voter that does not answer instead of standing beside it

Cause: while the group had fewer voters than the limit (nine on the platform), a learner became a voter at once, beside the voter whose machine was gone. That voter left the group only after one leader had stayed for the whole VoterTimeout of 4 s, and only from a group of even size. Leaders that were killed, or all members that were started again, in between began to count anew. So each machine that was replaced could leave a voter behind that never returns.

Also ruled out: too little processor time, since this happens to members without a limit. Without the change TestMachinesReplacedUnderShortTerms and two new cases of TestDecide fail.

Change: below the limit, a learner replaces the voter that has been silent for the longest time, if that is 1 s or more, and is added only if all voters have just answered a leader that has led for 1 s. So the number of voters does not grow by machines that are gone, however short terms are. A voter that was only being started again and is replaced this way returns under a new identity, as after a disk loss. A full group with a standby still waits for VoterTimeout, so that restarts change nothing there.

--- a/membership/policy_test.go
+++ b/membership/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -49,6 +50,9 @@
 		{"returned with a new identity", []membership.Member{voter("c", "z3", 0), learner("c2", "c", "z3", 0, 0), learner("d", "d", "z1", 0, 0)}, membership.Action{Remove: "c", Promote: "c2"}},
 		{"returned, not caught up", []membership.Member{voter("c", "z3", 500), learner("c2", "c", "z3", 0, 900)}, membership.Action{}},
 		{"learner's former identity", []membership.Member{voter("b", "z2", 0), voter("c", "z3", 0), learner("d", "d", "z1", lost, 0), learner("d2", "d", "z1", 0, 0)}, membership.Action{Remove: "d"}},
+		{"voter restarts while the group is full", []membership.Member{voter("b", "z2", 0), voter("c", "z3", 2*clock.Second), learner("d", "d", "z1", 0, 0)}, membership.Action{}},
+		{"one of two voters silent", []membership.Member{voter("b", "z2", clock.Second), learner("e", "e", "z3", 0, 0)}, membership.Action{Remove: "b", Promote: "e"}},
+		{"one of two voters perhaps silent", []membership.Member{voter("b", "z2", 300), learner("e", "e", "z3", 0, 0)}, membership.Action{}},
 		{"one voter, two learners", []membership.Member{learner("d", "d", "z1", 0, 0), learner("e", "e", "z2", 0, 5)}, membership.Action{Promote: "e"}},
 		{"one voter, one learner", []membership.Member{learner("e", "e", "z2", 0, 0)}, membership.Action{}},
 		{"two voters, one learner", []membership.Member{voter("b", "z2", 0), learner("e", "e", "z3", 0, 0)}, membership.Action{Promote: "e"}},
@@ -94,6 +98,50 @@
 	}
 }
 
+// Guards against machines that are lost for good and stay voters beside their successors, one for each
+// machine that is replaced, until the group has no quorum: each leader has stayed for a shorter time than a
+// voter has to be silent, and all processes were started again between two losses.
+func TestMachinesReplacedUnderShortTerms(t *testing.T) {
+	const (
+		step, term = 200 * clock.Millisecond, 3 * clock.Second
+		interval   = 4 * term // from one loss to the next
+	)
+	for _, joinAfter := range []clock.Millis{400, 600, 1000, 2600} {
+		members, joined := []membership.Member{}, 0
+		for ; joined < 5; joined++ {
+			members = append(members, voter(string(rune('a'+joined)), "", 0))
+		}
+		lostAt, joinAt, policy, termAt := map[string]clock.Millis{}, clock.Millis(-1), (*membership.Policy)(nil), clock.Millis(0)
+		for now := clock.Millis(0); now < 15*interval; now += step {
+			if now%interval == 2*step {
+				first, _ := lo.Find(members, func(m membership.Member) bool { return m.Voter && lostAt[m.Identity] == 0 })
+				lostAt[first.Identity], joinAt = now, now+joinAfter
+			}
+			if now == joinAt {
+				members = append(members, learner(string(rune('a'+joined)), string(rune('a'+joined)), "", 0, 0))
+				joined++
+			}
+			if now%term == 0 {
+				policy, termAt = membership.New(now, membership.Options{Voters: 9, VoterTimeout: 4 * clock.Second}), now
+			}
+			action, ok := policy.Decide(now, lo.Map(members, func(m membership.Member, _ int) membership.Member {
+				if lost, ok := lostAt[m.Identity]; ok {
+					m.SilentFor = now - max(lost, termAt)
+				}
+				return m
+			}))
+			if ok {
+				members = applyAction(t, members, action)
+			}
+			voters := lo.Filter(members, func(m membership.Member, _ int) bool { return m.Voter })
+			lost := lo.CountBy(voters, func(m membership.Member) bool { _, ok := lostAt[m.Identity]; return ok })
+			if lost > 1 || len(voters) != 5 {
+				t.Fatalf("%d ms, successors after %d ms: got %d lost voters of %d, want 1 of 5 at most", now, joinAfter, lost, len(voters))
+			}
+		}
+	}
+}
+
 // Guards against a change that reduces the number of voters, removes the leader, or adds a
 // removed identity again. Members fail and return at random, and each decision is carried out.
 func TestVoterCount(t *testing.T) {
@@ -132,7 +180,7 @@
 }
 
 // applyAction returns the members after an action.
-func applyAction(t *rapid.T, members []membership.Member, a membership.Action) []membership.Member {
+func applyAction(t rapid.TB, members []membership.Member, a membership.Action) []membership.Member {
 	var kept []membership.Member
 	for _, m := range members {
 		if m.Identity == a.Remove && m.Voter && a.Promote == "" {
