replica: a seed that lost its disk before the founding takes its place again

Cause: the group is founded once the folder IDs of all founding members are known, because a member with an empty folder cannot tell its first start from a lost disk. A seed that is started again without the list of founding members takes a new identity and waits to be added to a group, while the others wait for its former identity.

Change: the question for the folder ID carries the founding members. A member with an empty folder that belongs to no group, has the name and the address of the one that is asked, and has no files set aside, takes its identity. It has a new folder ID, as a founding member that lost its disk and was started with the list: a group that was founded with the former one excludes it, and it joins under a new identity.

What remains: a seed that is replaced by a machine with another address before the founding; all seeds losing their disks.

--- a/replica/core.go
+++ b/replica/core.go
@@ -101,7 +101,9 @@
 	snapshot    storage.Snapshot
 	memberships []indexedMembership // from the snapshot and the log, oldest first; never empty
 	founded     bool                // the folder IDs of all founding members are known
-	excluded    bool                // another member reported that this one isn't in the group
+	// hasSetAsideFiles tells that the folder has files of a former identity.
+	hasSetAsideFiles bool
+	excluded         bool // another member reported that this one isn't in the group
 
 	role              Role
 	leader            Member // empty if unknown
@@ -144,6 +146,7 @@
 		snapshot:          state.Snapshot,
 		knownSenders:      map[string]sender{},
 		reportedFolderIDs: map[string]string{},
+		hasSetAsideFiles:  state.HasSetAsideFiles,
 	}
 	c.options.self.Identity = state.Vote.Identity
 	c.log.reset(state.Snapshot.Index, state.Snapshot.Term)
--- a/replica/founding.go
+++ b/replica/founding.go
@@ -21,12 +21,41 @@
 	c.reportedFolderIDs[c.identity()] = c.vote.FolderID
 	for _, identity := range c.founders() {
 		if identity != c.identity() {
-			c.send(identity, Message{Kind: MessageHello, FolderID: c.vote.FolderID})
+			c.send(identity, Message{Kind: MessageHello, FolderID: c.vote.FolderID, Members: c.vote.Founders})
 		}
 	}
 	c.tryFoundGroup()
 }
 
+// replaceFounder makes this member the founding member that a message asks for its folder ID, if that has its
+// name and address, and reports whether it did. A founding member that has lost its disk before the group was
+// founded may be started again without the list of founding members; the others wait for its folder ID. It has a new
+// folder ID, as after any loss of the disk, so that a group that was founded with the former one
+// excludes it.
+func (c *core) replaceFounder(m Message) bool {
+	if m.Kind != MessageHello || len(m.Members) == 0 || !c.hasNoGroup() {
+		return false
+	}
+	founding, err := decodeMembership(m.Members)
+	if err != nil || !founding.votes(m.To) || !founding.votes(m.From) {
+		return false
+	}
+	if self, _ := founding.find(m.To); self.Name != c.options.self.Name || self.Address != c.options.self.Address {
+		return false
+	}
+	c.vote.Identity, c.vote.Epoch, c.vote.Founders = m.To, founding.epoch, m.Members
+	c.options.self.Identity = m.To
+	c.memberships = []indexedMembership{{value: founding}}
+	c.founded, c.voteChanged = false, true
+	return true
+}
+
+// hasNoGroup reports whether this member was started with an empty folder, without founding members, and has not
+// heard from a leader since. A member whose former files were set aside was in a group.
+func (c *core) hasNoGroup() bool {
+	return c.vote.Epoch == 0 && c.vote.Term == 0 && len(c.vote.Founders) == 0 && c.snapshot.Index == 0 && c.log.last() == 0 && !c.hasSetAsideFiles
+}
+
 // onHello answers with the folder IDs of all founding members, or with this member's own
 // ID until the group is founded.
 func (c *core) onHello(m Message) {
--- a/replica/simulation_test.go
+++ b/replica/simulation_test.go
@@ -66,6 +66,7 @@
 	publishedLeaseEnd clock.Millis // latest lease end that callers may have read, by the node's clock
 	restartAt         clock.Millis // when a stopped process starts again
 	frozenUntil       clock.Millis
+	withoutFounders   bool   // the node starts without the list of founding members
 	lostIdentity      string // identity whose vote was lost with the disk; empty if none
 	refusedIdentity   string // identity that could not join because it had been removed; empty if none
 	inbox             []replica.Message
@@ -173,10 +174,14 @@
 // startNode starts a node's process. If its disk fails, the process counts as crashed.
 func (s *sim) startNode(n *simNode) {
 	s.t.Helper()
+	founders := s.founders()
+	if n.withoutFounders {
+		founders = nil
+	}
 	core, j, state, _, err := replica.OpenCore(s.clock(n), replica.CoreOptions{
 		KeptEntries: simKeptEntries, SnapshotPartBytes: simSnapshotPartBytes, AppendBytes: s.appendBytes,
 		Options: replica.Options{
-			Name: n.name, Address: n.name, Folder: "/" + n.name, Members: s.founders(),
+			Name: n.name, Address: n.name, Folder: "/" + n.name, Members: founders,
 			FileSystem: n.disk, Seed: s.random.Uint64(), HeartbeatInterval: simHeartbeat, ElectionTimeout: simElectionTimeout,
 		},
 	})
--- a/replica/step.go
+++ b/replica/step.go
@@ -5,7 +5,7 @@
 // step handles a received message. It ignores messages that are addressed to a former
 // identity of this member or come from another membership epoch or a removed member.
 func (c *core) step(now clock.Millis, m Message) {
-	if m.To != c.identity() {
+	if m.To != c.identity() && !c.replaceFounder(m) {
 		return
 	}
 	c.rememberSender(now, m)
--- a/storage/open.go
+++ b/storage/open.go
@@ -94,7 +94,9 @@
 	if !found.vote && !found.snapshot && len(found.segments) == 0 {
 		return State{Empty: true, HasSetAsideFiles: found.hasSetAside}, nil
 	}
-	return j.loadState(found)
+	state, err := j.loadState(found)
+	state.HasSetAsideFiles = found.hasSetAside
+	return state, err
 }
 
 // checkOwner checks that the folder belongs to the configured owner, or stores the owner in an
