--- a/retry/shared.go
+++ b/retry/shared.go
@@ -9,7 +9,8 @@
 )
 
 // Limits bound the retries for a service, summed over all entries: in each Window at most Ratio
-// times the number of requests, plus a fixed number.
+// times the number of requests, plus a fixed number. The requests are those of a Window that ends
+// with a retry: long requests fail after the window in which they have arrived.
 type Limits struct {
 	Ratio        float64 // retries per request
 	Window       clock.Millis
