membership: a learner takes the place of a voter whose disk fails instead of standing beside it

A group with too few voters and short terms loses its quorum to machines whose disks take no writes, as it did to machines that are gone before: addVoter looked at silence alone. Such a voter answers, but does not count for a majority, and under terms shorter than the voter timeout replaceLost never gets at it. Three voters of five wanted, disks that fail one after the other, and a new machine for each: three of five voters cannot vote. Found by reading.

Now addVoter takes the time without a message or without a working disk, whichever is longer, as replaceLost does, and leaves the leader out, which it must not remove.

--- a/membership/policy.go
+++ b/membership/policy.go
@@ -41,7 +41,8 @@
 	// maxReachableSilence is the time without a message up to which a learner counts as
 	// reachable. With heartbeats every 100 ms, ten in a row may be lost.
 	maxReachableSilence = 1 * clock.Second
-	// maxAnsweringSilence is the time without a message up to which a voter certainly answers.
+	// maxAnsweringSilence is the time without a message, or without a disk that takes writes, up to
+	// which a voter certainly counts for a majority.
 	maxAnsweringSilence = 300 * clock.Millisecond
 	// maxPromotionLag is the number of committed entries that a learner may lack to be
 	// promoted. The replicated log refuses to promote one that is further behind, because
@@ -149,19 +150,20 @@
 // addVoter promotes a learner while the group has too few voters, for example after a recovery
 // left only one. A group of two voters doesn't survive a loss, so a single voter gets a second
 // one only when a learner for the third is available too. A learner takes the place of a voter that
-// does not answer: added beside it, it would raise the majority by voters that may never return, and
-// one such voter for each machine that is replaced costs the group its quorum.
+// does not answer or whose disk fails: added beside it, it would raise the majority by voters that may
+// never return, and one such voter for each machine that is replaced costs the group its quorum.
 func (p *Policy) addVoter(now clock.Millis, members, learners []Member) (Action, bool) {
 	voters := lo.Filter(members, func(m Member, _ int) bool { return m.Voter })
 	if len(voters) >= p.options.Voters || len(learners) == 0 || len(voters)+len(learners) < minVoters {
 		return Action{}, false
 	}
-	quietest := lo.MaxBy(voters, func(a, b Member) bool { return a.SilentFor > b.SilentFor })
+	others := lo.Reject(voters, func(m Member, _ int) bool { return m.Leader })
+	worst := lo.MaxBy(others, func(a, b Member) bool { return a.lostFor() > b.lostFor() })
 	switch {
-	case quietest.SilentFor >= maxReachableSilence:
-		return Action{Remove: quietest.Identity, Promote: chooseLearner(quietest, members, learners).Identity}, true
-	case quietest.SilentFor >= maxAnsweringSilence || now-p.observedSince < maxReachableSilence:
-		return Action{}, false // It is not known yet whether all voters answer.
+	case worst.lostFor() >= maxReachableSilence:
+		return Action{Remove: worst.Identity, Promote: chooseLearner(worst, members, learners).Identity}, true
+	case worst.lostFor() >= maxAnsweringSilence || now-p.observedSince < maxReachableSilence:
+		return Action{}, false // It is not known yet whether all voters count.
 	default:
 		return Action{Promote: chooseLearner(Member{}, members, learners).Identity}, true
 	}
