control: a member that was started again gives no part up that its entries may hold

Two entries can use the same part of servers' limits and of the retry budget for up to a lease. A member that divides its part among entries tells the leader the sum of what they hold. Its process starts again, knows none of them, and acknowledges the leader's next grant with a sum of 0. So the leader regards the former grant as given up and grants it to others, while an entry that is cut off goes on under the lease that the former process has passed on. It is a bound on a sum kept by what a process remembers.

TestRestartedMemberGivesNoPartUpThatItsEntriesHold failed before: entries held fractions of 1.5 together, 200 ms after the start. Now the member acknowledges no grant until all leases of its former process have ended, so that the leader keeps the former grant until then.

--- a/control/export_test.go
+++ b/control/export_test.go
@@ -5,8 +5,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/placement"
 	"github.com/galenaslip/galenaslip/propagation"
+	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -42,3 +44,28 @@
 		return propagation.Version{}, deliver()
 	}
 }
+
+// LimitShares divides the part of a member that does not lead among its entries.
+type LimitShares struct {
+	shares *limitShares
+	clock  clock.Clock
+}
+
+// NewLimitShares returns the shares of a member whose process has just started.
+func NewLimitShares(c clock.Clock, entryLease clock.Millis) *LimitShares {
+	return &LimitShares{shares: newLimitShares(&Control{options: Options{Clock: c, EntryLease: entryLease}}), clock: c}
+}
+
+// Watch records the report of an entry and returns its grant.
+func (s *LimitShares) Watch(entry string, r ShareReport) ratelimit.Grant {
+	s.shares.member.Report(s.clock.Now(), entry, r.Weight, r.Held)
+	return s.shares.member.Grant(s.clock.Now(), entry)
+}
+
+// Report returns what the member reports to the leader.
+func (s *LimitShares) Report() ShareReport { return *s.shares.memberReport(s.clock.Now(), true) }
+
+// SetGranted stores what the leader has granted.
+func (s *LimitShares) SetGranted(g ratelimit.Grant, until clock.Millis) {
+	s.shares.setGranted(&g, until)
+}
--- a/control/shares.go
+++ b/control/shares.go
@@ -22,8 +22,9 @@
 // leader among all of them, and otherwise the part that the leader has granted to this member. It
 // is safe for concurrent use.
 type limitShares struct {
-	control *Control
-	member  *ratelimit.Partition // divides the part of this member while it does not lead
+	control   *Control
+	member    *ratelimit.Partition // divides the part of this member while it does not lead
+	settledAt clock.Millis         // when the leases that a former process of this member has passed on have ended
 
 	mu      sync.Mutex
 	term    uint64               // term of leader
@@ -32,7 +33,8 @@
 }
 
 func newLimitShares(c *Control) *limitShares {
-	s := &limitShares{control: c, member: ratelimit.NewPartition(c.options.Clock.Now(), lease.WithMargin(c.options.EntryLease))}
+	now, entryLease := c.options.Clock.Now(), lease.WithMargin(c.options.EntryLease)
+	s := &limitShares{control: c, member: ratelimit.NewPartition(now, entryLease), settledAt: now + entryLease}
 	s.member.SetTotal(ratelimit.Grant{})
 	return s
 }
@@ -61,11 +63,15 @@
 }
 
 // memberReport returns what this member reports to the leader. It needs no part while all entries
-// watch the leader.
+// watch the leader. Until all entries have reported to this process, or their leases have ended, it
+// acknowledges no grant: that would give up what a former process of this member has passed on.
 func (s *limitShares) memberReport(now clock.Millis, isDelegate bool) *ShareReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := &ShareReport{Held: s.granted.Report(now)}
+	r := &ShareReport{}
+	if now >= s.settledAt {
+		r.Held = s.granted.Report(now)
+	}
 	if r.Held.Partition != 0 {
 		r.Held.Interval, r.Held.Fraction = s.member.Held(now)
 	}
