retry: windows of services that are no longer used are forgotten

A relay kept the window of each service that an operator had ever configured. TestSharedBudgetForgetsServices keeps 1,000 of 1,000 without that.

--- a/retry/shared.go
+++ b/retry/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 
@@ -143,7 +144,7 @@
 func (b *SharedBudget) CountRequest(now clock.Millis, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service).current(now, b.limits.Window).requests++
+	b.window(now, service).current(now, b.limits.Window).requests++
 }
 
 // Take takes one retry from the budget of a service and reports whether one was left. The parameter
@@ -151,7 +152,7 @@
 func (b *SharedBudget) Take(now clock.Millis, service string, part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service)
+	w := b.window(now, service)
 	current := w.current(now, b.limits.Window)
 	byRatio, extra := b.left(now, w, part)
 	if byRatio+extra < 1 {
@@ -191,16 +192,23 @@
 	return usages
 }
 
-// window returns the window of a service. The caller holds the lock.
-func (b *SharedBudget) window(service string) *window {
+// window returns the window of a service. A new one takes the place of those of services that are no
+// longer used. The caller holds the lock.
+func (b *SharedBudget) window(now clock.Millis, service string) *window {
 	w, ok := b.services[service]
 	if !ok {
+		maps.DeleteFunc(b.services, func(_ string, w *window) bool { return w.isEmpty(now, b.limits.Window) })
 		w = &window{}
 		b.services[service] = w
 	}
 	return w
 }
 
+// isEmpty reports whether nothing was counted in the latest window of the given length.
+func (w *window) isEmpty(now, length clock.Millis) bool {
+	return len(w.intervals) == 0 || w.intervals[len(w.intervals)-1].start <= now-length-intervalLength
+}
+
 // current removes expired intervals and returns the one that contains now. It adds that interval if
 // it is missing. The parameter length is the length of the window.
 func (w *window) current(now, length clock.Millis) *interval {
--- a/retry/shared_test.go
+++ b/retry/shared_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"fmt"
 	"sort"
 	"testing"
 
@@ -141,3 +142,17 @@
 		}
 	})
 }
+
+// Guards against memory that grows with each service that operators have ever configured.
+func TestSharedBudgetForgetsServices(t *testing.T) {
+	const services, kept = 1000, 12
+	b := retry.NewSharedBudget(retry.Limits{Ratio: 1, Window: sharedWindow})
+	now := clock.Millis(0)
+	for i := range services {
+		b.CountRequest(now, fmt.Sprintf("service-%d", i))
+		now += clock.Second
+	}
+	if got := len(b.Usage(now)); got > kept {
+		t.Errorf("services with a window: got %d, want at most %d", got, kept)
+	}
+}
