replica: the election timeout does not grow while no majority is heard

After a long cut the election of a leader may take up to nine election timeouts, 9 s with the default, where two suffice. The timeout grows with each timeout in a term that has had no leader, also while the voters do not reach each other: one failed election just before a cut, and the timeout has grown to its limit when the cut ends.

TestElectionAfterLongCut failed before: with one of three members lost for good, 4 of 40 groups had no leader within four election timeouts after the cut; the slowest took 1592 ms with a timeout of 200 ms. Now it grows only while a majority of the voters is heard, and is the shortest one again otherwise: an election that nobody could hold says nothing about its length. Counting each term once instead failed TestLeaderWithSlowDisks.

--- a/replica/core.go
+++ b/replica/core.go
@@ -255,8 +255,12 @@
 	if now < c.electionDue {
 		return
 	}
-	if c.vote.Term > c.leaderTerm {
+	switch {
+	case c.vote.Term <= c.leaderTerm:
+	case c.hearsMajority(now):
 		c.failedTimeouts = min(c.failedTimeouts+1, maxFailedTimeouts)
+	default:
+		c.failedTimeouts = 0 // No election could be held, so a longer timeout would only delay the next one.
 	}
 	c.resetElectionTimer(now)
 	switch {
--- a/replica/election.go
+++ b/replica/election.go
@@ -38,6 +38,16 @@
 	c.resetElectionTimer(now)
 }
 
+// hearsMajority reports whether a majority of the voters, this member included, was heard within the longest
+// election timeout.
+func (c *core) hearsMajority(now clock.Millis) bool {
+	heard, longest := map[string]bool{c.identity(): true}, c.options.electionTimeout*clock.Millis(2+c.failedTimeouts)
+	for identity, s := range c.knownSenders {
+		heard[identity] = heard[identity] || now-s.heardAt < longest
+	}
+	return c.current().value.hasMajority(heard)
+}
+
 // preCampaign asks the voters whether they would vote for this member.
 func (c *core) preCampaign(now clock.Millis) {
 	c.role, c.leader = PreCandidate, Member{}
