relay: a request that was given up counts if its server ends soon after

Cause: a request was held against its server's end only if the server closed the connection. The relay had turned to another server, or the caller had left, so it had closed the connection itself.

Change: EndChecks keeps requests that were given up with the run of their server, for 10 s. If the run ends, by the lost connection of another request or the announcement of a later run, they count as lost there. When the same request comes again, the runs at which it was given up are checked first: an idle connection that is alive spares a new one, each run is checked at most once a second, and the request waits 50 ms at most. A request with one end that was given up at a server that may still end is sent as a trial, so that the third end decides. It is not refused, and others do not wait for it.

Bounds: 64 such requests a run, 256 runs, 4096 digests with 3 runs each. A run without a lost connection gives way to others, so that lost connections are checked as before.

Now the clock advances at most 4 steps (2.8 s) a request, runs are told apart by the request's ID, servers are counted once, and the test waits until servers that were reached have ended, where it counted before. The limit is 3 servers as before.

The wait for a check is now one function for relay and entry.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -21,9 +21,6 @@
 )
 
 const (
-	// maxEndCheckWait is the longest time that a request waits for the check whether its server
-	// has ended, before it is sent to another one or its caller is told.
-	maxEndCheckWait = 50 * clock.Millisecond
 	// endCheckTimeout bounds the connection attempt with which a server is checked.
 	endCheckTimeout = 1 * clock.Second
 	// quarantineInterval is how often the quarantine is told of the known servers.
@@ -169,16 +166,10 @@
 	// The functions below may be called much later: they must not keep the request in memory.
 	subject, run, serverEnded := o.subject(), a.run(), o.serverEnded
 	check := func() quarantine.Listening { return e.checkListening(a.assignment) }
-	checked := e.endChecks.ConnectionLost(run, a.address, check, func() {
+	e.endChecks.Await(e.endChecks.ConnectionLost(run, a.address, check, func() {
 		serverEnded.Store(true)
 		e.quarantine.RecordEnd(subject, run, loss)
-	})
-	waited, stop := e.options.Clock.After(maxEndCheckWait)
-	defer stop()
-	select {
-	case <-checked:
-	case <-waited:
-	}
+	}))
 }
 
 // mayRepeat reports whether the request may be sent to another server after it has lost one: it
--- a/quarantine/deadly_test.go
+++ b/quarantine/deadly_test.go
@@ -105,3 +105,41 @@
 		t.Errorf("lost requests told of an end: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a request that ends one server more than it needs to, because two servers that it
+// was abandoned at are not known to have ended yet; and against trials of requests that no server has
+// ended under, or that a server has answered.
+func TestDoubtfulRequestIsTried(t *testing.T) {
+	tests := []struct {
+		name            string
+		ends, unsettled int
+		answered        bool
+		want            bool
+	}{
+		{"no server has ended", 0, 3, false, false},
+		{"a server has ended", 1, 0, false, false},
+		{"a server has ended and another one may", 1, 1, false, true},
+		{"the request was answered since", 1, 1, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := quarantine.New(quarantine.Options{Entry: "e"})
+			q.SetServerCounts(map[string]int{"s": 100})
+			subject := quarantine.Subject{Service: "s", Digest: func() string { return "digest" }}
+			for i := range tt.ends {
+				q.RecordEnd(subject, run(i), quarantine.Loss{At: clock.Second})
+			}
+			if tt.answered {
+				q.RecordSurvival(2*clock.Second, subject, false)
+			}
+			subject.Unsettled = tt.unsettled
+			verdict := q.Check(3*clock.Second, subject, 1)
+			if got := verdict.Trial; got != tt.want || verdict.Refused || verdict.Pending {
+				t.Errorf("got %+v, want a trial %v and no refusal", verdict, tt.want)
+			}
+			if _, got := q.Doubtful(3*clock.Second, subject); got != tt.want {
+				t.Errorf("doubtful: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -5,7 +5,9 @@
 // Evidence. A lost connection is none: EndChecks finds out whether the server has ended. When it
 // has, each request that waited there or whose answer had just begun is held against its key,
 // that is a digest of workspace, method, host, target and body, and begun ones against each part
-// of their prompts too. Requests that did not end their servers (survivals) speak for both.
+// of their prompts too. So is a request that this process gave up at the server, because its caller
+// left or another server was to answer, if the end becomes known within a few seconds: it may have
+// gone on running there. Requests that did not end their servers (survivals) speak for both.
 //
 // Weight. Ends that come together have one cause in common, so they are one round and count once,
 // and less the more other servers of the service end at that time or have ended lately. For
@@ -14,8 +16,10 @@
 // counts 0.44.
 //
 // Judgement. From two ends on a key is suspect: one request with it is sent at a time, as a trial,
-// and others wait. It is quarantined, so that requests are refused as certain, only if a trial
-// ended its server too, no other suspect was at that server, and the score is reached. A request
+// and others wait. A request with one end that was also given up at a server that may still end is
+// sent as a trial too, but nobody waits for its outcome. A key is quarantined, so that requests are
+// refused as certain, only if a trial ended its server too, no other suspect was at that server, and
+// the score is reached. A request
 // goes before the parts of its prompt where both explain the same ends; a part is quarantined only
 // if different requests ended servers with it.
 //
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -2,8 +2,12 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/clock"
 )
 
@@ -18,6 +22,17 @@
 	// sameLossTime is how long after a check further lost connections are covered by it: the
 	// attempts of one moment notice the loss at slightly different times.
 	sameLossTime = 100 * clock.Millisecond
+	// abandonedCheckInterval is the shortest time between two checks of a run for requests that
+	// come again after they were abandoned there.
+	abandonedCheckInterval = 1 * clock.Second
+	// maxEndCheckWait is the longest time that a request waits for the checks whether servers have
+	// ended under it, before it is sent to another one or the caller, who may come again at once,
+	// is told.
+	maxEndCheckWait = 50 * clock.Millisecond
+	// maxAbandonedDigests bounds the digests of abandoned requests that are remembered, and
+	// maxAbandonedRuns the runs of servers that are remembered for each.
+	maxAbandonedDigests = 4096
+	maxAbandonedRuns    = minEnds
 )
 
 // Listening is what a check has found out about the address of a server.
@@ -37,30 +52,55 @@
 // EndChecks finds out whether servers have ended when connections to them are lost. A lost
 // connection alone does not tell: something between the two ends may have reset it, or the
 // server may have closed it. A server has ended if nothing listens at its address any more, or
-// if a later run announces itself there. It is safe for concurrent use.
+// if a later run announces itself there.
+//
+// A request that was abandoned, because this process has closed the connection itself, may go on
+// running there. It counts as lost too if its server ends soon after. EndChecks is safe for
+// concurrent use.
 type EndChecks struct {
 	clock clock.Clock
 	onEnd func(run ServerRun, lostRequests int)
 
-	mu     sync.Mutex
-	checks map[ServerRun]*endCheck
+	mu        sync.Mutex
+	checks    map[ServerRun]*endCheck
+	abandoned *lru.Cache[string, []abandonedRun] // newest last, by the digest of the request
 }
 
 // endCheck is what is known about one run of a server since a connection to it was lost.
 type endCheck struct {
 	address   string
-	lostAt    clock.Millis // when the newest connection was lost
+	usedAt    clock.Millis // when the newest connection was lost, or the newest request abandoned
 	checkedAt clock.Millis // when the newest check was finished; valid if checked is set
 	checked   bool
 	running   chan struct{} // closed when the running check is finished; nil if none is running
 	ended     bool
-	lost      []func() // called if the run has ended
+	lost      []func()           // called if the run has ended
+	abandoned []abandonedRequest // oldest first
+	// checkAbandoned checks the server for the abandoned requests.
+	checkAbandoned func() Listening
+}
+
+// abandonedRequest is a request that may still run at a server although its connection is closed.
+type abandonedRequest struct {
+	at    clock.Millis
+	ended func() // called if the run has ended
+}
+
+// abandonedRun is a run of a server at which a request was abandoned. The slices of the cache are
+// not changed after they were added.
+type abandonedRun struct {
+	run ServerRun
+	at  clock.Millis
 }
 
 // NewEndChecks returns checks without anything known. It calls onEnd for each run of a server
 // that has ended, with the number of requests that were lost until then.
 func NewEndChecks(c clock.Clock, onEnd func(run ServerRun, lostRequests int)) *EndChecks {
-	return &EndChecks{clock: c, onEnd: onEnd, checks: map[ServerRun]*endCheck{}}
+	abandoned, err := lru.New[string, []abandonedRun](maxAbandonedDigests)
+	if err != nil {
+		panic(err) // cannot happen: the size is positive
+	}
+	return &EndChecks{clock: c, onEnd: onEnd, checks: map[ServerRun]*endCheck{}, abandoned: abandoned}
 }
 
 // ConnectionLost records that a connection to a run of a server was lost under a request. It
@@ -79,7 +119,7 @@
 		ended()
 		return finished
 	}
-	c.lostAt = now
+	c.usedAt = now
 	if len(c.lost) < maxLostRequests {
 		c.lost = append(c.lost, ended)
 	}
@@ -89,6 +129,107 @@
 	if c.checked && now-c.checkedAt < sameLossTime {
 		return finished
 	}
+	return e.start(run, c, check)
+}
+
+// RequestAbandoned records that this process has closed the connection under a request, given by
+// its digest, that a run of a server may still be working on. It calls ended if the run ends soon
+// after. CheckAbandoned uses check to find that out.
+func (e *EndChecks) RequestAbandoned(run ServerRun, address, digest string, check func() Listening, ended func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	c := e.known(now, run, address)
+	if c == nil {
+		return
+	}
+	if c.ended {
+		ended()
+		return
+	}
+	c.usedAt, c.checkAbandoned = now, check
+	c.dropAbandoned(now)
+	if len(c.abandoned) >= maxLostRequests {
+		c.abandoned = slices.Delete(c.abandoned, 0, 1)
+	}
+	c.abandoned = append(c.abandoned, abandonedRequest{at: now, ended: ended})
+	others := lo.Reject(e.abandonedRuns(now, digest), func(r abandonedRun, _ int) bool { return r.run == run })
+	others = others[max(len(others)+1-maxAbandonedRuns, 0):]
+	e.abandoned.Add(digest, append(others, abandonedRun{run: run, at: now}))
+}
+
+// abandonedRuns returns the runs at which requests with a digest were abandoned lately. The caller
+// holds the lock.
+func (e *EndChecks) abandonedRuns(now clock.Millis, digest string) []abandonedRun {
+	runs, _ := e.abandoned.Peek(digest)
+	return lo.Filter(runs, func(r abandonedRun, _ int) bool { return now-r.at <= endCheckRetention })
+}
+
+// HasAbandoned reports whether any request was abandoned lately. It spares callers the digests
+// of all others.
+func (e *EndChecks) HasAbandoned() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.abandoned.Len() > 0
+}
+
+// CheckAbandoned checks the runs at which requests with a digest were abandoned lately, so that a
+// request that ends servers is known before it is sent to the next one. It begins at most one check
+// of a run in abandonedCheckInterval. It returns a channel for each check that is running, which is
+// closed when that one is finished.
+func (e *EndChecks) CheckAbandoned(digest string) []<-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	var running []<-chan struct{}
+	for _, r := range e.abandonedRuns(now, digest) {
+		c, ok := e.checks[r.run]
+		switch {
+		case !ok || c.checkAbandoned == nil:
+		case c.running != nil:
+			running = append(running, c.running)
+		case !c.checked || now-c.checkedAt >= abandonedCheckInterval:
+			running = append(running, e.start(r.run, c, c.checkAbandoned))
+		}
+	}
+	return running
+}
+
+// Unsettled returns the number of runs at which requests with a digest were abandoned lately, and
+// that are not known to have ended since.
+func (e *EndChecks) Unsettled(digest string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return lo.CountBy(e.abandonedRuns(e.clock.Now(), digest), func(r abandonedRun) bool {
+		c, ok := e.checks[r.run]
+		return ok && !c.ended
+	})
+}
+
+// Await waits until checks are finished, but not for long.
+func (e *EndChecks) Await(checks ...<-chan struct{}) {
+	if len(checks) == 0 {
+		return
+	}
+	waited, stop := e.clock.After(maxEndCheckWait)
+	defer stop()
+	for _, checked := range checks {
+		select {
+		case <-checked:
+		case <-waited:
+			return
+		}
+	}
+}
+
+// dropAbandoned drops the requests that were abandoned too long ago to have ended the server.
+func (c *endCheck) dropAbandoned(now clock.Millis) {
+	c.abandoned = slices.DeleteFunc(c.abandoned, func(a abandonedRequest) bool { return now-a.at > endCheckRetention })
+}
+
+// start starts a check of a run and returns a channel that is closed when it is finished. The
+// caller holds the lock.
+func (e *EndChecks) start(run ServerRun, c *endCheck, check func() Listening) <-chan struct{} {
 	c.running = make(chan struct{})
 	go e.run(run, c, check)
 	return c.running
@@ -106,13 +247,27 @@
 func (e *EndChecks) known(now clock.Millis, run ServerRun, address string) *endCheck {
 	e.dropExpired(now)
 	c, ok := e.checks[run]
-	if !ok && len(e.checks) < maxEndChecks {
-		c = &endCheck{address: address, lostAt: now}
+	if !ok && (len(e.checks) < maxEndChecks || e.forgetAbandoned()) {
+		c = &endCheck{address: address, usedAt: now}
 		e.checks[run] = c
 	}
 	return c
 }
 
+// forgetAbandoned forgets the run at which no request was abandoned for the longest time, of those
+// that lost no connection, and reports whether there is one. The caller holds the lock.
+func (e *EndChecks) forgetAbandoned() bool {
+	var oldest ServerRun
+	found := false
+	for run, c := range e.checks {
+		if len(c.lost) == 0 && !c.ended && c.running == nil && (!found || c.usedAt < e.checks[oldest].usedAt) {
+			oldest, found = run, true
+		}
+	}
+	delete(e.checks, oldest)
+	return found
+}
+
 // run checks whether a server still listens.
 func (e *EndChecks) run(run ServerRun, c *endCheck, check func() Listening) {
 	result := check()
@@ -127,13 +282,14 @@
 }
 
 // ServerAnnounced records that a run of a server announces itself at an address, so that
-// earlier runs there have ended. Runs under which no connection was lost lately are left out.
+// earlier runs there have ended. Runs that lately lost no connection and at which no request was
+// abandoned are left out.
 func (e *EndChecks) ServerAnnounced(run ServerRun, address string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
 	for former, c := range e.checks {
-		if c.address == address && former.StartedAt < run.StartedAt && now-c.lostAt <= endCheckRetention {
+		if c.address == address && former.StartedAt < run.StartedAt && now-c.usedAt <= endCheckRetention {
 			e.confirm(former, c)
 		}
 	}
@@ -148,7 +304,8 @@
 	}
 }
 
-// DropExpired drops what is known about runs under which no connection was lost lately.
+// DropExpired drops what is known about runs that lately lost no connection and at which no
+// request was abandoned.
 func (e *EndChecks) DropExpired() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -157,7 +314,10 @@
 
 // dropExpired is DropExpired for callers that hold the lock.
 func (e *EndChecks) dropExpired(now clock.Millis) {
-	maps.DeleteFunc(e.checks, func(_ ServerRun, c *endCheck) bool { return c.running == nil && now-c.lostAt > endCheckRetention })
+	maps.DeleteFunc(e.checks, func(_ ServerRun, c *endCheck) bool { return c.running == nil && now-c.usedAt > endCheckRetention })
+	if len(e.checks) == 0 {
+		e.abandoned.Purge()
+	}
 }
 
 // confirm records that a run has ended. The caller holds the lock.
@@ -166,9 +326,15 @@
 		return
 	}
 	c.ended = true
-	e.onEnd(run, len(c.lost))
+	c.dropAbandoned(e.clock.Now())
+	e.onEnd(run, len(c.lost)+len(c.abandoned))
 	for _, ended := range c.lost {
 		ended()
 	}
-	c.lost = nil
+	// The quarantine takes a bounded number of requests for each server. The later a request was
+	// abandoned, the more likely it was the cause.
+	for _, a := range slices.Backward(c.abandoned) {
+		a.ended()
+	}
+	c.lost, c.abandoned, c.checkAbandoned = nil, nil, nil
 }
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -18,7 +18,8 @@
 	Probe bool
 	// Trial is set if the request is to be sent, after BeginTrial, although Part is suspect, to find
 	// out whether this part ends servers. Others wait for the outcome. Of several suspect parts, Part is the last one
-	// in the prompt, or the request itself: its trial says nothing about the others.
+	// in the prompt, or the request itself: its trial says nothing about the others. Part may also be the
+	// request itself if that is doubtful only; see Doubtful.
 	Trial bool
 	// Pending is set if the request must not be sent now, because a trial of Part or the
 	// judgement on it is pending. It may come again after RetryAfter.
@@ -64,6 +65,9 @@
 	if verdict.Pending {
 		return verdict
 	}
+	if key, doubtful := q.doubtful(judged, s); doubtful && !tried && len(probed) == 0 {
+		tried, verdict.Part, verdict.Ends = true, key, len(q.suspects[key].ends)
+	}
 	for _, record := range probed {
 		record.probe = countRecord{number: record.probe.number + 1, at: now}
 		q.markChanged(record)
@@ -101,6 +105,31 @@
 	return true
 }
 
+// Doubtful returns the key of a request that would be suspect if the servers ended at which it was
+// abandoned lately, and reports whether it is one. Such a request is neither refused nor does it wait for
+// others, but it is sent as a trial: the next server may be the third one that it ends.
+func (q *Quarantine) Doubtful(now clock.Millis, s Subject) (Key, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.suspects) == 0 {
+		return Key{}, false
+	}
+	return q.doubtful(q.judge(now), s)
+}
+
+// doubtful is Doubtful for callers that hold the lock and know the judgement.
+func (q *Quarantine) doubtful(judged judgement, s Subject) (Key, bool) {
+	if s.Unsettled == 0 || q.requests == 0 {
+		return Key{}, false
+	}
+	key := NewRequestKey(s.Service, s.digest())
+	record, ok := q.suspects[key]
+	if !ok || record.countingEnds() == 0 || judged.isSuspect(key, record) {
+		return Key{}, false
+	}
+	return key, judged.evidence[key].ends+float64(s.Unsettled) >= record.requiredScore()-1
+}
+
 const (
 	// maxTime is later than all times.
 	maxTime = clock.Millis(1 << 62)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -124,6 +124,9 @@
 	// Digest returns the digest of the request; see Digest. It is called only when it is needed.
 	// If it is nil, the request is not judged as a whole.
 	Digest func() string
+	// Unsettled is the number of servers that may still end under the same request, because it was
+	// abandoned there lately; see EndChecks.
+	Unsettled int
 }
 
 // partKeys returns the keys of the parts that may be quarantined. The last part belongs to one
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -94,6 +94,7 @@
 	interrupted  bool
 	retryGranted bool // the retry budget has already granted the next attempt
 
+	sent      bool       // the request may have reached the server
 	writeDone chan error // result of a background write; nil if the request was written synchronously
 	reusable  bool       // the connection can be used for another request
 
@@ -143,6 +144,12 @@
 	return a.interrupted
 }
 
+// mayRunOn reports whether the server may still be working on the request although the attempt has
+// ended, and nothing is known about the outcome.
+func (a *attempt) mayRunOn() bool {
+	return a.sent && !a.survived && a.err != nil && (a.result == resultFailed || a.result == resultAbandoned)
+}
+
 // setResult records how the attempt ended; err may be nil.
 func (a *attempt) setResult(r result, err error) {
 	a.result, a.err = r, err
@@ -173,6 +180,7 @@
 		a.setResult(resultWithdrawn, errWithdrawn)
 		return false
 	}
+	a.sent = true
 	if err := a.write(conn, data); err != nil {
 		a.failAfterSend(err)
 		return false
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -36,6 +36,22 @@
 	return quarantine.ListeningUnknown
 }
 
+// checkStillListening is checkListening for a server that nothing points to the end of. An idle
+// connection that is open spares a new one.
+func (f *fleet) checkStillListening(s *server, run quarantine.ServerRun) quarantine.Listening {
+	if f.hasLiveConn(s, run) {
+		return quarantine.ListeningYes
+	}
+	return f.checkListening(s, run)
+}
+
+// hasLiveConn reports whether a run of a server keeps an idle connection open.
+func (f *fleet) hasLiveConn(s *server, run quarantine.ServerRun) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.run() == run && len(s.idle) > 0 && s.idle[len(s.idle)-1].alive()
+}
+
 // isRun reports whether a run is the newest known one of a server.
 func (f *fleet) isRun(s *server, run quarantine.ServerRun) bool {
 	f.mu.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -378,12 +378,22 @@
 }
 
 // mayRepeatAfterLoss reports whether the request may be sent to another server after it has lost
-// one: it must not take the next one down as well.
+// one: it must not take the next one down as well. A doubtful request is repeated as a trial.
 func (x *exchange) mayRepeatAfterLoss(now clock.Millis) bool {
-	isTrial := x.probe || x.tried != (quarantine.Key{})
-	return !isTrial && x.relay.quarantine.MayRepeat(now, x.subject())
+	subject := x.subjectToSend()
+	if x.isTrial() || !x.relay.quarantine.MayRepeat(now, subject) {
+		return false
+	}
+	if key, doubtful := x.relay.quarantine.Doubtful(now, subject); doubtful {
+		x.tried = key
+	}
+	return true
 }
 
+// isTrial reports whether the request is let through to find out whether a part of it, or the
+// request itself, ends servers.
+func (x *exchange) isTrial() bool { return x.probe || x.tried != (quarantine.Key{}) }
+
 // retryShare returns the part of the retry budget that a retry may use up. Refused
 // requests, except those of tier 0, get only a part, because the next server may be
 // full too. The rest is kept for requests that were lost with their server.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -19,6 +19,16 @@
 	return quarantine.Subject{Service: x.service, Parts: x.partIDs, Digest: x.digest}
 }
 
+// subjectToSend is subject for the decision whether the request may be sent: it includes the
+// servers that may still end under the same request.
+func (x *exchange) subjectToSend() quarantine.Subject {
+	s := x.subject()
+	if checks := x.relay.fleet.endChecks; checks.HasAbandoned() {
+		s.Unsettled = checks.Unsettled(x.digest())
+	}
+	return s
+}
+
 // digest returns the digest of the request. The caller is the workspace; requests to public
 // routes have none.
 func (x *exchange) digest() string {
@@ -32,8 +42,9 @@
 // checkQuarantine returns a refusal if a part of the request's prompt is quarantined or suspect.
 // A request that is let through as a probe or as a trial is marked.
 func (x *exchange) checkQuarantine() *refusal {
+	x.checkAbandoned()
 	x.partIDs = lo.Map(x.requestInfo.Parts, func(p Part, _ int) string { return p.ID })
-	verdict := x.relay.quarantine.Check(x.relay.clock.Now(), x.subject(), x.relay.fleet.entries())
+	verdict := x.relay.quarantine.Check(x.relay.clock.Now(), x.subjectToSend(), x.relay.fleet.entries())
 	x.probe = verdict.Probe
 	if verdict.Trial {
 		x.tried = verdict.Part
@@ -81,39 +92,56 @@
 	}
 }
 
-// maxEndCheckWait is the longest time that a request waits for the check whether its server has
-// ended, before it is sent to another one or the caller, who may come again at once, is told.
-const maxEndCheckWait = 50 * clock.Millisecond
-
 // recordServerEnd has it checked whether the server has ended under the request, after the
-// connection was lost, and records that if so.
+// connection was lost, and records that if so. If the relay has closed the connection itself, the
+// server may still be working on the request: its end is recorded if it becomes known soon after.
 func (x *exchange) recordServerEnd(a *attempt) {
-	if a.result != resultFailed || a.wasInterrupted() || !endedByServer(a.err) {
+	lost := a.result == resultFailed && !a.wasInterrupted() && endedByServer(a.err)
+	if !lost && !a.mayRunOn() {
 		return
 	}
-	r := x.relay
-	address, serving := r.fleet.servingAddress(a.server)
+	r, s, run := x.relay, a.server, a.run
+	address, serving := r.fleet.servingAddress(s)
 	if !serving {
 		return
 	}
-	now := r.clock.Now()
-	loss := quarantine.Loss{At: now, Sent: a.chosenAt, Begun: a.body != nil, Repeated: x.serverEnded.Load(), Tried: x.tried}
-	if loss.Begun {
-		loss.Answering = now - a.firstByteAt
+	recordEnd := x.endRecorder(a)
+	if !lost {
+		r.fleet.endChecks.RequestAbandoned(run, address, x.digest(),
+			func() quarantine.Listening { return r.fleet.checkStillListening(s, run) },
+			func() { recordEnd(r.clock.Now()) })
+		return
 	}
-	// The functions below may be called much later: they must not keep the request in memory.
-	subject, digest, serverEnded, s, run := x.subject(), x.digest(), x.serverEnded, a.server, a.run
+	lostAt := r.clock.Now()
+	r.fleet.endChecks.Await(r.fleet.endChecks.ConnectionLost(run, address,
+		func() quarantine.Listening { return r.fleet.checkListening(s, run) },
+		func() { recordEnd(lostAt) }))
+}
+
+// endRecorder returns a function that records that the server of an attempt has ended under the
+// request. It may be called much later, so it does not keep the request in memory.
+func (x *exchange) endRecorder(a *attempt) func(at clock.Millis) {
+	known, subject, digest, serverEnded, run := x.relay.quarantine, x.subject(), x.digest(), x.serverEnded, a.run
 	subject.Digest = func() string { return digest }
-	check := func() quarantine.Listening { return r.fleet.checkListening(s, run) }
-	checked := r.fleet.endChecks.ConnectionLost(run, address, check, func() {
+	loss := quarantine.Loss{Sent: a.chosenAt, Begun: a.body != nil, Repeated: x.serverEnded.Load(), Tried: x.tried}
+	firstByteAt := a.firstByteAt
+	return func(at clock.Millis) {
+		loss := loss
+		loss.At = at
+		if loss.Begun {
+			loss.Answering = at - firstByteAt
+		}
 		serverEnded.Store(true)
-		r.quarantine.RecordEnd(subject, run, loss)
-	})
-	waited, stop := r.clock.After(maxEndCheckWait)
-	defer stop()
-	select {
-	case <-checked:
-	case <-waited:
+		known.RecordEnd(subject, run, loss)
+	}
+}
+
+// checkAbandoned checks the servers at which the same request was abandoned lately: it must not
+// be sent to the next one if it has ended them.
+func (x *exchange) checkAbandoned() {
+	checks := x.relay.fleet.endChecks
+	if checks.HasAbandoned() {
+		checks.Await(checks.CheckAbandoned(x.digest())...)
 	}
 }
 
--- a/relay/server_restart_test.go
+++ b/relay/server_restart_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"runtime"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -99,39 +101,55 @@
 // Guards against a deadly request that is never found because the relay has turned from a silent
 // server to the next one, or its caller has left, before the server ends.
 func TestDeadlyRequestAtSilentServersIsRefused(t *testing.T) {
-	var received, ended atomic.Int32
+	// maxSteps is how often the clock is advanced while a request waits, long enough for the relay to
+	// turn to another server. The servers run in real time: a clock that went on until they have
+	// ended would run ahead of them by more than the time for which ends are watched.
+	const requests, maxSteps = 4, 4
+	var received, ended [requests]atomic.Int32 // runs of each request
+	var endedServers atomic.Int32
 	var servers []*backend
 	for range 8 {
 		var b *backend
+		var end sync.Once // a server may get the request twice before it ends
 		b = newBackend(t, func(req receivedRequest) {
-			received.Add(1)
+			i, err := strconv.Atoi(req.head.Get("Id"))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			received[i].Add(1)
 			var one [1]byte
 			_, _ = req.conn.Read(one[:]) // until the relay turns to another server
-			b.end()
-			ended.Add(1)
+			end.Do(func() {
+				b.end()
+				endedServers.Add(1)
+			})
+			ended[i].Add(1)
 		})
 		servers = append(servers, b)
 	}
 	s := newFixture(t, servers...)
-	for i := range 4 {
-		wantReceived, wantEnded := received.Load()+1, ended.Load()+1
+	for i := range requests {
 		c, done := s.client(), make(chan struct{})
-		c.post("/safe/", fmt.Sprint(i), "deadly body")
+		c.post("/safe/", strconv.Itoa(i), "deadly body")
 		go func() {
 			defer close(done)
 			_, _, _ = c.read()
 		}()
-		for received.Load() < wantReceived && !isClosed(done) {
+		for received[i].Load() == 0 && !isClosed(done) {
 			runtime.Gosched()
 		}
-		for ended.Load() < wantEnded && !isClosed(done) {
+		for step := 0; step < maxSteps && ended[i].Load() == 0 && !isClosed(done); step++ {
 			s.advanceToNextCheck(700)
 			s.renewLease()
 		}
 		_ = c.conn.Close()
-		s.awaitAttemptsEnd()
+		// The relay has noticed that the caller has left, and all servers reached so far have ended.
+		for s.relay.State().Connections > 0 || ended[i].Load() < received[i].Load() {
+			runtime.Gosched()
+		}
 	}
-	if got, want := ended.Load(), int32(3); got > want {
+	if got, want := endedServers.Load(), int32(3); got > want {
 		t.Errorf("servers that the request ended: got %d, want at most %d", got, want)
 	}
 }
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/roster"
 )
 
 // pausingBackend sends the first event of a stream, or nothing if beforeFirst is set, pauses until
@@ -93,3 +94,52 @@
 		})
 	}
 }
+
+// postTo sends a request that reaches a server.
+func postTo(t *testing.T, s *fixture, id string, to *backend) *client {
+	t.Helper()
+	c := s.client()
+	c.post("/safe/", id, "sound body")
+	for to.count() == 0 {
+		s.clock.Sleep(t.Context(), 0)
+	}
+	return c
+}
+
+// endAfterCallerLeft has servers hold a request until its caller leaves, and end after that.
+func endAfterCallerLeft(t *testing.T, s *fixture, names ...string) {
+	t.Helper()
+	for _, name := range names {
+		ending := newBackend(t, func(req receivedRequest) { <-req.disconnected })
+		record := versionRecord(name, "v1", ending)
+		s.updateServers(record)
+		_ = postTo(t, s, name, ending).conn.Close()
+		for s.relay.State().Connections > 0 {
+			s.clock.Sleep(t.Context(), 0)
+		}
+		record.StartedAt++
+		s.updateServers(record)
+		record.State, record.Sequence = roster.Leaving, record.Sequence+1
+		s.updateServers(record)
+	}
+	suspects := s.relay.State().Suspects
+	if len(suspects) != 1 || len(suspects[0].Servers) != len(names) {
+		t.Fatalf("requests under which servers have ended: got %+v, want one with %d", suspects, len(names))
+	}
+}
+
+// Guards against a sound request that is kept waiting at a silent server, or refused, because the
+// server at which its caller gave it up before has ended by chance.
+func TestRequestGivenUpAtServerThatEndedIsAnswered(t *testing.T) {
+	silent := newBackend(t, func(req receivedRequest) { <-req.disconnected })
+	answering := newBackend(t, func(req receivedRequest) { respondOK(req, "answer") })
+	s := newFixture(t)
+	endAfterCallerLeft(t, s, "ending")
+	s.updateServers(versionRecord("silent", "v1", silent))
+	c := postTo(t, s, "again", silent)
+	s.updateServers(versionRecord("answering", "v1", answering))
+	for range 2 {
+		s.advanceToNextCheck(700)
+	}
+	c.wantStatus(200)
+}
