entry: a request that was given up counts if its server ends soon after

What callers saw: a request whose callers leave before it ends its server reached 6 servers in 6 tries, as a stream, a chat answered whole and an idempotent call (TestDeadlyRequestOfCallersWhoLeaveIsRefused, all three kinds before this change; at most 3 now, and a sound request is answered).

Cause: as in the relay, a request was held against its server's end only if the server closed the connection. After a timeout, a preemption, or when the caller had left, nothing was recorded.

Change: the observer tells EndChecks of attempts that this entry ended while the server may still be working on them, has the same request's servers checked before it is sent again, and sends a doubtful request as a trial, as the relay does.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -27,10 +27,14 @@
 	result := t.readAnswer(ctx, a)
 	reason := t.callerRequest.interrupts.reset()
 	t.interrupted = nil
-	switch {
-	case result == attemptComplete:
+	if result == attemptComplete {
 		t.observer.recordSurvival()
 		return attemptComplete
+	}
+	if reason != notInterrupted || t.ctx.Err() != nil {
+		t.observer.recordAbandoned()
+	}
+	switch {
 	case reason == streamTakenOver:
 		return attemptTakenOver
 	case t.ctx.Err() != nil:
--- a/entry/deadly_request_test.go
+++ b/entry/deadly_request_test.go
@@ -32,6 +32,7 @@
 	ended     atomic.Bool
 	keepsOn   bool                        // goes on listening after it has lost its connections
 	restarts  bool                        // ends and starts again at the same address at once
+	silent    bool                        // holds the request until the entry closes the connection
 	begin     func(w http.ResponseWriter) // sends the begin of the answer first; nil sends nothing
 }
 
@@ -43,6 +44,9 @@
 		_, _ = io.WriteString(w, `{"position":0}`)
 	case bytes.Contains(body, []byte(deadlyText)):
 		v.lost.Add(1)
+		if v.silent {
+			<-r.Context().Done()
+		}
 		if v.begin != nil {
 			v.begin(w)
 			_ = http.NewResponseController(w).Flush()
@@ -305,3 +309,57 @@
 		t.Errorf("suspects: got %v, want none", state.Suspects)
 	}
 }
+
+// Guards against a deadly request that is never found because its caller has left, or the entry has
+// moved it, before the server ends.
+func TestDeadlyRequestOfCallersWhoLeaveIsRefused(t *testing.T) {
+	t.Parallel()
+	bodies := map[string][]byte{"stream": chatBody(deadlyText, true), "chat": chatBody(deadlyText, false), "idempotent call": []byte(deadlyText)}
+	for name, body := range bodies {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newMortalSite(t, 1, 8, func(v *mortalServer) { v.silent = true })
+			method, path := http.MethodPost, "/v1/chat/completions"
+			if name == "idempotent call" {
+				method, path = http.MethodPut, "/v1/services/ledger/x"
+			}
+			for range 6 {
+				before := s.lost()
+				ctx, leave := context.WithCancel(t.Context())
+				answered := make(chan int, 1)
+				go func() {
+					answered <- statusOf(request(t, method, s.url(0, path), body).WithContext(ctx))
+				}()
+				status := 0
+				s.eventually("the request is at a server or refused", func() bool {
+					select {
+					case status = <-answered:
+					default:
+					}
+					return s.lost() > before || status != 0
+				})
+				leave()
+				if status == 0 {
+					<-answered
+				}
+				s.wait(3 * clock.Second) // the entry notices that the caller has left
+			}
+			if got, want := s.lost(), 3; got > want {
+				t.Errorf("servers that got the request: got %d, want at most %d", got, want)
+			}
+			if got := callKinds[name](s, 0, soundText); got.status != http.StatusOK {
+				t.Errorf("sound request: got %d %s, want 200", got.status, got.code())
+			}
+		})
+	}
+}
+
+// statusOf returns the status of the answer to a request, or 0 if there is none.
+func statusOf(r *http.Request) int {
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -45,6 +45,7 @@
 	assignment
 	begun    bool         // the server has begun to answer
 	begunAt  clock.Millis // valid if begun is set
+	refused  bool         // the server has not got the request, or has refused it
 	lost     bool         // the connection was lost
 	lostAt   clock.Millis // valid if lost is set
 	survived bool         // the quarantine knows that the request has not ended its server
@@ -63,6 +64,14 @@
 	return quarantine.Subject{Service: o.request.pool, Digest: func() string { return digest }}
 }
 
+// subjectToSend is subject for the decision whether the request may be sent: it includes the
+// servers that may still end under the same request.
+func (o *endObserver) subjectToSend() quarantine.Subject {
+	s := o.subject()
+	s.Unsettled = o.entry.endChecks.Unsettled(o.digest)
+	return s
+}
+
 // judge returns the reason why the request must not be sent, or nil. It decides once for each
 // request: later attempts depend on mayRepeat.
 func (o *endObserver) judge() *problem {
@@ -71,7 +80,9 @@
 	}
 	o.judged = true
 	e := o.entry
-	verdict := e.quarantine.Check(e.options.Clock.Now(), o.subject(), max(len(e.leases.entries()), 1))
+	// The request must not be sent to the next server if it has ended those at which it was abandoned.
+	e.endChecks.Await(e.endChecks.CheckAbandoned(o.digest)...)
+	verdict := e.quarantine.Check(e.options.Clock.Now(), o.subjectToSend(), max(len(e.leases.entries()), 1))
 	switch {
 	case verdict.Refused:
 		// The caller is not told to come back: the request would end the next server too.
@@ -86,13 +97,20 @@
 		o.log(event.QuarantinedRequestSent, verdict)
 	}
 	if verdict.Trial {
-		o.tried = verdict.Part
-		e.quarantine.BeginTrial(e.options.Clock.Now(), verdict.Part)
-		o.log(event.SuspectRequestSent, verdict)
+		o.beginTrial(verdict.Part)
 	}
 	return nil
 }
 
+// beginTrial records that the request is sent as a trial.
+func (o *endObserver) beginTrial(key quarantine.Key) {
+	now := o.entry.options.Clock.Now()
+	o.tried = key
+	o.entry.quarantine.BeginTrial(now, key)
+	suspect := o.entry.quarantine.Suspect(now, key)
+	o.log(event.SuspectRequestSent, quarantine.Verdict{Part: key, Ends: len(suspect.Servers)})
+}
+
 func (o *endObserver) log(e event.Event, verdict quarantine.Verdict) {
 	o.entry.options.Logger.Log(e, zap.String("request", o.request.id),
 		zap.String("part", verdict.Part.Text()), zap.Int("ends", verdict.Ends))
@@ -139,11 +157,16 @@
 // connections has ended.
 func (o *endObserver) recordFailure(err error) {
 	now := o.entry.options.Clock.Now()
-	switch kind := engine.FailureKindOf(err); {
-	case kind == engine.Lost:
+	switch engine.FailureKindOf(err) {
+	case engine.Lost:
 		o.attempt.lost, o.attempt.lostAt = true, now
-	case kind == engine.NotSent && errors.Is(err, syscall.ECONNREFUSED) && o.entry.isServing(o.attempt.assignment):
-		o.entry.quarantine.RecordServerEnd(now, o.request.pool, o.attempt.run())
+	case engine.Refused:
+		o.attempt.refused = true
+	case engine.NotSent:
+		o.attempt.refused = true
+		if errors.Is(err, syscall.ECONNREFUSED) && o.entry.isServing(o.attempt.assignment) {
+			o.entry.quarantine.RecordServerEnd(now, o.request.pool, o.attempt.run())
+		}
 	}
 }
 
@@ -153,34 +176,68 @@
 }
 
 // recordServerEnd has it checked whether the server has ended under the request, if the
-// connection was lost, and records that if so.
+// connection was lost, and records that if so. If it was not lost, the server may still be working on
+// the request.
 func (o *endObserver) recordServerEnd() {
 	a, e := o.attempt, o.entry
-	if !a.lost || !e.isServing(a.assignment) {
+	if !a.lost {
+		o.recordAbandoned()
+		return
+	}
+	if !e.isServing(a.assignment) {
 		return
 	}
-	loss := quarantine.Loss{At: a.lostAt, Sent: a.assignedAt, Begun: a.begun, Repeated: o.serverEnded.Load(), Tried: o.tried}
-	if a.begun {
-		loss.Answering = a.lostAt - a.begunAt
+	recordEnd := o.endRecorder()
+	e.endChecks.Await(e.endChecks.ConnectionLost(a.run(), a.address,
+		func() quarantine.Listening { return e.checkListening(a.assignment) },
+		func() { recordEnd(a.lostAt) }))
+}
+
+// recordAbandoned records that this entry has ended the attempt, while the server may still be
+// working on the request. The end of the server is recorded if it becomes known soon after.
+func (o *endObserver) recordAbandoned() {
+	a, e := o.attempt, o.entry
+	if a.refused || a.survived || !e.isServing(a.assignment) {
+		return
 	}
-	// The functions below may be called much later: they must not keep the request in memory.
-	subject, run, serverEnded := o.subject(), a.run(), o.serverEnded
-	check := func() quarantine.Listening { return e.checkListening(a.assignment) }
-	e.endChecks.Await(e.endChecks.ConnectionLost(run, a.address, check, func() {
+	recordEnd := o.endRecorder()
+	e.endChecks.RequestAbandoned(a.run(), a.address, o.digest,
+		func() quarantine.Listening { return e.checkListening(a.assignment) },
+		func() { recordEnd(e.options.Clock.Now()) })
+}
+
+// endRecorder returns a function that records that the server of the attempt has ended under the
+// request. It may be called much later, so it does not keep the request in memory.
+func (o *endObserver) endRecorder() func(at clock.Millis) {
+	a, known, subject, serverEnded := o.attempt, o.entry.quarantine, o.subject(), o.serverEnded
+	loss := quarantine.Loss{Sent: a.assignedAt, Begun: a.begun, Repeated: serverEnded.Load(), Tried: o.tried}
+	return func(at clock.Millis) {
+		loss := loss
+		loss.At = at
+		if loss.Begun {
+			loss.Answering = at - a.begunAt
+		}
 		serverEnded.Store(true)
-		e.quarantine.RecordEnd(subject, run, loss)
-	}))
+		known.RecordEnd(subject, a.run(), loss)
+	}
 }
 
 // mayRepeat reports whether the request may be sent to another server after it has lost one: it
 // must not take the next one down as well. A server that went on answering for a while has ended
-// for another reason.
+// for another reason. A doubtful request is repeated as a trial.
 func (o *endObserver) mayRepeat() bool {
 	if o.attempt.survived {
 		return true
 	}
+	now, subject := o.entry.options.Clock.Now(), o.subjectToSend()
 	isTrial := o.probe || o.tried != (quarantine.Key{})
-	return !isTrial && o.entry.quarantine.MayRepeat(o.entry.options.Clock.Now(), o.subject())
+	if isTrial || !o.entry.quarantine.MayRepeat(now, subject) {
+		return false
+	}
+	if key, doubtful := o.entry.quarantine.Doubtful(now, subject); doubtful {
+		o.beginTrial(key)
+	}
+	return true
 }
 
 // run returns the run of the assigned server.
--- a/entry/service.go
+++ b/entry/service.go
@@ -242,10 +242,7 @@
 	if p.status != fiber.StatusGatewayTimeout && connectionFailed(s.ctx, err) {
 		s.entry.runInDispatcher(func(d *dispatcher, now clock.Millis) { d.markUnreachable(now, a.server) })
 	}
-	if p.status != fiber.StatusGatewayTimeout && s.callContext().Err() == nil {
-		s.observer.recordFailure(err)
-		s.observer.recordServerEnd()
-	}
+	s.recordFailure(err, p)
 	if delay, granted := s.mayRetry(err); granted {
 		s.entry.options.Clock.Sleep(s.ctx, delay)
 		s.entry.runInDispatcher(func(d *dispatcher, now clock.Millis) { d.requeue(now, s.callerRequest, routing.Failed) })
@@ -255,6 +252,17 @@
 	return result{problem: p}, false
 }
 
+// recordFailure records a failed attempt for the quarantine. After a timeout, or when the caller has
+// left, it is not the server that has closed the connection.
+func (s *callTask) recordFailure(err error, p *problem) {
+	s.observer.recordFailure(err)
+	if p.status == fiber.StatusGatewayTimeout || s.callContext().Err() != nil {
+		s.observer.recordAbandoned()
+		return
+	}
+	s.observer.recordServerEnd()
+}
+
 func (s *callTask) finishRequest(r routing.Result) {
 	s.entry.runInDispatcher(func(d *dispatcher, now clock.Millis) { d.finishRequest(now, s.callerRequest, r) })
 }
