quarantine: the digest of a request is computed without the lock

The lock is now taken once more, to see whether a digest is needed, and the digest is computed before it is taken for the decision.

TestDigestDoesNotBlockOthers waits forever before, for a method that takes the lock, and passes now.

--- a/quarantine/deadly_test.go
+++ b/quarantine/deadly_test.go
@@ -143,3 +143,19 @@
 		})
 	}
 }
+
+// Guards against a long body that is digested while all other requests wait for the quarantine.
+func TestDigestDoesNotBlockOthers(t *testing.T) {
+	q := quarantine.New(quarantine.Options{Entry: "e"})
+	subject := quarantine.Subject{Service: "s", Unsettled: 1, Digest: func() string {
+		q.Suspects(0) // waits forever if the quarantine is locked
+		return "digest"
+	}}
+	for i := range 2 {
+		q.RecordEnd(subject, run(i), quarantine.Loss{At: clock.Second})
+	}
+	q.Check(clock.Second, subject, 1)
+	q.MayRepeat(clock.Second, subject)
+	q.Doubtful(clock.Second, subject)
+	q.RecordSurvival(clock.Second, subject, false)
+}
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -35,6 +35,7 @@
 
 // Check decides on a new request. There are entryCount entries.
 func (q *Quarantine) Check(now clock.Millis, s Subject, entryCount int) Verdict {
+	s = q.withDigest(s)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.suspects) == 0 {
@@ -90,6 +91,7 @@
 // MayRepeat reports whether a request that lost its server may be sent to another one. A
 // request with a suspect part may not: it would probably take the next server down as well.
 func (q *Quarantine) MayRepeat(now clock.Millis, s Subject) bool {
+	s = q.withDigest(s)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.suspects) == 0 {
@@ -109,6 +111,7 @@
 // abandoned lately, and reports whether it is one. Such a request is neither refused nor does it wait for
 // others, but it is sent as a trial: the next server may be the third one that it ends.
 func (q *Quarantine) Doubtful(now clock.Millis, s Subject) (Key, bool) {
+	s = q.withDigest(s)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.suspects) == 0 {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -164,6 +164,19 @@
 	return keys
 }
 
+// withDigest returns the subject with the digest of the request if that is needed. Computing it can take
+// long, so it is called without the lock.
+func (q *Quarantine) withDigest(s Subject) Subject {
+	q.mu.Lock()
+	needed := q.requests > 0
+	q.mu.Unlock()
+	if needed && s.Digest != nil {
+		digest := s.Digest()
+		s.Digest = func() string { return digest }
+	}
+	return s
+}
+
 // Loss describes how a request was lost when its server ended.
 type Loss struct {
 	At        clock.Millis // when the connection was lost
@@ -177,13 +190,13 @@
 // RecordEnd records that a server ended while a request ran on it or waited there. A server that
 // had been answering for SurvivalTime ended for another reason.
 func (q *Quarantine) RecordEnd(s Subject, run ServerRun, loss Loss) {
+	digest := s.digest()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.addServer(s.Service, run, loss.At)
 	if loss.Answering > SurvivalTime || !loss.Begun && !q.addWaiting(run) {
 		return
 	}
-	digest := s.digest()
 	end := endRecord{at: loss.At, sentAt: loss.Sent, begun: loss.Begun, repeated: loss.Repeated, request: digest[:min(len(digest), shortDigestLength)]}
 	if loss.Begun {
 		for depth, key := range s.partKeys() {
@@ -221,6 +234,7 @@
 // RecordSurvival records that a request did not end its server: it was answered whole, or for
 // SurvivalTime. If it was a probe, its parts are released.
 func (q *Quarantine) RecordSurvival(now clock.Millis, s Subject, probe bool) {
+	s = q.withDigest(s)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, key := range q.keys(s) {
