relay: a trial is not given up because its server is silent

What callers saw: a request that is sent as a trial, because two servers had ended under it, got 502 once its server had been silent for 1.2 s, although another server could not take it over: a trial is not repeated. It also took a retry from the budget, and the trial had no outcome. The same at the end of an attempt's time, 2.5 times the goal of the route.

Cause: whether an attempt may be repeated was decided without a look whether it is a trial.

A trial now ends with its server, its deadline or its caller. TestTrialWaitsForSilentServer got 502 before (5 of 5), and passes 20 of 20.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -255,9 +255,9 @@
 }
 
 // repeatable reports whether the request may be sent to another server even if the
-// next attempt may have run it.
+// next attempt may have run it. A trial is not, so it has nothing to gain from leaving a silent server.
 func (x *exchange) repeatable() bool {
-	return x.route.RepeatPolicy != catalog.OnceOnly && x.possibleRuns+1 < x.route.MaxPossibleRuns
+	return !x.isTrial() && x.route.RepeatPolicy != catalog.OnceOnly && x.possibleRuns+1 < x.route.MaxPossibleRuns
 }
 
 // makeAttempt makes one attempt. It reports whether the request is finished and, if so,
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -143,3 +143,27 @@
 	}
 	c.wantStatus(200)
 }
+
+// Guards against a trial that is given up because its server is silent for a while, although it may
+// not be sent to another one: its caller gets nothing, and the trial has no outcome.
+func TestTrialWaitsForSilentServer(t *testing.T) {
+	proceed := make(chan struct{})
+	silent := newBackend(t, func(req receivedRequest) {
+		select {
+		case <-proceed:
+			respondOK(req, "answer")
+		case <-req.disconnected:
+		}
+	})
+	answering := newBackend(t, func(req receivedRequest) { respondOK(req, "answer") })
+	s := newFixture(t)
+	endAfterCallerLeft(t, s, "ending", "ending too")
+	s.updateServers(versionRecord("silent", "v1", silent))
+	c := postTo(t, s, "again", silent)
+	s.updateServers(versionRecord("answering", "v1", answering))
+	for range 2 {
+		s.advanceToNextCheck(700)
+	}
+	close(proceed)
+	c.wantStatus(200)
+}
