relay: a request that no server gets allows no retries

Under overload servers get more retries than retry_ratio allows for the requests that they get: each request that the relay refused before it chose a server counted for the ratio.

Now a request counts when its first server has been chosen, which is before it can need a retry.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -210,7 +210,6 @@
 
 // sendWithRetries sends the request, with retries, until the caller gets a response.
 func (x *exchange) sendWithRetries() bool {
-	x.relay.budget.CountRequest(x.relay.clock.Now(), x.service)
 	x.relay.limiter.CountRequest(x.relay.clock.Now())
 	if r := x.checkQuarantine(); r != nil {
 		return x.refuse(*r)
@@ -248,6 +247,9 @@
 		return a
 	}
 	x.attempts++
+	if x.attempts == 1 {
+		x.relay.budget.CountRequest(a.chosenAt, x.service) // a request that no server gets allows no retries
+	}
 	x.requirements.refusable = nil // it has been sent
 	a.forwardedTo = a.server.record.Server
 	x.forwardInfo.Server = a.forwardedTo
