--- a/replica/election_record.go
+++ b/replica/election_record.go
@@ -151,8 +151,9 @@
 )
 
 // heardWithin is how long ago a voter may have been heard to count as reachable, in election
-// timeouts. Without a leader, each voter sends requests at least every two to four of them.
-const heardWithin = 5
+// timeouts. Without a leader, each voter sends requests whenever its election timer runs out, which
+// takes up to maxFailedTimeouts more than two of them.
+const heardWithin = maxFailedTimeouts + 3
 
 // noLeaderCause returns why this member knows no leader, as far as it can tell by itself. It has
 // known none since the given time.
