relay: what is kept for routes and services ends with them

What operators see: with each catalog that renames routes or services, a relay keeps metrics, forecasts and demands of the former ones, and tells the demands to control for as long as it runs.

Change: a new catalog removes the forecasts of services and the metrics of routes and services that it does not have. Metrics of requests that end later are removed with the next catalog.

What remains: the retry budget (relay/budget.go) still keeps a window for each service.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -115,6 +115,16 @@
 	return s, ok
 }
 
+// ServiceNames returns the names of the services.
+func (c Catalog) ServiceNames() []string { return lo.Keys(c.services) }
+
+// RouteNames returns the names of the routes.
+func (c Catalog) RouteNames() []string {
+	return lo.FlatMap(lo.Values(c.routes), func(routes []Route, _ int) []string {
+		return lo.Map(routes, func(r Route, _ int) string { return r.Name })
+	})
+}
+
 // ServiceCount returns the number of services.
 func (c Catalog) ServiceCount() int { return len(c.services) }
 
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/galenaslip/galenaslip/catalog"
@@ -83,6 +84,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.catalog = c
+	maps.DeleteFunc(f.pools, func(service string, _ *pool) bool {
+		_, ok := c.Service(service)
+		return !ok
+	})
 }
 
 // entries returns the number of entries, this one included.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
@@ -18,7 +20,7 @@
 )
 
 // metrics holds the relay's counters and histograms. Label values come from the
-// catalog and from fixed sets, never from callers, so that their number is bounded.
+// catalog in force and from fixed sets, never from callers, so that their number is bounded.
 type metrics struct {
 	registry       *prometheus.Registry
 	answers        *prometheus.CounterVec
@@ -29,6 +31,8 @@
 	serversRefused prometheus.Counter
 	firstByteTime  *prometheus.HistogramVec
 	totalTime      *prometheus.HistogramVec
+
+	routes, services labelValues
 }
 
 func newMetrics(r *Relay) *metrics {
@@ -120,12 +124,59 @@
 	}, []string{"route"})
 }
 
+// recordAttempt counts an attempt.
+func (m *metrics) recordAttempt(service, result string) {
+	m.services.record(service, func() { m.attempts.WithLabelValues(service, result).Inc() })
+}
+
 // recordAnswer counts a forwarded response and records its times since the arrival of
 // the request.
 func (m *metrics) recordAnswer(route string, status int, firstByteTime, totalTime clock.Millis) {
-	m.answers.WithLabelValues(route, strconv.Itoa(status)).Inc()
-	m.firstByteTime.WithLabelValues(route).Observe(firstByteTime.Duration().Seconds())
-	m.totalTime.WithLabelValues(route).Observe(totalTime.Duration().Seconds())
+	m.routes.record(route, func() {
+		m.answers.WithLabelValues(route, strconv.Itoa(status)).Inc()
+		m.firstByteTime.WithLabelValues(route).Observe(firstByteTime.Duration().Seconds())
+		m.totalTime.WithLabelValues(route).Observe(totalTime.Duration().Seconds())
+	})
+}
+
+// dropFormer removes the metrics of routes and services that the catalog does not have. Those of requests that end
+// later are removed with the next catalog.
+func (m *metrics) dropFormer(c catalog.Catalog) {
+	m.routes.dropOthers(c.RouteNames(), func(route string) {
+		m.answers.DeletePartialMatch(prometheus.Labels{"route": route})
+		m.firstByteTime.DeleteLabelValues(route)
+		m.totalTime.DeleteLabelValues(route)
+	})
+	m.services.dropOthers(c.ServiceNames(), func(service string) {
+		m.attempts.DeletePartialMatch(prometheus.Labels{"service": service})
+	})
+}
+
+// labelValues are the values of a label that have metrics. It is safe for concurrent use.
+type labelValues struct {
+	mu     sync.Mutex
+	values map[string]struct{}
+}
+
+// record records a metric with a value.
+func (l *labelValues) record(value string, record func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	record()
+	if l.values == nil {
+		l.values = map[string]struct{}{}
+	}
+	l.values[value] = struct{}{}
+}
+
+// dropOthers removes all but the given values, and their metrics.
+func (l *labelValues) dropOthers(kept []string, drop func(value string)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, value := range lo.Without(lo.Keys(l.values), kept...) {
+		delete(l.values, value)
+		drop(value)
+	}
 }
 
 // Metrics returns the handler that serves the relay's metrics to Prometheus.
--- a/relay/output.go
+++ b/relay/output.go
@@ -224,7 +224,7 @@
 
 // logAttempt counts an attempt and logs it if it got no complete response.
 func (x *exchange) logAttempt(a *attempt) {
-	x.relay.metrics.attempts.WithLabelValues(x.service, a.result.String()).Inc()
+	x.relay.metrics.recordAttempt(x.service, a.result.String())
 	if a.result == resultAnswered {
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -245,6 +245,7 @@
 	}
 	r.catalog.Store(&c)
 	r.fleet.setCatalog(c)
+	r.metrics.dropFormer(c)
 	r.options.Logger.Log(event.CatalogLoaded, zap.Uint64("revision", d.Revision), zap.Int("services", c.ServiceCount()))
 	return true
 }
