relay: the callers of the memory soak do not run ahead of its clock

By hand with a million requests, one caller could run ahead of the others and of the clock, which moved by the request's number. It moves by the number of answers now, and each caller takes all routes in turn. The condition is as before.

--- a/relay/memory_soak_test.go
+++ b/relay/memory_soak_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -39,6 +40,7 @@
 	}
 	s := newFixture(t, b)
 	lastPart := strings.Repeat("x", 1<<10)
+	var answered atomic.Int64 // moves the clock, so that no caller gets ahead of it
 	play := func(from, to int) {
 		var running sync.WaitGroup
 		for caller := range callers {
@@ -51,13 +53,13 @@
 						}
 						c = newClient(t, s.dial())
 					}
-					path := []string{"/open/", "/safe/", "/once/", "/stream/"}[i%4]
+					path := []string{"/open/", "/safe/", "/once/", "/stream/"}[(i/callers)%4]
 					c.send(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\nKey: k\r\nId: request-%d\r\nParts: common part-%d %s\r\n\r\n", path, i, i, lastPart))
 					if head, _, err := c.read(); err != nil || head.Status != 200 {
 						t.Errorf("request %d: got status %d and %v, want 200", i, head.Status, err)
 						return
 					}
-					if i%(requestsPerSecond/10) == 0 {
+					if answered.Add(1)%(requestsPerSecond/10) == 0 {
 						s.manual.Advance(clock.Second / 10)
 						s.renewLease()
 					}
