--- a/continuation/continuation_test.go
+++ b/continuation/continuation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/continuation"
+	"github.com/galenaslip/galenaslip/memory/memorytest"
 	"github.com/galenaslip/galenaslip/testseed"
 )
 
@@ -237,11 +238,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			records := continuation.NewRecords(limit)
-			before := heapBytes()
+			before := memorytest.HeapBytes()
 			for i := range tt.rounds {
 				records.Add(clock.Millis(i/10), continuation.Record{Stream: tt.stream(i), Origin: continuation.Origin{Service: "s"}})
 			}
-			if got, want := heapBytes(), before+limit*line/8; got > want {
+			if got, want := memorytest.HeapBytes(), before+limit*line/8; got > want {
 				t.Errorf("memory: got %d bytes, want at most %d", got, want)
 			}
 			if got := records.Len(); got > limit {
@@ -252,24 +253,17 @@
 	}
 }
 
-func heapBytes() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
-
 // Guards against versions that servers name and that are remembered for ever, because the table has no
 // room for them.
 func TestPresenceForgetsVersions(t *testing.T) {
 	const rounds = 20_000
 	presence := continuation.NewPresence(0)
-	before := heapBytes()
+	before := memorytest.HeapBytes()
 	for i := range rounds {
 		name := fmt.Sprintf("%0100d", i)
 		presence.Update(clock.Millis(i)*continuation.Retention, continuation.Table{}, []continuation.Origin{{Service: name, Version: name}})
 	}
-	if got, want := heapBytes(), before+rounds*10; got > want {
+	if got, want := memorytest.HeapBytes(), before+rounds*10; got > want {
 		t.Errorf("memory after %d versions: got %d bytes, want at most %d", rounds, got, want)
 	}
 	runtime.KeepAlive(presence)
--- a/control/founding_test.go
+++ b/control/founding_test.go
@@ -9,8 +9,8 @@
 	"github.com/galenaslip/galenaslip/event"
 )
 
-// Guards against a group that is never founded, because a seed has lost its disk before that and was started again as a
-// process that joins the group.
+// Guards against a group that is never founded, because a seed has lost its disk before that and
+// was started again as a process that joins the group.
 func TestGroupIsFoundedAfterLossOfDisk(t *testing.T) {
 	const seeds = 3
 	g := &group{
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -92,8 +92,9 @@
 	p.closeExpired(c.idleSince)
 }
 
-// closeExpired closes the connections that were idle for too long, those to addresses that are not called any more
-// included. It searches for them at most once per maxIdleTime. The caller holds the lock.
+// closeExpired closes the connections that were idle for too long, those to addresses that are not
+// called any more included. It searches for them at most once per maxIdleTime. The caller holds the
+// lock.
 func (p *pool) closeExpired(now clock.Millis) {
 	if now < p.expireAt {
 		return
--- a/promptcache/table_test.go
+++ b/promptcache/table_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory/memorytest"
 	"github.com/galenaslip/galenaslip/promptcache"
 )
 
@@ -66,20 +67,13 @@
 func TestPartsKeepNoHeaders(t *testing.T) {
 	const limit, line = 10_000, 2 << 10
 	table := promptcache.New(limit)
-	server, before := table.NewCache(), heapBytes()
+	server, before := table.NewCache(), memorytest.HeapBytes()
 	for i := range limit / 2 {
 		header := fmt.Sprintf("%0*d", line, i)
 		table.Use(0, server, header[line-8:])
 	}
-	if got, want := heapBytes()-before, uint64(limit/2*line/10); int64(got) > int64(want) {
+	if got, want := memorytest.HeapBytes()-before, uint64(limit/2*line/10); int64(got) > int64(want) {
 		t.Errorf("memory of %d parts: got %d bytes, want at most %d", limit/2, got, want)
 	}
 	runtime.KeepAlive(table)
 }
-
-func heapBytes() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/quarantine/memory_test.go
+++ b/quarantine/memory_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory/memorytest"
 	"github.com/galenaslip/galenaslip/quarantine"
 )
 
@@ -25,22 +26,15 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			q := quarantine.New(quarantine.Options{Entry: "e"})
-			before := heapBytes()
+			before := memorytest.HeapBytes()
 			for i := range parts {
 				header := fmt.Sprintf("%0*d", line, i)
 				tt.record(q, quarantine.Subject{Service: "s", Parts: []string{header[line-8:], "last"}})
 			}
-			if got, want := heapBytes(), before+parts*line/8; got > want {
+			if got, want := memorytest.HeapBytes(), before+parts*line/8; got > want {
 				t.Errorf("memory after %d parts: got %d bytes, want at most %d", parts, got, want)
 			}
 			runtime.KeepAlive(q)
 		})
 	}
 }
-
-func heapBytes() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -120,9 +120,9 @@
 	return p
 }
 
-// runPeriodicChecks marks unresponsive servers, removes servers that have been gone for
-// longer than goneRetention or that no leader lists any more, and closes expired idle connections. Relay calls it
-// every periodicCheckInterval.
+// runPeriodicChecks marks unresponsive servers, removes servers that have been gone for longer than
+// goneRetention or that no leader lists any more, and closes expired idle connections. Relay calls
+// it every periodicCheckInterval.
 func (f *fleet) runPeriodicChecks(now clock.Millis) {
 	f.endChecks.DropExpired()
 	f.mu.Lock()
--- a/relay/forget_test.go
+++ b/relay/forget_test.go
@@ -54,7 +54,8 @@
 	})
 }
 
-// Guards against metrics and forecasts of routes and services that are kept after catalogs have renamed them.
+// Guards against metrics and forecasts of routes and services that are kept after catalogs have
+// renamed them.
 func TestFormerRoutesAreForgotten(t *testing.T) {
 	const catalogs = 30
 	b := newBackend(t, func(req receivedRequest) { respondOK(req, "ran") })
--- a/relay/memory_soak_test.go
+++ b/relay/memory_soak_test.go
@@ -12,13 +12,14 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory/memorytest"
 )
 
 // soakRequests is the number of requests of TestMemoryIsFlat. By hand it is a million.
 var soakRequests = flag.Int("soak.requests", 20_000, "requests of TestMemoryIsFlat")
 
-// Guards against memory that grows with the number of different request IDs, prompt parts and callers that a
-// relay has seen.
+// Guards against memory that grows with the number of different request IDs, prompt parts and
+// callers that a relay has seen.
 func TestMemoryIsFlat(t *testing.T) {
 	const (
 		callers           = 4   // at the same time
@@ -73,7 +74,7 @@
 	var memory []uint64 // after each tenth
 	for tenth := range 10 {
 		play(tenth**soakRequests/10, (tenth+1)**soakRequests/10)
-		memory = append(memory, heapInUse())
+		memory = append(memory, memorytest.HeapBytes())
 		t.Logf("memory after %d requests: %d KB, %d parts", (tenth+1)**soakRequests/10, memory[tenth]>>10, s.relay.State().PromptParts)
 	}
 	if got, want := memory[9], memory[0]+filling; got > want {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -139,8 +139,8 @@
 	})
 }
 
-// dropFormer removes the metrics of routes and services that the catalog does not have. Those of requests that end
-// later are removed with the next catalog.
+// dropFormer removes the metrics of routes and services that the catalog does not have. Those of
+// requests that end later are removed with the next catalog.
 func (m *metrics) dropFormer(c catalog.Catalog) {
 	m.routes.dropOthers(c.RouteNames(), func(route string) {
 		m.answers.DeletePartialMatch(prometheus.Labels{"route": route})
--- a/relay/prompt_parts_test.go
+++ b/relay/prompt_parts_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"github.com/galenaslip/galenaslip/memory/memorytest"
 )
 
 // Guards against prompts whose parts no other prompt has, and that fill the memory of a relay.
@@ -25,11 +27,11 @@
 	for i := range requests / 10 {
 		send(i)
 	}
-	before := heapInUse()
+	before := memorytest.HeapBytes()
 	for i := range requests {
 		send(requests + i)
 	}
-	if got, want := heapInUse(), before+requests*header/4; got > want {
+	if got, want := memorytest.HeapBytes(), before+requests*header/4; got > want {
 		t.Errorf("memory after %d different parts: got %d bytes, want at most %d", requests, got, want)
 	}
 }
--- a/relay/server_restart_test.go
+++ b/relay/server_restart_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory/memorytest"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -69,7 +70,7 @@
 	hangUp := func(req receivedRequest) { _ = req.conn.Close() }
 	servers := []*backend{newBackend(t, hangUp), newBackend(t, hangUp)}
 	s := newFixture(t, servers...)
-	before := heapInUse()
+	before := memorytest.HeapBytes()
 	for i := range requests {
 		c := s.client()
 		c.post("/once/", fmt.Sprint(i), strings.Repeat("x", bodySize))
@@ -85,19 +86,11 @@
 	for range 60 {
 		s.advanceToNextCheck(clock.Second)
 	}
-	if got, want := heapInUse(), before+requests*bodySize/4; got > want {
+	if got, want := memorytest.HeapBytes(), before+requests*bodySize/4; got > want {
 		t.Errorf("heap a minute after the requests: got %d bytes, want at most %d", got, want)
 	}
 }
 
-// heapInUse returns the size of the heap after a collection.
-func heapInUse() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
 // Guards against a deadly request that is never found because the relay has turned from a silent
 // server to the next one, or its caller has left, before the server ends.
 func TestDeadlyRequestAtSilentServersIsRefused(t *testing.T) {
--- a/replica/core.go
+++ b/replica/core.go
@@ -226,9 +226,9 @@
 	return c.current().value.votes(c.identity()) || c.committed().value.votes(c.identity())
 }
 
-// resetElectionTimer restarts the election timeout with random jitter. The jitter grows with elections that
-// nobody has won: members whose votes take long to store or to arrive must not all stand for election before
-// one of them can win.
+// resetElectionTimer restarts the election timeout with random jitter. The jitter grows with
+// elections that nobody has won: members whose votes take long to store or to arrive must not all
+// stand for election before one of them can win.
 func (c *core) resetElectionTimer(now clock.Millis) {
 	jitter := clock.Millis(c.random.Int64N(int64(c.options.electionTimeout) * int64(1+c.failedTimeouts)))
 	c.electionDue = now + c.options.electionTimeout + jitter + c.electionDelay(now)
--- a/replica/election.go
+++ b/replica/election.go
@@ -38,8 +38,8 @@
 	c.resetElectionTimer(now)
 }
 
-// hearsMajority reports whether a majority of the voters, this member included, was heard within the longest
-// election timeout.
+// hearsMajority reports whether a majority of the voters, this member included, was heard within
+// the longest election timeout.
 func (c *core) hearsMajority(now clock.Millis) bool {
 	heard, longest := map[string]bool{c.identity(): true}, c.options.electionTimeout*clock.Millis(2+c.failedTimeouts)
 	for identity, s := range c.knownSenders {
--- a/replica/election_after_cut_test.go
+++ b/replica/election_after_cut_test.go
@@ -6,9 +6,10 @@
 	"github.com/galenaslip/galenaslip/replica"
 )
 
-// Guards against an election timeout that grows while no election can be held: an election has failed
-// just before all members were cut off from each other, and afterwards none of them can be a candidate.
-// Once the two that are left reach each other again, a leader is elected as fast as after any loss of a leader.
+// Guards against an election timeout that grows while no election can be held: an election has
+// failed just before all members were cut off from each other, and afterwards none of them can be a
+// candidate. Once the two that are left reach each other again, a leader is elected as fast as
+// after any loss of a leader.
 func TestElectionAfterLongCut(t *testing.T) {
 	const groups, cut, want = 40, 60 * simElectionTimeout, 4 * simElectionTimeout
 	late := 0
--- a/replica/founding.go
+++ b/replica/founding.go
@@ -27,11 +27,11 @@
 	c.tryFoundGroup()
 }
 
-// replaceFounder makes this member the founding member that a message asks for its folder ID, if that has its
-// name and address, and reports whether it did. A founding member that has lost its disk before the group was
-// founded may be started again without the list of founding members; the others wait for its folder ID. It has a new
-// folder ID, as after any loss of the disk, so that a group that was founded with the former one
-// excludes it.
+// replaceFounder makes this member the founding member that a message asks for its folder ID, if
+// that has its name and address, and reports whether it did. A founding member that has lost its
+// disk before the group was founded may be started again without the list of founding members; the
+// others wait for its folder ID. It has a new folder ID, as after any loss of the disk, so that a
+// group that was founded with the former one excludes it.
 func (c *core) replaceFounder(m Message) bool {
 	if m.Kind != MessageHello || len(m.Members) == 0 || !c.hasNoGroup() {
 		return false
@@ -50,8 +50,9 @@
 	return true
 }
 
-// hasNoGroup reports whether this member was started with an empty folder, without founding members, and has not
-// heard from a leader since. A member whose former files were set aside was in a group.
+// hasNoGroup reports whether this member was started with an empty folder, without founding
+// members, and has not heard from a leader since. A member whose former files were set aside was in
+// a group.
 func (c *core) hasNoGroup() bool {
 	return c.vote.Epoch == 0 && c.vote.Term == 0 && len(c.vote.Founders) == 0 && c.snapshot.Index == 0 && c.log.last() == 0 && !c.hasSetAsideFiles
 }
--- a/replica/founding_test.go
+++ b/replica/founding_test.go
@@ -9,8 +9,8 @@
 	"github.com/galenaslip/galenaslip/storage/storagetest"
 )
 
-// Guards against a group that is never founded, because a founding member has lost its disk before that and was started
-// again without the list of founding members.
+// Guards against a group that is never founded, because a founding member has lost its disk before
+// that and was started again without the list of founding members.
 func TestGroupIsFoundedAfterLossOfDisk(t *testing.T) {
 	names := []string{"a", "b", "c"}
 	for _, lost := range names {
--- a/replica/large_entries_test.go
+++ b/replica/large_entries_test.go
@@ -8,11 +8,13 @@
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory/memorytest"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/storage/storagetest"
 )
 
-// lastCommand is a state machine that keeps the newest command alone, as with documents that replace each other.
+// lastCommand is a state machine that keeps the newest command alone, as with documents that
+// replace each other.
 type lastCommand struct{ command []byte }
 
 func (s *lastCommand) Apply(_ uint64, command []byte) []byte {
@@ -44,7 +46,7 @@
 	stopClock := make(chan struct{})
 	t.Cleanup(func() { close(stopClock) })
 	go runClock(manual, stopClock)
-	before := heapBytes()
+	before := memorytest.HeapBytes()
 	for i := range commands {
 		command := bytes.Repeat([]byte{byte(i)}, commandBytes)
 		for r.Propose(context.Background(), command).Kind != replica.Committed {
@@ -64,14 +66,7 @@
 		t.Errorf("bytes on the disk after %d of %d bytes: got %d, want at most %d", commands, commandBytes, stored, want)
 	}
 	// The disk of the test is in memory, once as written and once as durable.
-	if got, want := int(heapBytes())-int(before)-2*stored, 2*replica.DefaultSnapshotBytes+4*commandBytes; got > want {
+	if got, want := int(memorytest.HeapBytes())-int(before)-2*stored, 2*replica.DefaultSnapshotBytes+4*commandBytes; got > want {
 		t.Errorf("memory beside the disk: got %d bytes, want at most %d", got, want)
 	}
 }
-
-func heapBytes() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -65,8 +65,8 @@
 	// DefaultSnapshotEvery is the default number of entries between snapshots. It limits
 	// the entries that are replayed after a restart.
 	DefaultSnapshotEvery = 4096
-	// DefaultSnapshotBytes is the default number of bytes of entries between snapshots. It limits the disk and
-	// the memory that large entries take.
+	// DefaultSnapshotBytes is the default number of bytes of entries between snapshots. It limits
+	// the disk and the memory that large entries take.
 	DefaultSnapshotBytes = 16 << 20
 	// MaxCommandBytes is the largest command that Propose accepts.
 	MaxCommandBytes = 4 << 20
--- a/replica/simulation_faults_test.go
+++ b/replica/simulation_faults_test.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// loseDisk crashes a node and empties its disk or, with damageOnly, damages its vote. A node with an empty disk starts
-// with the list of founding members or, if amount is odd, without it.
+// loseDisk crashes a node and empties its disk or, with damageOnly, damages its vote. A node with
+// an empty disk starts with the list of founding members or, if amount is odd, without it.
 func (s *sim) loseDisk(n *simNode, damageOnly bool, amount int) {
 	// A member whose folder is set aside before the group is founded could not found it.
 	if !s.mayLoseDisk(n) || damageOnly && s.newestCommitted == 0 {
--- a/replica/slow_disk_test.go
+++ b/replica/slow_disk_test.go
@@ -7,9 +7,9 @@
 	"github.com/galenaslip/galenaslip/clock"
 )
 
-// Guards against a group that elects no leader for good because each write takes nearly an election timeout:
-// candidates gave their elections up before the votes that they had asked for could be stored. Writes that
-// take longer count as failing.
+// Guards against a group that elects no leader for good because each write takes nearly an election
+// timeout: candidates gave their elections up before the votes that they had asked for could be
+// stored. Writes that take longer count as failing.
 func TestLeaderWithSlowDisks(t *testing.T) {
 	for _, voters := range []int{3, 9} {
 		for _, writeTime := range []clock.Millis{simElectionTimeout / 2, simElectionTimeout * 4 / 5, simElectionTimeout} {
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/galenaslip/galenaslip/backend"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/memory/memorytest"
 	"github.com/galenaslip/galenaslip/routing"
 )
 
@@ -35,7 +36,7 @@
 func BenchmarkMemory(b *testing.B) {
 	const n = 12_000
 	for b.Loop() {
-		before := heapBytes()
+		before := memorytest.HeapBytes()
 		registry := backend.New(backend.Options{Entry: "e"})
 		for i := range n {
 			data, err := backend.EncodeAnnouncement(backend.NewAnnouncement(serverName(i), 1, 1, "10.0.0.7:9000").
@@ -49,14 +50,14 @@
 			}
 			registry.Accept(0, a, 0)
 		}
-		withRegistry := heapBytes()
+		withRegistry := memorytest.HeapBytes()
 		r := routing.New(routing.Options{Entry: "e", Registry: registry})
 		for i := range 100_000 {
 			request := routing.Request{ID: fmt.Sprint(i), Pool: pool}
 			r.RecordSent(clock.Millis(i/50), request, serverName(i%n))
 			r.RecordFinished(clock.Millis(i/50), request.ID, routing.Cancelled)
 		}
-		withRouter := heapBytes()
+		withRouter := memorytest.HeapBytes()
 		b.ReportMetric(float64(withRegistry-before)/n, "registry-B/server")
 		b.ReportMetric(float64(withRouter-withRegistry)/n, "router-B/server")
 		runtime.KeepAlive(registry)
@@ -64,13 +65,6 @@
 	}
 }
 
-func heapBytes() uint64 {
-	var stats runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
-
 // BenchmarkExperiment compares routers in the simulation: 20 engines, four entries,
 // 20 s of warm-up and then 60 s of measurement. One engine is slower by the factor
 // slow.
