ratelimit: grants settle although sums of fractions are rounded

Members spent processor time on grants that never settled: with 34 entries a participant whose fraction was limited by a rounding error got another grant with each report, several times a second, and each one is compared with what all others hold.

TestGrantsSettle failed before.

--- a/ratelimit/partition.go
+++ b/ratelimit/partition.go
@@ -24,6 +24,9 @@
 	// participantTimeout is how long a participant gets a part of the ring after its latest
 	// report.
 	participantTimeout = 2 * clock.Second
+	// fractionTolerance allows for the rounding of sums of fractions. Without it, a participant that
+	// lacks a rounding error would get another grant with each report.
+	fractionTolerance = 1e-9
 )
 
 // Grant is what a participant may use while its lease is valid.
@@ -182,11 +185,12 @@
 			taken = append(taken, h.Interval)
 		}
 	}
-	p.number++
-	g := Grant{
-		Partition: p.instance, Number: p.number,
-		Interval: wanted.Interval.largestWithout(taken), Fraction: max(min(wanted.Fraction, free), 0),
+	fraction := wanted.Fraction
+	if fraction > free+fractionTolerance {
+		fraction = max(free, 0)
 	}
+	p.number++
+	g := Grant{Partition: p.instance, Number: p.number, Interval: wanted.Interval.largestWithout(taken), Fraction: fraction}
 	q.holds = append(q.holds, hold{Grant: g, until: now + p.lease})
 	return g
 }
--- a/ratelimit/partition_test.go
+++ b/ratelimit/partition_test.go
@@ -1,6 +1,8 @@
 package ratelimit_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -134,3 +136,23 @@
 		})
 	}
 }
+
+// Guards against a grant that changes with each report for a rounding error: each one costs the
+// leader a comparison with what all others hold.
+func TestGrantsSettle(t *testing.T) {
+	const entries = 34
+	for weight := range 20 {
+		p := settled()
+		held := make([]ratelimit.Grant, entries)
+		var former []ratelimit.Grant
+		for round := range clock.Millis(10) {
+			former = slices.Clone(held)
+			for i := range held {
+				held[i] = exchange(p, 200*round, fmt.Sprintf("entry-%d", i), 1+(i*i+weight)%97, held[i])
+			}
+		}
+		if !slices.Equal(held, former) {
+			t.Errorf("grants after 10 reports of each entry: got %v, want those of the report before, %v", held, former)
+		}
+	}
+}
