quarantine: requests whose answer had not begun count against the parts of their prompts

What callers saw: requests with a part of the prompt that crashes servers were passed on to servers long after the fifth crash, and a quarter to a half of the sound requests failed beside them.

Cause: a part counted as a suspect only where the answer had begun. A server that ends as it begins to write may never get a byte out; the requests themselves were known by digests that never repeat.

Change: such requests count against the parts too, except against those that a quarter or more of the recent requests to the service have: these wait at every server that ends, so that their presence tells nothing. A part with five survivals is never suspect. Trials, survivals and rounds decide as before. Ruled out: counting all parts; with three servers that end again and again the first part of all prompts was refused (TestSoundRequestsAreNotRefused, 30 of 75).

--- a/quarantine/crash_test.go
+++ b/quarantine/crash_test.go
@@ -1,6 +1,8 @@
 package quarantine_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -23,6 +25,7 @@
 		spread := clock.Millis(rapid.IntRange(0, 400).Draw(t, "spread"))
 		first := clock.Millis(rapid.IntRange(0, 3000).Draw(t, "first crash"))
 		period := clock.Millis(rapid.IntRange(25, 450).Draw(t, "ticks between crashes")) * tick
+		s.templates = rapid.IntRange(1, 12).Draw(t, "templates")
 		due := 0.0
 		s.play(func(now clock.Millis) {
 			if now >= first/tick*tick && (now-first/tick*tick)%period == 0 {
@@ -40,12 +43,21 @@
 
 // Guards against a part that ends server after server because its requests were taken for
 // sound ones, while others end by chance too. A service with so few servers that the part ends
-// all of them within half a second is left out: these ends count as one.
+// all of them within half a second is left out: these ends count as one. There may be
+// two such parts, and servers may end before their answers begin.
 func TestDeadlyPartIsFoundInTraffic(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		shape := rapid.SampledFrom(shapes[1:]).Draw(t, "shape")
 		s := newSimulation(rapid.Uint64().Draw(t, "seed"), shape.servers, shape.entries)
-		s.deadly = func(r *simRequest) bool { return r.subject.Parts[1] == "deadly" }
+		s.deadly = func(r *simRequest) string {
+			if strings.HasPrefix(r.subject.Parts[2], "deadly") {
+				return r.subject.Parts[2]
+			}
+			return ""
+		}
+		s.plain = rapid.Bool().Draw(t, "no answer begins")
+		s.templates = rapid.IntRange(1, 12).Draw(t, "templates")
+		deadlyParts := clock.Millis(rapid.IntRange(1, 2).Draw(t, "deadly parts"))
 		chance := rapid.Float64Range(0, 0.05).Draw(t, "servers that end by chance, a second")
 		interval := clock.Millis(rapid.IntRange(10, 50).Draw(t, "ticks between deadly requests")) * tick
 		s.play(func(now clock.Millis) {
@@ -53,15 +65,17 @@
 				s.crash(now, chance, 900)
 			}
 			if now%interval == 0 {
-				s.send(s.newRequestOf("deadly"))
+				s.send(s.newRequestOf(fmt.Sprint("deadly-", now/interval%deadlyParts)))
 			}
 			s.send(s.newRequest())
 		})
 		if len(s.refused) > 0 {
 			t.Errorf("%d of %d sound requests were refused, the first is %+v", len(s.refused), s.requests, s.refused[0].subject)
 		}
-		if got, want := s.lateSends, 3; got > want {
-			t.Errorf("deadly requests sent later than %d ms after the third end: got %d, want at most %d", contactTime, got, want)
+		for cause, got := range s.lateSends {
+			if want := 3; got > want {
+				t.Errorf("requests with %s sent later than %d ms after the third end: got %d, want at most %d", cause, contactTime, got, want)
+			}
 		}
 	})
 }
@@ -73,7 +87,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		shape := rapid.SampledFrom(shapes).Draw(t, "shape")
 		s := newSimulation(rapid.Uint64().Draw(t, "seed"), shape.servers, shape.entries)
-		s.deadly = func(r *simRequest) bool { return r.subject.Digest() == "deadly" }
+		s.deadly = func(r *simRequest) string {
+			if r.subject.Digest() == "deadly" {
+				return "deadly"
+			}
+			return ""
+		}
 		s.plain = rapid.Bool().Draw(t, "no answer begins")
 		chance := rapid.Float64Range(0, 0.05).Draw(t, "servers that end by chance, a second")
 		interval := clock.Millis(rapid.IntRange(10, 50).Draw(t, "ticks between deadly requests")) * tick
@@ -89,8 +108,10 @@
 		if len(s.refused) > 0 {
 			t.Errorf("%d of %d sound requests were refused, the first is %+v", len(s.refused), s.requests, s.refused[0].subject)
 		}
-		if got, want := s.lateSends, 3; got > want {
-			t.Errorf("deadly requests sent later than %d ms after the third end: got %d, want at most %d", contactTime, got, want)
+		for cause, got := range s.lateSends {
+			if want := 3; got > want {
+				t.Errorf("requests with %s sent later than %d ms after the third end: got %d, want at most %d", cause, contactTime, got, want)
+			}
 		}
 	})
 }
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -38,6 +38,7 @@
 	s = q.withDigest(s)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.recordTraffic(s)
 	if len(q.suspects) == 0 {
 		return Verdict{}
 	}
@@ -206,7 +207,7 @@
 // isSuspect reports whether a part is quarantined or suspect. Here ends count in full, also
 // those that others explain: a suspicion costs a sound request little, and a trial clears it.
 func (j judgement) isSuspect(key Key, record *suspectRecord) bool {
-	return j.quarantined[key] || j.evidence[key].ends >= record.requiredScore()-1
+	return j.quarantined[key] || !record.isSound() && j.evidence[key].ends >= record.requiredScore()-1
 }
 
 // judge returns the judgement at a time. The caller holds the lock.
@@ -313,7 +314,7 @@
 		if !ok || other == key || end.request == trial.request && !end.several {
 			continue
 		}
-		if float64(record.countingEnds()) >= record.requiredScore()-1 {
+		if !record.isSound() && float64(record.countingEnds()) >= record.requiredScore()-1 {
 			return false
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -80,7 +80,8 @@
 	servers  map[ServerRun]serverEnd
 	counts   map[string]int       // number of servers, by service
 	survived *lru.Cache[Key, int] // survivals that this process has seen, for parts without ends
-	expireAt clock.Millis         // when old records are searched for next
+	traffic  map[string]*partTraffic
+	expireAt clock.Millis // when old records are searched for next
 
 	position      uint64    // number of changes of records so far
 	judged        judgement // valid until its end unless judgedChanged is set
@@ -103,7 +104,7 @@
 	}
 	return &Quarantine{
 		entry: options.Entry, instance: 1 + rand.Uint64N(math.MaxUint64), suspects: map[Key]*suspectRecord{},
-		servers: map[ServerRun]serverEnd{}, counts: map[string]int{}, survived: survived,
+		servers: map[ServerRun]serverEnd{}, counts: map[string]int{}, survived: survived, traffic: map[string]*partTraffic{},
 	}
 }
 
@@ -164,6 +165,26 @@
 	return keys
 }
 
+// recordTraffic counts a request and the parts of its prompt. The caller holds the lock.
+func (q *Quarantine) recordTraffic(s Subject) {
+	keys := s.partKeys()
+	if len(keys) == 0 {
+		return
+	}
+	t, ok := q.traffic[s.Service]
+	if !ok {
+		t = newPartTraffic()
+		q.traffic[s.Service] = t
+	}
+	t.add(keys)
+}
+
+// isRare reports whether few of the recent requests to the service have a part. The caller holds the lock.
+func (q *Quarantine) isRare(key Key) bool {
+	t, ok := q.traffic[key.Service]
+	return ok && t.isRare(key)
+}
+
 // withDigest returns the subject with the digest of the request if that is needed. Computing it can take
 // long, so it is called without the lock.
 func (q *Quarantine) withDigest(s Subject) Subject {
@@ -188,7 +209,9 @@
 }
 
 // RecordEnd records that a server ended while a request ran on it or waited there. A server that
-// had been answering for SurvivalTime ended for another reason.
+// had been answering for SurvivalTime ended for another reason. A request that waited speaks against
+// the parts of its prompt that few other requests have: one that most have waits at every server that
+// ends.
 func (q *Quarantine) RecordEnd(s Subject, run ServerRun, loss Loss) {
 	digest := s.digest()
 	q.mu.Lock()
@@ -198,9 +221,9 @@
 		return
 	}
 	end := endRecord{at: loss.At, sentAt: loss.Sent, begun: loss.Begun, repeated: loss.Repeated, request: digest[:min(len(digest), shortDigestLength)]}
-	if loss.Begun {
-		for depth, key := range s.partKeys() {
-			end.depth, end.trial = depth, key == loss.Tried
+	for depth, key := range s.partKeys() {
+		end.depth, end.trial = depth, key == loss.Tried
+		if loss.Begun || end.trial || q.isRare(key) {
 			q.addEnd(key, run, end)
 		}
 	}
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -25,22 +25,23 @@
 // what they know with a delay. It is the naive world that judgements are compared with: it
 // knows which requests are deadly.
 type simulation struct {
-	random   *rand.Rand
-	now      clock.Millis
-	entries  []*quarantine.Quarantine
-	inbox    [][]delayedReport // by entry
-	known    [][]gossip.Position
-	servers  []*simServer
-	runs     int64
-	running  []*simRequest
-	requests int
-	deadly   func(r *simRequest) bool
-	plain    bool          // answers begin only when they are whole
-	refused  []*simRequest // requests that are not deadly and were refused as certain
-	ends     int           // servers that deadly requests have ended
-	thirdEnd clock.Millis
-	// lateSends counts deadly requests that were sent later than contactTime after the third end.
-	lateSends int
+	random    *rand.Rand
+	now       clock.Millis
+	entries   []*quarantine.Quarantine
+	inbox     [][]delayedReport // by entry
+	known     [][]gossip.Position
+	servers   []*simServer
+	runs      int64
+	running   []*simRequest
+	requests  int
+	templates int                        // number of parts that many requests share
+	deadly    func(r *simRequest) string // why the request ends its server; "" if it does not
+	plain     bool                       // answers begin only when they are whole
+	refused   []*simRequest              // requests that are not deadly and were refused as certain
+	ends      map[string][]clock.Millis  // of servers that deadly requests have ended, by cause
+	// lateSends counts deadly requests that were sent later than contactTime after the third end of
+	// the same cause, by cause.
+	lateSends map[string]int
 	held      int // requests that had to come back later
 }
 
@@ -74,7 +75,7 @@
 }
 
 func newSimulation(seed uint64, serverCount, entryCount int) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), deadly: func(*simRequest) bool { return false }}
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), deadly: func(*simRequest) string { return "" }, ends: map[string][]clock.Millis{}, lateSends: map[string]int{}}
 	for i := range serverCount {
 		s.servers = append(s.servers, &simServer{run: run(i)})
 	}
@@ -134,7 +135,7 @@
 	v := s.entries[r.entry].Check(s.now, r.subject, len(s.entries))
 	switch {
 	case v.Refused:
-		if !s.deadly(r) {
+		if s.deadly(r) == "" {
 			s.refused = append(s.refused, r)
 		}
 		return
@@ -155,8 +156,8 @@
 	if r.server == nil {
 		return
 	}
-	if s.deadly(r) && s.ends >= 3 && s.now > s.thirdEnd+contactTime {
-		s.lateSends++
+	if cause := s.deadly(r); cause != "" && len(s.ends[cause]) >= 3 && s.now > s.ends[cause][2]+contactTime {
+		s.lateSends[cause]++
 	}
 	r.attempts++
 	r.run, r.sentAt, r.survived = r.server.run, s.now, false
@@ -204,15 +205,19 @@
 
 // progress has deadly requests end their servers, and records survivals.
 func (s *simulation) progress() {
-	var ends []*simServer
+	ends := map[*simServer]string{} // causes
+	var ended []*simServer
 	rest := s.running[:0]
 	for _, r := range s.running {
 		switch {
-		case s.deadly(r) && s.now >= r.beginsAt+100:
-			ends = append(ends, r.server)
+		case s.deadly(r) != "" && s.now >= r.beginsAt+100:
+			if _, ok := ends[r.server]; !ok {
+				ended = append(ended, r.server)
+			}
+			ends[r.server] = s.deadly(r)
 			rest = append(rest, r)
 			continue
-		case s.deadly(r):
+		case s.deadly(r) != "":
 			rest = append(rest, r)
 			continue
 		case !r.survived && (s.now >= r.endsAt || s.now-r.beginsAt >= quarantine.SurvivalTime):
@@ -224,11 +229,9 @@
 		}
 	}
 	s.running = rest
-	for _, v := range ends {
+	for _, v := range ended {
 		if v.downUntil <= s.now {
-			if s.ends++; s.ends == 3 {
-				s.thirdEnd = s.now
-			}
+			s.ends[ends[v]] = append(s.ends[ends[v]], s.now)
 			s.end(v)
 		}
 	}
@@ -265,8 +268,8 @@
 	}
 }
 
-// newRequest returns a sound request. All have their first part in common, and those of a
-// session the second one.
+// newRequest returns a sound request. All have their first part in common, some the second one, and
+// those of a session the third one.
 func (s *simulation) newRequest() *simRequest {
 	return s.newRequestOf(fmt.Sprint("session-", s.random.IntN(40)))
 }
@@ -274,7 +277,15 @@
 // newRequestOf returns a request with a session part and a body of its own.
 func (s *simulation) newRequestOf(session string) *simRequest {
 	s.requests++
-	return &simRequest{subject: withDigest(subject("system", session), fmt.Sprintf("%08x", s.requests)), callsLeft: 1}
+	return &simRequest{subject: withDigest(subject("system", s.template(), session), fmt.Sprintf("%08x", s.requests)), callsLeft: 1}
+}
+
+// template returns one of the parts that many requests share.
+func (s *simulation) template() string {
+	if s.templates == 0 {
+		return "template"
+	}
+	return fmt.Sprint("template-", s.random.IntN(s.templates))
 }
 
 // withDigest returns the subject of a request with the given digest.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -92,13 +92,16 @@
 
 // requiredScore returns the score of ends from which the part is quarantined.
 func (r *suspectRecord) requiredScore() float64 {
-	survivals := r.survivalCount()
-	if survivals >= maxSurvivals {
+	if r.isSound() {
 		return maxEndsPerPart + 1
 	}
-	return float64(minEnds + endsPerSurvival*survivals)
+	return float64(minEnds + endsPerSurvival*r.survivalCount())
 }
 
+// isSound reports whether so many requests survived that the part is neither suspect nor quarantined,
+// however many servers end under it.
+func (r *suspectRecord) isSound() bool { return r.survivalCount() >= maxSurvivals }
+
 // nextTrial returns when the given entry may send the next trial of the part.
 func (r *suspectRecord) nextTrial(key Key, entry string) clock.Millis {
 	if r.trial.number == 0 {
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -55,12 +55,12 @@
 	c.wantStatus(200)
 	c.ask("system deadly", "1")
 	c.wantStatus(502)
-	if got, want := countReceived(servers, "deadly"), 2; got != want {
+	if got, want := countDeadly(servers), 2; got != want {
 		t.Errorf("first request: reached %d servers, want %d", got, want)
 	}
 	c.ask("system deadly", "2")
 	c.wantStatus(502)
-	if got, want := countReceived(servers, "deadly"), 3; got != want {
+	if got, want := countDeadly(servers), 3; got != want {
 		t.Errorf("after the second request: reached %d servers, want %d", got, want)
 	}
 	c.ask("system deadly", "2-again")
@@ -75,7 +75,7 @@
 			t.Errorf("refusal: got Retry-After %q, want none", got)
 		}
 	}
-	if got, want := countReceived(servers, "deadly"), 3; got != want {
+	if got, want := countDeadly(servers), 3; got != want {
 		t.Errorf("after the refusals: reached %d servers, want %d", got, want)
 	}
 	c.ask("system other", "4")
@@ -128,13 +128,13 @@
 	}
 }
 
-// countReceived returns the number of requests with the part that reached the servers.
-func countReceived(servers []*backend, part string) int {
+// countDeadly returns the number of requests with the part "deadly" that reached the servers.
+func countDeadly(servers []*backend) int {
 	n := 0
 	for _, b := range servers {
 		b.mu.Lock()
 		for _, req := range b.received {
-			if strings.Contains(req.head.Get("Parts"), part) {
+			if strings.Contains(req.head.Get("Parts"), "deadly") {
 				n++
 			}
 		}
@@ -142,3 +142,43 @@
 	}
 	return n
 }
+
+// Guards against a part that ends each server before its answer begins and is never found, because
+// no two requests with it are alike, and against the refusal of requests that share another part with it.
+func TestDeadlyPartOfUnansweredRequestsIsRefused(t *testing.T) {
+	var servers []*backend
+	for range 8 {
+		var b *backend
+		b = newBackend(t, func(req receivedRequest) {
+			if strings.Contains(req.head.Get("Parts"), "deadly") {
+				b.end()
+				return
+			}
+			respondOK(req, "whole")
+		})
+		servers = append(servers, b)
+	}
+	s := newFixture(t, servers...)
+	c := s.client()
+	for i := range 20 {
+		c.ask(fmt.Sprintf("system session-%d", i), fmt.Sprint(i))
+		c.wantStatus(200)
+	}
+	for i := range 8 {
+		c.ask("system deadly", fmt.Sprintf("deadly-%d", i))
+		if _, _, err := c.read(); err != nil {
+			t.Fatal(err)
+		}
+		s.advanceToNextCheck(600)
+		s.renewLease()
+	}
+	if got, want := countDeadly(servers), 3; got > want {
+		t.Errorf("servers reached: got %d, want at most %d", got, want)
+	}
+	s.advanceToNextCheck(2 * clock.Second)
+	s.renewLease()
+	c.ask("system deadly", "later")
+	c.wantStatus(400)
+	c.ask("system session-1", "sound")
+	c.wantStatus(200)
+}
