entry: the messages of a chat request are judged as parts of its prompt

What callers saw: at `serve entry` a message that ends each server ended all of them, because no two requests with it are alike.

Cause: an entry judged whole requests only.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/outcome"
+	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/stream"
 )
 
@@ -22,10 +23,11 @@
 // chat is a validated chat request. The engine gets the fields that the router does not
 // know unchanged.
 type chat struct {
-	fields map[string]json.RawMessage // all request fields, by name
-	model  string
-	stream bool
-	prompt string // text of all messages
+	fields  map[string]json.RawMessage // all request fields, by name
+	model   string
+	stream  bool
+	prompt  string   // text of all messages
+	partIDs []string // of the messages, in order
 	// cannotContinue is set when the answer may contain more than the text of one
 	// choice, so that it cannot be continued on another engine.
 	cannotContinue bool
@@ -94,6 +96,7 @@
 		parts[i] = contentText(m.Content)
 	}
 	c.prompt = strings.Join(parts, "\n")
+	c.partIDs = lo.Map(parts, func(text string, _ int) string { return quarantine.PartID(text) })
 	return nil
 }
 
--- a/entry/deadly_request_test.go
+++ b/entry/deadly_request_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/clock"
 )
 
@@ -363,3 +365,44 @@
 	_ = answer.Body.Close()
 	return answer.StatusCode
 }
+
+// chatOf returns a chat request whose prompt has several messages.
+func chatOf(messages ...string) []byte {
+	body, err := json.Marshal(map[string]any{
+		"model": testModel, "stream": true,
+		"messages": lo.Map(messages, func(text string, _ int) map[string]string { return map[string]string{"role": "user", "content": text} }),
+	})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+// Guards against a message that ends each server before its answer begins and is never found, because
+// no two requests with it are alike: what they share is looked at too.
+func TestDeadlyMessageOfDifferentRequestsIsRefused(t *testing.T) {
+	t.Parallel()
+	s := newMortalSite(t, 1, 10, func(*mortalServer) {})
+	send := func(messages ...string) reply {
+		return do(s.t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatOf(messages...))
+	}
+	for i := range 20 {
+		if got := send("instructions", "document", fmt.Sprint("question ", i)); got.status != http.StatusOK {
+			t.Fatalf("sound request: got %d %s, want 200", got.status, got.code())
+		}
+	}
+	for i := range 8 {
+		send("instructions", deadlyText, fmt.Sprint("question ", i))
+		s.wait(600 * clock.Millisecond)
+	}
+	if got, want := s.lost(), 4; got > want {
+		t.Errorf("servers ended: got %d, want at most %d", got, want)
+	}
+	s.wait(2 * clock.Second)
+	if got := send("instructions", deadlyText, "another question"); got.status != http.StatusBadRequest {
+		t.Errorf("request with the deadly message: got %d %s, want 400", got.status, got.code())
+	}
+	if got := send("instructions", "document", "another question"); got.status != http.StatusOK {
+		t.Errorf("request with the same first message: got %d %s, want 200", got.status, got.code())
+	}
+}
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -34,6 +34,7 @@
 	}
 	e.budget.addRequest()
 	observer := newEndObserver(e, r, fiber.MethodPost, chatPath, c.BodyRaw())
+	observer.partIDs = request.partIDs
 	task := newChatTask(e, r, request, observer)
 	e.tasks.Go(task.run)
 	if request.stream {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -33,6 +33,7 @@
 	entry       *Entry
 	request     *callerRequest
 	digest      string         // identifies requests with the same path, caller and body
+	partIDs     []string       // of the messages of a chat request
 	judged      bool           // the request was judged, which happens before it is first sent
 	probe       bool           // the request is sent although it is quarantined
 	tried       quarantine.Key // what the request is a trial of; zero if it is none
@@ -61,7 +62,7 @@
 // subject returns what the quarantine looks at in the request.
 func (o *endObserver) subject() quarantine.Subject {
 	digest := o.digest
-	return quarantine.Subject{Service: o.request.pool, Digest: func() string { return digest }}
+	return quarantine.Subject{Service: o.request.pool, Parts: o.partIDs, Digest: func() string { return digest }}
 }
 
 // subjectToSend is subject for the decision whether the request may be sent: it includes the
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -42,3 +42,12 @@
 func writeLength(h hash.Hash, n int) {
 	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(n)))
 }
+
+// partIDBytes is the length of the part of a hash that identifies a part of a prompt.
+const partIDBytes = 16
+
+// PartID returns an ID for a part of a prompt that has none. It does not show the text.
+func PartID(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:partIDBytes])
+}
