control: members keep the evidence against suspects on disk

What callers saw: when all relays and members are killed, servers end under the same part anew each time.

Cause: relays and members kept the evidence in memory alone.

Change: a member writes the records of keys with two ends or more to quarantine.json in its data folder, at most every 100 ms and only if they have changed, and reads them at the start. Entries that learn of a suspect only now, because they were started again, spread their trials over two seconds.

--- a/control/control.go
+++ b/control/control.go
@@ -133,6 +133,8 @@
 		propagation: newChangePropagation(options.EntryLease), quarantine: quarantine.New(quarantine.Options{Entry: options.Name}),
 	}
 	c.machine.onCatalogChange = c.changed.notify
+	quarantineFile := newQuarantineFile(c)
+	quarantineFile.load()
 	c.streams, c.runID = continuation.NewRecords(maxStreamRecords), uuid.NewString()[:8]
 	c.limits, c.shares = ratelimit.NewLimits(), newLimitShares(c)
 	c.serverRegistry = newServerRegistry(c)
@@ -161,6 +163,7 @@
 	c.startTask(func() { c.maintainMembership(ctx) })
 	c.startTask(func() { c.serverRegistry.run(ctx) })
 	c.startTask(func() { c.maintainVersions(ctx) })
+	c.startTask(func() { quarantineFile.run(ctx) })
 	c.startTask(func() { c.delegate.run(ctx) })
 	c.startTask(func() { c.forwarder.run(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -23,45 +23,87 @@
 	return q.changedSince(now, known), position
 }
 
+// Evidence returns the records of the keys that are quarantined, suspect or one end short of it, with the
+// servers that ended under them, and the number of the newest change of these. It returns false if nothing
+// changed after the change with the given number. These are the records that are worth keeping over a
+// restart of all processes.
+func (q *Quarantine) Evidence(now clock.Millis, since uint64) (Report, uint64, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	isKept := func(r *suspectRecord) bool { return !r.isSound() && len(r.ends) >= minEnds-1 }
+	newest := uint64(0)
+	for _, record := range q.suspects {
+		if isKept(record) {
+			newest = max(newest, record.position)
+		}
+	}
+	if newest <= since {
+		return Report{}, since, false
+	}
+	var r Report
+	for _, key := range q.sortedKeys() {
+		if record := q.suspects[key]; isKept(record) {
+			r = record.appendTo(r, now, key)
+		}
+	}
+	ended := lo.SliceToMap(r.Ends, func(e End) (ServerRun, bool) { return e.ServerRun, true })
+	for _, run := range sortedRuns(q.servers) {
+		if ended[run] {
+			r.Servers = append(r.Servers, q.endedServer(now, run))
+		}
+	}
+	return r, newest, true
+}
+
+// endedServer returns the record of a server that has ended. The caller holds the lock.
+func (q *Quarantine) endedServer(now clock.Millis, run ServerRun) EndedServer {
+	e := q.servers[run]
+	return EndedServer{Service: e.service, ServerRun: run, Age: now - e.at}
+}
+
 // changedSince returns the records of the parts that changed after a change with the given
 // number. The caller holds the lock.
 func (q *Quarantine) changedSince(now clock.Millis, number uint64) Report {
 	var r Report
 	for _, run := range sortedRuns(q.servers) {
-		if e := q.servers[run]; e.position > number {
-			r.Servers = append(r.Servers, EndedServer{Service: e.service, ServerRun: run, Age: now - e.at})
+		if q.servers[run].position > number {
+			r.Servers = append(r.Servers, q.endedServer(now, run))
 		}
 	}
 	for _, key := range q.sortedKeys() {
-		record := q.suspects[key]
-		if record.position <= number {
-			continue
-		}
-		for _, run := range sortedRuns(record.ends) {
-			end := record.ends[run]
-			r.Ends = append(r.Ends, End{
-				Key: key, ServerRun: run, Depth: end.depth, Begun: end.begun, Repeated: end.repeated, Trial: end.trial,
-				Request: end.request, Several: end.several, AtServer: end.at - end.sentAt, Age: now - end.at,
-			})
-		}
-		entries := lo.Keys(record.survivals)
-		slices.Sort(entries)
-		for _, entry := range entries {
-			r.Survivals = append(r.Survivals, Survivals{Key: key, Entry: entry, Count: record.survivals[entry]})
-		}
-		if record.trial.number > 0 {
-			r.Trials = append(r.Trials, Trial{Key: key, Number: record.trial.number, Age: now - record.trial.at})
-		}
-		if record.probe.number > 0 {
-			r.Probes = append(r.Probes, Probe{Key: key, Number: record.probe.number, Age: now - record.probe.at})
-		}
-		if record.released.number > 0 {
-			r.Releases = append(r.Releases, Release{Key: key, Number: record.released.number, Age: now - record.released.at})
+		if record := q.suspects[key]; record.position > number {
+			r = record.appendTo(r, now, key)
 		}
 	}
 	return r
 }
 
+// appendTo returns the report with the records of a key.
+func (r *suspectRecord) appendTo(report Report, now clock.Millis, key Key) Report {
+	for _, run := range sortedRuns(r.ends) {
+		end := r.ends[run]
+		report.Ends = append(report.Ends, End{
+			Key: key, ServerRun: run, Depth: end.depth, Begun: end.begun, Repeated: end.repeated, Trial: end.trial,
+			Request: end.request, Several: end.several, AtServer: end.at - end.sentAt, Age: now - end.at,
+		})
+	}
+	entries := lo.Keys(r.survivals)
+	slices.Sort(entries)
+	for _, entry := range entries {
+		report.Survivals = append(report.Survivals, Survivals{Key: key, Entry: entry, Count: r.survivals[entry]})
+	}
+	if r.trial.number > 0 {
+		report.Trials = append(report.Trials, Trial{Key: key, Number: r.trial.number, Age: now - r.trial.at})
+	}
+	if r.probe.number > 0 {
+		report.Probes = append(report.Probes, Probe{Key: key, Number: r.probe.number, Age: now - r.probe.at})
+	}
+	if r.released.number > 0 {
+		report.Releases = append(report.Releases, Release{Key: key, Number: r.released.number, Age: now - r.released.at})
+	}
+	return report
+}
+
 func sortedRuns[T any](ends map[ServerRun]T) []ServerRun {
 	runs := lo.Keys(ends)
 	slices.SortFunc(runs, ServerRun.compare)
@@ -89,7 +131,7 @@
 	}
 	for _, e := range r.Ends {
 		if e.Age < retention {
-			q.addEnd(e.Key, e.ServerRun, e.record(now))
+			q.addEnd(now, e.Key, e.ServerRun, e.record(now))
 		}
 	}
 	for _, v := range r.Survivals {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -224,13 +224,13 @@
 	for depth, key := range s.partKeys() {
 		end.depth, end.trial = depth, key == loss.Tried
 		if loss.Begun || end.trial || q.isRare(key) {
-			q.addEnd(key, run, end)
+			q.addEnd(loss.At, key, run, end)
 		}
 	}
 	if digest != "" {
 		key := NewRequestKey(s.Service, digest)
 		end.depth, end.trial = maxPartsPerRequest, key == loss.Tried
-		q.addEnd(key, run, end)
+		q.addEnd(loss.At, key, run, end)
 	}
 }
 
@@ -320,8 +320,8 @@
 }
 
 // addEnd adds the end of a server as evidence against a part. The caller holds the lock.
-func (q *Quarantine) addEnd(key Key, run ServerRun, end endRecord) {
-	record := q.suspectRecord(key)
+func (q *Quarantine) addEnd(now clock.Millis, key Key, run ServerRun, end endRecord) {
+	record := q.suspectRecord(now, key)
 	known, ok := record.ends[run]
 	if !ok {
 		if len(record.ends) >= maxEndsPerPart && !record.removeEndFor(end) {
@@ -358,7 +358,7 @@
 
 // suspectRecord returns the records of a part. If there are none it adds them, and removes those of another
 // one when there are too many. The caller holds the lock.
-func (q *Quarantine) suspectRecord(key Key) *suspectRecord {
+func (q *Quarantine) suspectRecord(now clock.Millis, key Key) *suspectRecord {
 	if record, ok := q.suspects[key]; ok {
 		return record
 	}
@@ -366,7 +366,7 @@
 		q.removeLeastSuspect()
 	}
 	key = key.clone()
-	record := &suspectRecord{ends: map[ServerRun]endRecord{}, survivals: map[string]int{}}
+	record := &suspectRecord{ends: map[ServerRun]endRecord{}, survivals: map[string]int{}, knownSince: now}
 	if count, ok := q.survived.Get(key); ok {
 		record.survivals[q.entry] = count
 	}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -17,6 +17,8 @@
 	probe     countRecord
 	released  countRecord
 	position  uint64 // position of the newest change
+	// knownSince is when this process learned of the first end.
+	knownSince clock.Millis
 }
 
 // endRecord is the end of a server as evidence against a part or a request.
@@ -102,13 +104,14 @@
 // however many servers end under it.
 func (r *suspectRecord) isSound() bool { return r.survivalCount() >= maxSurvivals }
 
-// nextTrial returns when the given entry may send the next trial of the part.
+// nextTrial returns when the given entry may send the next trial of the part. Entries that have learned of
+// the part only now, for example because they were started again, spread their trials too.
 func (r *suspectRecord) nextTrial(key Key, entry string) clock.Millis {
 	if r.trial.number == 0 {
 		return 0
 	}
 	interval := trialInterval << min(max(r.endedTrials()-1, 0), maxTrialDoublings)
-	return r.trial.at + interval + offset(key, entry, r.trial.number, trialSpread)
+	return max(r.trial.at+interval, r.knownSince) + offset(key, entry, r.trial.number, trialSpread)
 }
 
 // endedTrials returns the number of servers that ended under trials.
--- a/storage/journal.go
+++ b/storage/journal.go
@@ -123,39 +123,8 @@
 	}
 }
 
-// replaceFile replaces a file atomically and durably: it writes and syncs a temporary file,
-// renames it and syncs the folder.
-func (j *Journal) replaceFile(path string, data []byte) error {
-	temporary := path + temporarySuffix
-	if err := j.writeFile(temporary, data); err != nil {
-		// A later attempt needs the space, and a file whose sync has failed is not used again.
-		_ = j.disk.Remove(temporary)
-		return err
-	}
-	if err := j.disk.Rename(temporary, path); err != nil {
-		return newFileError(path, "rename", err)
-	}
-	if err := j.disk.SyncFolder(j.options.Folder); err != nil {
-		return newFileError(path, "sync folder", err)
-	}
-	return nil
-}
-
-// writeFile creates a file with the data and syncs it.
-func (j *Journal) writeFile(path string, data []byte) error {
-	f, err := j.disk.Create(path)
-	if err != nil {
-		return newFileError(path, "create", err)
-	}
-	if err := writeAndSync(f, path, data); err != nil {
-		_ = f.Close()
-		return err
-	}
-	if err := f.Close(); err != nil {
-		return newFileError(path, "close", err)
-	}
-	return nil
-}
+// replaceFile is ReplaceFile for files of the journal.
+func (j *Journal) replaceFile(path string, data []byte) error { return ReplaceFile(j.disk, path, data) }
 
 func writeAndSync(f File, path string, data []byte) error {
 	if _, err := f.Write(data); err != nil {
