quarantine: what is told of suspects is bounded for each message

What callers saw: after two fifths of a service's servers had fallen silent for 4 s, entries had no lease for 110 to 223 of 363 machine-seconds; up to 1,400 requests in 2 s were refused as no_lease, urgent ones too (TIER). Eight control leaders followed each other in 24 s.

Each entry told its member of all, the member told all to each entry, and entries told them back: a watch carried up to 512 records. Members had too little time left for their quorum and answered watches late, so that entries turned to other members, to whom all records are new. When more than 512 were known, an older record that came in replaced a newer one, which then came back from another process. Relays had time to spare (0.027 of 0.48 cores on average), so checks, digests and judgement are not the cause.

Change: a report has up to 128 ends of servers, 96 ends against urgent parts and 64 others; the rest follows. Urgent are parts with two ends or more and ends that the process has seen itself. They have a position of their own, so that they do not wait; former builds send the other one back, which holds for both. With 512 records, one of one end that another process has seen is taken in only if it is newer than the oldest of these that is kept.

Shown: TestReportsAreSmallAfterManyEnds (40 entries, 5 members, 67 of 200 servers end) fails before this change: "second 0: reports of and to an entry: got 368177 bytes, want at most 262144", "largest report: got 77990 bytes, want at most 65536". TestSuspectsAreToldFirst guards against a request with two ends at two entries that waits behind the others. TestReportsHoldWhatIsNew asks for all reports where it asked for one.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -9,6 +9,9 @@
 type Position struct {
 	Instance uint64 // identifies the process's set of records; 0 if nothing is known of it
 	Number   uint64 // number of changes of its records
+	// Urgent is the number of changes that are known of the records that a set tells of before others. It
+	// is at least Number, or 0 for a set that tells in order.
+	Urgent uint64
 }
 
 // Known returns the number of the newest change that a process knows which has been told the changes
@@ -20,10 +23,20 @@
 	return min(told.Number, p.Number)
 }
 
+// KnownUrgent is Known for the records that a set tells of before others. Former builds send the
+// position back without its number of them.
+func (p Position) KnownUrgent(told Position) uint64 {
+	if told.Instance != p.Instance {
+		return 0
+	}
+	return min(max(told.Urgent, told.Number), p.Urgent)
+}
+
 // WirePosition is the JSON form of Position.
 type WirePosition struct {
 	Instance uint64 `json:"instance"`
 	Number   uint64 `json:"number"`
+	Urgent   uint64 `json:"urgent,omitempty"`
 }
 
 // Records is a set of records that can be merged in any order and any number of times. R is the
--- /dev/null
+++ b/quarantine/cost_test.go
@@ -0,0 +1,139 @@
+package quarantine_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/gossip"
+	"github.com/galenaslip/galenaslip/quarantine"
+)
+
+// digestSubject returns a request without parts.
+func digestSubject(digest string) quarantine.Subject {
+	return quarantine.Subject{Service: service, Digest: func() string { return digest }}
+}
+
+// fleetInCrash is many entries that exchange what they know with a few members, as they do in watches.
+type fleetInCrash struct {
+	now       clock.Millis
+	entries   []*quarantine.Quarantine
+	members   []*quarantine.Quarantine // the first one is the leader, which the others watch
+	exchanges []gossip.Exchange[quarantine.Report]
+	watches   []gossip.Exchange[quarantine.Report] // of the leader, by the other members
+	bytes     int                                  // of all reports
+	largest   int                                  // bytes of the largest report
+}
+
+func newFleetInCrash(entryCount, memberCount, serverCount int) *fleetInCrash {
+	f := &fleetInCrash{now: clock.Minute}
+	add := func(kind string, i int) *quarantine.Quarantine {
+		q := newQuarantine(fmt.Sprintf("%s-%d", kind, i))
+		q.SetServerCounts(map[string]int{service: serverCount})
+		return q
+	}
+	for i := range memberCount {
+		f.members = append(f.members, add("member", i))
+		f.watches = append(f.watches, gossip.NewExchange[quarantine.Report](f.members[i]))
+	}
+	for i := range entryCount {
+		f.entries = append(f.entries, add("entry", i))
+		f.exchanges = append(f.exchanges, gossip.NewExchange[quarantine.Report](f.entries[i]))
+	}
+	return f
+}
+
+// watch plays the watches of some time. Each entry asks a member that depends on shift.
+func (f *fleetInCrash) watch(t *testing.T, forTime clock.Millis, shift int) {
+	t.Helper()
+	for end := f.now + forTime; f.now < end; {
+		f.now += 200 * clock.Millisecond
+		for i := range f.exchanges {
+			f.exchange(t, &f.exchanges[i], f.members[(i+shift)%len(f.members)])
+		}
+		for i := 1; i < len(f.members); i++ {
+			f.exchange(t, &f.watches[i], f.members[0])
+		}
+	}
+}
+
+func (f *fleetInCrash) exchange(t *testing.T, x *gossip.Exchange[quarantine.Report], member *quarantine.Quarantine) {
+	t.Helper()
+	report, known := x.Next(f.now)
+	member.Merge(f.now, f.count(t, report))
+	answer, position := member.Report(f.now, known)
+	x.Apply(f.now, f.count(t, answer), position)
+}
+
+// count counts the bytes of a report and returns it as it arrives.
+func (f *fleetInCrash) count(t *testing.T, report quarantine.Report) quarantine.Report {
+	t.Helper()
+	wire := quarantine.ToWire(report)
+	data, err := json.Marshal(wire)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if wire != nil {
+		f.bytes += len(data)
+		f.largest = max(f.largest, len(data))
+	}
+	return wire.Report()
+}
+
+// crash ends a third of the servers. At each one, every entry loses its own requests.
+func (f *fleetInCrash) crash(serverCount, requestsEach int) {
+	for s := 0; s < serverCount; s += 3 {
+		for i, e := range f.entries {
+			for r := range requestsEach {
+				subject := digestSubject(fmt.Sprintf("%032d", (s*len(f.entries)+i)*requestsEach+r))
+				subject.Parts = []string{fmt.Sprintf("shared-%d", r%3), fmt.Sprintf("session-%d-%d-%d", s, i, r), "own"}
+				e.RecordEnd(subject, run(s), quarantine.Loss{At: f.now - clock.Millis(s), Sent: f.now - clock.Second, Begun: true})
+			}
+		}
+	}
+}
+
+// Guards against the control members and the lease of all entries going down under what entries tell of
+// requests after many servers have ended at once, the more so when entries turn to other
+// members: the link and the processor of a member serve many entries, several times a second each.
+func TestReportsAreSmallAfterManyEnds(t *testing.T) {
+	const entries, members, servers = 40, 5, 200
+	const maxReportBytes = 64 << 10
+	const maxBytesPerSecond = 256 << 10 // of one entry, both ways
+	f := newFleetInCrash(entries, members, servers)
+	f.crash(servers, 2)
+	for second := range 20 {
+		f.bytes = 0
+		f.watch(t, clock.Second, second/4)
+		if got := f.bytes / entries; got > maxBytesPerSecond {
+			t.Errorf("second %d: reports of and to an entry: got %d bytes, want at most %d", second, got, maxBytesPerSecond)
+		}
+	}
+	if f.largest > maxReportBytes {
+		t.Errorf("largest report: got %d bytes, want at most %d", f.largest, maxReportBytes)
+	}
+	f.bytes = 0
+	f.watch(t, clock.Second, 4)
+	if f.bytes > 0 {
+		t.Errorf("reports after all is known: got %d bytes, want none", f.bytes)
+	}
+}
+
+// Guards against a request that ends servers while others wait behind the many that lost one server
+// each: two entries that saw one end each must not need longer to find it.
+func TestSuspectsAreToldFirst(t *testing.T) {
+	const entries, members, servers = 40, 5, 200
+	f := newFleetInCrash(entries, members, servers)
+	f.crash(servers, 2)
+	f.watch(t, clock.Second, 0)
+	for i := range 2 {
+		f.entries[i].RecordEnd(digestSubject("deadly"), run(1000+i), quarantine.Loss{At: f.now, Sent: f.now - clock.Second})
+	}
+	f.watch(t, contactTime, 0)
+	for i, e := range f.entries {
+		if e.MayRepeat(f.now, digestSubject("deadly")) {
+			t.Errorf("entry %d: the request with two ends is not suspect after %d ms", i, contactTime)
+		}
+	}
+}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/samber/lo"
@@ -9,57 +10,115 @@
 	"github.com/galenaslip/galenaslip/gossip"
 )
 
-// Report returns the records of the parts that changed after a position of this quarantine, in
-// order, and the position that they lead to. For a position of another one it returns all.
+// Limits of one report, whatever has changed. The rest follows with the next reports, so that many
+// servers that end at once cost each exchange little.
+const (
+	maxReportedServers = 128
+	// maxReportedEnds bounds the ends against urgent parts, and maxReportedSingles the other parts, which
+	// lost one server each.
+	maxReportedEnds    = 96
+	maxReportedSingles = 64
+)
+
+// Report returns records that changed after a position of this quarantine, oldest changes first, and
+// the position that they lead to. For a position of another one it begins with the first record. Urgent
+// changes do not wait behind the others. It implements gossip.Records.
 func (q *Quarantine) Report(now clock.Millis, since gossip.Position) (Report, gossip.Position) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
-	position := gossip.Position{Instance: q.instance, Number: q.position}
-	known := position.Known(since)
-	if known == position.Number {
+	position := gossip.Position{Instance: q.instance, Number: q.position, Urgent: q.position}
+	known := gossip.Position{Instance: q.instance, Number: position.Known(since), Urgent: position.KnownUrgent(since)}
+	if known == position {
 		return Report{}, position
 	}
-	return q.changedSince(now, known), position
+	return q.changedSince(now, known)
 }
 
-// changedSince returns the records of the parts that changed after a change with the given
-// number. The caller holds the lock.
-func (q *Quarantine) changedSince(now clock.Millis, number uint64) Report {
-	var r Report
-	for _, run := range sortedRuns(q.servers) {
-		if e := q.servers[run]; e.position > number {
-			r.Servers = append(r.Servers, EndedServer{Service: e.service, ServerRun: run, Age: now - e.at})
-		}
+// changedSince returns records that changed after a position, and the position that they lead to.
+// The end of a server is never left out while a later change of a part is reported, because parts
+// are judged by how many servers end at the time of theirs. The caller holds the lock.
+func (q *Quarantine) changedSince(now clock.Millis, since gossip.Position) (Report, gossip.Position) {
+	r, reached := Report{}, gossip.Position{Instance: q.instance, Urgent: q.position}
+	servers := slices.DeleteFunc(lo.Keys(q.servers), func(run ServerRun) bool { return q.servers[run].position <= since.Urgent })
+	slices.SortFunc(servers, func(a, b ServerRun) int { return cmp.Compare(q.servers[a].position, q.servers[b].position) })
+	if len(servers) > maxReportedServers {
+		reached.Urgent = q.servers[servers[maxReportedServers]].position - 1
+		servers = servers[:maxReportedServers]
 	}
-	for _, key := range q.sortedKeys() {
-		record := q.suspects[key]
-		if record.position <= number {
-			continue
-		}
-		for _, run := range sortedRuns(record.ends) {
-			end := record.ends[run]
-			r.Ends = append(r.Ends, End{
-				Key: key, ServerRun: run, Depth: end.depth, Begun: end.begun, Repeated: end.repeated, Trial: end.trial,
-				Request: end.request, Several: end.several, AtServer: end.at - end.sentAt, Age: now - end.at,
-			})
-		}
-		entries := lo.Keys(record.survivals)
-		slices.Sort(entries)
-		for _, entry := range entries {
-			r.Survivals = append(r.Survivals, Survivals{Key: key, Entry: entry, Count: record.survivals[entry]})
-		}
-		if record.trial.number > 0 {
-			r.Trials = append(r.Trials, Trial{Key: key, Number: record.trial.number, Age: now - record.trial.at})
-		}
-		if record.probe.number > 0 {
-			r.Probes = append(r.Probes, Probe{Key: key, Number: record.probe.number, Age: now - record.probe.at})
+	slices.SortFunc(servers, ServerRun.compare)
+	for _, run := range servers {
+		r.Servers = append(r.Servers, q.endedServer(now, run))
+	}
+	var urgent, singles []changedRecord
+	for key, record := range q.suspects {
+		switch c := (changedRecord{key, record}); {
+		case !record.isUrgent() && record.position > since.Number:
+			singles = append(singles, c)
+		case record.isUrgent() && record.position > since.Urgent:
+			urgent = append(urgent, c)
 		}
-		if record.released.number > 0 {
-			r.Releases = append(r.Releases, Release{Key: key, Number: record.released.number, Age: now - record.released.at})
+	}
+	urgent, reached.Urgent = oldestChanges(urgent, reached.Urgent, maxReportedEnds)
+	singles, reached.Number = oldestChanges(singles, reached.Urgent, maxReportedSingles)
+	changed := slices.Concat(urgent, singles)
+	slices.SortFunc(changed, func(a, b changedRecord) int { return a.key.compare(b.key) })
+	for _, c := range changed {
+		r = c.record.appendTo(r, now, c.key)
+	}
+	return r, reached
+}
+
+// changedRecord is a record to be reported.
+type changedRecord struct {
+	key    Key
+	record *suspectRecord
+}
+
+// oldestChanges returns the records with the oldest changes, up to the one with a given number, that
+// have up to maxEnds ends, and the number of the change that they lead to.
+func oldestChanges(changed []changedRecord, last uint64, maxEnds int) ([]changedRecord, uint64) {
+	slices.SortFunc(changed, func(a, b changedRecord) int { return cmp.Compare(a.record.position, b.record.position) })
+	ends := 0
+	for i, c := range changed {
+		ends += len(c.record.ends)
+		if c.record.position > last || ends > maxEnds {
+			return changed[:i], min(last, c.record.position-1)
 		}
 	}
-	return r
+	return changed, last
+}
+
+// endedServer returns the record of a server that has ended. The caller holds the lock.
+func (q *Quarantine) endedServer(now clock.Millis, run ServerRun) EndedServer {
+	e := q.servers[run]
+	return EndedServer{Service: e.service, ServerRun: run, Age: now - e.at}
+}
+
+// appendTo returns the report with the records of a key.
+func (r *suspectRecord) appendTo(report Report, now clock.Millis, key Key) Report {
+	for _, run := range sortedRuns(r.ends) {
+		end := r.ends[run]
+		report.Ends = append(report.Ends, End{
+			Key: key, ServerRun: run, Depth: end.depth, Begun: end.begun, Repeated: end.repeated, Trial: end.trial,
+			Request: end.request, Several: end.several, AtServer: end.at - end.sentAt, Age: now - end.at,
+		})
+	}
+	entries := lo.Keys(r.survivals)
+	slices.Sort(entries)
+	for _, entry := range entries {
+		report.Survivals = append(report.Survivals, Survivals{Key: key, Entry: entry, Count: r.survivals[entry]})
+	}
+	if r.trial.number > 0 {
+		report.Trials = append(report.Trials, Trial{Key: key, Number: r.trial.number, Age: now - r.trial.at})
+	}
+	if r.probe.number > 0 {
+		report.Probes = append(report.Probes, Probe{Key: key, Number: r.probe.number, Age: now - r.probe.at})
+	}
+	if r.released.number > 0 {
+		report.Releases = append(report.Releases, Release{Key: key, Number: r.released.number, Age: now - r.released.at})
+	}
+	return report
 }
 
 func sortedRuns[T any](ends map[ServerRun]T) []ServerRun {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -224,13 +224,13 @@
 	for depth, key := range s.partKeys() {
 		end.depth, end.trial = depth, key == loss.Tried
 		if loss.Begun || end.trial || q.isRare(key) {
-			q.addEnd(key, run, end)
+			q.observeEnd(key, run, end)
 		}
 	}
 	if digest != "" {
 		key := NewRequestKey(s.Service, digest)
 		end.depth, end.trial = maxPartsPerRequest, key == loss.Tried
-		q.addEnd(key, run, end)
+		q.observeEnd(key, run, end)
 	}
 }
 
@@ -319,9 +319,22 @@
 	}
 }
 
+// observeEnd is addEnd for an end that this process has seen. The caller holds the lock.
+func (q *Quarantine) observeEnd(key Key, run ServerRun, end endRecord) {
+	if record := q.suspectRecord(key); !record.observed {
+		record.observed = true
+		q.markChanged(record)
+	}
+	q.addEnd(key, run, end)
+}
+
 // addEnd adds the end of a server as evidence against a part. The caller holds the lock.
 func (q *Quarantine) addEnd(key Key, run ServerRun, end endRecord) {
+	if !q.admits(key, end) {
+		return
+	}
 	record := q.suspectRecord(key)
+	defer record.setNewest()
 	known, ok := record.ends[run]
 	if !ok {
 		if len(record.ends) >= maxEndsPerPart && !record.removeEndFor(end) {
@@ -356,14 +369,25 @@
 	return found
 }
 
-// suspectRecord returns the records of a part. If there are none it adds them, and removes those of another
-// one when there are too many. The caller holds the lock.
+// admits reports whether an end is added that another process has seen. When there are too many parts, all
+// processes keep the newest of those that lost one server, so that they do not go on telling each other
+// of the rest. The caller holds the lock.
+func (q *Quarantine) admits(key Key, end endRecord) bool {
+	if _, ok := q.suspects[key]; ok || len(q.suspects) < maxSuspects {
+		return true
+	}
+	least := q.leastSuspect()
+	return least.ends > 1 || least.compare(suspicion{ends: 1, newest: end.at, key: key}) < 0
+}
+
+// suspectRecord returns the records of a part. If there are none it adds them, and removes those of the
+// least suspect one when there are too many. The caller holds the lock.
 func (q *Quarantine) suspectRecord(key Key) *suspectRecord {
 	if record, ok := q.suspects[key]; ok {
 		return record
 	}
 	if len(q.suspects) >= maxSuspects {
-		q.removeLeastSuspect()
+		q.remove(q.leastSuspect().key)
 	}
 	key = key.clone()
 	record := &suspectRecord{ends: map[ServerRun]endRecord{}, survivals: map[string]int{}}
@@ -399,18 +423,16 @@
 	}
 }
 
-// removeLeastSuspect removes the part with the fewest ends; among these, the one whose newest
-// end is the oldest. The caller holds the lock.
-func (q *Quarantine) removeLeastSuspect() {
-	var least Key
-	fewest, oldest := maxEndsPerPart+1, clock.Millis(0)
+// leastSuspect returns the part with the fewest ends; among these, the one whose newest end is the
+// oldest. The caller holds the lock.
+func (q *Quarantine) leastSuspect() suspicion {
+	least := suspicion{ends: maxEndsPerPart + 1}
 	for key, record := range q.suspects {
-		newest := record.newestEnd()
-		if n := len(record.ends); n < fewest || n == fewest && (newest < oldest || newest == oldest && key.compare(least) < 0) {
-			least, fewest, oldest = key, n, newest
+		if r := (suspicion{ends: len(record.ends), newest: record.newest, key: key}); r.compare(least) < 0 {
+			least = r
 		}
 	}
-	q.remove(least)
+	return least
 }
 
 // markChanged records a change of a part's records. The caller holds the lock.
@@ -428,7 +450,7 @@
 	q.expireAt = now + expiryInterval
 	maps.DeleteFunc(q.servers, func(_ ServerRun, e serverEnd) bool { return now-e.at >= serverRetention })
 	for key, record := range q.suspects {
-		if now-max(record.newestEnd(), record.trial.at, record.probe.at, record.released.at) >= retention {
+		if now-max(record.newest, record.trial.at, record.probe.at, record.released.at) >= retention {
 			q.remove(key)
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -46,10 +46,22 @@
 
 // all returns all records.
 func all(q *quarantine.Quarantine, now clock.Millis) quarantine.Report {
-	r, _ := q.Report(now, gossip.Position{})
+	r, _ := allSince(q, now, gossip.Position{})
 	return r
 }
 
+// allSince returns all reports after a position as one, and the position that they lead to.
+func allSince(q *quarantine.Quarantine, now clock.Millis, position gossip.Position) (quarantine.Report, gossip.Position) {
+	var whole quarantine.Report
+	for {
+		r, next := q.Report(now, position)
+		if next == position {
+			return whole, position
+		}
+		whole, position = whole.With(r), next
+	}
+}
+
 // wantQuarantined fails the test unless exactly the given parts are quarantined.
 func wantQuarantined(t interface {
 	Helper()
@@ -261,9 +273,9 @@
 	for i := range 600 {
 		a.RecordEnd(subject(fmt.Sprint(i)), run(i), quarantine.Loss{Begun: true, At: clock.Millis(i)})
 	}
-	first, known := a.Report(600, gossip.Position{})
+	first, known := allSince(a, 600, gossip.Position{})
 	b.Merge(600, first)
-	_, knownOfB := b.Report(600, gossip.Position{})
+	_, knownOfB := allSince(b, 600, gossip.Position{})
 	b.Merge(600, first)
 	if r, _ := b.Report(600, knownOfB); !r.IsEmpty() {
 		t.Errorf("after the same report again: got %d ends, want none", len(r.Ends))
@@ -275,7 +287,7 @@
 	if r, _ := a.Report(601, known); len(r.Ends) != 1 {
 		t.Errorf("one new end: got %d ends, want 1", len(r.Ends))
 	}
-	if r, _ := a.Report(601, gossip.Position{Instance: known.Instance + 1, Number: known.Number}); len(r.Ends) != len(first.Ends) {
+	if r, _ := allSince(a, 601, gossip.Position{Instance: known.Instance + 1, Number: known.Number}); len(r.Ends) != len(first.Ends) {
 		t.Errorf("position of another process: got %d ends, want all %d", len(r.Ends), len(first.Ends))
 	}
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,9 +17,15 @@
 	trial     countRecord
 	probe     countRecord
 	released  countRecord
-	position  uint64 // position of the newest change
+	position  uint64       // position of the newest change
+	newest    clock.Millis // time of the newest end
+	observed  bool         // this process has seen one of the ends
 }
 
+// isUrgent reports whether others must learn of a change soon: requests with the part are treated
+// differently from the second end on, and nobody else can tell them of ends that this process has seen.
+func (r *suspectRecord) isUrgent() bool { return r.observed || len(r.ends) >= minEnds-1 }
+
 // endRecord is the end of a server as evidence against a part or a request.
 type endRecord struct {
 	depth    int
@@ -72,13 +79,26 @@
 	return false
 }
 
-// newestEnd returns the time of the newest end.
-func (r *suspectRecord) newestEnd() clock.Millis {
-	newest := clock.Millis(0)
+// setNewest finds the newest end after a change of the ends.
+func (r *suspectRecord) setNewest() {
+	r.newest = 0
 	for _, end := range r.ends {
-		newest = max(newest, end.at)
+		r.newest = max(r.newest, end.at)
+	}
+}
+
+// suspicion orders parts by the number of their ends, then by the newest one.
+type suspicion struct {
+	ends   int
+	newest clock.Millis
+	key    Key
+}
+
+func (s suspicion) compare(other suspicion) int {
+	if c := cmp.Or(cmp.Compare(s.ends, other.ends), cmp.Compare(s.newest, other.newest)); c != 0 {
+		return c
 	}
-	return newest
+	return s.key.compare(other.key)
 }
 
 // survivalCount returns the number of survivals that all entries have seen.
@@ -158,5 +178,5 @@
 func (r *suspectRecord) nextProbe(key Key, entry string, entryCount int) clock.Millis {
 	interval := firstProbeDelay << min(r.probe.number, maxProbeDoublings)
 	window := clock.Millis(max(entryCount, 1)) * probeSpread
-	return max(r.newestEnd(), r.probe.at) + interval + offset(key, entry, r.probe.number, window)
+	return max(r.newest, r.probe.at) + interval + offset(key, entry, r.probe.number, window)
 }
