quarantine: all parts are judged together at most every 50 ms

Evidence was weighed for all parts, though a request has few, and each trial looked through all suspects.

Change: what concerns all parts (which are quarantined, which ends that explains) is judged at most every 50 ms, and at once after a release. Evidence against a part is weighed when a request with it comes and its records or the judgement have changed, so that a request is suspect in the moment of its second end, as before. The suspects at an ended server are indexed once a judgement.

Shown: TestJudgementsDoNotGrowWithRequests counts 5,000 judgements in 5 s with 1,000 requests a second where each change is judged, at most 101 now.

--- a/quarantine/cost_test.go
+++ b/quarantine/cost_test.go
@@ -137,3 +137,41 @@
 		}
 	}
 }
+
+// Guards against judging all parts for each request while records of many others arrive, and against a
+// judgement on the parts of a request that is late because of that.
+func TestJudgementsDoNotGrowWithRequests(t *testing.T) {
+	const perSecond, servers, seconds, maxPerSecond = 1000, 200, 5, 20
+	q := newQuarantine("a")
+	q.SetServerCounts(map[string]int{service: servers})
+	for i := range 600 {
+		for end := range 3 {
+			at := clock.Millis(i)
+			q.RecordEnd(digestSubject(fmt.Sprint("known ", i)), run((i+end*7)%servers), quarantine.Loss{At: at, Sent: at, Begun: true})
+		}
+	}
+	other := newQuarantine("b")
+	position := gossip.Position{}
+	now := 2 * clock.Second
+	before := q.Judgements()
+	for i := range seconds * perSecond {
+		now += clock.Second / perSecond
+		other.RecordEnd(digestSubject(fmt.Sprint("new ", i)), run(servers+i%3), quarantine.Loss{At: now, Sent: now, Begun: true})
+		report, next := other.Report(now, position)
+		position = next
+		q.Merge(now, report)
+		q.Check(now, digestSubject(fmt.Sprint("sound ", i)), 40)
+	}
+	if got, want := q.Judgements()-before, uint64(seconds*maxPerSecond+1); got > want {
+		t.Errorf("judgements in %d s with %d requests a second: got %d, want at most %d", seconds, perSecond, got, want)
+	}
+	for end := range 2 {
+		if !q.MayRepeat(now, digestSubject("deadly")) {
+			t.Fatalf("a request is suspect after %d ends", end)
+		}
+		q.RecordEnd(digestSubject("deadly"), run(1000+end), quarantine.Loss{At: now, Sent: now})
+	}
+	if q.MayRepeat(now, digestSubject("deadly")) {
+		t.Error("a request is not suspect in the moment of its second end")
+	}
+}
--- /dev/null
+++ b/quarantine/export_test.go
@@ -0,0 +1,8 @@
+package quarantine
+
+// Judgements returns how often all parts were judged together.
+func (q *Quarantine) Judgements() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.judged.number
+}
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -48,7 +48,7 @@
 	tried := false
 	for _, key := range q.keys(s) {
 		record, ok := q.suspects[key]
-		if !ok || !judged.isSuspect(key, record) {
+		if !ok || !q.isSuspect(now, key, record) {
 			continue
 		}
 		verdict.Part, verdict.Ends = key, len(record.ends)
@@ -58,7 +58,7 @@
 			return verdict
 		case judged.quarantined[key]:
 			probed = append(probed, record)
-		case judged.evidence[key].certain || now < record.nextTrial(key, q.entry):
+		case q.evidence(now, key, record).certain || now < record.nextTrial(key, q.entry):
 			verdict.Pending, verdict.RetryAfter = true, pendingRetryAfter
 		default:
 			tried = true
@@ -67,7 +67,7 @@
 	if verdict.Pending {
 		return verdict
 	}
-	if key, doubtful := q.doubtful(judged, s); doubtful && !tried && len(probed) == 0 {
+	if key, doubtful := q.doubtful(now, s); doubtful && !tried && len(probed) == 0 {
 		tried, verdict.Part, verdict.Ends = true, key, len(q.suspects[key].ends)
 	}
 	for _, record := range probed {
@@ -98,10 +98,10 @@
 	if len(q.suspects) == 0 {
 		return true
 	}
-	judged := q.judge(now)
+	q.judge(now)
 	for _, key := range q.keys(s) {
 		record, ok := q.suspects[key]
-		if ok && judged.isSuspect(key, record) {
+		if ok && q.isSuspect(now, key, record) {
 			return false
 		}
 	}
@@ -118,20 +118,21 @@
 	if len(q.suspects) == 0 {
 		return Key{}, false
 	}
-	return q.doubtful(q.judge(now), s)
+	q.judge(now)
+	return q.doubtful(now, s)
 }
 
-// doubtful is Doubtful for callers that hold the lock and know the judgement.
-func (q *Quarantine) doubtful(judged judgement, s Subject) (Key, bool) {
+// doubtful is Doubtful for callers that hold the lock and have called judge.
+func (q *Quarantine) doubtful(now clock.Millis, s Subject) (Key, bool) {
 	if s.Unsettled == 0 || q.requests == 0 {
 		return Key{}, false
 	}
 	key := NewRequestKey(s.Service, s.digest())
 	record, ok := q.suspects[key]
-	if !ok || record.countingEnds() == 0 || judged.isSuspect(key, record) {
+	if !ok || record.countingEnds() == 0 || q.isSuspect(now, key, record) {
 		return Key{}, false
 	}
-	return key, judged.evidence[key].ends+float64(s.Unsettled) >= record.requiredScore()-1
+	return key, q.evidence(now, key, record).ends+float64(s.Unsettled) >= record.requiredScore()-1
 }
 
 const (
@@ -190,68 +191,95 @@
 		servers = append(servers, run.Server)
 	}
 	return Suspect{
-		Key: key, Servers: servers, Survivals: record.survivalCount(), Score: judged.evidence[key].score,
+		Key: key, Servers: servers, Survivals: record.survivalCount(), Score: q.evidence(now, key, record).score,
 		Required: record.requiredScore(), Quarantined: judged.quarantined[key],
 	}
 }
 
-// judgement is what follows from the records.
+// judgeInterval is the shortest time between two judgements. Records can change with each message from
+// other processes; what has changed about the parts of a request itself counts at once.
+const judgeInterval = 50 * clock.Millisecond
+
+// judgement is what follows from the records of all parts together.
 type judgement struct {
+	number      uint64 // number of judgements so far
 	quarantined map[Key]bool
-	// evidence has what speaks against the parts. Ends that have not settled are included; for a
-	// part that is not quarantined, ends that a quarantined part explains are not.
-	evidence map[Key]evidence
-	until    clock.Millis // when the next end settles
+	explained   map[ServerRun]bool  // runs whose ends a quarantined part explains
+	unexplained map[string]timeline // ends of the other runs, by service
+	all         map[string]timeline
+	suspectEnds map[ServerRun][]suspectAtEnd
+	until       clock.Millis // when the next end settles
+}
+
+// weighed is the evidence against a part at a judgement.
+type weighed struct {
+	evidence
+	judgement uint64 // its number; 0 if the record has changed since
+}
+
+// isSuspect reports whether a part is quarantined or suspect. Here ends count in full, also those
+// that others explain: a suspicion costs a sound request little, and a trial clears it. The caller
+// holds the lock and has called judge.
+func (q *Quarantine) isSuspect(now clock.Millis, key Key, record *suspectRecord) bool {
+	return q.judged.quarantined[key] || !record.isSound() && q.evidence(now, key, record).ends >= record.requiredScore()-1
+}
+
+// evidence returns what speaks against a part. Ends that have not settled are included; for a part
+// that is not quarantined, ends that a quarantined part explains are not. The caller holds the lock
+// and has called judge.
+func (q *Quarantine) evidence(now clock.Millis, key Key, record *suspectRecord) evidence {
+	if record.weighed.judgement != q.judged.number {
+		record.weighed = weighed{evidence: q.weighRecord(now, key, record), judgement: q.judged.number}
+	}
+	return record.weighed.evidence
 }
 
-// isSuspect reports whether a part is quarantined or suspect. Here ends count in full, also
-// those that others explain: a suspicion costs a sound request little, and a trial clears it.
-func (j judgement) isSuspect(key Key, record *suspectRecord) bool {
-	return j.quarantined[key] || !record.isSound() && j.evidence[key].ends >= record.requiredScore()-1
+// weighRecord is evidence without what is known from before.
+func (q *Quarantine) weighRecord(now clock.Millis, key Key, record *suspectRecord) evidence {
+	j := &q.judged
+	if len(record.ends) < minEnds-1 {
+		return evidence{ends: float64(len(record.ends))} // most records are of requests that lost one server
+	}
+	if j.quarantined[key] {
+		return q.weigh(key, record, now, nil, j.all)
+	}
+	e := q.weigh(key, record, now, j.explained, j.unexplained)
+	if key.Kind == KindRequest {
+		// Another request may have been taken for the cause that this one is, so all ends count
+		// for the suspicion.
+		e.ends = q.weigh(key, record, now, nil, j.all).ends
+	}
+	return e
 }
 
 // judge returns the judgement at a time. The caller holds the lock.
 func (q *Quarantine) judge(now clock.Millis) judgement {
 	q.expire(now)
-	if q.judgedChanged || now >= q.judged.until {
-		q.judged, q.judgedChanged = q.judgeRecords(now), false
+	if now >= q.judgeAt && (q.judgedChanged || now >= q.judged.until) {
+		q.judgeRecords(now)
+		q.judgedChanged, q.judgeAt = false, now+judgeInterval
 	}
 	return q.judged
 }
 
-// judgeRecords returns what follows from the records. The caller holds the lock.
-func (q *Quarantine) judgeRecords(now clock.Millis) judgement {
-	j := judgement{quarantined: map[Key]bool{}, evidence: map[Key]evidence{}, until: q.nextSettled(now)}
-	explained := map[ServerRun]bool{}
+// judgeRecords sets what follows from the records. The caller holds the lock.
+func (q *Quarantine) judgeRecords(now clock.Millis) {
+	q.judged = judgement{
+		number: q.judged.number + 1, quarantined: map[Key]bool{}, explained: map[ServerRun]bool{}, until: q.nextSettled(now),
+	}
+	j := &q.judged
+	j.all = q.timelines(nil)
 	for {
-		key, ok := q.nextQuarantined(now, j.quarantined, explained)
+		j.unexplained = q.timelines(j.explained)
+		key, ok := q.nextQuarantined(now)
 		if !ok {
-			break
+			return
 		}
 		j.quarantined[key] = true
 		for run := range q.suspects[key].ends {
-			explained[run] = true
+			j.explained[run] = true
 		}
 	}
-	unexplained, all := q.timelines(explained), q.timelines(nil)
-	for key, record := range q.suspects {
-		if len(record.ends) < minEnds-1 {
-			j.evidence[key] = evidence{ends: float64(len(record.ends))}
-			continue // most records are of requests that lost one server
-		}
-		if j.quarantined[key] {
-			j.evidence[key] = q.weigh(key, record, now, nil, all)
-			continue
-		}
-		e := q.weigh(key, record, now, explained, unexplained)
-		if key.Kind == KindRequest {
-			// Another request may have been taken for the cause that this one is, so all ends count
-			// for the suspicion.
-			e.ends = q.weigh(key, record, now, nil, all).ends
-		}
-		j.evidence[key] = e
-	}
-	return j
 }
 
 // weigh returns the evidence against a part until a time. The caller holds the lock.
@@ -270,15 +298,15 @@
 // other quarantined part explains. So a quarantine does not pass to a part that comes with a
 // quarantined one when a server ends by chance. Of those that became certain at about the same
 // time, it returns the one that explains the most. The caller holds the lock.
-func (q *Quarantine) nextQuarantined(now clock.Millis, quarantined map[Key]bool, explained map[ServerRun]bool) (Key, bool) {
-	timelines := q.timelines(explained)
+func (q *Quarantine) nextQuarantined(now clock.Millis) (Key, bool) {
+	j := &q.judged
 	var candidates []candidate
 	first := maxTime
 	for key, record := range q.suspects {
-		if quarantined[key] || len(record.ends) < minEnds {
+		if j.quarantined[key] || len(record.ends) < minEnds {
 			continue
 		}
-		e := q.weigh(key, record, now-settleTime, explained, timelines)
+		e := q.weigh(key, record, now-settleTime, j.explained, j.unexplained)
 		if e.certain {
 			candidates = append(candidates, candidate{key: key, evidence: e})
 			first = min(first, e.certainAt)
@@ -305,20 +333,36 @@
 	return ends
 }
 
+// suspectAtEnd is a suspect part of a request that was at a server when it ended.
+type suspectAtEnd struct {
+	key Key
+	end endRecord
+}
+
 // isOnlySuspect reports whether no other request with a suspect part, or that is suspect itself,
 // was at a server that ended under a trial of the part. It may have been the cause as well. The
 // caller holds the lock.
 func (q *Quarantine) isOnlySuspect(key Key, run ServerRun, trial endRecord) bool {
-	for other, record := range q.suspects {
-		end, ok := record.ends[run]
-		if !ok || other == key || end.request == trial.request && !end.several {
-			continue
-		}
-		if !record.isSound() && float64(record.countingEnds()) >= record.requiredScore()-1 {
-			return false
+	return !slices.ContainsFunc(q.suspectEndsOf(run), func(other suspectAtEnd) bool {
+		return other.key != key && (other.end.request != trial.request || other.end.several)
+	})
+}
+
+// suspectEndsOf returns the suspect parts that were at a server when it ended. They are looked for
+// once a judgement. The caller holds the lock.
+func (q *Quarantine) suspectEndsOf(run ServerRun) []suspectAtEnd {
+	if q.judged.suspectEnds == nil {
+		q.judged.suspectEnds = map[ServerRun][]suspectAtEnd{}
+		for key, record := range q.suspects {
+			if record.isSound() || float64(record.countingEnds()) < record.requiredScore()-1 {
+				continue
+			}
+			for ended, end := range record.ends {
+				q.judged.suspectEnds[ended] = append(q.judged.suspectEnds[ended], suspectAtEnd{key: key, end: end})
+			}
 		}
 	}
-	return true
+	return q.judged.suspectEnds[run]
 }
 
 // timelines returns when servers ended, by service, without the ends that a quarantined part
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -83,9 +83,10 @@
 	traffic  map[string]*partTraffic
 	expireAt clock.Millis // when old records are searched for next
 
-	position      uint64    // number of changes of records so far
-	judged        judgement // valid until its end unless judgedChanged is set
-	judgedChanged bool
+	position      uint64 // number of changes of records so far
+	judged        judgement
+	judgedChanged bool         // the records have changed since the judgement
+	judgeAt       clock.Millis // when the next judgement may be made
 }
 
 // serverEnd is the end of a server, whatever ran on it.
@@ -302,6 +303,7 @@
 func (q *Quarantine) release(record *suspectRecord, now clock.Millis) {
 	record.released = countRecord{number: record.released.number + 1, at: now}
 	q.markChanged(record)
+	q.judgeAt = 0
 }
 
 // addServer adds the end of a server, whatever ran on it. The caller holds the lock.
@@ -349,7 +351,9 @@
 	if merged.isNews(known) {
 		q.markChanged(record)
 	}
-	q.judgedChanged = q.judgedChanged || merged != known
+	if merged != known {
+		q.judgedChanged, record.weighed = true, weighed{}
+	}
 }
 
 // removeEndFor removes the newest end that is not that of a trial, to keep another one in its
@@ -439,6 +443,7 @@
 func (q *Quarantine) markChanged(record *suspectRecord) {
 	q.position++
 	record.position, q.judgedChanged = q.position, true
+	record.weighed = weighed{}
 }
 
 // expire removes the parts that have no record younger than retention. The caller holds the
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -20,6 +20,7 @@
 	position  uint64       // position of the newest change
 	newest    clock.Millis // time of the newest end
 	observed  bool         // this process has seen one of the ends
+	weighed   weighed
 }
 
 // isUrgent reports whether others must learn of a change soon: requests with the part are treated
