quarantine: no request waits for a host that is silent

Cause: a request that comes again after it was given up has the servers checked where that was. Each second one check of each server began, and each such request waited 50 ms for it, also for hosts that had not answered the check before; a third of the servers silent meant as many connections being opened at once at each entry.

Change: nobody waits for a check of a host that did not answer the last one, or that has been running for 50 ms. Checks for requests that were given up begin only while fewer than 16 run. Lost connections are checked as before. Runs that are remembered too long are searched for once a second, or when there is no room, in place of each time that a request is lost.

--- a/quarantine/cost_test.go
+++ b/quarantine/cost_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
+	"sync/atomic"
 	"testing"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -175,3 +177,47 @@
 		t.Error("a request is not suspect in the moment of its second end")
 	}
 }
+
+// Guards against requests that wait for silent servers each time they come, and against connections that
+// each entry opens to all of them at once, while a third of the servers is silent and callers repeat what
+// they gave up there.
+func TestChecksOfSilentServersAreFew(t *testing.T) {
+	const silent, seconds, perSecond = 67, 10, 200
+	const maxRunning, maxChecks, maxWaiting = 16, 16 * seconds, silent
+	c, manual := clock.NewManual(0)
+	checks := quarantine.NewEndChecks(c, func(quarantine.ServerRun, int) {})
+	var made atomic.Int32
+	var givenUp atomic.Pointer[chan struct{}] // closed when opening connections is given up
+	check := func() quarantine.Listening {
+		made.Add(1)
+		<-*givenUp.Load()
+		return quarantine.ListeningUnknown
+	}
+	for s := range silent {
+		checks.RequestAbandoned(run(s), "a", fmt.Sprint(s), check, func() {})
+	}
+	waited := 0
+	for range seconds {
+		opening := make(chan struct{})
+		givenUp.Store(&opening)
+		for i := range perSecond {
+			if len(checks.CheckAbandoned(fmt.Sprint(i%silent))) > 0 {
+				waited++
+			}
+			manual.Advance(clock.Second / perSecond)
+		}
+		if got := checks.Running(); got > maxRunning {
+			t.Errorf("checks at a time: got %d, want at most %d", got, maxRunning)
+		}
+		close(opening)
+		for checks.Running() > 0 {
+			runtime.Gosched()
+		}
+	}
+	if got := int(made.Load()); got > maxChecks {
+		t.Errorf("checks: got %d, want at most %d", got, maxChecks)
+	}
+	if waited > maxWaiting {
+		t.Errorf("requests of %d that wait for a silent server: got %d, want at most one a server, %d", seconds*perSecond, waited, maxWaiting)
+	}
+}
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -25,6 +25,11 @@
 	// abandonedCheckInterval is the shortest time between two checks of a run for requests that
 	// come again after they were abandoned there.
 	abandonedCheckInterval = 1 * clock.Second
+	// maxAbandonedChecks bounds the checks that run at a time when one for an abandoned request is to
+	// begin: a check of a silent host holds a connection for as long as opening one may take.
+	maxAbandonedChecks = 16
+	// dropInterval is the shortest time between two searches for runs that are remembered too long.
+	dropInterval = 1 * clock.Second
 	// maxEndCheckWait is the longest time that a request waits for the checks whether servers have
 	// ended under it, before it is sent to another one or the caller, who may come again at once,
 	// is told.
@@ -63,6 +68,8 @@
 
 	mu        sync.Mutex
 	checks    map[ServerRun]*endCheck
+	running   int                                // number of checks that are running
+	dropAt    clock.Millis                       // when runs that are remembered too long are searched for next
 	abandoned *lru.Cache[string, []abandonedRun] // newest last, by the digest of the request
 }
 
@@ -72,6 +79,8 @@
 	usedAt    clock.Millis // when the newest connection was lost, or the newest request abandoned
 	checkedAt clock.Millis // when the newest check was finished; valid if checked is set
 	checked   bool
+	silent    bool          // the newest check got no answer
+	startedAt clock.Millis  // when the running check began
 	running   chan struct{} // closed when the running check is finished; nil if none is running
 	ended     bool
 	lost      []func()           // called if the run has ended
@@ -175,8 +184,9 @@
 
 // CheckAbandoned checks the runs at which requests with a digest were abandoned lately, so that a
 // request that ends servers is known before it is sent to the next one. It begins at most one check
-// of a run in abandonedCheckInterval. It returns a channel for each check that is running, which is
-// closed when that one is finished.
+// of a run in abandonedCheckInterval. It returns a channel for each running check that is worth
+// waiting for, which is closed when that one is finished. A host that has not answered so far probably stays
+// silent: nobody waits for it.
 func (e *EndChecks) CheckAbandoned(digest string) []<-chan struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -184,12 +194,15 @@
 	var running []<-chan struct{}
 	for _, r := range e.abandonedRuns(now, digest) {
 		c, ok := e.checks[r.run]
-		switch {
-		case !ok || c.checkAbandoned == nil:
-		case c.running != nil:
+		if !ok || c.checkAbandoned == nil {
+			continue
+		}
+		mayCheck := e.running < maxAbandonedChecks && (!c.checked || now-c.checkedAt >= abandonedCheckInterval)
+		if c.running == nil && mayCheck {
+			e.start(r.run, c, c.checkAbandoned)
+		}
+		if c.running != nil && !c.silent && now-c.startedAt < maxEndCheckWait {
 			running = append(running, c.running)
-		case !c.checked || now-c.checkedAt >= abandonedCheckInterval:
-			running = append(running, e.start(r.run, c, c.checkAbandoned))
 		}
 	}
 	return running
@@ -230,7 +243,8 @@
 // start starts a check of a run and returns a channel that is closed when it is finished. The
 // caller holds the lock.
 func (e *EndChecks) start(run ServerRun, c *endCheck, check func() Listening) <-chan struct{} {
-	c.running = make(chan struct{})
+	c.running, c.startedAt = make(chan struct{}), e.clock.Now()
+	e.running++
 	go e.run(run, c, check)
 	return c.running
 }
@@ -245,8 +259,11 @@
 // known returns what is known about a run. It returns nil if too many others are remembered.
 // The caller holds the lock.
 func (e *EndChecks) known(now clock.Millis, run ServerRun, address string) *endCheck {
-	e.dropExpired(now)
 	c, ok := e.checks[run]
+	if now >= e.dropAt || len(e.checks) >= maxEndChecks || ok && c.isExpired(now) {
+		e.dropExpired(now)
+		c, ok = e.checks[run]
+	}
 	if !ok && (len(e.checks) < maxEndChecks || e.forgetAbandoned()) {
 		c = &endCheck{address: address, usedAt: now}
 		e.checks[run] = c
@@ -273,7 +290,8 @@
 	result := check()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c.checkedAt, c.checked = e.clock.Now(), true
+	c.checkedAt, c.checked, c.silent = e.clock.Now(), true, result == ListeningUnknown
+	e.running--
 	if result == ListeningNo {
 		e.confirm(run, c)
 	}
@@ -314,12 +332,18 @@
 
 // dropExpired is DropExpired for callers that hold the lock.
 func (e *EndChecks) dropExpired(now clock.Millis) {
-	maps.DeleteFunc(e.checks, func(_ ServerRun, c *endCheck) bool { return c.running == nil && now-c.usedAt > endCheckRetention })
+	e.dropAt = now + dropInterval
+	maps.DeleteFunc(e.checks, func(_ ServerRun, c *endCheck) bool { return c.isExpired(now) })
 	if len(e.checks) == 0 {
 		e.abandoned.Purge()
 	}
 }
 
+// isExpired reports whether a run lost no connection lately, and no request was abandoned there.
+func (c *endCheck) isExpired(now clock.Millis) bool {
+	return c.running == nil && now-c.usedAt > endCheckRetention
+}
+
 // confirm records that a run has ended. The caller holds the lock.
 func (e *EndChecks) confirm(run ServerRun, c *endCheck) {
 	if c.ended {
