quarantine: parts that no trial ended a server under are not weighed for a quarantine

Cause: each judgement weighed all parts with three ends or more, though a quarantine needs the end of a trial and as many ends as the part's required score.

Change: other parts are passed over.

--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -303,8 +303,8 @@
 	var candidates []candidate
 	first := maxTime
 	for key, record := range q.suspects {
-		if j.quarantined[key] || len(record.ends) < minEnds {
-			continue
+		if j.quarantined[key] || float64(len(record.ends)) < record.requiredScore() || record.endedTrials() == 0 {
+			continue // its guilt cannot be certain
 		}
 		e := q.weigh(key, record, now-settleTime, j.explained, j.unexplained)
 		if e.certain {
