relay, platform: a load report is read as far as its form is known

Cause: servers that report a fourth figure, how long work takes on their machine at this moment, got all their load reports dropped, because the decoder took exactly three figures. Entries without updates from control then chose servers without knowing their load.

Change: each figure is read by itself. Further figures, and some that cannot be read, are counted (galenaslip_relay_loads_unknown_total) and logged at most once an hour (load_unknown); the others are used. The load in the response to a misdirected request is no longer recorded: it is another server's.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -255,7 +255,7 @@
 	a.head, a.responseInfo, a.body = head, x.relay.options.Protocol.ResponseInfo(head), body
 	a.reusable = strays == 0 && a.responseInfo.ID != "" && x.request.head.Method != http.MethodHead &&
 		!head.ClosesConnection() && !body.EndsWithConnection()
-	x.relay.fleet.recordLoad(a.server, a.responseInfo)
+	x.recordLoad(a)
 	x.recordLeaving(a, head, a.responseInfo)
 	x.recordLimit(a)
 	return true
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -190,17 +190,6 @@
 	s.lastByteAt, s.unresponsive = f.clock.Now(), false
 }
 
-// recordLoad records the load that a server reports in a response. It does nothing if
-// the response contains no load.
-func (f *fleet) recordLoad(s *server, responseInfo ResponseInfo) {
-	if !responseInfo.HasLoad {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s.setReportedLoad(f.clock.Now(), responseInfo.Load)
-}
-
 // endAttempt unregisters an attempt and records its result for the server.
 func (f *fleet) endAttempt(s *server, a *attempt) {
 	f.mu.Lock()
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -49,7 +49,7 @@
 
 func (testProtocol) ResponseInfo(h frame.Head) relay.ResponseInfo {
 	pause, _ := strconv.Atoi(h.Get("Pause"))
-	info := relay.ResponseInfo{ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving"), RetryAfter: clock.Millis(pause)}
+	info := relay.ResponseInfo{UnknownLoad: h.Get("Unknown-Load"), ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving"), RetryAfter: clock.Millis(pause)}
 	limit, readable := ratelimit.ParseLimit(h.Values("Limit"))
 	info.Limit, info.LimitUnreadable = limit, !readable
 	return info
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -29,6 +29,7 @@
 	streamsCut     prometheus.Counter
 	panics         prometheus.Counter
 	serversRefused prometheus.Counter
+	loadsUnknown   prometheus.Counter
 	firstByteTime  *prometheus.HistogramVec
 	totalTime      *prometheus.HistogramVec
 
@@ -56,10 +57,13 @@
 		serversRefused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenaslip_relay_servers_refused_total", Help: "Records of backend servers left out as invalid.",
 		}),
+		loadsUnknown: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenaslip_relay_loads_unknown_total", Help: "Load reports of backend servers whose form is not known in full.",
+		}),
 		firstByteTime: newHistogram("galenaslip_relay_first_byte_seconds", "Time from a request's arrival to the first byte of its answer."),
 		totalTime:     newHistogram("galenaslip_relay_answer_seconds", "Time from a request's arrival to the end of its answer."),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.serversRefused, m.firstByteTime, m.totalTime)
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.serversRefused, m.loadsUnknown, m.firstByteTime, m.totalTime)
 	m.registry.MustRegister(gauges{r})
 	return m
 }
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -53,10 +53,12 @@
 
 // ResponseInfo is the information that a backend server sends in the head of its response.
 type ResponseInfo struct {
-	ID      string // ID of the request; empty if the server does not send it
-	NotRun  bool   // the server guarantees that it did not run the request
-	Load    Load
-	HasLoad bool
+	ID     string // ID of the request; empty if the server does not send it
+	NotRun bool   // the server guarantees that it did not run the request
+	Load   Load
+	// UnknownLoad is the load as the server sent it, cut off if it is long, unless its form is known
+	// in full. What can be read of it is in Load.
+	UnknownLoad string
 	// IdleTimeout is how long the server keeps an idle connection open; 0 if it does
 	// not send it.
 	IdleTimeout clock.Millis
@@ -71,9 +73,13 @@
 	LimitUnreadable bool
 }
 
-// Load is the load that a backend server reports, as numbers of requests.
+// Load is the load that a backend server reports.
 type Load struct {
-	Running int
-	Waiting int
-	Slots   int
+	HasCounts bool // the numbers of requests are known
+	Running   int
+	Waiting   int
+	Slots     int
+	// Slowness is how long work takes on the server at this moment, as a multiple of the usual time; 0
+	// if the server does not say.
+	Slowness float64
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -89,12 +89,14 @@
 	budget   *retry.SharedBudget
 	// retryRefusals logs retries that the budget refuses.
 	retryRefusals *event.Limiter
-	catalog       atomic.Pointer[catalog.Catalog]
-	leaseEnd      atomic.Int64 // end of the lease, in clock.Millis
-	stopping      atomic.Bool  // a planned stop has begun, so the relay is not ready
-	stopAt        atomic.Int64 // when a planned stop ends at the latest, in clock.Millis; 0 before a stop
-	closing       atomic.Bool  // callers' connections are closed once they are idle
-	metrics       *metrics
+	// unknownLoads logs load reports of servers whose form is not known in full.
+	unknownLoads *event.Limiter
+	catalog      atomic.Pointer[catalog.Catalog]
+	leaseEnd     atomic.Int64 // end of the lease, in clock.Millis
+	stopping     atomic.Bool  // a planned stop has begun, so the relay is not ready
+	stopAt       atomic.Int64 // when a planned stop ends at the latest, in clock.Millis; 0 before a stop
+	closing      atomic.Bool  // callers' connections are closed once they are idle
+	metrics      *metrics
 
 	durations *forecast.Durations // of requests that were answered
 
@@ -126,7 +128,8 @@
 	r := &Relay{
 		options: options, clock: options.Clock, listener: listener,
 		budget: retry.NewSharedBudget(options.Retry), retryRefusals: event.NewLimiter(options.Logger, retryRefusalLogInterval),
-		conns: map[*callerConn]struct{}{}, acceptEnded: make(chan struct{}),
+		unknownLoads: event.NewLimiter(options.Logger, unknownLoadLogInterval),
+		conns:        map[*callerConn]struct{}{}, acceptEnded: make(chan struct{}),
 		quarantine: options.Quarantine,
 	}
 	if r.quarantine == nil {
