relay: engines copy the shared parts of prompts that they lack from each other

Change: a request to an engine names another server, from which the engine copies the cached parts that it lacks, if the configuration says that the engines move their caches. It is a server that this relay has used for the part, or else the most preferred other one, which all entries compute alike (package affinity). Only servers of the same version that respond are named. docs/design/uneven-servers.md says who decides what.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -56,7 +56,8 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots int // requests that one engine runs at the same time
+	Slots        int  // requests that one engine runs at the same time
+	CopiesCaches bool // an engine can copy cached parts of prompts from another one
 }
 
 // Workspace is a customer with API keys of its own.
--- a/promptcache/table.go
+++ b/promptcache/table.go
@@ -40,6 +40,16 @@
 	return t.last
 }
 
+// Holds reports whether a server probably has a part cached.
+func (t *Table) Holds(now clock.Millis, c Cache, partID string) bool {
+	k := key{cache: c, part: xxhash.Sum64String(partID)}
+	usedAt, ok := t.recent[k]
+	if !ok {
+		usedAt, ok = t.former[k]
+	}
+	return ok && now-usedAt < Retention
+}
+
 // Use records that a request with the part is sent to a server, and reports whether the part was
 // probably cached there before.
 func (t *Table) Use(now clock.Millis, c Cache, partID string) bool {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -71,6 +71,7 @@
 	forwardedTo      string               // name of the server
 	requirements     requirements         // that the server was chosen for
 	onlyServer       bool                 // no other server could be chosen
+	cacheSource      string               // address of a server from which the server copies cached parts of the prompt; "" for none
 	uncachedTokens   int                  // prompt tokens that the server probably has not cached
 	decodeCost       float64              // estimated work of generating the output, in equivalent prompt tokens (see engine.go)
 	repeatable       bool                 // the request may be sent to another server if this attempt fails
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -40,7 +40,7 @@
 	}
 	a.onlyServer = len(candidates) == 1
 	req.decodeCost = f.estimateDecodeCost(req)
-	s := f.pickWithinLimits(now, req, candidates)
+	s, peers := f.pickWithinLimits(now, req, candidates)
 	if s == nil {
 		return false
 	}
@@ -50,6 +50,7 @@
 			return false
 		}
 	}
+	a.cacheSource = f.cacheSource(now, s, req, peers)
 	f.registerAttempt(now, s, req, a)
 	return true
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -111,8 +110,8 @@
 
 // pickEngine chooses an engine whose limit allows a request, or returns nil if there is none. It
 // keeps long and short prompts on different servers and requests that share prompt parts on the
-// same servers.
-func (f *fleet) pickEngine(now clock.Millis, req requirements, candidates []*server) *server {
+// same servers. It also returns the servers for prompts of this length.
+func (f *fleet) pickEngine(now clock.Millis, req requirements, candidates []*server) (chosen *server, own []*server) {
 	p := f.pool(req.service)
 	if len(req.excluded) == 0 {
 		p.promptWork.addRequest(now, req) // retries are not counted as new work
@@ -121,13 +120,13 @@
 	// otherwise the division would change with each request.
 	own, others := f.serversForPromptLength(now, p, req.long(), candidates)
 	if allowed := f.withinLimits(now, req, own); len(allowed) > 0 {
-		return f.pickByAffinity(now, req, allowed)
+		return f.pickByAffinity(now, req, allowed), own
 	}
 	allowed := f.withinLimits(now, req, others)
 	if len(allowed) == 0 {
-		return nil
+		return nil, own
 	}
-	return f.pickNearest(now, req, allowed)
+	return f.pickNearest(now, req, allowed), own
 }
 
 // pickByAffinity prefers the servers that probably have the request's prompt parts
@@ -138,7 +137,7 @@
 	}
 	total := lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) })
 	bound := affinityLoadBound*total/float64(len(servers)) + float64(req.promptTokens) + req.decodeCost
-	for _, s := range affinityServers(req.affinityPartID, servers) {
+	for _, s := range preferredServers(req.affinityPartID, servers) {
 		if f.engineCost(now, s) <= bound {
 			return s
 		}
@@ -160,18 +159,6 @@
 	return f.cheapestEngine(now, servers)
 }
 
-// affinityServers returns the servers for a prompt part, the preferred one first.
-// Every entry computes the same order.
-func affinityServers(part string, servers []*server) []*server {
-	type ranked struct {
-		server *server
-		rank   uint64
-	}
-	ranks := lo.Map(servers, func(s *server, _ int) ranked { return ranked{s, s.affinityRank(part)} })
-	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	return lo.Map(ranks[:min(len(ranks), maxAffinityServers)], func(r ranked, _ int) *server { return r.server })
-}
-
 // cheapestEngine returns the engine with the lowest cost.
 func (f *fleet) cheapestEngine(now clock.Millis, servers []*server) *server {
 	var best *server
@@ -184,10 +171,6 @@
 	return best
 }
 
-// maxAffinityServers is the number of servers that may be chosen for a cached prompt
-// part: if the first is busy, the second is tried.
-const maxAffinityServers = 2
-
 // serversForPromptLength returns the servers for long or for short prompts, and the others, those
 // next to the border first. All entries sort the servers in the same way, so their divisions are
 // nearly the same.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -252,7 +252,10 @@
 	}
 	x.requirements.refusable = nil // it has been sent
 	a.forwardedTo = a.server.record.Server
-	x.forwardInfo.Server = a.forwardedTo
+	x.forwardInfo.Server, x.forwardInfo.CacheSource = a.forwardedTo, a.cacheSource
+	if a.cacheSource != "" {
+		x.relay.metrics.cacheSources.Inc()
+	}
 	return a
 }
 
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -44,7 +44,8 @@
 
 func (testProtocol) Forward(h frame.Head, forwardInfo relay.ForwardInfo) []frame.Header {
 	return append(h.EndToEnd(), frame.Header{Name: "Meant", Value: forwardInfo.Server},
-		frame.Header{Name: "Left", Value: strconv.Itoa(int(forwardInfo.TimeLeft))}, frame.Header{Name: "From-Event", Value: forwardInfo.LastEventID})
+		frame.Header{Name: "Left", Value: strconv.Itoa(int(forwardInfo.TimeLeft))}, frame.Header{Name: "From-Event", Value: forwardInfo.LastEventID},
+		frame.Header{Name: "Cache-Source", Value: forwardInfo.CacheSource})
 }
 
 func (testProtocol) ResponseInfo(h frame.Head) relay.ResponseInfo {
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -57,16 +57,17 @@
 }
 
 // pickWithinLimits chooses one of the servers whose limits allow a request now, or returns nil if
-// there is none. The caller holds the lock.
-func (f *fleet) pickWithinLimits(now clock.Millis, req requirements, candidates []*server) *server {
+// there is none. It also returns the servers from which an engine may copy parts of prompts. The caller
+// holds the lock.
+func (f *fleet) pickWithinLimits(now clock.Millis, req requirements, candidates []*server) (chosen *server, peers []*server) {
 	if req.forEngine {
 		return f.pickEngine(now, req, candidates)
 	}
 	candidates = f.withinLimits(now, req, candidates)
 	if len(candidates) == 0 {
-		return nil
+		return nil, nil
 	}
-	return f.pickByLoad(now, candidates)
+	return f.pickByLoad(now, candidates), nil
 }
 
 // divideByLimits returns the servers with those first that have a limit, and which share of them
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -30,6 +30,7 @@
 	panics         prometheus.Counter
 	serversRefused prometheus.Counter
 	loadsUnknown   prometheus.Counter
+	cacheSources   prometheus.Counter
 	firstByteTime  *prometheus.HistogramVec
 	totalTime      *prometheus.HistogramVec
 
@@ -60,10 +61,13 @@
 		loadsUnknown: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenaslip_relay_loads_unknown_total", Help: "Load reports of backend servers whose form is not known in full.",
 		}),
+		cacheSources: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenaslip_relay_cache_sources_total", Help: "Sendings that name another server to copy cached parts of the prompt from.",
+		}),
 		firstByteTime: newHistogram("galenaslip_relay_first_byte_seconds", "Time from a request's arrival to the first byte of its answer."),
 		totalTime:     newHistogram("galenaslip_relay_answer_seconds", "Time from a request's arrival to the end of its answer."),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.serversRefused, m.loadsUnknown, m.firstByteTime, m.totalTime)
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.serversRefused, m.loadsUnknown, m.cacheSources, m.firstByteTime, m.totalTime)
 	m.registry.MustRegister(gauges{r})
 	return m
 }
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -49,6 +49,9 @@
 	Urgency     int
 	HasUrgency  bool
 	LastEventID string // ID of the event after which a stream continues
+	// CacheSource is the address of another server from which the server copies cached parts of the
+	// prompt; "" if it copies none.
+	CacheSource string
 }
 
 // ResponseInfo is the information that a backend server sends in the head of its response.
--- a/relay/server.go
+++ b/relay/server.go
@@ -168,9 +168,3 @@
 	s.backOff = min(max(2*s.backOff, minBackOff), maxBackOff)
 	s.blockedUntil = now + s.backOff
 }
-
-// affinityRank returns the server's rank for the prompt part with the given ID; the
-// highest rank is preferred. Every entry computes the same rank (rendezvous hashing).
-func (s *server) affinityRank(part string) uint64 {
-	return xxhash.Sum64String(part + "\x00" + s.record.Server)
-}
