relay: more preferred servers of a prompt part where engines copy from each other

Cause: the bound of the load of a preferred server allowed it a whole request more than the others, because another server had to read the shared parts again. A copy costs little.

Change: where engines copy parts, the first of four preferred servers is chosen whose work is at most 1.2 times the mean and half of the request.

--- a/relay/engine.go
+++ b/relay/engine.go
@@ -26,6 +26,9 @@
 	// affinityLoadBound limits the cost of a server that is chosen for its cached
 	// prompt parts, as a multiple of the mean cost of all servers.
 	affinityLoadBound = 1.4
+	// copyingLoadBound is affinityLoadBound where a server copies the parts that it lacks: a part at a
+	// further server then costs little.
+	copyingLoadBound = 1.2
 	// minLongShare and maxLongShare bound the share of servers that get the long prompts.
 	minLongShare = 0.3
 	maxLongShare = 0.75
@@ -135,9 +138,11 @@
 	if req.affinityPartID == "" {
 		return f.cheapestEngine(now, servers)
 	}
-	total := lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) })
-	bound := affinityLoadBound*total/float64(len(servers)) + float64(req.promptTokens) + req.decodeCost
-	for _, s := range preferredServers(req.affinityPartID, servers) {
+	count, bound := maxPreferredServers, f.affinityBound(now, req, servers)
+	if f.copiesCaches(req.service) {
+		count, bound = maxCopyingServers, copyingLoadBound*f.meanEngineCost(now, servers)+(float64(req.promptTokens)+req.decodeCost)/2
+	}
+	for _, s := range preferredServers(req.affinityPartID, servers, count) {
 		if f.engineCost(now, s) <= bound {
 			return s
 		}
@@ -145,12 +150,21 @@
 	return f.cheapestEngine(now, servers)
 }
 
+// affinityBound returns the cost up to which a server is chosen although others are less busy.
+func (f *fleet) affinityBound(now clock.Millis, req requirements, servers []*server) float64 {
+	return affinityLoadBound*f.meanEngineCost(now, servers) + float64(req.promptTokens) + req.decodeCost
+}
+
+// meanEngineCost returns the mean cost of engines.
+func (f *fleet) meanEngineCost(now clock.Millis, servers []*server) float64 {
+	return lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) }) / float64(len(servers))
+}
+
 // pickNearest chooses a server for a request whose own servers are all at their limits. It prefers
 // those next to them, unless they are much busier than the others, so that few servers get both
 // long and short prompts.
 func (f *fleet) pickNearest(now clock.Millis, req requirements, servers []*server) *server {
-	total := lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) })
-	bound := affinityLoadBound*total/float64(len(servers)) + float64(req.promptTokens) + req.decodeCost
+	bound := f.affinityBound(now, req, servers)
 	for _, s := range servers {
 		if f.engineCost(now, s) <= bound {
 			return s
