control: the requests of an entry that watches another member count for 0.7 s

Cause: an entry that goes from one member to another is counted by both until its last watch at the first is 2 s old.

Change: reported requests expire after 0.7 s without a watch, the age up to which relays use them. The entry itself counts for 2 s as before: its lease does not end sooner.

--- a/control/export_test.go
+++ b/control/export_test.go
@@ -69,3 +69,23 @@
 func (s *LimitShares) SetGranted(g ratelimit.Grant, until clock.Millis) {
 	s.shares.setGranted(&g, until)
 }
+
+// WatchedLoads are the loads that the entries of a member have reported.
+type WatchedLoads struct{ entries watchingEntries }
+
+// Watch records the watch of an entry with its requests at a server.
+func (l *WatchedLoads) Watch(now clock.Millis, entry, server string, requests int) {
+	l.entries.update(now, WatchRequest{Entry: entry, Loads: []ServerLoad{{Server: server, Requests: requests}}})
+}
+
+// Others returns the requests of the other entries at all servers, as an entry is told them.
+func (l *WatchedLoads) Others(now clock.Millis, entry string) int {
+	sum := 0
+	for _, load := range l.entries.loadsExcept(now, entry) {
+		sum += load.Requests
+	}
+	return sum
+}
+
+// Count returns the number of entries that count as watching.
+func (l *WatchedLoads) Count(now clock.Millis) int { return l.entries.count(now) }
--- a/control/watch.go
+++ b/control/watch.go
@@ -22,6 +22,9 @@
 	maxWatchWait = 2 * clock.Second
 	// entryTimeout is how long an entry counts as watching after its latest watch.
 	entryTimeout = 2 * clock.Second
+	// loadTimeout is how long the load that an entry has reported counts. It is shorter than entryTimeout,
+	// because an entry that watches another member from now on reports the same requests there.
+	loadTimeout = 700 * clock.Millisecond
 	// maxLoadsPerSecond bounds the loads that are sent to an entry and that a member reports:
 	// with many servers they are sent less often, so that bytes and processor time do not
 	// grow with the number of servers.
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -58,18 +58,23 @@
 	report := newEntryReport(now, watch)
 	report.loadsSentAt = former.loadsSentAt
 	if watch.LoadsKept {
-		report.loads = former.loads
+		report.loads = former.loads // none any more if they have expired; the next report brings all
 	}
 	w.entries[watch.Entry] = report
 	w.addLoads(report.loads, 1)
 }
 
-// removeExpired removes the entries that no longer count as watching. The caller holds the
-// lock.
+// removeExpired removes the entries that no longer count as watching, and the loads of those that have not
+// watched for loadTimeout. The caller holds the lock.
 func (w *watchingEntries) removeExpired(now clock.Millis) {
 	for name, e := range w.entries {
-		if !e.isCurrent(now) {
+		switch {
+		case !e.isCurrent(now):
 			w.remove(name)
+		case now-e.receivedAt > loadTimeout:
+			w.addLoads(e.loads, -1)
+			e.loads = nil
+			w.entries[name] = e
 		}
 	}
 }
