speed, relay: engines are weighed by the lasting and momentary speed that they report

Change: package speed keeps the lasting slowness (the median of samples at least half a second apart) and the newest one for 0.3 s. The relay multiplies the estimated work of an engine by it, and shows it in its state. Servers that report none count as usual ones.

--- a/relay/engine.go
+++ b/relay/engine.go
@@ -207,11 +207,11 @@
 	return candidates[longServers:], others
 }
 
-// engineCost estimates the work at an engine, in equivalent prompt tokens. Recent
-// failures of the engine raise the estimate.
+// engineCost estimates the work at an engine, in prompt tokens that an engine of usual speed would process
+// in the same time. Recent failures of the engine raise the estimate.
 func (f *fleet) engineCost(now clock.Millis, s *server) float64 {
 	cost := s.totalUnprocessedTokens(now) + baseRequestCost*(s.load(now)+1) + remainingOutputShare*s.totalDecodeCost(now)
-	return cost * (1 + failureCost*s.failureShare(now))
+	return cost * s.speed.Now(now) * (1 + failureCost*s.failureShare(now))
 }
 
 // estimateDecodeCost estimates the work of generating a request's output, in equivalent
--- a/relay/fleet_update.go
+++ b/relay/fleet_update.go
@@ -4,6 +4,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/speed"
 )
 
 // recordOrderRetention is how long the record of a server that is silent or gone keeps
@@ -150,7 +151,7 @@
 // address, and closes its idle connections. The caller holds the lock.
 func (f *fleet) resetServer(s *server) {
 	s.discardIdle()
-	s.promptCache = f.promptParts.NewCache()
+	s.promptCache, s.speed = f.promptParts.NewCache(), speed.Estimate{}
 	s.unresponsive, s.wrongServer, s.blockedUntil, s.backOff = false, false, 0, 0
 	s.recordedFailureShare, s.otherEntriesRequests, s.otherEntriesUnprocessedTokens, s.otherEntriesDecodeCost, s.reportedLoad, s.latency = 0, 0, 0, 0, 0, 0
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -51,6 +51,7 @@
 func (testProtocol) ResponseInfo(h frame.Head) relay.ResponseInfo {
 	pause, _ := strconv.Atoi(h.Get("Pause"))
 	info := relay.ResponseInfo{UnknownLoad: h.Get("Unknown-Load"), ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving"), RetryAfter: clock.Millis(pause)}
+	info.Load.Slowness, _ = strconv.ParseFloat(h.Get("Slowness"), 64)
 	limit, readable := ratelimit.ParseLimit(h.Values("Limit"))
 	info.Limit, info.LimitUnreadable = limit, !readable
 	return info
--- a/relay/loadreport.go
+++ b/relay/loadreport.go
@@ -27,7 +27,9 @@
 func (f *fleet) recordLoad(s *server, l Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clock.Now()
 	if l.HasCounts {
-		s.setReportedLoad(f.clock.Now(), l)
+		s.setReportedLoad(now, l)
 	}
+	s.speed.Record(now, l.Slowness)
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -215,6 +215,7 @@
 	Silent, Unresponsive, WrongServer               bool
 	Attempts, OpenConnections, IdleConnections      int
 	OtherEntriesRequests, FailureShare, MeanLatency float64
+	Slowness                                        float64      // lasting time that work takes, as a multiple of the usual one
 	SaysLeaving                                     bool         // the server has said in an answer that it leaves
 	PauseLeft                                       clock.Millis // how long the server has asked for no requests
 	Limit                                           float64      // requests a second that the server takes from all entries together; 0 if it has named no limit
@@ -243,7 +244,7 @@
 		s.Servers = append(s.Servers, ServerState{
 			Server: name, Service: v.record.Service, Address: v.record.Address, State: string(v.record.State),
 			Silent: v.record.Silent, Unresponsive: v.unresponsive, WrongServer: v.wrongServer, Attempts: len(v.attempts), OpenConnections: v.openConns,
-			IdleConnections: len(v.idle), OtherEntriesRequests: v.otherEntriesRequests, FailureShare: v.failureShare(now), MeanLatency: v.meanLatency(now),
+			IdleConnections: len(v.idle), OtherEntriesRequests: v.otherEntriesRequests, FailureShare: v.failureShare(now), MeanLatency: v.meanLatency(now), Slowness: v.speed.Lasting(),
 			SaysLeaving: v.withdrawal.Leaving(), PauseLeft: v.withdrawal.PauseLeft(now),
 			Limit: limit.Limit, LimitRate: limit.Rate, LimitTokens: limit.Tokens,
 		})
@@ -302,6 +303,7 @@
 	OtherEntriesRequests float64      `json:"others_requests"`
 	FailureShare         float64      `json:"failure_share"`
 	MeanLatency          float64      `json:"mean_latency_ms"`
+	Slowness             float64      `json:"slowness"`
 	SaysLeaving          bool         `json:"says_leaving"`
 	PauseLeft            clock.Millis `json:"pause_left_ms"`
 	Limit                float64      `json:"limit"`
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/promptcache"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/speed"
 	"github.com/galenaslip/galenaslip/withdrawal"
 )
 
@@ -62,7 +63,8 @@
 	otherEntriesReportedAt        clock.Millis
 	reportedLoad                  float64 // requests of other entries, computed from the server's load report of reportedLoadAt
 	reportedLoadAt                clock.Millis
-	recordedFailureShare          float64 // moving average of the share of failed attempts, 0 to 1, at failureShareAt
+	speed                         speed.Estimate // of this run
+	recordedFailureShare          float64        // moving average of the share of failed attempts, 0 to 1, at failureShareAt
 	failureShareAt                clock.Millis
 	latency                       float64 // mean latency in ms at latencyAt
 	latencyAt                     clock.Millis
