--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -71,6 +71,7 @@
 	forwardedTo      string               // name of the server
 	requirements     requirements         // that the server was chosen for
 	onlyServer       bool                 // no other server could be chosen
+	cacheSource      string               // address of a server from which the server copies cached parts of the prompt; "" for none
 	uncachedTokens   int                  // prompt tokens that the server probably has not cached
 	decodeCost       float64              // estimated work of generating the output, in equivalent prompt tokens (see engine.go)
 	repeatable       bool                 // the request may be sent to another server if this attempt fails
@@ -255,7 +256,7 @@
 	a.head, a.responseInfo, a.body = head, x.relay.options.Protocol.ResponseInfo(head), body
 	a.reusable = strays == 0 && a.responseInfo.ID != "" && x.request.head.Method != http.MethodHead &&
 		!head.ClosesConnection() && !body.EndsWithConnection()
-	x.relay.fleet.recordLoad(a.server, a.responseInfo)
+	x.recordLoad(a)
 	x.recordLeaving(a, head, a.responseInfo)
 	x.recordLimit(a)
 	return true
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -27,6 +26,9 @@
 	// affinityLoadBound limits the cost of a server that is chosen for its cached
 	// prompt parts, as a multiple of the mean cost of all servers.
 	affinityLoadBound = 1.4
+	// copyingLoadBound is affinityLoadBound where a server copies the parts that it lacks: a part at a
+	// further server then costs little.
+	copyingLoadBound = 1.2
 	// minLongShare and maxLongShare bound the share of servers that get the long prompts.
 	minLongShare = 0.3
 	maxLongShare = 0.75
@@ -111,8 +113,8 @@
 
 // pickEngine chooses an engine whose limit allows a request, or returns nil if there is none. It
 // keeps long and short prompts on different servers and requests that share prompt parts on the
-// same servers.
-func (f *fleet) pickEngine(now clock.Millis, req requirements, candidates []*server) *server {
+// same servers. It also returns the servers for prompts of this length.
+func (f *fleet) pickEngine(now clock.Millis, req requirements, candidates []*server) (chosen *server, own []*server) {
 	p := f.pool(req.service)
 	if len(req.excluded) == 0 {
 		p.promptWork.addRequest(now, req) // retries are not counted as new work
@@ -121,13 +123,13 @@
 	// otherwise the division would change with each request.
 	own, others := f.serversForPromptLength(now, p, req.long(), candidates)
 	if allowed := f.withinLimits(now, req, own); len(allowed) > 0 {
-		return f.pickByAffinity(now, req, allowed)
+		return f.pickByAffinity(now, req, allowed), own
 	}
 	allowed := f.withinLimits(now, req, others)
 	if len(allowed) == 0 {
-		return nil
+		return nil, own
 	}
-	return f.pickNearest(now, req, allowed)
+	return f.pickNearest(now, req, allowed), own
 }
 
 // pickByAffinity prefers the servers that probably have the request's prompt parts
@@ -136,9 +138,11 @@
 	if req.affinityPartID == "" {
 		return f.cheapestEngine(now, servers)
 	}
-	total := lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) })
-	bound := affinityLoadBound*total/float64(len(servers)) + float64(req.promptTokens) + req.decodeCost
-	for _, s := range affinityServers(req.affinityPartID, servers) {
+	count, bound := maxPreferredServers, f.affinityBound(now, req, servers)
+	if f.copiesCaches(req.service) {
+		count, bound = maxCopyingServers, copyingLoadBound*f.meanEngineCost(now, servers)+(float64(req.promptTokens)+req.decodeCost)/2
+	}
+	for _, s := range preferredServers(req.affinityPartID, servers, count) {
 		if f.engineCost(now, s) <= bound {
 			return s
 		}
@@ -146,12 +150,21 @@
 	return f.cheapestEngine(now, servers)
 }
 
+// affinityBound returns the cost up to which a server is chosen although others are less busy.
+func (f *fleet) affinityBound(now clock.Millis, req requirements, servers []*server) float64 {
+	return affinityLoadBound*f.meanEngineCost(now, servers) + float64(req.promptTokens) + req.decodeCost
+}
+
+// meanEngineCost returns the mean cost of engines.
+func (f *fleet) meanEngineCost(now clock.Millis, servers []*server) float64 {
+	return lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) }) / float64(len(servers))
+}
+
 // pickNearest chooses a server for a request whose own servers are all at their limits. It prefers
 // those next to them, unless they are much busier than the others, so that few servers get both
 // long and short prompts.
 func (f *fleet) pickNearest(now clock.Millis, req requirements, servers []*server) *server {
-	total := lo.SumBy(servers, func(s *server) float64 { return f.engineCost(now, s) })
-	bound := affinityLoadBound*total/float64(len(servers)) + float64(req.promptTokens) + req.decodeCost
+	bound := f.affinityBound(now, req, servers)
 	for _, s := range servers {
 		if f.engineCost(now, s) <= bound {
 			return s
@@ -160,18 +173,6 @@
 	return f.cheapestEngine(now, servers)
 }
 
-// affinityServers returns the servers for a prompt part, the preferred one first.
-// Every entry computes the same order.
-func affinityServers(part string, servers []*server) []*server {
-	type ranked struct {
-		server *server
-		rank   uint64
-	}
-	ranks := lo.Map(servers, func(s *server, _ int) ranked { return ranked{s, s.affinityRank(part)} })
-	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	return lo.Map(ranks[:min(len(ranks), maxAffinityServers)], func(r ranked, _ int) *server { return r.server })
-}
-
 // cheapestEngine returns the engine with the lowest cost.
 func (f *fleet) cheapestEngine(now clock.Millis, servers []*server) *server {
 	var best *server
@@ -184,10 +185,6 @@
 	return best
 }
 
-// maxAffinityServers is the number of servers that may be chosen for a cached prompt
-// part: if the first is busy, the second is tried.
-const maxAffinityServers = 2
-
 // serversForPromptLength returns the servers for long or for short prompts, and the others, those
 // next to the border first. All entries sort the servers in the same way, so their divisions are
 // nearly the same.
@@ -210,11 +207,11 @@
 	return candidates[longServers:], others
 }
 
-// engineCost estimates the work at an engine, in equivalent prompt tokens. Recent
-// failures of the engine raise the estimate.
+// engineCost estimates the work at an engine, in prompt tokens that an engine of usual speed would process
+// in the same time. Recent failures of the engine raise the estimate.
 func (f *fleet) engineCost(now clock.Millis, s *server) float64 {
 	cost := s.totalUnprocessedTokens(now) + baseRequestCost*(s.load(now)+1) + remainingOutputShare*s.totalDecodeCost(now)
-	return cost * (1 + failureCost*s.failureShare(now))
+	return cost * s.speed.Now(now) * (1 + failureCost*s.failureShare(now))
 }
 
 // estimateDecodeCost estimates the work of generating a request's output, in equivalent
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -44,12 +44,14 @@
 
 func (testProtocol) Forward(h frame.Head, forwardInfo relay.ForwardInfo) []frame.Header {
 	return append(h.EndToEnd(), frame.Header{Name: "Meant", Value: forwardInfo.Server},
-		frame.Header{Name: "Left", Value: strconv.Itoa(int(forwardInfo.TimeLeft))}, frame.Header{Name: "From-Event", Value: forwardInfo.LastEventID})
+		frame.Header{Name: "Left", Value: strconv.Itoa(int(forwardInfo.TimeLeft))}, frame.Header{Name: "From-Event", Value: forwardInfo.LastEventID},
+		frame.Header{Name: "Cache-Source", Value: forwardInfo.CacheSource})
 }
 
 func (testProtocol) ResponseInfo(h frame.Head) relay.ResponseInfo {
 	pause, _ := strconv.Atoi(h.Get("Pause"))
-	info := relay.ResponseInfo{ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving"), RetryAfter: clock.Millis(pause)}
+	info := relay.ResponseInfo{UnknownLoad: h.Get("Unknown-Load"), ID: h.Get("Id"), NotRun: h.Has("Not-Run"), Leaving: h.Has("Leaving"), RetryAfter: clock.Millis(pause)}
+	info.Load.Slowness, _ = strconv.ParseFloat(h.Get("Slowness"), 64)
 	limit, readable := ratelimit.ParseLimit(h.Values("Limit"))
 	info.Limit, info.LimitUnreadable = limit, !readable
 	return info
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -29,6 +29,8 @@
 	streamsCut     prometheus.Counter
 	panics         prometheus.Counter
 	serversRefused prometheus.Counter
+	loadsUnknown   prometheus.Counter
+	cacheSources   prometheus.Counter
 	firstByteTime  *prometheus.HistogramVec
 	totalTime      *prometheus.HistogramVec
 
@@ -56,10 +58,16 @@
 		serversRefused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenaslip_relay_servers_refused_total", Help: "Records of backend servers left out as invalid.",
 		}),
+		loadsUnknown: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenaslip_relay_loads_unknown_total", Help: "Load reports of backend servers whose form is not known in full.",
+		}),
+		cacheSources: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenaslip_relay_cache_sources_total", Help: "Sendings that name another server to copy cached parts of the prompt from.",
+		}),
 		firstByteTime: newHistogram("galenaslip_relay_first_byte_seconds", "Time from a request's arrival to the first byte of its answer."),
 		totalTime:     newHistogram("galenaslip_relay_answer_seconds", "Time from a request's arrival to the end of its answer."),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.serversRefused, m.firstByteTime, m.totalTime)
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.streamsCut, m.panics, m.serversRefused, m.loadsUnknown, m.cacheSources, m.firstByteTime, m.totalTime)
 	m.registry.MustRegister(gauges{r})
 	return m
 }
@@ -207,6 +215,7 @@
 	Silent, Unresponsive, WrongServer               bool
 	Attempts, OpenConnections, IdleConnections      int
 	OtherEntriesRequests, FailureShare, MeanLatency float64
+	Slowness                                        float64      // lasting time that work takes, as a multiple of the usual one
 	SaysLeaving                                     bool         // the server has said in an answer that it leaves
 	PauseLeft                                       clock.Millis // how long the server has asked for no requests
 	Limit                                           float64      // requests a second that the server takes from all entries together; 0 if it has named no limit
@@ -235,7 +244,7 @@
 		s.Servers = append(s.Servers, ServerState{
 			Server: name, Service: v.record.Service, Address: v.record.Address, State: string(v.record.State),
 			Silent: v.record.Silent, Unresponsive: v.unresponsive, WrongServer: v.wrongServer, Attempts: len(v.attempts), OpenConnections: v.openConns,
-			IdleConnections: len(v.idle), OtherEntriesRequests: v.otherEntriesRequests, FailureShare: v.failureShare(now), MeanLatency: v.meanLatency(now),
+			IdleConnections: len(v.idle), OtherEntriesRequests: v.otherEntriesRequests, FailureShare: v.failureShare(now), MeanLatency: v.meanLatency(now), Slowness: v.speed.Lasting(),
 			SaysLeaving: v.withdrawal.Leaving(), PauseLeft: v.withdrawal.PauseLeft(now),
 			Limit: limit.Limit, LimitRate: limit.Rate, LimitTokens: limit.Tokens,
 		})
@@ -294,6 +303,7 @@
 	OtherEntriesRequests float64      `json:"others_requests"`
 	FailureShare         float64      `json:"failure_share"`
 	MeanLatency          float64      `json:"mean_latency_ms"`
+	Slowness             float64      `json:"slowness"`
 	SaysLeaving          bool         `json:"says_leaving"`
 	PauseLeft            clock.Millis `json:"pause_left_ms"`
 	Limit                float64      `json:"limit"`
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/promptcache"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/speed"
 	"github.com/galenaslip/galenaslip/withdrawal"
 )
 
@@ -62,7 +63,8 @@
 	otherEntriesReportedAt        clock.Millis
 	reportedLoad                  float64 // requests of other entries, computed from the server's load report of reportedLoadAt
 	reportedLoadAt                clock.Millis
-	recordedFailureShare          float64 // moving average of the share of failed attempts, 0 to 1, at failureShareAt
+	speed                         speed.Estimate // of this run
+	recordedFailureShare          float64        // moving average of the share of failed attempts, 0 to 1, at failureShareAt
 	failureShareAt                clock.Millis
 	latency                       float64 // mean latency in ms at latencyAt
 	latencyAt                     clock.Millis
@@ -168,9 +170,3 @@
 	s.backOff = min(max(2*s.backOff, minBackOff), maxBackOff)
 	s.blockedUntil = now + s.backOff
 }
-
-// affinityRank returns the server's rank for the prompt part with the given ID; the
-// highest rank is preferred. Every entry computes the same rank (rendezvous hashing).
-func (s *server) affinityRank(part string) uint64 {
-	return xxhash.Sum64String(part + "\x00" + s.record.Server)
-}
