speed: the median is computed when a sample is recorded

Cause: the cost of each engine is estimated for each request, and each estimate sorted the samples of that engine.

Change: the median is kept; a choice among a hundred engines sorts nothing and allocates nothing.

--- a/speed/speed.go
+++ b/speed/speed.go
@@ -29,6 +29,7 @@
 	recent   [samples]float64 // newest samples, as a ring
 	count    int              // samples so far
 	sampleAt clock.Millis     // begin of the newest sample
+	lasting  float64          // median of the samples
 	latest   float64          // newest value
 	latestAt clock.Millis
 }
@@ -43,10 +44,19 @@
 	if e.count > 0 && now-e.sampleAt < sampleInterval {
 		newest := &e.recent[(e.count-1)%samples]
 		*newest = min(*newest, slowness)
-		return
+	} else {
+		e.recent[e.count%samples] = slowness
+		e.count, e.sampleAt = e.count+1, now
 	}
-	e.recent[e.count%samples] = slowness
-	e.count, e.sampleAt = e.count+1, now
+	e.lasting = e.median()
+}
+
+// median returns the median of the samples.
+func (e *Estimate) median() float64 {
+	known := e.recent // a copy
+	inUse := known[:min(e.count, samples)]
+	slices.Sort(inUse)
+	return inUse[(len(inUse)-1)/2]
 }
 
 // Lasting returns the lasting slowness, or 1 if nothing is known.
@@ -54,9 +64,7 @@
 	if e.count == 0 {
 		return 1
 	}
-	known := slices.Clone(e.recent[:min(e.count, samples)])
-	slices.Sort(known)
-	return known[(len(known)-1)/2]
+	return e.lasting
 }
 
 // Now returns the slowness at the present moment: that of the newest report if it is young enough, and
