--- a/quarantine/cost_test.go
+++ b/quarantine/cost_test.go
@@ -221,3 +221,33 @@
 		t.Errorf("requests of %d that wait for a silent server: got %d, want at most one a server, %d", seconds*perSecond, waited, maxWaiting)
 	}
 }
+
+// Guards against records that a former build never learns, because it sends a position back without the part
+// of it that stands for urgent records, and against reports to it that never end.
+func TestFormerBuildLearnsAll(t *testing.T) {
+	other, q := newQuarantine("other"), newQuarantine("a")
+	for i := range 300 {
+		for end := range 1 + i%3 {
+			other.RecordEnd(digestSubject(fmt.Sprint(i)), run(i+end), quarantine.Loss{At: clock.Second, Begun: true})
+		}
+	}
+	q.Merge(clock.Second, all(other, clock.Second))
+	known := map[quarantine.Key]int{}
+	position, reports := gossip.Position{}, 0
+	for ; reports < 100; reports++ {
+		report, next := q.Report(clock.Second, position)
+		if report.IsEmpty() {
+			break
+		}
+		for _, e := range report.Ends {
+			known[e.Key]++
+		}
+		position = gossip.Position{Instance: next.Instance, Number: next.Number}
+	}
+	if got, want := len(known), 300; got != want {
+		t.Errorf("requests that a former build has been told of in %d reports: got %d, want %d", reports, got, want)
+	}
+	if _, end := allSince(q, clock.Second, gossip.Position{}); position.Number != end.Number {
+		t.Errorf("position of a former build after %d reports: got %d, want %d", reports, position.Number, end.Number)
+	}
+}
