duty: calls that one member at a time makes, with a fence, a budget and typed outcomes

The platform wants reports of usage and orders for servers from one node at a time. The holder is the leader of the control group while it holds its lease, checked before the first byte of each call; a new holder waits for the lease time of holders first. Off without the settings duties and duty_address.

--- a/control/control.go
+++ b/control/control.go
@@ -61,8 +61,10 @@
 	OperatorToken       string // when empty, operators are served on loopback addresses only, without a token
 	PeerToken           string // when empty, peers are served on loopback addresses only, without a token
 	ModelLoadsPerMinute int    // maximum rate of model loads from the weight store; DefaultModelLoadsPerMinute when 0
-	Clock               clock.Clock
-	Logger              event.Logger
+	// Duties are the calls that one member at a time makes; none when nil.
+	Duties *DutyOptions
+	Clock  clock.Clock
+	Logger event.Logger
 	// OpenLog opens the replicated log and returns its release function. Tests set
 	// it; the real log is opened when nil.
 	OpenLog func(options replica.Options) (Log, func(), error)
@@ -99,6 +101,7 @@
 	compressor          documentCompressor
 	delegate            *delegate
 	forwarder           *announcementForwarder
+	duties              *duties         // nil if this member makes no such calls
 	changed             *changeNotifier // notified when the answers to watches have changed
 	reported            *changeNotifier // notified when an entry has reported what it knows
 	refusalLog          *event.Limiter  // for servers that are left out as invalid
@@ -147,6 +150,7 @@
 	c.placementController = newPlacementController(c)
 	c.delegate = newDelegate(c)
 	c.forwarder = newAnnouncementForwarder(c)
+	c.duties = newDuties(c)
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
 	if err := c.openLogOrWait(); err != nil {
@@ -163,6 +167,7 @@
 	c.startTask(func() { c.maintainVersions(ctx) })
 	c.startTask(func() { c.delegate.run(ctx) })
 	c.startTask(func() { c.forwarder.run(ctx) })
+	c.startTask(func() { c.duties.run(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
 	return c, c.release, nil
 }
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/duty"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
@@ -292,6 +293,7 @@
 	MessagesSent   uint64            `json:"messages_sent"`
 	MessagesFailed uint64            `json:"messages_failed"`
 	Placement      wirePlacement     `json:"placement"`
+	Duties         *duty.State       `json:"duties,omitempty"`
 }
 
 // wireLeasedEntry is an entry that holds a configuration lease. Claims is the
@@ -322,7 +324,7 @@
 		DiskFailure: errorText(status.DiskFailure), DiskFailures: status.DiskFailures,
 		Group: c.members(), State: c.machine.summary(),
 		MessagesSent: c.peerClient.messagesSent.Load(), MessagesFailed: c.peerClient.messagesFailed.Load(),
-		Placement: toWirePlacement(*c.placementController.view.Load()),
+		Placement: toWirePlacement(*c.placementController.view.Load()), Duties: c.duties.state(),
 		Entries: lo.Map(c.leaderTasks.renewals(), func(r lease.Renewal, _ int) wireLeasedEntry {
 			return wireLeasedEntry{r.Entry, r.Incarnation, r.Address, r.Revision, r.Leaving, r.Claims}
 		}),
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/duty"
 	"github.com/galenaslip/galenaslip/placement"
 	"github.com/galenaslip/galenaslip/replica"
 )
@@ -23,6 +24,7 @@
 	ordersRefused  *prometheus.CounterVec
 	ordersDone     *prometheus.CounterVec
 	serversRefused prometheus.Counter
+	dutyCalls      *prometheus.CounterVec
 }
 
 func newMetrics(c *Control) *metrics {
@@ -49,9 +51,16 @@
 		ordersSent:     counterByKind("orders_sent_total", "Orders written to an engine, repetitions included."),
 		ordersRefused:  counterByKind("orders_refused_total", "Orders refused for a stale fencing token."),
 		ordersDone:     counterByKind("orders_done_total", "Orders whose effect a report has shown."),
+		dutyCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenaslip_control_duty_calls_total", Help: "Calls that one member at a time makes, by duty and outcome.",
+		}, []string{"duty", "outcome"}),
 	}
 	m.registry.MustRegister(m.requests, m.unauthorized, m.forwarded, m.renewals, m.serversRefused)
 	m.registry.MustRegister(m.ordersSent, m.ordersRefused, m.ordersDone)
+	for _, o := range duty.Outcomes {
+		m.dutyCalls.WithLabelValues(dutyUsage, o.String())
+	}
+	m.registry.MustRegister(m.dutyCalls)
 	m.registerGauges(c)
 	return m
 }
--- a/event/control.go
+++ b/event/control.go
@@ -20,5 +20,6 @@
 	HeartbeatsDropped      = define(314, "heartbeats_dropped", Warn, "Heartbeats that another member acknowledged came to a member that does not lead.")
 	ServerRefused          = define(317, "server_refused", Warn, "Announcements or records of backend servers describe no usable server and were left out; at most one line in ten seconds.")
 	VersionsChanged        = define(318, "versions_changed", Info, "A software version of a service's backend servers is in service for the first time, or its streams can no longer be taken up.")
+	DutyCallFailed         = define(319, "duty_call_failed", Warn, "A call that one member at a time makes was not accepted; it is made again; at most one line a second.")
 	DelegateChanged        = define(315, "delegate_changed", Info, "An entry watches another control member.")
 )
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -46,6 +46,14 @@
 found: true
 `
 
+const memberWithDuties = validMember + `duties: [metering, other]
+duty_address: 10.0.0.9:8000
+duty_calls_per_s: 50
+duty_lease_ms: 3000
+usage_window_s: 5
+usage_late_s: 10
+`
+
 // Guards against an invalid setting that is accepted, and against an error message
 // that does not name the line and the key.
 func TestCheck(t *testing.T) {
@@ -77,6 +85,17 @@
 		{name: "wrong type", content: validRelay + "retry_slack: many\n", want: "9:"},
 		{name: "foundation without seeds", content: strings.Replace(validMember, `["10.0.0.1:8083"]`, "[]", 1), want: ":7: a group"},
 		{name: "member without a folder", content: strings.Replace(validMember, "data_folder: /var/lib/galenaslip\n", "", 1), want: "data_folder"},
+		{name: "duties", content: memberWithDuties},
+		{name: "duties that are not known", content: validMember + "duties: [other]\nduty_address: 10.0.0.9:8000\n"},
+		{name: "relay that counts usage", content: validRelay + "usage_window_s: 5\n"},
+		{name: "relay with a negative window", content: validRelay + "usage_window_s: -5\n", want: ":9: usage_window_s -5"},
+		{name: "window of a part of a millisecond", content: strings.Replace(memberWithDuties, "usage_window_s: 5", "usage_window_s: 5.0005", 1), want: ":14: usage_window_s 5.0005"},
+		{name: "duties without a receiver", content: strings.Replace(memberWithDuties, "duty_address: 10.0.0.9:8000\n", "", 1), want: "duty_address is missing"},
+		{name: "receiver with a host name", content: strings.Replace(memberWithDuties, "10.0.0.9:8000", "platform:8000", 1), want: ":11: duties are listed, but duty_address \"platform:8000\""},
+		{name: "no duty calls", content: strings.Replace(memberWithDuties, "duty_calls_per_s: 50", "duty_calls_per_s: 0", 1), want: ":12: duty_calls_per_s 0"},
+		{name: "usage without a window", content: strings.Replace(memberWithDuties, "usage_window_s: 5\n", "", 1), want: "usage_window_s 0"},
+		{name: "usage that is never due", content: strings.Replace(memberWithDuties, "usage_late_s: 10", "usage_late_s: 0", 1), want: ":15: usage_late_s 0"},
+		{name: "usage that a successor cannot report in time", content: strings.Replace(memberWithDuties, "usage_late_s: 10", "usage_late_s: 3", 1), want: ":15: usage_late_s 3 is not longer than duty_lease_ms 3000"},
 		{name: "not YAML", content: "role: [", want: "s.yaml"},
 		{name: "empty", content: "", want: "role"},
 	}
--- a/setting/site.go
+++ b/setting/site.go
@@ -65,6 +65,9 @@
 	RetryRatio      float64
 	RetryWindow     clock.Millis
 	MaxExtraRetries int
+	// UsageWindow is the length of the windows in which the relay counts the requests of workspaces; it
+	// counts none when 0.
+	UsageWindow clock.Millis
 }
 
 // GroupMember holds the settings of a member of the control group.
@@ -75,6 +78,7 @@
 	// CreateGroup makes the member found a new group with the other seeds. It is true when
 	// the whole system starts for the first time.
 	CreateGroup bool
+	Duties      Duties
 }
 
 type wireNode struct {
@@ -102,14 +106,16 @@
 	RetryRatio      float64  `yaml:"retry_ratio"`
 	RetryWindowS    float64  `yaml:"retry_window_s"`
 	MaxExtraRetries int      `yaml:"retry_slack"`
+	UsageWindowS    float64  `yaml:"usage_window_s"`
 }
 
 // wireGroupMember is GroupMember in YAML.
 type wireGroupMember struct {
-	Node        wireNode `yaml:",inline"`
-	Listen      string   `yaml:"listen"`
-	DataFolder  string   `yaml:"data_folder"`
-	CreateGroup bool     `yaml:"found"` // the key means: found a new group
+	Node        wireNode   `yaml:",inline"`
+	Listen      string     `yaml:"listen"`
+	DataFolder  string     `yaml:"data_folder"`
+	CreateGroup bool       `yaml:"found"` // the key means: found a new group
+	Duties      wireDuties `yaml:",inline"`
 }
 
 // defaultNode returns the values of keys that a settings file leaves out.
@@ -146,6 +152,7 @@
 	r := Relay{
 		Node: w.Node.toSettings(), Listen: w.Listen, ReadyListen: w.ReadyListen, StateListen: w.StateListen,
 		RetryRatio: w.RetryRatio, RetryWindow: secondsToMillis(w.RetryWindowS), MaxExtraRetries: w.MaxExtraRetries,
+		UsageWindow: secondsToMillis(w.UsageWindowS),
 	}
 	return r, d.checkRelay(w)
 }
@@ -156,11 +163,11 @@
 	if err != nil {
 		return GroupMember{}, err
 	}
-	w := wireGroupMember{Node: defaultNode()}
+	w := wireGroupMember{Node: defaultNode(), Duties: defaultDuties()}
 	if err := d.decode(&w); err != nil {
 		return GroupMember{}, err
 	}
-	m := GroupMember{Node: w.Node.toSettings(), Listen: w.Listen, DataFolder: w.DataFolder, CreateGroup: w.CreateGroup}
+	m := GroupMember{Node: w.Node.toSettings(), Listen: w.Listen, DataFolder: w.DataFolder, CreateGroup: w.CreateGroup, Duties: w.Duties.toSettings()}
 	return m, d.checkGroupMember(w)
 }
 
@@ -216,6 +223,11 @@
 	if w.RetryRatio < 0 || w.RetryWindowS <= 0 {
 		return d.errorAt("$.retry_ratio", "retry_ratio %g or retry_window_s %g is out of range", w.RetryRatio, w.RetryWindowS)
 	}
+	if w.UsageWindowS != 0 {
+		if err := d.checkUsageWindow(w.UsageWindowS); err != nil {
+			return err
+		}
+	}
 	return d.checkRanges([]numberRange{
 		{"retry_slack", int64(w.MaxExtraRetries), 0, 1_000_000},
 	})
@@ -238,5 +250,8 @@
 	if w.CreateGroup && len(w.Node.Seeds) == 0 {
 		return d.errorAt("$.seeds", "a group cannot be founded without seeds")
 	}
+	if err := d.checkDuties(w.Duties); err != nil {
+		return err
+	}
 	return d.checkListen(map[string]string{"listen": w.Listen})
 }
