metering: requests of workspaces are counted by windows and reported once

Relays count the requests that servers began to run and tell totals with each watch. The leader merges them, decides each window in the replicated log before the first call, and sends decided reports with its fence until they are accepted; a successor sends the same content. Off without usage_window_s and the duty metering.

--- a/control/codec.go
+++ b/control/codec.go
@@ -12,6 +12,7 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/continuation"
+	"github.com/galenaslip/galenaslip/metering"
 	"github.com/galenaslip/galenaslip/outcome"
 	"github.com/galenaslip/galenaslip/placement"
 	"github.com/galenaslip/galenaslip/roster"
@@ -30,6 +31,7 @@
 	document       *catalog.Document
 	versions       []continuation.Change
 	departures     []roster.Announcement
+	usage          *metering.Command
 }
 
 // wireCommand is the JSON form of command.
@@ -43,7 +45,8 @@
 	Document *wireDocument             `json:"document,omitempty"`
 	Versions []continuation.WireChange `json:"versions,omitempty"`
 
-	Departures wireServers `json:"departures,omitempty"`
+	Departures wireServers           `json:"departures,omitempty"`
+	Usage      *metering.WireCommand `json:"usage,omitempty"`
 }
 
 // wireChangeRequest is the body of a configuration change request.
@@ -104,6 +107,9 @@
 	w.Document = (*wireDocument)(c.document)
 	w.Versions = lo.Map(c.versions, func(c continuation.Change, _ int) continuation.WireChange { return continuation.ToWireChange(c) })
 	w.Departures = toWireAnnouncements(c.departures)
+	if c.usage != nil {
+		w.Usage = lo.ToPtr(metering.ToWireCommand(*c.usage))
+	}
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -124,8 +130,11 @@
 	c.document = (*catalog.Document)(w.Document)
 	c.versions = lo.Map(w.Versions, func(w continuation.WireChange, _ int) continuation.Change { return w.Change() })
 	c.departures, _ = fromWireAnnouncements(w.Departures)
-	if err == nil && c.change == nil && c.claim == nil && c.document == nil && len(c.versions) == 0 && len(c.departures) == 0 {
-		err = errors.New("command contains no change, claim, document, versions or departures")
+	if w.Usage != nil {
+		c.usage = lo.ToPtr(w.Usage.Command())
+	}
+	if err == nil && c.change == nil && c.claim == nil && c.document == nil && len(c.versions) == 0 && len(c.departures) == 0 && c.usage == nil {
+		err = errors.New("command contains no change, claim, document, versions, departures or usage")
 	}
 	return c, err
 }
--- a/control/control.go
+++ b/control/control.go
@@ -102,6 +102,7 @@
 	delegate            *delegate
 	forwarder           *announcementForwarder
 	duties              *duties         // nil if this member makes no such calls
+	usage               *usageReports   // nil if this member reports no usage
 	changed             *changeNotifier // notified when the answers to watches have changed
 	reported            *changeNotifier // notified when an entry has reported what it knows
 	refusalLog          *event.Limiter  // for servers that are left out as invalid
@@ -148,9 +149,9 @@
 	c.peerClient = newPeerClient(options.PeerToken)
 	c.leaderTasks = newLeaderTasks(c)
 	c.placementController = newPlacementController(c)
+	c.duties, c.usage = newDuties(c), newUsageReports(c)
 	c.delegate = newDelegate(c)
 	c.forwarder = newAnnouncementForwarder(c)
-	c.duties = newDuties(c)
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
 	if err := c.openLogOrWait(); err != nil {
@@ -168,6 +169,7 @@
 	c.startTask(func() { c.delegate.run(ctx) })
 	c.startTask(func() { c.forwarder.run(ctx) })
 	c.startTask(func() { c.duties.run(ctx) })
+	c.startTask(func() { c.usage.run(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
 	return c, c.release, nil
 }
--- a/control/delegate.go
+++ b/control/delegate.go
@@ -48,6 +48,7 @@
 	d.watcher = NewWatcher(WatcherOptions{
 		Entry: "member " + c.options.Advertise, Token: c.options.PeerToken, Delegate: lo.ToPtr(c.delegationMember()), Seeds: d.leader,
 		Clock: c.options.Clock, Logger: c.options.Logger, Update: d.update, Report: d.report, Quarantine: c.quarantine, Limits: c.limits,
+		Usage: c.usage.ownBook(),
 	})
 	return d
 }
--- a/control/duties.go
+++ b/control/duties.go
@@ -26,6 +26,7 @@
 	Holder         string       // name of this machine in calls
 	HolderLease    clock.Millis // see duty.Options
 	CallsPerSecond float64
+	Usage          *UsageOptions // reports of usage; none when nil
 }
 
 // dutyCall makes one call with a fence. It asks mayAct directly before it sends the first byte, and
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -294,6 +294,7 @@
 	MessagesFailed uint64            `json:"messages_failed"`
 	Placement      wirePlacement     `json:"placement"`
 	Duties         *duty.State       `json:"duties,omitempty"`
+	Usage          *wireUsage        `json:"usage,omitempty"`
 }
 
 // wireLeasedEntry is an entry that holds a configuration lease. Claims is the
@@ -324,7 +325,7 @@
 		DiskFailure: errorText(status.DiskFailure), DiskFailures: status.DiskFailures,
 		Group: c.members(), State: c.machine.summary(),
 		MessagesSent: c.peerClient.messagesSent.Load(), MessagesFailed: c.peerClient.messagesFailed.Load(),
-		Placement: toWirePlacement(*c.placementController.view.Load()), Duties: c.duties.state(),
+		Placement: toWirePlacement(*c.placementController.view.Load()), Duties: c.duties.state(), Usage: c.usage.state(),
 		Entries: lo.Map(c.leaderTasks.renewals(), func(r lease.Renewal, _ int) wireLeasedEntry {
 			return wireLeasedEntry{r.Entry, r.Incarnation, r.Address, r.Revision, r.Leaving, r.Claims}
 		}),
--- a/control/machine.go
+++ b/control/machine.go
@@ -12,12 +12,13 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
 	"github.com/galenaslip/galenaslip/continuation"
+	"github.com/galenaslip/galenaslip/metering"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
 // Machine is the replicated state machine of the control group. It holds the
-// configuration, the catalog, the claims, and the versions and departures of backend
-// servers. It is safe for concurrent use: handlers read it while the log applies entries.
+// configuration, the catalog, the claims, the versions and departures of backend servers, and
+// the usage reports. It is safe for concurrent use: handlers read it while the log applies entries.
 type Machine struct {
 	mu              sync.RWMutex
 	configurations  *configuration.Machine
@@ -25,6 +26,7 @@
 	claims          *claim.Machine
 	versions        continuation.Table
 	departures      roster.Departures
+	usage           metering.State
 	onCatalogChange func() // called without mu after a command that may have changed the catalog
 }
 
@@ -76,11 +78,15 @@
 		})...)
 		return nil, nil
 	}
+	if c.usage != nil {
+		m.usage.Apply(*c.usage)
+		return nil, nil
+	}
 	return claim.EncodeResult(m.claims.Apply(c.proposedAt, c.claim))
 }
 
 // Snapshot returns the encoded state: the configuration, the catalog, the claims, the
-// versions and the departures, each preceded by its length as an unsigned varint.
+// versions, the departures and the usage reports, each preceded by its length as an unsigned varint.
 func (m *Machine) Snapshot() []byte {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -96,8 +102,12 @@
 	if err != nil {
 		panic(err) // cannot happen: every state can be encoded
 	}
+	usage, err := m.usage.Encode()
+	if err != nil {
+		panic(err) // cannot happen: every state can be encoded
+	}
 	var data []byte
-	for _, section := range [][]byte{configurations, m.catalogs.Snapshot(), m.claims.Snapshot(), versions, departures} {
+	for _, section := range [][]byte{configurations, m.catalogs.Snapshot(), m.claims.Snapshot(), versions, departures, usage} {
 		data = binary.AppendUvarint(data, uint64(len(section)))
 		data = append(data, section...)
 	}
@@ -128,7 +138,7 @@
 		}
 		snapshot = rest
 	}
-	versions, departures, err := restoreServers(snapshot)
+	versions, departures, usage, err := restoreNewer(snapshot)
 	if err != nil {
 		return err
 	}
@@ -136,12 +146,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.configurations, m.catalogs, m.claims, m.versions, m.departures = configurations, catalogs, claims, versions, departures
+	m.usage = usage
 	return nil
 }
 
-// restoreServers returns the versions and departures in the last sections of a snapshot. A snapshot of a
-// former build lacks the departures, or both.
-func restoreServers(snapshot []byte) (versions continuation.Table, departures roster.Departures, err error) {
+// restoreNewer returns the versions, departures and usage reports in the last sections of a snapshot. A
+// snapshot of a former build lacks the last of them, or all.
+func restoreNewer(snapshot []byte) (versions continuation.Table, departures roster.Departures, usage metering.State, err error) {
 	var section []byte
 	if len(snapshot) > 0 {
 		if section, snapshot, err = nextSection(snapshot); err == nil {
@@ -149,11 +160,16 @@
 		}
 	}
 	if err == nil && len(snapshot) > 0 {
-		if section, _, err = nextSection(snapshot); err == nil {
+		if section, snapshot, err = nextSection(snapshot); err == nil {
 			departures, err = decodeDepartures(section)
 		}
 	}
-	return versions, departures, err
+	if err == nil && len(snapshot) > 0 {
+		if section, _, err = nextSection(snapshot); err == nil {
+			usage, err = metering.DecodeState(section)
+		}
+	}
+	return versions, departures, usage, err
 }
 
 // Departures returns the acknowledged departures of backend servers.
@@ -163,6 +179,20 @@
 	return m.departures
 }
 
+// Usage returns the state of the usage reports.
+func (m *Machine) Usage() metering.State {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.usage.Clone()
+}
+
+// usageNext returns the first window of usage that is not decided.
+func (m *Machine) usageNext() metering.Window {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.usage.Next()
+}
+
 // Versions returns the versions of backend servers at which streams may have begun.
 func (m *Machine) Versions() continuation.Table {
 	m.mu.RLock()
@@ -222,7 +252,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.configurations, m.catalogs, m.claims = configuration.NewMachine(), &catalog.Machine{}, claim.NewMachine()
-	m.versions, m.departures = continuation.Table{}, roster.Departures{}
+	m.versions, m.departures, m.usage = continuation.Table{}, roster.Departures{}, metering.State{}
 }
 
 // summary describes the state machine in /debug/state and in the metrics. Stops
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -101,6 +101,11 @@
 	gauge("servers", "Backend servers that this member has a record of as the leader, gone ones included.", func() float64 {
 		return float64(c.serverRegistry.count())
 	})
+	gauge("usage_pending", "Usage reports that are decided and were not accepted yet.", func() float64 {
+		state := c.machine.Usage()
+		return float64(len(state.Pending()))
+	})
+	gauge("usage_next_window", "First window of usage that is not decided; 0 before the first one.", func() float64 { return float64(c.machine.usageNext()) })
 	gauge("messages_failed", "Replication messages not delivered.", func() float64 { return float64(c.peerClient.messagesFailed.Load()) })
 }
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -9,6 +9,7 @@
 	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/gossip"
+	"github.com/galenaslip/galenaslip/metering"
 	"github.com/galenaslip/galenaslip/propagation"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
@@ -64,6 +65,11 @@
 	VersionsKnown uint64
 	// Share asks for a part of these limits; nil in requests of the former build.
 	Share *ShareReport
+	// CountsUsage is set by senders that count usage. Usage is what they have counted since their latest
+	// request, and TimeOfDay their time of day.
+	CountsUsage bool
+	Usage       metering.Report
+	TimeOfDay   clock.Millis
 	// Delegate is set in the request of a member. The fields after it are set by members.
 	Delegate             *delegation.Member
 	EntryCount           int                   // number of entries that watch the member
@@ -124,6 +130,11 @@
 	// WatchRequest.LimitsKnown. Both are set without a grant, too.
 	Limits         ratelimit.Report
 	LimitsPosition gossip.Position
+	// UsagePosition is the position of the member's counts. UsageNext is the first window that is not
+	// decided, and UnixTime the time by which windows are counted; 0 if it is not known.
+	UsagePosition gossip.Position
+	UsageNext     metering.Window
+	UnixTime      clock.Millis
 	// Versions is the table of versions; nil if the entry knows it.
 	Versions *continuation.Table
 	// Share is the entry's part of these limits, which holds with the lease of this response; nil
@@ -148,6 +159,7 @@
 	c.propagation.report(receivedAt, watch)
 	c.quarantine.Merge(receivedAt, watch.Quarantine)
 	c.limits.Merge(receivedAt, watch.Limits)
+	c.usage.receive(receivedAt, watch)
 	c.shares.report(receivedAt, watch)
 	c.reported.notify()
 	if len(watch.Heartbeats) > 0 {
@@ -287,6 +299,7 @@
 	now := c.options.Clock.Now()
 	response.Quarantine, response.QuarantinePosition = c.quarantine.Report(now, watch.QuarantineKnown)
 	response.Limits, response.LimitsPosition = c.limits.Report(now, watch.LimitsKnown)
+	c.usage.complete(now, watch, &response)
 	if response.Document == nil || !watch.AcceptsCompression {
 		return respond(f)(encodeWatchResponse(response, nil))
 	}
--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/continuation"
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/gossip"
+	"github.com/galenaslip/galenaslip/metering"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/replica"
@@ -44,6 +45,48 @@
 	LimitsKnown   gossip.WirePosition      `json:"limits_known"`
 	VersionsKnown uint64                   `json:"versions_known,omitempty"`
 	Share         *wireShareReport         `json:"share,omitempty"`
+	Usage         *wireUsageReport         `json:"usage,omitempty"`
+}
+
+// wireUsageReport is what a sender that counts usage tells.
+type wireUsageReport struct {
+	Instances []metering.WireInstance `json:"n,omitempty"`
+	TimeOfDay clock.Millis            `json:"t"`
+}
+
+func toWireUsageReport(watch WatchRequest) *wireUsageReport {
+	if !watch.CountsUsage {
+		return nil
+	}
+	return &wireUsageReport{Instances: metering.ToWire(watch.Usage), TimeOfDay: watch.TimeOfDay}
+}
+
+// setUsage sets the fields of a watch; w is nil if the sender counts nothing.
+func (w *wireUsageReport) setUsage(watch *WatchRequest) {
+	if w != nil {
+		watch.CountsUsage, watch.Usage, watch.TimeOfDay = true, metering.FromWire(w.Instances), w.TimeOfDay
+	}
+}
+
+// wireUsageAnswer is what the answer to a sender that counts usage adds.
+type wireUsageAnswer struct {
+	Position gossip.WirePosition `json:"position"`
+	Next     metering.Window     `json:"next,omitempty"`
+	UnixTime clock.Millis        `json:"unix_ms,omitempty"`
+}
+
+func toWireUsageAnswer(response WatchResponse) *wireUsageAnswer {
+	if response.UsagePosition == (gossip.Position{}) {
+		return nil
+	}
+	return &wireUsageAnswer{Position: gossip.WirePosition(response.UsagePosition), Next: response.UsageNext, UnixTime: response.UnixTime}
+}
+
+// setUsage sets the fields of a response; w is nil if the member reports no usage.
+func (w *wireUsageAnswer) setUsage(response *WatchResponse) {
+	if w != nil {
+		response.UsagePosition, response.UsageNext, response.UnixTime = gossip.Position(w.Position), w.Next, w.UnixTime
+	}
 }
 
 // wireShareReport is the JSON form of ShareReport.
@@ -131,6 +174,7 @@
 	LimitsPosition gossip.WirePosition      `json:"limits_position"`
 	Versions       *continuation.WireTable  `json:"versions,omitempty"`
 	Share          *ratelimit.WireGrant     `json:"share,omitempty"`
+	Usage          *wireUsageAnswer         `json:"usage,omitempty"`
 }
 
 func encodeWatch(watch WatchRequest) ([]byte, error) {
@@ -141,6 +185,7 @@
 		Acknowledged: watch.Acknowledged, AcknowledgedRevision: watch.AcknowledgedRevision, Heartbeats: toWireAnnouncements(watch.Heartbeats),
 		Quarantine: quarantine.ToWire(watch.Quarantine), QuarantineKnown: gossip.WirePosition(watch.QuarantineKnown),
 		Limits: ratelimit.ToWire(watch.Limits), LimitsKnown: gossip.WirePosition(watch.LimitsKnown), Share: toWireShareReport(watch.Share), VersionsKnown: watch.VersionsKnown,
+		Usage: toWireUsageReport(watch),
 	})
 	return data, errors.WithStack(err)
 }
@@ -151,14 +196,16 @@
 		return WatchRequest{}, errors.Wrap(err, "decoding a watch")
 	}
 	heartbeats, refused := fromWireAnnouncements(w.Heartbeats)
-	return WatchRequest{
+	watch := WatchRequest{
 		Entry: w.Entry, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position, MaxWait: w.MaxWait,
 		Loads: fromWireLoads(w.Loads), Demands: fromWireDemands(w.Demands),
 		LoadsKept: w.LoadsKept, AcceptsDelegation: w.AcceptsDelegation, AcceptsCompression: w.AcceptsCompressed, Delegate: (*delegation.Member)(w.Delegate), EntryCount: w.EntryCount,
 		Acknowledged: w.Acknowledged, AcknowledgedRevision: w.AcknowledgedRevision, Heartbeats: heartbeats, RefusedHeartbeats: refused,
 		Quarantine: w.Quarantine.Report(), QuarantineKnown: gossip.Position(w.QuarantineKnown),
 		Limits: ratelimit.FromWire(w.Limits), LimitsKnown: gossip.Position(w.LimitsKnown), Share: w.Share.report(), VersionsKnown: w.VersionsKnown,
-	}, nil
+	}
+	w.Usage.setUsage(&watch)
+	return watch, nil
 }
 
 // encodeWatchResponse encodes a response. If compressed is not nil, it takes the place of the
@@ -174,6 +221,7 @@
 		Quarantine: quarantine.ToWire(response.Quarantine), QuarantinePosition: gossip.WirePosition(response.QuarantinePosition),
 		Limits: ratelimit.ToWire(response.Limits), LimitsPosition: gossip.WirePosition(response.LimitsPosition),
 		Delegates: lo.Map(response.Delegates, func(m delegation.Member, _ int) wireDelegate { return wireDelegate(m) }),
+		Usage:     toWireUsageAnswer(response),
 	}
 	if response.Versions != nil {
 		w.Versions = lo.ToPtr(continuation.ToWire(*response.Versions))
@@ -210,7 +258,7 @@
 	if w.Share != nil {
 		share = lo.ToPtr(w.Share.Grant())
 	}
-	return WatchResponse{
+	response := WatchResponse{
 		Granted: w.Granted, Leader: w.Leader, Term: w.Term, Revision: w.Revision, Epoch: w.Epoch, Position: w.Position,
 		EntryCount: w.EntryCount, Members: w.Members, Loads: fromWireLoads(w.Loads),
 		Demands:  fromWireDemands(w.Demands),
@@ -222,5 +270,7 @@
 		Quarantine: w.Quarantine.Report(), QuarantinePosition: gossip.Position(w.QuarantinePosition),
 		Limits: ratelimit.FromWire(w.Limits), LimitsPosition: gossip.Position(w.LimitsPosition), Share: share, Versions: versions,
 		Delegates: lo.Map(w.Delegates, func(d wireDelegate, _ int) delegation.Member { return delegation.Member(d) }),
-	}, nil
+	}
+	w.Usage.setUsage(&response)
+	return response, nil
 }
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -14,6 +14,7 @@
 	"github.com/galenaslip/galenaslip/delegation"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/gossip"
+	"github.com/galenaslip/galenaslip/metering"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/roster"
@@ -56,6 +57,8 @@
 	Quarantine *quarantine.Quarantine
 	// Limits are exchanged with the member that is asked.
 	Limits *ratelimit.Limits
+	// Usage is what is told of usage; nothing when nil.
+	Usage *metering.Book
 	// Report returns what the next request reports. It is called from the goroutine of Run
 	// before each request.
 	Report func() Report
@@ -91,6 +94,7 @@
 	confirmedSource string       // address that sent the latest granted response; empty after a failure
 	quarantine      gossip.Exchange[quarantine.Report]
 	limits          gossip.Exchange[ratelimit.Report]
+	usage           gossip.Exchange[metering.Report]
 	refusalLog      *event.Limiter
 	failures        int // watches that failed or were not granted since the latest granted one
 }
@@ -104,7 +108,7 @@
 		options.Limits = ratelimit.NewLimits()
 	}
 	return &Watcher{
-		options: options, limits: gossip.NewExchange[ratelimit.Report](options.Limits), quarantine: gossip.NewExchange[quarantine.Report](options.Quarantine), peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
+		options: options, limits: gossip.NewExchange[ratelimit.Report](options.Limits), quarantine: gossip.NewExchange[quarantine.Report](options.Quarantine), usage: gossip.NewExchange[metering.Report](options.Usage), peerClient: newPeerClient(options.Token), delegates: delegates{entry: options.Entry, zone: options.AvailabilityZone},
 		refusalLog: event.NewLimiter(options.Logger, refusalLogInterval),
 		request:    WatchRequest{Entry: options.Entry, AcceptsDelegation: options.Delegate == nil, AcceptsCompression: true, Delegate: options.Delegate},
 	}
@@ -145,6 +149,7 @@
 	response.Refused.log(w.options.Clock.Now(), w.refusalLog)
 	w.quarantine.Apply(w.options.Clock.Now(), response.Quarantine, response.QuarantinePosition)
 	w.limits.Apply(w.options.Clock.Now(), response.Limits, response.LimitsPosition)
+	w.applyUsage(response)
 	if !response.Granted || response.Epoch < w.request.Epoch {
 		w.leaderAddress = response.Leader
 		w.delegates.skip(w.options.Clock.Now())
@@ -153,6 +158,19 @@
 	return w.applyResponse(sentAt, address, response)
 }
 
+// applyUsage applies what a response says about usage.
+func (w *Watcher) applyUsage(response WatchResponse) {
+	if w.options.Usage == nil {
+		return
+	}
+	now := w.options.Clock.Now()
+	w.usage.Apply(now, nil, response.UsagePosition)
+	if response.UnixTime > 0 {
+		w.options.Usage.SetTime(now, response.UnixTime)
+		w.options.Usage.SetUndecided(now, response.UsageNext)
+	}
+}
+
 // applyResponse applies a granted response and reports whether it was applied.
 func (w *Watcher) applyResponse(sentAt clock.Millis, address string, response WatchResponse) bool {
 	w.logSourceFound(address, response)
@@ -208,6 +226,10 @@
 	request.MaxWait = lo.Ternary(report.MaxWait > 0, report.MaxWait, longPollWait)
 	request.Quarantine, request.QuarantineKnown = w.quarantine.Next(w.options.Clock.Now())
 	request.Limits, request.LimitsKnown = w.limits.Next(w.options.Clock.Now())
+	if w.options.Usage != nil {
+		request.Usage, _ = w.usage.Next(w.options.Clock.Now())
+		request.CountsUsage, request.TimeOfDay = true, w.options.Clock.Wall()
+	}
 	data, err := encodeWatch(request)
 	if err != nil {
 		return WatchResponse{}, err
--- a/event/control.go
+++ b/event/control.go
@@ -21,5 +21,8 @@
 	ServerRefused          = define(317, "server_refused", Warn, "Announcements or records of backend servers describe no usable server and were left out; at most one line in ten seconds.")
 	VersionsChanged        = define(318, "versions_changed", Info, "A software version of a service's backend servers is in service for the first time, or its streams can no longer be taken up.")
 	DutyCallFailed         = define(319, "duty_call_failed", Warn, "A call that one member at a time makes was not accepted; it is made again; at most one line a second.")
+	UsageDecided           = define(320, "usage_decided", Info, "The content of the usage report of a window was committed.")
+	UsageReported          = define(321, "usage_reported", Info, "The usage report of a window was accepted.")
+	UsageSkipped           = define(322, "usage_skipped", Warn, "Windows of usage that ended long ago are not reported.")
 	DelegateChanged        = define(315, "delegate_changed", Info, "An entry watches another control member.")
 )
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -78,6 +78,7 @@
 	probe          bool           // the request is let through although a part of its prompt is quarantined
 	tried          quarantine.Key // the suspect part of its prompt of which the request is a trial; zero if it is none
 	trialBegun     bool           // the trial has been sent
+	counted        bool           // the request is in the usage of its workspace
 	serverEnded    *atomic.Bool   // a server has ended under the request
 	requestDigest  string         // identifies requests with the same path, caller and body; "" until it is needed
 }
@@ -283,6 +284,7 @@
 		return x.afterFailure(a)
 	}
 	x.relay.fleet.recordFirstByte(a.server, a)
+	x.countUsage(a)
 	x.recordPause(a)
 	if x.route.Stream && a.head.Status == statusOK && x.request.head.Method != http.MethodHead {
 		return x.forwardStream(a)
@@ -290,6 +292,15 @@
 	return x.forwardResponse(a)
 }
 
+// countUsage counts a request that a server began to run, once however many servers run it.
+func (x *exchange) countUsage(a *attempt) {
+	if x.relay.options.Usage == nil || x.counted || a.responseInfo.NotRun || x.forwardInfo.Workspace == "" {
+		return
+	}
+	x.counted = true
+	x.relay.options.Usage.Count(a.firstByteAt, x.forwardInfo.Workspace)
+}
+
 // attemptDeadline returns the deadline of an attempt. It leaves time for another
 // attempt if the request may be sent to another server and there is one.
 func (x *exchange) attemptDeadline(a *attempt, now clock.Millis) clock.Millis {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/forecast"
 	"github.com/galenaslip/galenaslip/memory"
+	"github.com/galenaslip/galenaslip/metering"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/retry"
@@ -75,6 +76,8 @@
 	// StreamOrigins holds the origins of streams; when nil, the relay knows those of its own streams
 	// alone.
 	StreamOrigins StreamOrigins
+	// Usage counts the requests of workspaces that servers began to run; they are not counted when nil.
+	Usage *metering.Book
 	// MessageMemory bounds the memory of all messages that are held at the same time, in bytes;
 	// defaultMessageMemory when 0.
 	MessageMemory int
