--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,10 +3,12 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
@@ -284,7 +286,9 @@
 		return x.afterFailure(a)
 	}
 	x.relay.fleet.recordFirstByte(a.server, a)
-	x.countUsage(a)
+	if !a.responseInfo.NotRun {
+		x.countUsage(a.firstByteAt)
+	}
 	x.recordPause(a)
 	if x.route.Stream && a.head.Status == statusOK && x.request.head.Method != http.MethodHead {
 		return x.forwardStream(a)
@@ -293,12 +297,12 @@
 }
 
 // countUsage counts a request that a server began to run, once however many servers run it.
-func (x *exchange) countUsage(a *attempt) {
-	if x.relay.options.Usage == nil || x.counted || a.responseInfo.NotRun || x.forwardInfo.Workspace == "" {
+func (x *exchange) countUsage(now clock.Millis) {
+	if x.relay.options.Usage == nil || x.counted || x.forwardInfo.Workspace == "" {
 		return
 	}
 	x.counted = true
-	x.relay.options.Usage.Count(a.firstByteAt, x.forwardInfo.Workspace)
+	x.relay.options.Usage.Count(now, x.forwardInfo.Workspace)
 }
 
 // attemptDeadline returns the deadline of an attempt. It leaves time for another
@@ -317,6 +321,10 @@
 	if x.caller.isDisconnected() {
 		return x.abandon(), true
 	}
+	if a.result == resultFailed && !a.wasInterrupted() && !errors.Is(a.err, os.ErrDeadlineExceeded) {
+		// The server closed the connection without an answer: it ran the request, more often than not.
+		x.countUsage(x.relay.clock.Now())
+	}
 	if a.result == resultFailed || a.result == resultAbandoned {
 		x.possibleRuns++
 		if x.relay.clock.Now() >= x.deadline {
