--- a/control/duties.go
+++ b/control/duties.go
@@ -81,7 +81,7 @@
 	d.control.metrics.dutyCalls.WithLabelValues(name, o.String()).Inc()
 	if o != duty.Accepted {
 		d.log.Log(d.control.options.Clock.Now(), event.DutyCallFailed, zap.String("duty", name),
-			zap.Stringer("outcome", o), zap.Uint64("token", f.Token), zap.Error(err))
+			zap.Stringer("outcome", o), zap.Uint64("token", f.Token), zap.String("error", errorText(err)))
 	}
 	if o == duty.Superseded {
 		d.control.verifyLeadership(ctx)
