--- a/control/metrics.go
+++ b/control/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/duty"
 	"github.com/galenaslip/galenaslip/placement"
 	"github.com/galenaslip/galenaslip/replica"
 )
@@ -23,6 +24,7 @@
 	ordersRefused  *prometheus.CounterVec
 	ordersDone     *prometheus.CounterVec
 	serversRefused prometheus.Counter
+	dutyCalls      *prometheus.CounterVec
 }
 
 func newMetrics(c *Control) *metrics {
@@ -49,9 +51,16 @@
 		ordersSent:     counterByKind("orders_sent_total", "Orders written to an engine, repetitions included."),
 		ordersRefused:  counterByKind("orders_refused_total", "Orders refused for a stale fencing token."),
 		ordersDone:     counterByKind("orders_done_total", "Orders whose effect a report has shown."),
+		dutyCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenaslip_control_duty_calls_total", Help: "Calls that one member at a time makes, by duty and outcome.",
+		}, []string{"duty", "outcome"}),
 	}
 	m.registry.MustRegister(m.requests, m.unauthorized, m.forwarded, m.renewals, m.serversRefused)
 	m.registry.MustRegister(m.ordersSent, m.ordersRefused, m.ordersDone)
+	for _, o := range duty.Outcomes {
+		m.dutyCalls.WithLabelValues(dutyUsage, o.String())
+	}
+	m.registry.MustRegister(m.dutyCalls)
 	m.registerGauges(c)
 	return m
 }
@@ -92,6 +101,11 @@
 	gauge("servers", "Backend servers that this member has a record of as the leader, gone ones included.", func() float64 {
 		return float64(c.serverRegistry.count())
 	})
+	gauge("usage_pending", "Usage reports that are decided and were not accepted yet.", func() float64 {
+		state := c.machine.Usage()
+		return float64(len(state.Pending()))
+	})
+	gauge("usage_next_window", "First window of usage that is not decided; 0 before the first one.", func() float64 { return float64(c.machine.usageNext()) })
 	gauge("messages_failed", "Replication messages not delivered.", func() float64 { return float64(c.peerClient.messagesFailed.Load()) })
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,10 +3,12 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
@@ -78,6 +80,7 @@
 	probe          bool           // the request is let through although a part of its prompt is quarantined
 	tried          quarantine.Key // the suspect part of its prompt of which the request is a trial; zero if it is none
 	trialBegun     bool           // the trial has been sent
+	counted        bool           // the request is in the usage of its workspace
 	serverEnded    *atomic.Bool   // a server has ended under the request
 	requestDigest  string         // identifies requests with the same path, caller and body; "" until it is needed
 }
@@ -286,6 +289,9 @@
 		return x.afterFailure(a)
 	}
 	x.relay.fleet.recordFirstByte(a.server, a)
+	if !a.responseInfo.NotRun {
+		x.countUsage(a.firstByteAt)
+	}
 	x.recordPause(a)
 	if x.route.Stream && a.head.Status == statusOK && x.request.head.Method != http.MethodHead {
 		return x.forwardStream(a)
@@ -293,6 +299,15 @@
 	return x.forwardResponse(a)
 }
 
+// countUsage counts a request that a server began to run, once however many servers run it.
+func (x *exchange) countUsage(now clock.Millis) {
+	if x.relay.options.Usage == nil || x.counted || x.forwardInfo.Workspace == "" {
+		return
+	}
+	x.counted = true
+	x.relay.options.Usage.Count(now, x.forwardInfo.Workspace)
+}
+
 // attemptDeadline returns the deadline of an attempt. It leaves time for another
 // attempt if the request may be sent to another server and there is one.
 func (x *exchange) attemptDeadline(a *attempt, now clock.Millis) clock.Millis {
@@ -309,6 +324,10 @@
 	if x.caller.isDisconnected() {
 		return x.abandon(), true
 	}
+	if a.result == resultFailed && !a.wasInterrupted() && !errors.Is(a.err, os.ErrDeadlineExceeded) {
+		// The server closed the connection without an answer: it ran the request, more often than not.
+		x.countUsage(x.relay.clock.Now())
+	}
 	if a.result == resultFailed || a.result == resultAbandoned {
 		x.possibleRuns++
 		if x.relay.clock.Now() >= x.deadline {
