capacity: how many servers there are to be, by zone and kind

Package capacity turns observed demand and prices into orders, without a network; catalogs carry the bounds and prices of a service, and announcements whether a server may be reclaimed. Nobody sends the orders yet.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
@@ -52,8 +54,44 @@
 	Name           string
 	MaxConnections int     // largest number of connections to one server, from all its clients together; 0 means no limit
 	Engine         *Engine // set if the servers are model engines
+	Scale          *Scale  // set if galenaslip decides how many servers there are
 }
 
+// Scale bounds the number of servers of a service, and tells what they cost.
+type Scale struct {
+	Min, Max         int                // servers in one availability zone
+	StartTime        clock.Millis       // from an order until its servers serve
+	ReclaimablePrice float64            // of servers that the platform may take back, as a share of the price of the others; 0 if there are none
+	ZonePrices       map[string]float64 // price of a server by availability zone
+}
+
+// Validate returns an error if servers cannot be ordered under these conditions.
+func (s Scale) Validate() error {
+	switch {
+	case s.Min < 0 || s.Max < 1 || s.Min > s.Max || s.Max > maxServersPerZone:
+		return errors.Errorf("servers of a zone from %d to %d: want 0 to %d, and at least one", s.Min, s.Max, maxServersPerZone)
+	case s.StartTime < 0 || s.StartTime > maxStartTime:
+		return errors.Errorf("start time %d ms: want 0 to %d", s.StartTime, maxStartTime)
+	case s.ReclaimablePrice < 0 || s.ReclaimablePrice > maxPrice:
+		return errors.Errorf("price %g of reclaimable servers: want 0 to %g", s.ReclaimablePrice, float64(maxPrice))
+	case len(s.ZonePrices) == 0:
+		return errors.New("no availability zone has a price")
+	}
+	for zone, price := range s.ZonePrices {
+		if zone == "" || price < 0 || price > maxPrice {
+			return errors.Errorf("price %g in availability zone %.60q: want a name, and 0 to %g", price, zone, float64(maxPrice))
+		}
+	}
+	return nil
+}
+
+// Limits of Scale.
+const (
+	maxServersPerZone = 1 << 16
+	maxStartTime      = 1 * clock.Hour
+	maxPrice          = 1e9
+)
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	Slots int // requests that one engine runs at the same time
@@ -115,6 +153,11 @@
 	return s, ok
 }
 
+// Services returns the services, ordered by name.
+func (c Catalog) Services() []Service {
+	return slices.SortedFunc(maps.Values(c.services), func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // ServiceNames returns the names of the services.
 func (c Catalog) ServiceNames() []string { return lo.Keys(c.services) }
 
--- a/control/control.go
+++ b/control/control.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/continuation"
@@ -55,6 +56,10 @@
 	ApplyTime clock.Millis
 	// DrainTime is how long a server may get requests after its leaving was acknowledged.
 	DrainTime clock.Millis
+	// Format decodes the catalog, and ServerOrders carries out orders for backend servers. Servers
+	// are ordered only if both are set.
+	Format       catalog.Format
+	ServerOrders ServerOrders
 	// PrivateNetwork turns the token checks off: every request from any address is
 	// accepted.
 	PrivateNetwork      bool
@@ -88,6 +93,7 @@
 	log                 atomic.Pointer[releasableLog]
 	leaderTasks         *leaderTasks
 	placementController *placementController
+	capacityController  *capacityController
 	serverRegistry      *serverRegistry
 	watchingEntries     watchingEntries
 	propagation         *changePropagation
@@ -145,6 +151,7 @@
 	c.peerClient = newPeerClient(options.PeerToken)
 	c.leaderTasks = newLeaderTasks(c)
 	c.placementController = newPlacementController(c)
+	c.capacityController = newCapacityController(c)
 	c.delegate = newDelegate(c)
 	c.forwarder = newAnnouncementForwarder(c)
 	c.metrics = newMetrics(c)
@@ -158,6 +165,9 @@
 	c.startTask(func() { _ = c.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
 	c.startTask(func() { c.leaderTasks.run(ctx) })
 	c.startTask(func() { c.placementController.run(ctx) })
+	if options.Format != nil && options.ServerOrders != nil {
+		c.startTask(func() { c.capacityController.run(ctx) })
+	}
 	c.startTask(func() { c.maintainMembership(ctx) })
 	c.startTask(func() { c.serverRegistry.run(ctx) })
 	c.startTask(func() { c.maintainVersions(ctx) })
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -292,6 +292,7 @@
 	MessagesSent   uint64            `json:"messages_sent"`
 	MessagesFailed uint64            `json:"messages_failed"`
 	Placement      wirePlacement     `json:"placement"`
+	Capacity       []wireCapacity    `json:"capacity,omitempty"`
 }
 
 // wireLeasedEntry is an entry that holds a configuration lease. Claims is the
@@ -323,6 +324,7 @@
 		Group: c.members(), State: c.machine.summary(),
 		MessagesSent: c.peerClient.messagesSent.Load(), MessagesFailed: c.peerClient.messagesFailed.Load(),
 		Placement: toWirePlacement(*c.placementController.view.Load()),
+		Capacity:  c.capacityController.state(),
 		Entries: lo.Map(c.leaderTasks.renewals(), func(r lease.Renewal, _ int) wireLeasedEntry {
 			return wireLeasedEntry{r.Entry, r.Incarnation, r.Address, r.Revision, r.Leaving, r.Claims}
 		}),
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/capacity"
 	"github.com/galenaslip/galenaslip/placement"
 	"github.com/galenaslip/galenaslip/replica"
 )
@@ -23,6 +24,7 @@
 	ordersRefused  *prometheus.CounterVec
 	ordersDone     *prometheus.CounterVec
 	serversRefused prometheus.Counter
+	serverOrders   *prometheus.CounterVec
 }
 
 func newMetrics(c *Control) *metrics {
@@ -50,6 +52,13 @@
 		ordersRefused:  counterByKind("orders_refused_total", "Orders refused for a stale fencing token."),
 		ordersDone:     counterByKind("orders_done_total", "Orders whose effect a report has shown."),
 	}
+	m.serverOrders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "galenaslip_control_server_orders_total", Help: "Orders for backend servers, by outcome.",
+	}, []string{"outcome"})
+	for _, o := range capacity.Outcomes {
+		m.serverOrders.WithLabelValues(o.String())
+	}
+	m.registry.MustRegister(m.serverOrders)
 	m.registry.MustRegister(m.requests, m.unauthorized, m.forwarded, m.renewals, m.serversRefused)
 	m.registry.MustRegister(m.ordersSent, m.ordersRefused, m.ordersDone)
 	m.registerGauges(c)
@@ -92,6 +101,12 @@
 	gauge("servers", "Backend servers that this member has a record of as the leader, gone ones included.", func() float64 {
 		return float64(c.serverRegistry.count())
 	})
+	gauge("servers_wanted", "Backend servers that are to remain after a reclaim, where the leader orders them.", func() float64 {
+		return c.capacityController.sum(func(v capacity.View) float64 { return float64(v.Number) })
+	})
+	gauge("servers_busy", "Backend servers that are busy, as a mean, where the leader orders them.", func() float64 {
+		return c.capacityController.sum(func(v capacity.View) float64 { return v.Demand })
+	})
 	gauge("messages_failed", "Replication messages not delivered.", func() float64 { return float64(c.peerClient.messagesFailed.Load()) })
 }
 
--- a/control/server_codec.go
+++ b/control/server_codec.go
@@ -43,6 +43,8 @@
 	WarmupLeft       clock.Millis `json:"cold_left_ms,omitempty"`
 	StartedAt        int64        `json:"started_ms,omitempty"`
 	Sequence         uint64       `json:"sequence,omitempty"`
+	Reclaimable      bool         `json:"reclaimable,omitempty"`
+	LeavesIn         clock.Millis `json:"leaves_ms,omitempty"`
 	Silent           bool         `json:"silent,omitempty"`
 
 	decodeError error // set if the element of a list could not be decoded
@@ -76,6 +78,7 @@
 	return wireServer{
 		Server: a.Server, Service: a.Service, Address: a.Address, AvailabilityZone: a.AvailabilityZone, Version: a.Version, Slots: a.Slots,
 		State: a.State, WarmupLeft: a.WarmupLeft, StartedAt: a.StartedAt, Sequence: a.Sequence, Silent: r.Silent,
+		Reclaimable: a.Reclaimable, LeavesIn: a.LeavesIn,
 	}
 }
 
@@ -87,6 +90,7 @@
 	r := roster.Record{Silent: w.Silent, Announcement: roster.Announcement{
 		Server: w.Server, Service: w.Service, Address: w.Address, AvailabilityZone: w.AvailabilityZone, Version: w.Version, Slots: w.Slots,
 		State: w.State, WarmupLeft: w.WarmupLeft, StartedAt: w.StartedAt, Sequence: w.Sequence,
+		Reclaimable: w.Reclaimable, LeavesIn: w.LeavesIn,
 	}}
 	return r, r.Validate()
 }
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -12,6 +12,7 @@
 	maxTextBytes = 128 // of a service, an availability zone and a version
 	maxSlots     = 1 << 16
 	maxWarmUp    = 24 * clock.Hour
+	maxLeavesIn  = 24 * clock.Hour
 	maxStart     = 1 << 42 // Unix time in ms, in the year 2109
 	maxSequence  = 1 << 62 // above the present time in nanoseconds
 )
@@ -41,6 +42,8 @@
 	WarmupLeft       clock.Millis // remaining time in which the server is slow after its start
 	StartedAt        int64        // start time, Unix time in ms; a later start replaces an earlier one
 	Sequence         uint64       // increases with each announcement of one start
+	Reclaimable      bool         // the platform may take the server back at any time
+	LeavesIn         clock.Millis // remaining time until the platform takes the server back; 0 if it is not known
 }
 
 // WithState returns a copy of the announcement with the given state.
@@ -68,6 +71,8 @@
 		return errors.Errorf("server %q: %d slots: want 0 to %d", a.Server, a.Slots, maxSlots)
 	case a.WarmupLeft < 0 || a.WarmupLeft > maxWarmUp:
 		return errors.Errorf("server %q: cold time %d ms: want 0 to %d", a.Server, a.WarmupLeft, maxWarmUp)
+	case a.LeavesIn < 0 || a.LeavesIn > maxLeavesIn:
+		return errors.Errorf("server %q: leaves in %d ms: want 0 to %d", a.Server, a.LeavesIn, maxLeavesIn)
 	case a.StartedAt < 0 || a.StartedAt > maxStart || a.Sequence > maxSequence:
 		return errors.Errorf("server %q: start %d or sequence %d is out of range", a.Server, a.StartedAt, a.Sequence)
 	}
--- a/roster/mirror_test.go
+++ b/roster/mirror_test.go
@@ -112,6 +112,9 @@
 	m.Apply(0, 1, 2, []roster.Record{{Announcement: roster.Announcement{Server: "silent", State: roster.Serving}, Silent: true}})
 	next := known
 	next.Sequence = 8
+	leavingLater, reclaimable := next, next
+	leavingLater.LeavesIn = 500
+	reclaimable.Reclaimable = true
 	restarted := next
 	restarted.StartedAt = 6
 	tests := []struct {
@@ -120,6 +123,8 @@
 		want         bool
 	}{
 		{name: "the next heartbeat", announcement: next, want: true},
+		{name: "a server whose remaining time has changed", announcement: leavingLater, want: true},
+		{name: "a server that has become reclaimable", announcement: reclaimable, want: false},
 		{name: "a delayed heartbeat", announcement: known, want: false},
 		{name: "a server that leaves", announcement: next.WithState(roster.Leaving), want: false},
 		{name: "a restarted server", announcement: restarted, want: false},
--- a/roster/registry.go
+++ b/roster/registry.go
@@ -220,11 +220,11 @@
 }
 
 // differs reports whether two records differ in a field that entries must know. It
-// ignores the sequence number and the remaining warm-up time, which change with every
-// heartbeat.
+// ignores the sequence number and the remaining times, which change with every heartbeat.
 func differs(a, b Record) bool {
 	a.Sequence, b.Sequence = 0, 0
 	a.WarmupLeft, b.WarmupLeft = 0, 0
+	a.LeavesIn, b.LeavesIn = 0, 0
 	return a != b
 }
 
