--- a/control/capacity.go
+++ b/control/capacity.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/capacity"
 	"github.com/galenaslip/galenaslip/catalog"
 	"github.com/galenaslip/galenaslip/clock"
+	"github.com/galenaslip/galenaslip/duty"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
@@ -24,11 +25,18 @@
 	capacityInterval = 1 * clock.Second
 )
 
+const (
+	// budgetWait is how long an order waits for the budget of calls before it counts as not sent, and
+	// budgetPollInterval how often it asks.
+	budgetWait         = 1 * clock.Second
+	budgetPollInterval = 20 * clock.Millisecond
+)
+
 // ServerOrders carries out orders for backend servers.
 type ServerOrders interface {
-	// OrderServers asks for a number of servers of a service on behalf of the leader. It sends
-	// nothing if this member may not act.
-	OrderServers(ctx context.Context, service string, o capacity.Order) capacity.Outcome
+	// OrderServers asks for a number of servers of a service, with a fence. It calls mayAct directly
+	// before it sends the first byte, and sends nothing if that reports false.
+	OrderServers(ctx context.Context, service string, o capacity.Order, f duty.Fence, mayAct func() bool) (duty.Outcome, error)
 }
 
 // capacityController orders backend servers while this member leads. It is safe for concurrent
@@ -152,11 +160,7 @@
 
 // deliver has an order carried out and records the outcome.
 func (s *capacityController) deliver(ctx context.Context, service string, o capacity.Order) {
-	outcome := s.control.options.ServerOrders.OrderServers(ctx, service, o)
-	if outcome == capacity.Refused {
-		// The receiver may have seen a later leader instead. A former one then learns of it.
-		s.control.verifyLeadership(ctx)
-	}
+	outcome := toOrderOutcome(s.call(ctx, service, o))
 	s.control.metrics.serverOrders.WithLabelValues(outcome.String()).Inc()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,6 +173,34 @@
 		zap.Int("present", view.Present[o.Place]), zap.Int("wanted", view.Number), zap.Float64("demand", view.Demand), zap.Float64("peak", view.Peak))
 }
 
+// call makes the call for an order as soon as the budget of calls allows it.
+func (s *capacityController) call(ctx context.Context, service string, o capacity.Order) duty.Outcome {
+	deadline := s.control.options.Clock.Now() + budgetWait
+	for {
+		outcome, begun := s.control.duties.call(ctx, dutyServers, func(f duty.Fence, mayAct func() bool) (duty.Outcome, error) {
+			return s.control.options.ServerOrders.OrderServers(ctx, service, o, f, mayAct)
+		})
+		if begun || s.control.options.Clock.Now() >= deadline || !s.control.options.Clock.Sleep(ctx, budgetPollInterval) {
+			return outcome
+		}
+	}
+}
+
+// toOrderOutcome returns what the outcome of a call means for an order. A conflict means that there are no
+// such servers, unless a later leader has acted; the member learns that from the group.
+func toOrderOutcome(o duty.Outcome) capacity.Outcome {
+	switch o {
+	case duty.Accepted:
+		return capacity.Accepted
+	case duty.Superseded:
+		return capacity.Refused
+	case duty.Unknown:
+		return capacity.Unknown
+	case duty.Withheld, duty.Limited, duty.Rejected:
+	}
+	return capacity.NotSent
+}
+
 // capacityServer is a server with its name.
 type capacityServer struct {
 	name string
--- a/control/control.go
+++ b/control/control.go
@@ -57,7 +57,7 @@
 	// DrainTime is how long a server may get requests after its leaving was acknowledged.
 	DrainTime clock.Millis
 	// Format decodes the catalog, and ServerOrders carries out orders for backend servers. Servers
-	// are ordered only if both are set.
+	// are ordered only if both are set, and Duties.
 	Format       catalog.Format
 	ServerOrders ServerOrders
 	// PrivateNetwork turns the token checks off: every request from any address is
@@ -66,8 +66,10 @@
 	OperatorToken       string // when empty, operators are served on loopback addresses only, without a token
 	PeerToken           string // when empty, peers are served on loopback addresses only, without a token
 	ModelLoadsPerMinute int    // maximum rate of model loads from the weight store; DefaultModelLoadsPerMinute when 0
-	Clock               clock.Clock
-	Logger              event.Logger
+	// Duties are the calls that one member at a time makes; none when nil.
+	Duties *DutyOptions
+	Clock  clock.Clock
+	Logger event.Logger
 	// OpenLog opens the replicated log and returns its release function. Tests set
 	// it; the real log is opened when nil.
 	OpenLog func(options replica.Options) (Log, func(), error)
@@ -105,6 +107,7 @@
 	compressor          documentCompressor
 	delegate            *delegate
 	forwarder           *announcementForwarder
+	duties              *duties         // nil if this member makes no such calls
 	changed             *changeNotifier // notified when the answers to watches have changed
 	reported            *changeNotifier // notified when an entry has reported what it knows
 	refusalLog          *event.Limiter  // for servers that are left out as invalid
@@ -154,6 +157,7 @@
 	c.capacityController = newCapacityController(c)
 	c.delegate = newDelegate(c)
 	c.forwarder = newAnnouncementForwarder(c)
+	c.duties = newDuties(c)
 	c.metrics = newMetrics(c)
 	c.app = c.newApp()
 	if err := c.openLogOrWait(); err != nil {
@@ -165,7 +169,7 @@
 	c.startTask(func() { _ = c.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
 	c.startTask(func() { c.leaderTasks.run(ctx) })
 	c.startTask(func() { c.placementController.run(ctx) })
-	if options.Format != nil && options.ServerOrders != nil {
+	if options.Format != nil && options.ServerOrders != nil && options.Duties != nil {
 		c.startTask(func() { c.capacityController.run(ctx) })
 	}
 	c.startTask(func() { c.maintainMembership(ctx) })
@@ -173,6 +177,7 @@
 	c.startTask(func() { c.maintainVersions(ctx) })
 	c.startTask(func() { c.delegate.run(ctx) })
 	c.startTask(func() { c.forwarder.run(ctx) })
+	c.startTask(func() { c.duties.run(ctx) })
 	options.Logger.Log(event.ProcessStarted, zap.String("address", c.address))
 	return c, c.release, nil
 }
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -13,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/class"
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/configuration"
+	"github.com/galenaslip/galenaslip/duty"
 	"github.com/galenaslip/galenaslip/event"
 	"github.com/galenaslip/galenaslip/lease"
 	"github.com/galenaslip/galenaslip/outcome"
@@ -293,6 +294,7 @@
 	MessagesFailed uint64            `json:"messages_failed"`
 	Placement      wirePlacement     `json:"placement"`
 	Capacity       []wireCapacity    `json:"capacity,omitempty"`
+	Duties         *duty.State       `json:"duties,omitempty"`
 }
 
 // wireLeasedEntry is an entry that holds a configuration lease. Claims is the
@@ -323,8 +325,8 @@
 		DiskFailure: errorText(status.DiskFailure), DiskFailures: status.DiskFailures,
 		Group: c.members(), State: c.machine.summary(),
 		MessagesSent: c.peerClient.messagesSent.Load(), MessagesFailed: c.peerClient.messagesFailed.Load(),
-		Placement: toWirePlacement(*c.placementController.view.Load()),
-		Capacity:  c.capacityController.state(),
+		Placement: toWirePlacement(*c.placementController.view.Load()), Duties: c.duties.state(),
+		Capacity: c.capacityController.state(),
 		Entries: lo.Map(c.leaderTasks.renewals(), func(r lease.Renewal, _ int) wireLeasedEntry {
 			return wireLeasedEntry{r.Entry, r.Incarnation, r.Address, r.Revision, r.Leaving, r.Claims}
 		}),
