capacity: a reclaim is recognized although the servers do not say so

Check-ins of servers that the platform takes back carry no remaining time, so that a reclaim looked like a loss: the planner ordered again in the same zone, was refused, and lost two seconds. Nearly all servers of a place that leave without an order are a reclaim.

--- a/capacity/census.go
+++ b/capacity/census.go
@@ -20,16 +20,18 @@
 	present   map[Place]int // those that are not leaving
 	serving   map[Place]int // of these, those that are not silent
 	lost      map[Place]int // of these, those that have been silent for long
-	reclaimed map[Place]int // those that the platform takes back
+	leaving   map[Place]int
+	reclaimed map[Place]int // of these, those of which it is known that the platform takes them back
 	slots     float64       // of one server, as a mean
 }
 
 func takeCensus(servers []Server) census {
-	c := census{present: map[Place]int{}, serving: map[Place]int{}, lost: map[Place]int{}, reclaimed: map[Place]int{}}
+	c := census{present: map[Place]int{}, serving: map[Place]int{}, lost: map[Place]int{}, leaving: map[Place]int{}, reclaimed: map[Place]int{}}
 	slots, counted := 0, 0
 	for _, s := range servers {
 		at := Place{Zone: s.Zone, Kind: s.Kind}
 		if s.Leaving {
+			c.leaving[at]++
 			if s.Reclaimed {
 				c.reclaimed[at]++
 			}
--- a/capacity/market_test.go
+++ b/capacity/market_test.go
@@ -19,7 +19,7 @@
 	at        capacity.Place
 	servesAt  clock.Millis
 	leavesAt  clock.Millis // 0 unless it leaves
-	reclaimed bool
+	reclaimed bool // says that it is taken back
 }
 
 type lateOrder struct {
@@ -35,6 +35,7 @@
 	servers     []fakeServer
 	late        []lateOrder
 	lateShare   float64
+	says        bool // whether servers that are taken back say so
 	unavailable map[capacity.Place]clock.Millis // until when there are none
 	orders      int
 	cost        float64 // price of a server and second
@@ -100,7 +101,7 @@
 	at := capacity.Place{Zone: zone, Kind: capacity.Reclaimable}
 	for i := range m.servers {
 		if s := &m.servers[i]; s.at == at && s.leavesAt == 0 {
-			s.leavesAt, s.reclaimed = now+notice, true
+			s.leavesAt, s.reclaimed = now+notice, m.says
 		}
 	}
 	m.unavailable[at] = now + dry
--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -58,6 +58,9 @@
 	// reclaimPause is the time for which no reclaimable servers are ordered in a zone that has
 	// just lost them.
 	reclaimPause = 10 * clock.Second
+	// minReclaimShare is the share of the servers of a place that leave together when the platform
+	// takes them back. The others have not announced it yet.
+	minReclaimShare = 0.75
 )
 
 // placeState is what the planner knows about its orders at a place.
@@ -193,15 +196,27 @@
 	return s
 }
 
-// noteReclaims blocks the places whose servers the platform takes back.
+// noteReclaims blocks the places whose servers the platform takes back, until they are gone and a pause
+// is over.
 func (p *Planner) noteReclaims(now clock.Millis, c census) {
-	for at := range c.reclaimed {
-		s := p.place(at)
-		s.blockedUntil = max(s.blockedUntil, now+reclaimPause)
-		s.reclaimed = true
+	for at, s := range p.places {
+		if at.Kind != Reclaimable {
+			continue
+		}
+		s.reclaimed = c.leaving[at] > 0 && (s.reclaimed || isReclaim(*s, c, at))
+		if s.reclaimed {
+			s.blockedUntil = max(s.blockedUntil, now+reclaimPause)
+		}
 	}
 }
 
+// isReclaim reports whether the platform takes the servers of a place back. Not all servers that it takes
+// back say so, but nearly all of a place leave, and nobody has ordered that.
+func isReclaim(s placeState, c census, at Place) bool {
+	ordered := s.hasOrder && s.ordered <= c.present[at]
+	return c.reclaimed[at] > 0 || !ordered && float64(c.leaving[at]) >= minReclaimShare*float64(c.leaving[at]+c.present[at])
+}
+
 // updateNumber follows the demand, and reports whether the number has grown.
 func (p *Planner) updateNumber(now clock.Millis, t Terms, c census) bool {
 	serving := total(c.serving)
@@ -259,14 +274,9 @@
 	var orders []Order
 	for _, at := range p.sortedPlaces() {
 		s := p.places[at]
-		if !s.reclaimed || s.pending || c.reclaimed[at] > 0 && s.hasOrder && s.ordered <= c.present[at] {
-			continue
-		}
-		if c.reclaimed[at] == 0 {
-			s.reclaimed = false
-			continue
+		if s.reclaimed && !s.pending && !(s.hasOrder && s.ordered <= c.present[at]) {
+			orders = append(orders, Order{Place: at, Count: c.present[at], Reason: AfterReturn})
 		}
-		orders = append(orders, Order{Place: at, Count: c.present[at], Reason: AfterReturn})
 	}
 	return orders
 }
--- a/capacity/planner_test.go
+++ b/capacity/planner_test.go
@@ -140,23 +140,45 @@
 // TestReclaim guards against too few servers when a zone loses all of its reclaimable ones and has no
 // more of them.
 func TestReclaim(t *testing.T) {
+	for _, says := range []bool{true, false} {
+		s := newScene(1)
+		s.busy, s.market.says = 60, says
+		s.run(3 * clock.Minute)
+		number := s.planner.View().Number
+		for _, zone := range []string{"a", "b"} {
+			before := s.market.serving(s.now)
+			s.market.reclaim(s.now, zone, 5*clock.Minute)
+			s.run(5 * clock.Second)
+			if got := s.market.serving(s.now); float64(got) < 0.75*float64(number) {
+				t.Errorf("servers after zone %s was reclaimed: got %d of %d, want three quarters of %d", zone, got, before, number)
+			}
+			s.run(30 * clock.Second)
+			if got := s.market.serving(s.now); got < number {
+				t.Errorf("servers 30 s after zone %s was reclaimed: got %d, want %d", zone, got, number)
+			}
+		}
+		if got := s.market.count(capacity.Place{Zone: "a", Kind: capacity.Reclaimable}); got != 0 {
+			t.Errorf("reclaimable servers of a zone that has none: got %d, want 0", got)
+		}
+	}
+}
+
+// TestReclaimIsNoLoss guards against calls for servers in a zone that has just lost them: the first order
+// there only takes the former one back.
+func TestReclaimIsNoLoss(t *testing.T) {
 	s := newScene(1)
 	s.busy = 60
 	s.run(3 * clock.Minute)
-	number := s.planner.View().Number
-	for _, zone := range []string{"a", "b"} {
-		s.market.reclaim(s.now, zone, 5*clock.Minute)
-		s.run(5 * clock.Second)
-		if got := s.market.serving(s.now); float64(got) < 0.75*float64(number) {
-			t.Errorf("servers after zone %s was reclaimed: got %d, want three quarters of %d", zone, got, number)
-		}
-		s.run(30 * clock.Second)
-		if got := s.market.serving(s.now); got < number {
-			t.Errorf("servers 30 s after zone %s was reclaimed: got %d, want %d", zone, got, number)
+	s.market.reclaim(s.now, "a", clock.Minute)
+	var got []capacity.Order
+	s.onOrder = func(o capacity.Order) {
+		if o.Place == (capacity.Place{Zone: "a", Kind: capacity.Reclaimable}) {
+			got = append(got, o)
 		}
 	}
-	if got := s.market.count(capacity.Place{Zone: "a", Kind: capacity.Reclaimable}); got != 0 {
-		t.Errorf("reclaimable servers of a zone that has none: got %d, want 0", got)
+	s.run(8 * clock.Second)
+	if len(got) != 1 || got[0].Count != 0 || got[0].Reason != capacity.AfterReturn {
+		t.Errorf("orders for the zone: got %+v, want one for no servers", got)
 	}
 }
 
