--- a/capacity/market_test.go
+++ b/capacity/market_test.go
@@ -19,7 +19,7 @@
 	at        capacity.Place
 	servesAt  clock.Millis
 	leavesAt  clock.Millis // 0 unless it leaves
-	reclaimed bool // says that it is taken back
+	reclaimed bool         // says that it is taken back
 }
 
 type lateOrder struct {
@@ -35,7 +35,7 @@
 	servers     []fakeServer
 	late        []lateOrder
 	lateShare   float64
-	says        bool // whether servers that are taken back say so
+	says        bool                            // whether servers that are taken back say so
 	unavailable map[capacity.Place]clock.Millis // until when there are none
 	orders      int
 	cost        float64 // price of a server and second
--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -72,6 +72,7 @@
 	refusals     int
 	blockedUntil clock.Millis // nothing is ordered until then
 	reclaimed    bool         // the platform is taking the servers back
+	confirmed    bool         // and no more are ordered there
 }
 
 // Planner decides how many servers of one service there are to be. It is not safe for concurrent
@@ -204,6 +205,7 @@
 			continue
 		}
 		s.reclaimed = c.leaving[at] > 0 && (s.reclaimed || isReclaim(*s, c, at))
+		s.confirmed = s.confirmed && s.reclaimed
 		if s.reclaimed {
 			s.blockedUntil = max(s.blockedUntil, now+reclaimPause)
 		}
@@ -268,14 +270,14 @@
 	return expected
 }
 
-// confirmReclaims orders no more servers than remain where the platform has taken some back, so that
-// it does not replace them later, when others serve in their place.
+// confirmReclaims orders no more servers than go on serving where the platform has taken some back, so
+// that it does not replace them later, when others serve in their place. It does so once for each reclaim.
 func (p *Planner) confirmReclaims(c census) []Order {
 	var orders []Order
 	for _, at := range p.sortedPlaces() {
-		s := p.places[at]
-		if s.reclaimed && !s.pending && !(s.hasOrder && s.ordered <= c.present[at]) {
-			orders = append(orders, Order{Place: at, Count: c.present[at], Reason: AfterReturn})
+		if s := p.places[at]; s.reclaimed && !s.pending && !s.confirmed {
+			s.confirmed = true
+			orders = append(orders, Order{Place: at, Count: c.serving[at], Reason: AfterReturn})
 		}
 	}
 	return orders
@@ -315,12 +317,11 @@
 }
 
 func (p *Planner) reasonToRaise(s *placeState, at Place, grown bool) Reason {
+	present := p.view.Present
 	switch {
 	case grown:
 		return ForDemand
-	case s.hasOrder || total(p.view.Present) < p.number:
-		return ForLoss
-	case at.Kind == Reclaimable:
+	case at.Kind == Reclaimable && total(present) >= p.number && (!s.hasOrder || s.ordered <= present[at]):
 		return ForPrice
 	}
 	return ForLoss
--- a/control/capacity.go
+++ b/control/capacity.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
@@ -61,30 +63,32 @@
 // run samples the load and plans until ctx ends.
 func (s *capacityController) run(ctx context.Context) {
 	s.control.options.Clock.Every(ctx, loadSampleInterval, func() {
-		for service, orders := range s.decide() {
+		term, due := s.decide()
+		for service, orders := range due {
 			for _, o := range orders {
-				s.control.startTask(func() { s.deliver(ctx, service, o) })
+				s.control.startTask(func() { s.deliver(ctx, term, service, o) })
 			}
 		}
 	})
 }
 
-// decide records the load of the services and returns the orders that are due.
-func (s *capacityController) decide() map[string][]capacity.Order {
+// decide records the load of the services and returns the orders that are due, with the term in which
+// they may be sent.
+func (s *capacityController) decide() (uint64, map[string][]capacity.Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.control.options.Clock.Now()
 	status := s.control.log.Load().Status()
 	if status.Role != replica.Leader || status.LeaseRemaining <= 0 {
 		s.term = 0
-		return nil
+		return 0, nil
 	}
 	if s.term != status.Term {
 		s.startTerm(now, status.Term)
 	}
 	s.loadCatalog()
 	if now < s.readyAt || len(s.services) == 0 {
-		return nil
+		return 0, nil
 	}
 	servers := s.control.serverRegistry.capacityServers(status.Term)
 	loads, reported := s.loads(now)
@@ -107,7 +111,7 @@
 		}
 		s.logHeld(service.Name, planner.View().Held)
 	}
-	return orders
+	return s.term, orders
 }
 
 // startTerm forgets what was known in a former term. A new leader has heard all servers that serve
@@ -131,6 +135,10 @@
 		return
 	}
 	s.services = lo.Filter(decoded.Services(), func(v catalog.Service, _ int) bool { return v.Scale != nil })
+	maps.DeleteFunc(s.planners, func(name string, _ *capacity.Planner) bool {
+		service, ok := decoded.Service(name)
+		return !ok || service.Scale == nil
+	})
 }
 
 func (s *capacityController) planner(service string) *capacity.Planner {
@@ -158,15 +166,20 @@
 	s.held[service] = held
 }
 
-// deliver has an order carried out and records the outcome.
-func (s *capacityController) deliver(ctx context.Context, service string, o capacity.Order) {
-	outcome := toOrderOutcome(s.call(ctx, service, o))
+// deliver has an order of a term carried out and records the outcome.
+func (s *capacityController) deliver(ctx context.Context, term uint64, service string, o capacity.Order) {
+	outcome := toOrderOutcome(s.call(ctx, term, service, o))
 	s.control.metrics.serverOrders.WithLabelValues(outcome.String()).Inc()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	planner := s.planner(service)
-	planner.Record(s.control.options.Clock.Now(), o, outcome)
-	view := planner.View()
+	if s.term != term {
+		return // the planner of that term is gone
+	}
+	view := capacity.View{}
+	if planner, ok := s.planners[service]; ok {
+		planner.Record(s.control.options.Clock.Now(), o, outcome)
+		view = planner.View()
+	}
 	s.control.options.Logger.Log(event.ServersOrdered,
 		zap.String("service", service), zap.String("availability_zone", o.Zone), zap.Stringer("kind", o.Kind), zap.Int("count", o.Count),
 		zap.String("reason", string(o.Reason)), zap.Stringer("outcome", outcome), zap.Uint64("term", s.term),
@@ -174,10 +187,13 @@
 }
 
 // call makes the call for an order as soon as the budget of calls allows it.
-func (s *capacityController) call(ctx context.Context, service string, o capacity.Order) duty.Outcome {
+func (s *capacityController) call(ctx context.Context, term uint64, service string, o capacity.Order) duty.Outcome {
 	deadline := s.control.options.Clock.Now() + budgetWait
 	for {
 		outcome, begun := s.control.duties.call(ctx, dutyServers, func(f duty.Fence, mayAct func() bool) (duty.Outcome, error) {
+			if f.Token != term {
+				return duty.Withheld, errors.New("the order was planned in a former term")
+			}
 			return s.control.options.ServerOrders.OrderServers(ctx, service, o, f, mayAct)
 		})
 		if begun || s.control.options.Clock.Now() >= deadline || !s.control.options.Clock.Sleep(ctx, budgetPollInterval) {
