capacity: a zone gets reclaimable servers again after a reclaim

Servers that the platform takes back end without announcing a departure, so that their zone counted as being reclaimed for an hour, and ordinary servers were kept instead. Leaving servers that are silent do not count any more. While zones are out, ordinary servers are ordered only for the demand that is known, not for the whole wanted number.

--- a/capacity/census.go
+++ b/capacity/census.go
@@ -30,6 +30,9 @@
 	slots, counted := 0, 0
 	for _, s := range servers {
 		at := Place{Zone: s.Zone, Kind: s.Kind}
+		if s.Leaving && s.SilentFor > 0 {
+			continue // it was ended before it could announce its departure
+		}
 		if s.Leaving {
 			c.leaving[at]++
 			if s.Reclaimed {
--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -162,13 +162,23 @@
 // targets returns the wanted number of servers at each place, lost ones included: the platform counts
 // them, although they are of no use.
 func (p *Planner) targets(t Terms, c census, expected map[Place]int, blocked func(at Place) bool) map[Place]int {
-	targets := placement{terms: t, expected: expected, blocked: blocked}.targets(p.number)
+	targets := placement{terms: t, expected: expected, blocked: blocked}.targets(p.number, p.secured())
 	for at, lost := range c.lost {
 		targets[at] += lost
 	}
 	return targets
 }
 
+// secured returns the number of servers that are to remain after a reclaim while other zones have no
+// reclaimable servers: enough for the demand that is known, if it has been observed for some time.
+func (p *Planner) secured() int {
+	tolerated := int((1 - shortfall) * float64(p.number))
+	if p.view.Observed < minObservation {
+		return tolerated
+	}
+	return min(tolerated, int(math.Ceil(p.meter.highest()/peakUtilisation)))
+}
+
 // blocked returns a function that reports whether nothing can be ordered at a place now.
 func (p *Planner) blocked(now clock.Millis) func(at Place) bool {
 	return func(at Place) bool { return p.place(at).blockedUntil > now }
--- a/capacity/target.go
+++ b/capacity/target.go
@@ -16,7 +16,7 @@
 	// to there they stay where they are after a reclaim: moving them back would interrupt work.
 	maxUnevenness = 1.5
 	// shortfall is the share of the wanted number that may lack after a second reclaim, before
-	// ordinary servers are ordered for that case. It holds with all of the wanted reclaimable servers.
+	// ordinary servers are ordered for that case.
 	shortfall = 0.1
 )
 
@@ -49,9 +49,9 @@
 	blocked  func(p Place) bool // reports whether no more servers are to be had at a place now
 }
 
-// targets returns the wanted number of servers at each place, such that the given number remains
-// after one reclaim.
-func (p placement) targets(number int) map[Place]int {
+// targets returns the wanted number of servers at each place: the given number, spread such that it
+// remains after a reclaim. While other zones have no reclaimable servers, only the secured number remains.
+func (p placement) targets(number, secured int) map[Place]int {
 	s := cheapestSplit(p.terms, number)
 	targets := map[Place]int{}
 	p.placeReclaimable(s.reclaimable, targets)
@@ -59,12 +59,7 @@
 	for _, n := range targets {
 		sum, largest = sum+n, max(largest, n)
 	}
-	needed := number
-	if s.reclaimable > 0 {
-		tolerated := shortfall * float64(number) * float64(min(sum, s.reclaimable)) / float64(s.reclaimable)
-		needed = number - int(tolerated)
-	}
-	p.placeOrdinary(max(s.ordinary, needed-(sum-largest)), targets)
+	p.placeOrdinary(max(s.ordinary, number-sum, secured-(sum-largest)), targets)
 	return targets
 }
 
