capacity: give-back need not wait for orders; a further reclaim leaves enough for the work

Orders for more servers kept the last ordinary ones from being given back before traffic began, and a third of an idle service may go at a time. While zones have no reclaimable servers, the rest is to do the work after one more reclaim, at a utilisation of 0.9, in place of 0.7: ordinary servers were ordered for seconds and paid for half a minute.

--- a/capacity/planner.go
+++ b/capacity/planner.go
@@ -16,6 +16,9 @@
 	// peakUtilisation is the utilisation in the present burst, and in one like the highest that is
 	// remembered.
 	peakUtilisation = 0.7
+	// securedUtilisation is the highest utilisation after a reclaim while other zones have no
+	// reclaimable servers: those that remain can still do the work.
+	securedUtilisation = 0.9
 	// maxUtilisationAfter is the highest utilisation with which a server may be given back.
 	maxUtilisationAfter = 0.6
 )
@@ -42,7 +45,7 @@
 	busyStepShare = 0.1
 	stepInterval  = 5 * clock.Second
 	// idleStepShare and idleStepInterval hold while no request runs.
-	idleStepShare    = 0.25
+	idleStepShare    = 1.0 / 3
 	idleStepInterval = 1 * clock.Second
 )
 
@@ -148,15 +151,20 @@
 	targets := p.targets(t, c, expected, noMoreReclaimable)
 	more = append(more, p.raise(now, t, c, expected, targets, Ordinary, grown)...)
 	p.view.Number, p.view.Targets = p.number, targets
-	if orders = append(orders, more...); len(orders) == 0 {
-		orders = p.giveBack(now, t, c, p.targets(t, c, c.present, noMoreReclaimable))
-	}
+	orders = append(orders, more...)
+	p.recordOrders(now, orders)
+	fewer := p.giveBack(now, t, c, p.targets(t, c, c.present, noMoreReclaimable))
+	p.recordOrders(now, fewer)
+	p.fillView(now)
+	return append(orders, fewer...)
+}
+
+// recordOrders records orders that are about to be sent.
+func (p *Planner) recordOrders(now clock.Millis, orders []Order) {
 	for _, o := range orders {
 		s := p.place(o.Place)
 		s.ordered, s.orderedAt, s.hasOrder, s.pending = o.Count, now, true, true
 	}
-	p.fillView(now)
-	return orders
 }
 
 // targets returns the wanted number of servers at each place, lost ones included: the platform counts
@@ -176,7 +184,7 @@
 	if p.view.Observed < minObservation {
 		return tolerated
 	}
-	return min(tolerated, int(math.Ceil(p.meter.highest()/peakUtilisation)))
+	return min(tolerated, int(math.Ceil(p.meter.highest()/securedUtilisation)))
 }
 
 // blocked returns a function that reports whether nothing can be ordered at a place now.
