--- a/control/duties.go
+++ b/control/duties.go
@@ -18,8 +18,11 @@
 	dutyLogInterval = 1 * clock.Second
 )
 
-// dutyUsage is the name of the duty to report usage in logs and metrics.
-const dutyUsage = "usage"
+// The names of duties in logs and metrics.
+const (
+	dutyUsage   = "usage"   // to report usage
+	dutyServers = "servers" // to order backend servers
+)
 
 // DutyOptions are the settings of the calls that one member at a time makes.
 type DutyOptions struct {
--- a/control/handlers.go
+++ b/control/handlers.go
@@ -293,6 +293,7 @@
 	MessagesSent   uint64            `json:"messages_sent"`
 	MessagesFailed uint64            `json:"messages_failed"`
 	Placement      wirePlacement     `json:"placement"`
+	Capacity       []wireCapacity    `json:"capacity,omitempty"`
 	Duties         *duty.State       `json:"duties,omitempty"`
 	Usage          *wireUsage        `json:"usage,omitempty"`
 }
@@ -326,6 +327,7 @@
 		Group: c.members(), State: c.machine.summary(),
 		MessagesSent: c.peerClient.messagesSent.Load(), MessagesFailed: c.peerClient.messagesFailed.Load(),
 		Placement: toWirePlacement(*c.placementController.view.Load()), Duties: c.duties.state(), Usage: c.usage.state(),
+		Capacity: c.capacityController.state(),
 		Entries: lo.Map(c.leaderTasks.renewals(), func(r lease.Renewal, _ int) wireLeasedEntry {
 			return wireLeasedEntry{r.Entry, r.Incarnation, r.Address, r.Revision, r.Leaving, r.Claims}
 		}),
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/lo"
 
+	"github.com/galenaslip/galenaslip/capacity"
 	"github.com/galenaslip/galenaslip/duty"
 	"github.com/galenaslip/galenaslip/placement"
 	"github.com/galenaslip/galenaslip/replica"
@@ -24,6 +25,7 @@
 	ordersRefused  *prometheus.CounterVec
 	ordersDone     *prometheus.CounterVec
 	serversRefused prometheus.Counter
+	serverOrders   *prometheus.CounterVec
 	dutyCalls      *prometheus.CounterVec
 }
 
@@ -55,10 +57,18 @@
 			Name: "galenaslip_control_duty_calls_total", Help: "Calls that one member at a time makes, by duty and outcome.",
 		}, []string{"duty", "outcome"}),
 	}
+	m.serverOrders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "galenaslip_control_server_orders_total", Help: "Orders for backend servers, by outcome.",
+	}, []string{"outcome"})
+	for _, o := range capacity.Outcomes {
+		m.serverOrders.WithLabelValues(o.String())
+	}
+	m.registry.MustRegister(m.serverOrders)
 	m.registry.MustRegister(m.requests, m.unauthorized, m.forwarded, m.renewals, m.serversRefused)
 	m.registry.MustRegister(m.ordersSent, m.ordersRefused, m.ordersDone)
 	for _, o := range duty.Outcomes {
 		m.dutyCalls.WithLabelValues(dutyUsage, o.String())
+		m.dutyCalls.WithLabelValues(dutyServers, o.String())
 	}
 	m.registry.MustRegister(m.dutyCalls)
 	m.registerGauges(c)
@@ -106,6 +116,12 @@
 		return float64(len(state.Pending()))
 	})
 	gauge("usage_next_window", "First window of usage that is not decided; 0 before the first one.", func() float64 { return float64(c.machine.usageNext()) })
+	gauge("servers_wanted", "Backend servers that are to remain after a reclaim, where the leader orders them.", func() float64 {
+		return c.capacityController.sum(func(v capacity.View) float64 { return float64(v.Number) })
+	})
+	gauge("servers_busy", "Backend servers that are busy, as a mean, where the leader orders them.", func() float64 {
+		return c.capacityController.sum(func(v capacity.View) float64 { return v.Demand })
+	})
 	gauge("messages_failed", "Replication messages not delivered.", func() float64 { return float64(c.peerClient.messagesFailed.Load()) })
 }
 
--- a/setting/duties.go
+++ b/setting/duties.go
@@ -11,6 +11,8 @@
 const (
 	// DutyUsage is to report the usage of workspaces.
 	DutyUsage = "metering"
+	// DutyServers is to order backend servers.
+	DutyServers = "autoscale"
 )
 
 // Duties are the calls to the platform that one member at a time makes, see package duty.
