relay: an early answer that ends with its connection may have broken off

What callers of similar systems saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; the part arrived as a whole answer.

Cause: a long request is written while its answer is read. The kernel reports the error of a connection once. The write got it, and the read of a body without a length then saw an end.

Change: where such a body ends while the request is being written, the result of the write decides. A success counts only if the whole request was written. An error status counts also if the server has closed the connection in order, since its text changes nothing. Other answers are failures: tried again where that is allowed, else 502, and a stream that has begun is cut.

Answers with a length or chunks were and are recognized as broken.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -4,9 +4,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -317,6 +319,9 @@
 func (a *attempt) discardBody() error {
 	_ = a.conn.SetReadDeadline(a.exchange.relay.clock.Deadline(discardTimeout))
 	err := a.body.Discard(maxDiscardedBody)
+	if err == nil {
+		err = a.checkEnd()
+	}
 	var timeout net.Error
 	if errors.Is(err, frame.ErrTooLarge) || errors.As(err, &timeout) && timeout.Timeout() {
 		return nil
@@ -343,6 +348,9 @@
 // the body is complete.
 func (a *attempt) readBody() ([]byte, bool) {
 	data, err := a.body.ReadAll(maxResponseBody, a.memory())
+	if err == nil {
+		err = a.checkEnd()
+	}
 	if err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
@@ -353,6 +361,28 @@
 	return data, true
 }
 
+// errEarlyEnd is the error of a response whose end is not known to be that of the whole response.
+var errEarlyEnd = errors.New("the server ended the connection before it had the whole request")
+
+// checkEnd returns an error unless the end of the body is known to be that of the response. The kernel
+// reports the error of a connection once, so a write of the request that still runs may get it, and the
+// read of a body without a length then sees an end. An error status without the rest of its text says
+// the same, so it counts if the server has closed the connection in order.
+func (a *attempt) checkEnd() error {
+	if a.writeDone == nil || !a.body.EndedWithConnection() {
+		return nil
+	}
+	_ = a.conn.SetWriteDeadline(a.exchange.relay.clock.Deadline(0))
+	err := <-a.writeDone
+	a.writeDone, a.reusable = nil, false
+	// EPIPE means that the connection failed after the server had closed it.
+	endedInOrder := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE)
+	if err == nil || a.head.Status >= statusBadRequest && endedInOrder {
+		return nil
+	}
+	return errors.Wrap(errEarlyEnd, err.Error())
+}
+
 // release adds the connection to the idle connections if it is reusable, and
 // closes it otherwise.
 func (a *attempt) release() {
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -93,6 +93,11 @@
 		n, err := a.body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		ended := errors.Is(err, io.EOF)
+		if ended {
+			if endErr := a.checkEnd(); endErr != nil {
+				ended, err = false, endErr
+			}
+		}
 		if err == nil && a.conn.reader.Buffered() > 0 && len(pending) < streamBufferSize {
 			continue // events that arrived together are sent in one write
 		}
