frame, relay: an answer with an invalid status is a failure of its server

What callers of similar systems saw: a server in trouble sent an answer whose status was 000, and the caller got it. Here 000 to 099 and statuses that are not three digits were failures already, but 600 to 999 were passed on, and after 101 the relay waited for a further answer until the deadline.

Change: a status outside of 100 to 599 is malformed, and 101 ends the attempt. The request is sent to another server if it may be, else its caller gets 502. A statement in such an answer, as that the request was not run, is not believed.

--- a/frame/head.go
+++ b/frame/head.go
@@ -159,7 +159,8 @@
 	return h, nil
 }
 
-// ReadResponse reads the head of a response. Its limits are those of ReadRequest.
+// ReadResponse reads the head of a response. Its limits are those of ReadRequest. It returns
+// ErrMalformed for a status that IsStatus rejects.
 func ReadResponse(r *bufio.Reader, limit int, budget memory.Budget) (Head, error) {
 	line, headers, err := readHead(r, limit, budget)
 	if err != nil {
@@ -168,13 +169,24 @@
 	version, afterVersion, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(afterVersion, " ")
 	minor, validVersion := parseVersion(version)
-	status, err := strconv.Atoi(code)
-	if !validVersion || err != nil || len(code) != 3 || status < 100 {
+	if !validVersion || !IsStatus(code) {
 		return Head{}, errors.Wrap(ErrMalformed, "invalid status line")
 	}
+	status, err := strconv.Atoi(code)
+	if err != nil {
+		return Head{}, errors.Wrap(ErrMalformed, err.Error())
+	}
 	return Head{Status: status, Reason: reason, MinorVersion: minor, Headers: headers}, nil
 }
 
+// IsStatus reports whether s is a status code of HTTP: three digits, from 100 to 599. Codes above have
+// no class that says what they mean, so an answer with one cannot be told from a broken one.
+func IsStatus(s string) bool {
+	return len(s) == 3 && s[0] >= '1' && s[0] <= '5' && isDigit(s[1]) && isDigit(s[2])
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
 // parseVersion returns the minor version of HTTP/1 and whether it is supported.
 func parseVersion(version string) (int, bool) {
 	switch version {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -333,13 +333,16 @@
 func (a *attempt) memory() memory.Share { return a.exchange.memory.Of(&a.server.answers) }
 
 // readFinalHead reads the head of a response. It skips informational responses, up to a
-// limit.
+// limit. A switch to another protocol is an error, because the relay asks for none.
 func (a *attempt) readFinalHead(conn *serverConn) (frame.Head, error) {
 	for range maxInterimResponses {
 		head, err := frame.ReadResponse(conn.reader, maxResponseHead, a.memory())
-		if err != nil || head.Status >= 200 {
+		if err != nil || head.Status >= statusOK {
 			return head, err
 		}
+		if head.Status == http.StatusSwitchingProtocols {
+			return frame.Head{}, errors.New("server switched to another protocol without being asked")
+		}
 	}
 	return frame.Head{}, errors.Errorf("server sent more than %d informational responses", maxInterimResponses)
 }
