engine: an answer with an invalid status is a failure of its server

What callers of similar systems saw: a server in trouble sent an answer whose status was 000, and the caller got it. At `serve entry` it arrived even as 200, for chat and services.

Cause: fasthttp reads any three digits and returns 200 for a status of 0. 001 to 099, 101 and 600 to 999 were passed to the callers of services, and a refusal in such an answer was believed.

Change: engine looks at the status line before fasthttp does. A status outside of 100 to 599, 101, or one that is not three digits makes the call malformed with an unknown outcome: another server is tried within the retry budget where the call may run twice, else the caller gets 502.

An early answer that is reset in its body was never taken to be whole here, since a call is written before its answer is read.

--- a/engine/client.go
+++ b/engine/client.go
@@ -182,7 +182,7 @@
 	}
 	response := &fasthttp.Response{StreamBody: true}
 	response.SkipBody = r.Method == fasthttp.MethodHead
-	return response, response.ReadLimitBody(conn.reader, 0)
+	return response, readResponse(conn.reader, response)
 }
 
 func writeRequest(conn *connection, r Request) error {
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -74,6 +74,8 @@
 	switch {
 	case !c.mayHaveSent.Load():
 		f.Kind = NotSent
+	case errors.Is(err, errInvalidStatus):
+		f.Kind = Malformed
 	case errors.As(err, &timeout) && timeout.Timeout():
 		f.Kind = TimedOut
 	}
