relay: a stream to a caller of HTTP/1.0 never ends in order before it is complete

Cause: to such a caller a closed connection means a complete stream. The relay reset it only where it cut a stream itself. At the end of a stop, when the caller read too slowly, or after a panic, the connection was closed in order, and the part looked whole. So it did when the process was killed.

Change: the connection is set to be reset on close when the stream begins, and to be closed in order when it is complete.

Before the change: TestStreamOfOldCallerWhenTheRelayEnds: got "id: 1\ndata: a\n\n" and the end of the connection, want a connection error The other ends use the same setting and have no test of their own.

--- a/relay/connection.go
+++ b/relay/connection.go
@@ -319,11 +319,16 @@
 	return nil
 }
 
-// resetOnClose makes close reset the connection, so that the caller sees an error in place
-// of an end.
-func (c *callerConn) resetOnClose() {
-	if tcp, ok := c.conn.(*net.TCPConn); ok {
+// setResetOnClose sets whether the connection is reset when it is closed, also by the end of the
+// process, so that the caller sees an error in place of an end.
+func (c *callerConn) setResetOnClose(reset bool) {
+	tcp, ok := c.conn.(*net.TCPConn)
+	switch {
+	case !ok:
+	case reset:
 		_ = tcp.SetLinger(0)
+	default:
+		_ = tcp.SetLinger(-1)
 	}
 }
 
--- a/relay/hostile_test.go
+++ b/relay/hostile_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -268,6 +269,27 @@
 	}
 }
 
+// Guards against a stream that looks complete to a caller of HTTP/1.0 because the relay ends in the middle
+// of it, in a stop whose time is over.
+func TestStreamOfOldCallerWhenTheRelayEnds(t *testing.T) {
+	b := newBackend(t, func(req receivedRequest) {
+		write(req, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nid: 1\ndata: a\n\n")
+		<-req.disconnected
+	})
+	s := newFixture(t, b)
+	c := s.client()
+	c.send("GET /stream/ HTTP/1.0\r\nHost: h\r\nId: 1\r\nKey: k\r\n\r\n")
+	if _, err := frame.ReadResponse(c.reader, 1<<16, nil); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = s.relay.Stop(ctx)
+	if data, err := io.ReadAll(c.reader); err == nil {
+		t.Errorf("got %q and the end of the connection, want a connection error", data)
+	}
+}
+
 // Guards against a request that was read ahead and stays in memory for ever, because the
 // answer to the one before it closes the connection.
 func TestRequestReadAheadIsDropped(t *testing.T) {
--- a/relay/output.go
+++ b/relay/output.go
@@ -144,11 +144,13 @@
 	return o.exchange.caller.write(o.appendEvents(data, events))
 }
 
-// streamHeaders returns the header fields of a streamed response.
+// streamHeaders returns the header fields of a streamed response. A closed connection means a complete
+// response to a caller of HTTP/1.0, so whatever ends the stream before finishStream resets it.
 func (o *output) streamHeaders(a *attempt) []frame.Header {
 	headers := a.head.EndToEnd()
 	if o.exchange.request.head.MinorVersion == 0 {
 		o.closeAfter = true // HTTP/1.0 has no chunks: closing the connection ends the stream
+		o.exchange.caller.setResetOnClose(true)
 	} else {
 		headers = append(headers, frame.Header{Name: "Transfer-Encoding", Value: "chunked"})
 	}
@@ -172,19 +174,17 @@
 // finishStream ends a complete stream and reports whether the connection stays open.
 func (o *output) finishStream() bool {
 	if o.exchange.request.head.MinorVersion == 0 {
+		o.exchange.caller.setResetOnClose(false)
 		return false
 	}
 	return o.exchange.caller.write([]byte(frame.LastChunk)) == nil && !o.closeAfter
 }
 
 // cutStream ends a stream that cannot be completed. The connection closes before the
-// last chunk, so that the caller can tell that the response is incomplete. To a caller of
-// HTTP/1.0 a closed connection would mean a complete response, so it is reset.
+// last chunk, so that the caller can tell that the response is incomplete. That of a caller of
+// HTTP/1.0 is reset; see streamHeaders.
 func (o *output) cutStream() bool {
 	x := o.exchange
-	if x.request.head.MinorVersion == 0 {
-		x.caller.resetOnClose()
-	}
 	x.relay.metrics.streamsCut.Inc()
 	x.relay.options.Logger.Log(event.StreamCut, zap.String("request", x.requestInfo.ID), zap.String("route", x.route.Name),
 		zap.Int("runs", x.possibleRuns), zap.String("last_event", x.forwardInfo.LastEventID))
