quarantine: relays tell members only what they have seen themselves

Cause: up to 40 relays watch the leader itself. A part that many requests share changes with each end. The leader told all relays of the change, and each told it back.

Change: with Options.TellsOwn, records that another process has told are not news; the relay reports a record when something that it has seen itself changes it. Members, and entries that pull from each other, tell all as before.

TestEntriesTellWhatTheyHaveSeen guards against records that are told back, and against an end that nobody tells because its part was known.

--- a/quarantine/cost_test.go
+++ b/quarantine/cost_test.go
@@ -31,7 +31,7 @@
 func newFleetInCrash(entryCount, memberCount, serverCount int) *fleetInCrash {
 	f := &fleetInCrash{now: clock.Minute}
 	add := func(kind string, i int) *quarantine.Quarantine {
-		q := newQuarantine(fmt.Sprintf("%s-%d", kind, i))
+		q := quarantine.New(quarantine.Options{Entry: fmt.Sprintf("%s-%d", kind, i), TellsOwn: kind == "entry"})
 		q.SetServerCounts(map[string]int{service: serverCount})
 		return q
 	}
@@ -251,3 +251,21 @@
 		t.Errorf("position of a former build after %d reports: got %d, want %d", reports, position.Number, end.Number)
 	}
 }
+
+// Guards against a member that is told by each of its entries what it has told them, and against ends
+// that nobody tells because the part was known.
+func TestEntriesTellWhatTheyHaveSeen(t *testing.T) {
+	member, entry := newQuarantine("member"), quarantine.New(quarantine.Options{Entry: "entry", TellsOwn: true})
+	for i := range 3 {
+		member.RecordEnd(digestSubject("deadly"), run(i), quarantine.Loss{At: clock.Second, Begun: true})
+	}
+	entry.Merge(clock.Second, all(member, clock.Second))
+	if got := all(entry, clock.Second); !got.IsEmpty() {
+		t.Errorf("records told back: got %+v, want none", got)
+	}
+	entry.RecordEnd(digestSubject("deadly"), run(3), quarantine.Loss{At: 2 * clock.Second, Begun: true})
+	member.Merge(2*clock.Second, all(entry, 2*clock.Second))
+	if got, want := len(all(member, 2*clock.Second).Ends), 4; got != want {
+		t.Errorf("ends that the member knows: got %d, want %d", got, want)
+	}
+}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -173,6 +173,8 @@
 func (q *Quarantine) Merge(now clock.Millis, r Report) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.merging = true
+	defer func() { q.merging = false }()
 	for _, e := range r.Servers {
 		if e.Age < serverRetention {
 			q.addServer(e.Service, e.ServerRun, now-max(e.Age, 0))
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -66,12 +66,17 @@
 // Options configure a Quarantine.
 type Options struct {
 	Entry string // name of this process
+	// TellsOwn leaves what others have told out of reports, unless something that this process has seen
+	// changes it. It is set for processes that tell those alone which tell all others, so that a member is
+	// not told by each of its entries what it has told them.
+	TellsOwn bool
 }
 
 // Quarantine holds the observations of all entries, as far as this process knows them. It is
 // safe for concurrent use. All times are on the clock of the process.
 type Quarantine struct {
 	entry    string
+	tellsOwn bool
 	instance uint64
 
 	mu       sync.Mutex
@@ -87,6 +92,7 @@
 	judged        judgement
 	judgedChanged bool         // the records have changed since the judgement
 	judgeAt       clock.Millis // when the next judgement may be made
+	merging       bool         // the records change because of what another process has told
 }
 
 // serverEnd is the end of a server, whatever ran on it.
@@ -104,7 +110,7 @@
 		panic(err) // cannot happen: the size is positive
 	}
 	return &Quarantine{
-		entry: options.Entry, instance: 1 + rand.Uint64N(math.MaxUint64), suspects: map[Key]*suspectRecord{},
+		entry: options.Entry, tellsOwn: options.TellsOwn, instance: 1 + rand.Uint64N(math.MaxUint64), suspects: map[Key]*suspectRecord{},
 		servers: map[ServerRun]serverEnd{}, counts: map[string]int{}, survived: survived, traffic: map[string]*partTraffic{},
 	}
 }
@@ -315,8 +321,7 @@
 		q.servers[run] = known
 		q.judgedChanged = true
 	case !ok && len(q.servers) < maxServers:
-		q.position++
-		q.servers[run] = serverEnd{service: service, at: at, position: q.position}
+		q.servers[run] = serverEnd{service: service, at: at, position: q.changePosition(0)}
 		q.judgedChanged = true
 	}
 }
@@ -439,10 +444,19 @@
 	return least
 }
 
+// changePosition returns the position of a record that changes, which had a former one. The caller
+// holds the lock.
+func (q *Quarantine) changePosition(former uint64) uint64 {
+	if q.merging && q.tellsOwn {
+		return former
+	}
+	q.position++
+	return q.position
+}
+
 // markChanged records a change of a part's records. The caller holds the lock.
 func (q *Quarantine) markChanged(record *suspectRecord) {
-	q.position++
-	record.position, q.judgedChanged = q.position, true
+	record.position, q.judgedChanged = q.changePosition(record.position), true
 	record.weighed = weighed{}
 }
 
