--- a/control/api_test.go
+++ b/control/api_test.go
@@ -165,7 +165,7 @@
 	var inner []byte
 	var err error
 	field := "claim"
-	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
 	case 0:
 		inner, err = claim.EncodeCommand(claim.Acquire{Key: key, Attempt: attempt})
 	case 1:
@@ -175,6 +175,12 @@
 	case 3:
 		field = "change"
 		inner, err = configuration.EncodeChange(setClassTarget(rapid.IntRange(0, 3).Draw(t, "target")))
+	case 4:
+		return []byte(rapid.SampledFrom([]string{
+			`{"usage":{"first":7}}`, `{"usage":{"first":9}}`, `{"usage":{"decided":[{"w":7,"c":{"a":1}},{"w":8,"c":null}]}}`,
+			`{"usage":{"decided":[{"w":7,"c":{"a":2}}]}}`, `{"usage":{"accepted":[7]}}`, `{"usage":{}}`,
+			`{"usage":{"kept":[{"i":"r/1","t":5,"n":[{"w":8,"c":{"a":3}},{"w":9,"c":{"a":1,"b":2}}]},{"i":"r/2","t":5,"n":[{"w":9}]}]}}`,
+		}).Draw(t, "usage"))
 	default:
 		return []byte(rapid.SampledFrom([]string{"", "{}", `{"change":{}}`, `{"claim":{"kind":"send"}}`}).Draw(t, "broken"))
 	}
@@ -191,6 +197,7 @@
 func FuzzMachine(f *testing.F) {
 	f.Add([]byte(`{"at_ms":1,"base_revision":0,"key":"k","change":{"cancel_stop":{"id":"s"}}}`))
 	f.Add([]byte(`{"at_ms":1,"claim":{"kind":"owner_gone","entry":"e"}}`))
+	f.Add([]byte(`{"usage":{"first":1,"kept":[{"n":[null]}],"decided":[{"w":1}]}}`))
 	f.Add(control.NewMachine().Snapshot())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m := control.NewMachine()
@@ -210,6 +217,7 @@
 	f.Add([]byte(`{"entry":"e","loads":[{"s":"a","r":1}],"delegate":{"address":"10.0.0.1:1"},"heartbeats":[{"server":"s"}]}`))
 	f.Add([]byte(`{"granted":true,"document":{"revision":1,"body_base64":"e30="},"servers":[{"server":"s","state":"serving"}],"delegates":[{}]}`))
 	f.Add([]byte(`{"loads":null,"heartbeats":[null],"delegate":[]}`))
+	f.Add([]byte(`{"usage":{"n":[null,{"i":"r/1","n":[{"w":-1,"c":{"":1}}]}],"t":-1,"position":{},"unix_ms":1}}`))
 	for _, tt := range oddServers {
 		f.Add([]byte("[" + tt.json + "]"))
 		f.Add([]byte(`{"entry":"e","heartbeats":[` + tt.json + `],"servers":[` + tt.json + `]}`))
--- a/control/machine.go
+++ b/control/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -80,7 +81,7 @@
 	}
 	if c.usage != nil {
 		m.usage.Apply(*c.usage)
-		return nil, nil
+		return strconv.AppendInt(nil, int64(m.usage.Next()), 10), nil
 	}
 	return claim.EncodeResult(m.claims.Apply(c.proposedAt, c.claim))
 }
--- a/metering/codec.go
+++ b/metering/codec.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
@@ -42,8 +44,8 @@
 func ToWire(report Report) []WireInstance {
 	return lo.Map(report, func(i InstanceCounts, _ int) WireInstance {
 		w := WireInstance{Instance: i.Instance, UpTo: i.UpTo}
-		for window, counts := range i.Windows {
-			w.Windows = append(w.Windows, WireWindow{window, counts})
+		for _, window := range slices.Sorted(maps.Keys(i.Windows)) {
+			w.Windows = append(w.Windows, WireWindow{window, i.Windows[window]})
 		}
 		return w
 	})
@@ -80,11 +82,11 @@
 	})
 }
 
-// Encode returns the state as bytes for a snapshot.
+// Encode returns the state as bytes for a snapshot, the same bytes for the same state.
 func (s *State) Encode() ([]byte, error) {
 	w := wireState{Next: s.next, Pending: toWireDecisions(s.pending)}
-	for name, kept := range s.kept {
-		w.Kept = append(w.Kept, ToWire(Report{{Instance: name, Windows: kept}})...)
+	for _, name := range slices.Sorted(maps.Keys(s.kept)) {
+		w.Kept = append(w.Kept, ToWire(Report{{Instance: name, Windows: s.kept[name]}})...)
 	}
 	data, err := json.Marshal(w)
 	return data, errors.WithStack(err)
