relay: a server that has just started or recovered gets requests by a window

A new server was the least loaded one at every entry at once, so all of them sent to it before any had an answer; a server whose requests had failed came back in the same way.

Package slowstart holds a concurrency window for each run of a server at each entry, learned from the answers; entries tell each other with the loads whether the server answers well. It holds only while servers in normal use have free slots, never refuses a request, and a limit that the server names goes first.

--- a/control/watch_codec.go
+++ b/control/watch_codec.go
@@ -94,6 +94,7 @@
 	Requests            int    `json:"r"`
 	PendingPromptTokens int    `json:"p,omitempty"`
 	DecodeCost          int    `json:"d,omitempty"`
+	Proven              int    `json:"w,omitempty"`
 }
 
 func toWireLoads(loads []ServerLoad) []wireLoad {
--- a/control/watchers.go
+++ b/control/watchers.go
@@ -101,7 +101,7 @@
 func (w *watchingEntries) addLoads(loads []ServerLoad, sign int) {
 	for _, l := range loads {
 		total := w.loadTotals[l.Server].plus(l, sign)
-		if total.Requests == 0 {
+		if total.Requests == 0 && total.Proven == 0 {
 			delete(w.loadTotals, l.Server)
 			continue
 		}
@@ -116,6 +116,7 @@
 	l.Requests += sign * other.Requests
 	l.PendingPromptTokens += sign * other.PendingPromptTokens
 	l.DecodeCost += sign * other.DecodeCost
+	l.Proven += sign * other.Proven
 	return l
 }
 
@@ -134,7 +135,7 @@
 		if l, ok := own[server]; ok {
 			total = total.plus(l, -1)
 		}
-		if total.Requests > 0 {
+		if total.Requests > 0 || total.Proven > 0 {
 			loads = append(loads, total)
 		}
 	}
--- a/event/relay.go
+++ b/event/relay.go
@@ -30,4 +30,5 @@
 	StreamTakenUp         = define(449, "stream_taken_up", Info, "A caller takes up a stream that has broken off; it goes on at servers of the version that began it, which was recorded or is the only one.")
 	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
 	RetryRefused          = define(450, "retry_refused", Warn, "A request was not sent again because the retry budget of its service is used up; at most one line a second.")
+	ServerSettled         = define(451, "server_settled", Info, "A backend server that had just started or recovered answers like the others of its service; this entry uses it without a window.")
 )
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -68,7 +68,7 @@
 		return
 	}
 	s.discardIdle()
-	s.startBackOff(f.clock.Now())
+	f.startBackOff(f.clock.Now(), s)
 }
 
 // servingAddress returns the address of a server, and whether it serves: a server that leaves
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -121,13 +121,13 @@
 	// otherwise the division would change with each request.
 	own, others := f.serversForPromptLength(now, p, req.long(), candidates)
 	if allowed := f.withinLimits(now, req, own); len(allowed) > 0 {
-		return f.pickByAffinity(now, req, allowed)
+		return f.pickByAffinity(now, req, f.withinWindows(now, allowed))
 	}
 	allowed := f.withinLimits(now, req, others)
 	if len(allowed) == 0 {
 		return nil
 	}
-	return f.pickNearest(now, req, allowed)
+	return f.pickNearest(now, req, f.withinWindows(now, allowed))
 }
 
 // pickByAffinity prefers the servers that probably have the request's prompt parts
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -270,7 +270,9 @@
 		x.recordServerEnd(a)
 		x.recordRefusedConnection(a)
 		a.release()
-		x.relay.fleet.endAttempt(a.server, a)
+		if x.relay.fleet.endAttempt(a.server, a) {
+			x.relay.options.Logger.Log(event.ServerSettled, zap.String("server", a.forwardedTo), zap.Int64("started_at", a.run.StartedAt))
+		}
 		x.logAttempt(a)
 	}()
 	now := x.relay.clock.Now()
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/galenaslip/galenaslip/catalog"
@@ -12,6 +13,7 @@
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/ratelimit"
 	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/slowstart"
 )
 
 const (
@@ -62,6 +64,7 @@
 	limiter           *ratelimit.Limiter
 	streamOrigins     StreamOrigins
 	promptParts       *promptcache.Table // parts that were sent to servers lately
+	turnKey           uint64             // differs between entries; decides in which turns this one may try a starting server
 }
 
 // pool is the state of a service that concerns all of its servers together.
@@ -70,13 +73,16 @@
 	otherEntriesLongWork  float64 // work of other entries' long prompts, in equivalent prompt tokens
 	otherEntriesShortWork float64 // work of other entries' short prompts, in equivalent prompt tokens
 	waits                 *forecast.Waits
+	norm                  slowstart.Norm // answers of servers that neither start nor recover
+	hasServers            bool
+	firstServerAt         clock.Millis // when the first server of the service became known; valid if hasServers
 }
 
 func newFleet(zone string, c clock.Clock, logger event.Logger, limiter *ratelimit.Limiter, origins StreamOrigins) *fleet {
 	return &fleet{
 		zone: zone, clock: c, servers: map[string]*server{}, pools: map[string]*pool{}, entryCount: assumedEntries,
 		endChecks: quarantine.NewEndChecks(c, logServerEnd(logger)), limiter: limiter, streamOrigins: origins,
-		promptParts: promptcache.New(maxPromptParts),
+		promptParts: promptcache.New(maxPromptParts), turnKey: rand.Uint64(),
 	}
 }
 
@@ -174,7 +180,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	s.lastByteAt, s.unresponsive = now, false
+	f.recordByte(now, s)
 	if !a.firstByteSeen {
 		a.firstByteSeen = true
 		s.unprocessedTokens -= a.uncachedTokens
@@ -187,7 +193,15 @@
 func (f *fleet) recordStreamActivity(s *server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.lastByteAt, s.unresponsive = f.clock.Now(), false
+	f.recordByte(f.clock.Now(), s)
+}
+
+// recordByte records that bytes were received from a server. The caller holds the lock.
+func (f *fleet) recordByte(now clock.Millis, s *server) {
+	if s.unresponsive {
+		f.beginSlowStart(now, s)
+	}
+	s.lastByteAt, s.unresponsive = now, false
 }
 
 // recordLoad records the load that a server reports in a response. It does nothing if
@@ -201,8 +215,9 @@
 	s.setReportedLoad(f.clock.Now(), responseInfo.Load)
 }
 
-// endAttempt unregisters an attempt and records its result for the server.
-func (f *fleet) endAttempt(s *server, a *attempt) {
+// endAttempt unregisters an attempt and records its result for the server. It reports whether the
+// server has been starting or recovering until now.
+func (f *fleet) endAttempt(s *server, a *attempt) (settled bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
@@ -216,7 +231,7 @@
 	}
 	switch a.result {
 	case resultUnreachable:
-		s.startBackOff(now)
+		f.startBackOff(now, s)
 	case resultWrongServer:
 		s.wrongServer = true
 	case resultFailed:
@@ -227,6 +242,7 @@
 			s.recordLatency(now, a.firstByteAt-a.chosenAt)
 		}
 	}
+	return f.followSlowStart(now, s, a)
 }
 
 // close closes all idle connections to servers.
--- a/relay/fleet_update.go
+++ b/relay/fleet_update.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"github.com/samber/lo"
+
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/roster"
@@ -67,23 +69,29 @@
 func (f *fleet) applyLoads(now clock.Millis, loads []control.ServerLoad) {
 	for _, s := range f.servers {
 		s.otherEntriesRequests, s.otherEntriesUnprocessedTokens, s.otherEntriesDecodeCost, s.otherEntriesReportedAt = 0, 0, 0, now
+		s.otherEntriesProven = 0
 	}
 	for _, l := range loads {
 		if s, ok := f.servers[l.Server]; ok {
 			s.otherEntriesRequests, s.otherEntriesUnprocessedTokens, s.otherEntriesDecodeCost = float64(l.Requests), float64(l.PendingPromptTokens), float64(l.DecodeCost)
+			s.otherEntriesProven = l.Proven
 		}
 	}
 }
 
-// loads returns the load of this entry's running requests, one element for each server
-// with such requests.
+// loads returns the load of this entry's running requests, one element for each server with such
+// requests, or that has lately started or recovered and answers well.
 func (f *fleet) loads() []control.ServerLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clock.Now()
 	var loads []control.ServerLoad
 	for name, s := range f.servers {
-		if len(s.attempts) > 0 {
-			loads = append(loads, control.ServerLoad{Server: name, Requests: len(s.attempts), PendingPromptTokens: s.unprocessedTokens, DecodeCost: int(s.decodeCost)})
+		proven := lo.Ternary(s.window.Proven(now), 1, 0)
+		if len(s.attempts) > 0 || proven > 0 {
+			loads = append(loads, control.ServerLoad{
+				Server: name, Requests: len(s.attempts), PendingPromptTokens: s.unprocessedTokens, DecodeCost: int(s.decodeCost), Proven: proven,
+			})
 		}
 	}
 	return loads
@@ -99,6 +107,7 @@
 		}
 		known = newServer(r, f.promptParts.NewCache())
 		f.servers[r.Server] = known
+		f.introduce(now, known)
 	}
 	if r.State == roster.Gone && r.StartedAt == 0 {
 		r.Announcement = known.record.WithState(roster.Gone)
@@ -109,6 +118,7 @@
 	}
 	if r.StartedAt != previous.StartedAt || r.Address != previous.Address {
 		f.resetServer(known)
+		f.beginSlowStart(now, known)
 	}
 	if r.Version != previous.Version && r.State != roster.Gone {
 		f.followVersion(now, known, r)
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -66,7 +66,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	return f.pickByLoad(now, candidates)
+	return f.pickByLoad(now, f.withinWindows(now, candidates))
 }
 
 // divideByLimits returns the servers with those first that have a limit, and which share of them
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -99,6 +99,7 @@
 		"servers":           float64(len(s.Servers)),
 		"servers_leaving":   float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.SaysLeaving && !v.gone() })),
 		"servers_limited":   float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.Limit > 0 && !v.gone() })),
+		"servers_starting":  float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.Window > 0 && !v.gone() })),
 		"limit_share":       s.LimitShare,
 		"retry_share":       s.RetryShare,
 		"servers_paused":    float64(lo.CountBy(s.Servers, func(v ServerState) bool { return v.PauseLeft > 0 && !v.gone() })),
@@ -212,6 +213,7 @@
 	Limit                                           float64      // requests a second that the server takes from all entries together; 0 if it has named no limit
 	LimitRate                                       float64      // the part of Limit that this relay may use, in requests a second
 	LimitTokens                                     float64      // requests that this relay may send to the server now
+	Window                                          float64      // running requests that this relay may have at a server that starts or recovers while others have room; 0 without a bound
 }
 
 func (s ServerState) gone() bool { return s.State == string(roster.Gone) }
@@ -237,7 +239,7 @@
 			Silent: v.record.Silent, Unresponsive: v.unresponsive, WrongServer: v.wrongServer, Attempts: len(v.attempts), OpenConnections: v.openConns,
 			IdleConnections: len(v.idle), OtherEntriesRequests: v.otherEntriesRequests, FailureShare: v.failureShare(now), MeanLatency: v.meanLatency(now),
 			SaysLeaving: v.withdrawal.Leaving(), PauseLeft: v.withdrawal.PauseLeft(now),
-			Limit: limit.Limit, LimitRate: limit.Rate, LimitTokens: limit.Tokens,
+			Limit: limit.Limit, LimitRate: limit.Rate, LimitTokens: limit.Tokens, Window: lo.Ternary(f.isStarting(now, v), v.window.Size(), 0),
 		})
 	}
 	return s
@@ -299,6 +301,7 @@
 	Limit                float64      `json:"limit"`
 	LimitRate            float64      `json:"limit_rate"`
 	LimitTokens          float64      `json:"limit_tokens"`
+	Window               float64      `json:"window"`
 }
 
 // EncodeState returns the JSON form of a state.
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,6 +11,7 @@
 	"github.com/galenaslip/galenaslip/promptcache"
 	"github.com/galenaslip/galenaslip/quarantine"
 	"github.com/galenaslip/galenaslip/roster"
+	"github.com/galenaslip/galenaslip/slowstart"
 	"github.com/galenaslip/galenaslip/withdrawal"
 )
 
@@ -59,6 +60,7 @@
 	otherEntriesRequests          float64 // running requests of other entries, as reported at otherEntriesReportedAt
 	otherEntriesUnprocessedTokens float64 // prompt tokens of these requests that the server has not processed yet
 	otherEntriesDecodeCost        float64 // estimated work of generating their output, in equivalent prompt tokens
+	otherEntriesProven            int     // other entries that the server answers well since it has started or recovered
 	otherEntriesReportedAt        clock.Millis
 	reportedLoad                  float64 // requests of other entries, computed from the server's load report of reportedLoadAt
 	reportedLoadAt                clock.Millis
@@ -66,12 +68,13 @@
 	failureShareAt                clock.Millis
 	latency                       float64 // mean latency in ms at latencyAt
 	latencyAt                     clock.Millis
-	backOff                       clock.Millis   // current pause after a failed connection
-	blockedUntil                  clock.Millis   // no connection is opened before this time
-	unresponsive                  bool           // the server sends no bytes although attempts wait for it
-	wrongServer                   bool           // a server with another name answers at the address
-	sendsIDs                      atomic.Bool    // a response has carried the ID of its request; not guarded by the lock
-	recentStreams                 []recentStream // streams that have begun here within announcementDelay, oldest first
+	backOff                       clock.Millis     // current pause after a failed connection
+	blockedUntil                  clock.Millis     // no connection is opened before this time
+	unresponsive                  bool             // the server sends no bytes although attempts wait for it
+	wrongServer                   bool             // a server with another name answers at the address
+	sendsIDs                      atomic.Bool      // a response has carried the ID of its request; not guarded by the lock
+	window                        slowstart.Window // of a server that has just started or recovered
+	recentStreams                 []recentStream   // streams that have begun here within announcementDelay, oldest first
 	answers                       memory.Source
 	withdrawal                    withdrawal.State
 	formerWithdrawal              withdrawal.State // that of the run before, in case the record of the present run was wrong
@@ -163,10 +166,14 @@
 }
 
 // startBackOff blocks the server for new requests after a failed connection. The time
-// doubles with each failure, up to maxBackOff.
-func (s *server) startBackOff(now clock.Millis) {
+// doubles with each failure, up to maxBackOff. After more than one the server counts as recovering: a
+// single one may be due to a kept connection that the server has closed. The caller holds the lock.
+func (f *fleet) startBackOff(now clock.Millis, s *server) {
 	s.backOff = min(max(2*s.backOff, minBackOff), maxBackOff)
 	s.blockedUntil = now + s.backOff
+	if s.backOff > minBackOff {
+		f.beginSlowStart(s.blockedUntil, s)
+	}
 }
 
 // affinityRank returns the server's rank for the prompt part with the given ID; the
