relay: windows end by what all entries have proven, and hold few servers back

With 42 entries and 140 servers, an entry sends a server less than one request a second, so its own answers ended its windows late; half of the servers of a release were held back together. The entries now tell how many requests at a time a server answers well; the windows end once these add up to its slots. If more than a fifth of the servers start, each entry may use each of them.

--- a/control/watch.go
+++ b/control/watch.go
@@ -96,7 +96,7 @@
 	Requests            int // requests in progress
 	PendingPromptTokens int // prompt tokens that the server has not processed yet
 	DecodeCost          int // cost of generating the output, converted to prompt tokens
-	Proven              int // number of entries that the server answers well since it has lately started or recovered
+	Proven              int // requests at a time that the server answers well since it has lately started or recovered
 }
 
 // WatchResponse is the response to a watch. Only a granted response confirms that the
--- a/relay/fleet_update.go
+++ b/relay/fleet_update.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"github.com/samber/lo"
-
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
 	"github.com/galenaslip/galenaslip/roster"
@@ -87,7 +85,7 @@
 	now := f.clock.Now()
 	var loads []control.ServerLoad
 	for name, s := range f.servers {
-		proven := lo.Ternary(s.window.Proven(now), 1, 0)
+		proven := s.window.Proven(now)
 		if len(s.attempts) > 0 || proven > 0 {
 			loads = append(loads, control.ServerLoad{
 				Server: name, Requests: len(s.attempts), PendingPromptTokens: s.unprocessedTokens, DecodeCost: int(s.decodeCost), Proven: proven,
--- a/relay/server.go
+++ b/relay/server.go
@@ -60,7 +60,7 @@
 	otherEntriesRequests          float64 // running requests of other entries, as reported at otherEntriesReportedAt
 	otherEntriesUnprocessedTokens float64 // prompt tokens of these requests that the server has not processed yet
 	otherEntriesDecodeCost        float64 // estimated work of generating their output, in equivalent prompt tokens
-	otherEntriesProven            int     // other entries that the server answers well since it has started or recovered
+	otherEntriesProven            int     // requests at a time that it answers the other entries well since it has started or recovered
 	otherEntriesReportedAt        clock.Millis
 	reportedLoad                  float64 // requests of other entries, computed from the server's load report of reportedLoadAt
 	reportedLoadAt                clock.Millis
--- a/relay/slowstart.go
+++ b/relay/slowstart.go
@@ -15,6 +15,9 @@
 	// introductionTime is how long servers count as started before, from when the first one of their
 	// service became known: the relay has just started itself, or the whole service has.
 	introductionTime = 4 * clock.Second
+	// maxHeldShare is the largest share of servers that are held back. With more of them, the others
+	// would have to do noticeably more than their part of the work.
+	maxHeldShare = 0.2
 	// relapseShare is the share of failed attempts from which a server counts as recovering.
 	relapseShare = 0.5
 )
@@ -86,25 +89,30 @@
 // isStarting reports whether the window of a server holds. The pace that a server names itself goes
 // first: the limiter keeps to it. The caller holds the lock.
 func (f *fleet) isStarting(now clock.Millis, s *server) bool {
-	return s.window.Active(now) && !f.limiter.Limits().Limit(ratelimit.Run(s.run())).Exists()
+	return s.window.Holds(now, f.use(now, s)) && !f.limiter.Limits().Limit(ratelimit.Run(s.run())).Exists()
 }
 
 // withinWindows returns the servers in normal use and those that start or recover and may get another
-// request. If the ones in normal use have no free slot, it returns those of the others that have one,
-// for at least one request, and if there are none, or all servers start, it returns all: a request
-// is never refused for a window. The caller holds the lock.
+// request. If many servers start, each of them may get at least one request of this entry. If the ones
+// in normal use have no free slot, the starting ones that have one come first. A request is never
+// refused for a window: if all servers start, or none has a free slot, it returns all. The caller
+// holds the lock.
 func (f *fleet) withinWindows(now clock.Millis, servers []*server) []*server {
 	starting, settled := lo.FilterReject(servers, func(s *server, _ int) bool { return f.isStarting(now, s) })
 	if len(starting) == 0 || len(settled) == 0 {
 		return servers
 	}
+	allowsOne := func(s *server, _ int) bool { return !f.isStarting(now, s) || s.window.AllowsOne(now, len(s.attempts)) }
+	if float64(len(starting)) > maxHeldShare*float64(len(servers)) {
+		return lo.Filter(servers, allowsOne)
+	}
 	if lo.SomeBy(settled, func(s *server) bool { return s.hasRoom(now) }) {
 		turn := slowstart.TurnLength(f.pool(settled[0].record.Service).norm.RequestTime())
 		return lo.Filter(servers, func(s *server, _ int) bool {
 			return !f.isStarting(now, s) || s.window.Allows(now, f.use(now, s), slowstart.Turns{Key: f.turnKey ^ s.nameHash, Length: turn})
 		})
 	}
-	free := lo.Filter(starting, func(s *server, _ int) bool { return s.hasRoom(now) && s.window.AllowsOne(now, len(s.attempts)) })
+	free := lo.Filter(starting, func(s *server, i int) bool { return s.hasRoom(now) && allowsOne(s, i) })
 	return lo.Ternary(len(free) > 0, free, servers)
 }
 
--- a/slowstart/load_test.go
+++ b/slowstart/load_test.go
@@ -42,7 +42,7 @@
 	requests  []simulatedRequest
 	own       []int // requests by entry
 	reported  []int // loads of the last steps, oldest first
-	proven    []int // numbers of entries that it answers well, in the same way
+	proven    []int // requests that it has proven to take, in the same way
 	slowUntil clock.Millis
 	factor    clock.Millis
 	windows   []slowstart.Window
@@ -62,7 +62,7 @@
 // simulationResult tells how the starting servers were used.
 type simulationResult struct {
 	peak     int          // most requests at one of them in its first second
-	slow     int          // requests there that took more than three times the usual time
+	slow     int          // requests sent there during the warm-up that took more than three times the usual time
 	fullAt   clock.Millis // time from the start until they had 80% of the use of the others for a second; -1 if never
 	meanWait clock.Millis // of all requests from the start on, at whatever server, until they got a slot
 }
@@ -96,7 +96,7 @@
 					usual := float64(servers[(i+1)%s.settled].own[r.entry])
 					v.windows[r.entry] = v.windows[r.entry].WithAnswer(now, r.sentAt, norms[r.entry].Slowness(0, elapsed), usual)
 				}
-				if v.starting && elapsed > 3*serviceTime {
+				if r.sentAt < v.slowUntil && elapsed > 3*serviceTime {
 					result.slow++
 				}
 				if r.sentAt >= startAt {
@@ -164,9 +164,7 @@
 	v.requests = left
 	proven := 0
 	for _, w := range v.windows {
-		if w.Proven(now) {
-			proven++
-		}
+		proven += w.Proven(now)
 	}
 	v.reported, v.proven = append(v.reported[1:], len(left)), append(v.proven[1:], proven)
 }
--- a/slowstart/window.go
+++ b/slowstart/window.go
@@ -15,6 +15,8 @@
 	initialShare = 1.0 / 8
 	// minInitial is the least number of requests that all entries together send at first.
 	minInitial = 2
+	// unknownSlots is the number of slots assumed of a server that names none.
+	unknownSlots = 16
 	// maxDuration is the time after which the window ends: a server that is still slow then is a slow
 	// server, and one that has refused so far is measured by its failures.
 	maxDuration = 30 * clock.Second
@@ -39,6 +41,7 @@
 	begun     bool
 	ended     bool    // the answers were as good as those of other servers
 	answered  bool    // an answer or a failure has changed the window
+	slots     float64 // requests that the server runs at a time
 	size      float64 // requests; below 1, it is the part of all turns that the entry has
 	floor     float64 // the least size
 	threshold float64 // from this size on, the window grows by one request in each round of answers
@@ -50,8 +53,11 @@
 // Begin returns the window for a server that starts or recovers now. The number of slots is 0 if it
 // is unknown.
 func Begin(now clock.Millis, slots, entries int) Window {
+	if slots <= 0 {
+		slots = unknownSlots
+	}
 	size := max(initialShare*float64(slots), minInitial) / float64(max(entries, 1))
-	return Window{begun: true, size: size, floor: size, threshold: math.Inf(1), slowness: 1, begunAt: now, reducedAt: now}
+	return Window{begun: true, slots: float64(slots), size: size, floor: size, threshold: math.Inf(1), slowness: 1, begunAt: now, reducedAt: now}
 }
 
 // Active reports whether the window limits requests.
@@ -59,10 +65,13 @@
 	return w.begun && !w.ended && now-w.begunAt < maxDuration
 }
 
-// Proven reports whether the server has lately started or recovered and answers this entry well. The
-// entries tell each other.
-func (w Window) Proven(now clock.Millis) bool {
-	return w.begun && now-w.begunAt < maxDuration && (w.ended || w.size > w.floor)
+// Proven returns how many requests at a time the server answers this entry well since it has lately
+// started or recovered. The entries tell each other.
+func (w Window) Proven(now clock.Millis) int {
+	if !w.begun || now-w.begunAt >= maxDuration || !w.ended && w.size <= w.floor {
+		return 0
+	}
+	return int(min(w.size, w.slots))
 }
 
 // Size returns the number of requests, or 0 if there is no limit.
@@ -105,7 +114,7 @@
 // Use is what an entry knows about the use of a server.
 type Use struct {
 	Own     int // running requests of this entry
-	Proven  int // other entries that the server answers well
+	Proven  int // what the other entries have found proven together
 	Entries int // all entries
 }
 
@@ -115,11 +124,17 @@
 	Length clock.Millis
 }
 
+// Holds reports whether the window limits requests, given what the other entries tell: it no longer
+// does when the windows of all entries add up to the slots of the server.
+func (w Window) Holds(now clock.Millis, use Use) bool {
+	return w.Active(now) && float64(use.Proven)+w.size < w.slots
+}
+
 // Allows reports whether the entry may send another request now. A fraction of a request is granted
-// in turns. An entry without answers of its own relies on those of the others: the part of its turns
-// is the part of the entries that the server answers well, so their number doubles with each turn.
+// in turns. An entry without answers of its own relies on those of the others: it gets the mean of
+// their windows, so that the requests at the server double with each turn.
 func (w Window) Allows(now clock.Millis, use Use, turns Turns) bool {
-	if !w.Active(now) {
+	if !w.Holds(now, use) {
 		return true
 	}
 	size := w.size
