--- a/control/delegate_test.go
+++ b/control/delegate_test.go
@@ -267,6 +267,45 @@
 	g.eventually("the end of that load", func() bool { _, entries, load, _ := observer.state(); return entries == 1 && load == 0 })
 }
 
+// Guards against what entries have found out about a starting server being lost because they have no
+// requests there at the moment, and against a sum that stays or turns negative once they are gone.
+func TestProvenRequestsOfEntriesAreAdded(t *testing.T) {
+	g := newSeededGroup(t, 3)
+	g.putCatalog("c1", 7)
+	var mu sync.Mutex
+	proven := 0
+	watch := func(ctx context.Context, entry, seed string, loads []control.ServerLoad, update func(control.WatchResponse)) {
+		w := control.NewWatcher(control.WatcherOptions{
+			Entry: entry, Seeds: func() []string { return []string{g.memberOptions[seed].Listen} }, Clock: g.clock, Logger: event.Discard(),
+			Update: func(_ clock.Millis, response control.WatchResponse) bool { update(response); return true },
+			Report: func() control.Report { return control.Report{Loads: loads} },
+		})
+		go w.Run(ctx)
+	}
+	isProven := func(want int) func() bool {
+		return func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return proven == want
+		}
+	}
+	watch(t.Context(), "observer", "c1", nil, func(response control.WatchResponse) {
+		mu.Lock()
+		defer mu.Unlock()
+		proven = 0
+		for _, l := range response.Loads {
+			proven += l.Proven
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	for i, seed := range []string{"c1", "c2", "c3"} {
+		watch(ctx, fmt.Sprintf("entry-%d", i), seed, []control.ServerLoad{{Server: "s1", Proven: i + 1}}, func(control.WatchResponse) {})
+	}
+	g.eventually("the sum of the other entries", isProven(6))
+	cancel()
+	g.eventually("the end of that sum", isProven(0))
+}
+
 // Guards against a catalog that is acknowledged while an entry still uses an older one: with
 // entries that ask late for changes, an acknowledgement at the commit is too early.
 func TestCatalogIsAcknowledgedOnceAllEntriesUseIt(t *testing.T) {
--- a/slowstart/window_test.go
+++ b/slowstart/window_test.go
@@ -160,3 +160,30 @@
 		}
 	}
 }
+
+// Guards against a window that holds although the entries together have shown that the server takes as
+// many requests as it has slots, and against entries that go on telling so after a relapse.
+func TestWindowEndsByWhatOthersTell(t *testing.T) {
+	w := slowstart.Begin(0, slots, 62)
+	if got := w.Proven(1); got != 0 {
+		t.Errorf("proven without answers: got %d, want 0", got)
+	}
+	for _, tt := range []struct {
+		proven int
+		holds  bool
+	}{{-1, true}, {0, true}, {slots / 2, true}, {slots, false}, {1 << 62, false}} {
+		if got := w.Holds(1, slowstart.Use{Proven: tt.proven, Entries: 62}); got != tt.holds {
+			t.Errorf("%d requests proven by others: holds is %t, want %t", tt.proven, got, tt.holds)
+		}
+	}
+	w = w.WithAnswer(10, 5, 1, 10)
+	if got, want := w.Proven(10), 1; got != want {
+		t.Errorf("proven after an answer: got %d, want %d", got, want)
+	}
+	for now := clock.Millis(20); now < 200; now += 20 {
+		w = w.WithFailure(now, now-5)
+	}
+	if got := w.Proven(200); got != 0 {
+		t.Errorf("proven after failures: got %d, want 0", got)
+	}
+}
