relay: an unresponsive server is tried again

A server that had not answered for 1.2 s counted as unresponsive until it sent bytes or started again, and got no requests while others responded: nothing could show that it had recovered. Now all entries together send it about one request a second that may be sent elsewhere. A server that misses heartbeats is still left out.

TestServerIsTriedAgainAfterSilence fails without the change: no request within 10 s after the recovery.

--- a/relay/choice.go
+++ b/relay/choice.go
@@ -24,6 +24,7 @@
 	excluded       []string // names of servers that were already tried
 	version        *string  // version of the servers that can continue the stream; nil for any
 	urgency        ratelimit.Urgency
+	repeatable     bool // it may be sent to another server if the first one does not answer
 	// refusable describes the request to the forecast; nil if it is not refused as too late.
 	refusable *forecast.Request
 }
@@ -34,6 +35,7 @@
 func (f *fleet) pickServer(now clock.Millis, req requirements, a *attempt) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	req.repeatable = a.repeatable
 	candidates := f.usableServers(now, req)
 	if len(candidates) == 0 {
 		return false
@@ -63,6 +65,9 @@
 	}
 	a.server, a.requirements, a.run, a.version = s, req, s.run(), s.record.Version
 	f.limiter.Take(now, ratelimit.Run(a.run), req.service, req.urgency)
+	if s.unresponsive {
+		f.delayTrial(now, s)
+	}
 	s.attempts[a] = struct{}{}
 	s.unprocessedTokens += a.uncachedTokens
 	a.decodeCost = req.decodeCost
@@ -71,14 +76,14 @@
 
 // usableServers returns the servers that may get the request, in an order that is the
 // same at every entry. It returns silent or unresponsive servers only if there are no
-// others, and never one that has said that it wants no requests. The caller holds the lock.
+// others or a trial is due, and never one that has said that it wants no requests. The caller holds the lock.
 func (f *fleet) usableServers(now clock.Millis, req requirements) []*server {
 	var responsive, fallback []*server
 	for _, s := range f.servers {
 		if !f.isUsable(now, s, req) {
 			continue
 		}
-		if s.unresponsive || s.isSilent(now) {
+		if s.isSilent(now) || s.unresponsive && !s.isTrialDue(now, req) {
 			fallback = append(fallback, s)
 			continue
 		}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -164,7 +164,10 @@
 	if silence < unresponsiveAfter {
 		return
 	}
-	s.unresponsive = true
+	if !s.unresponsive {
+		s.unresponsive = true
+		f.delayTrial(now, s)
+	}
 	for a := range s.attempts {
 		if !a.repeatable || a.firstByteSeen && silence < streamUnresponsiveAfter || now-a.chosenAt < unresponsiveAfter {
 			continue
--- a/relay/server.go
+++ b/relay/server.go
@@ -71,6 +71,7 @@
 	backOff                       clock.Millis     // current pause after a failed connection
 	blockedUntil                  clock.Millis     // no connection is opened before this time
 	unresponsive                  bool             // the server sends no bytes although attempts wait for it
+	tryAt                         clock.Millis     // when an unresponsive server may get one request, to find out whether it has recovered
 	wrongServer                   bool             // a server with another name answers at the address
 	sendsIDs                      atomic.Bool      // a response has carried the ID of its request; not guarded by the lock
 	window                        slowstart.Window // of a server that has just started or recovered
--- a/relay/slowstart.go
+++ b/relay/slowstart.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"net/http"
 
 	"github.com/samber/lo"
@@ -18,6 +19,11 @@
 	// maxHeldShare is the largest share of servers that are held back. With more of them, the others
 	// would have to do noticeably more than their part of the work.
 	maxHeldShare = 0.2
+	// trialInterval is the mean time between requests of all entries together to a server that does not
+	// respond and still sends heartbeats.
+	trialInterval = 1 * clock.Second
+	// maxTrialDelay bounds the time between the trials of one entry.
+	maxTrialDelay = 30 * clock.Second
 	// relapseShare is the share of failed attempts from which a server counts as recovering.
 	relapseShare = 0.5
 )
@@ -116,6 +122,19 @@
 	return lo.Ternary(len(free) > 0, free, servers)
 }
 
+// delayTrial determines when this entry may next try whether an unresponsive server has recovered.
+// The caller holds the lock.
+func (f *fleet) delayTrial(now clock.Millis, s *server) {
+	delay := min(trialInterval*clock.Millis(f.entryCount), maxTrialDelay)
+	s.tryAt = now + delay/2 + rand.N(delay)
+}
+
+// isTrialDue reports whether a request may be sent to an unresponsive server to find out whether it
+// has recovered. Nothing else would show it: without requests, the server sends no bytes.
+func (s *server) isTrialDue(now clock.Millis, req requirements) bool {
+	return req.repeatable && len(s.attempts) == 0 && now >= s.tryAt
+}
+
 // use returns what the window of a server depends on. The caller holds the lock.
 func (f *fleet) use(now clock.Millis, s *server) slowstart.Use {
 	u := slowstart.Use{Own: len(s.attempts), Entries: f.entryCount}
--- a/relay/slowstart_test.go
+++ b/relay/slowstart_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"sync/atomic"
 	"testing"
 
 	"github.com/samber/lo"
@@ -180,3 +181,70 @@
 		})
 	}
 }
+
+// Guards against a server that is left idle because it did not answer a request once: nothing but an
+// answer shows that it has recovered, and it gets no requests while other servers respond.
+func TestServerIsTriedAgainAfterSilence(t *testing.T) {
+	var silent atomic.Bool
+	silent.Store(true)
+	paused := newBackend(t, func(req receivedRequest) {
+		if silent.Load() {
+			<-req.disconnected
+			return
+		}
+		respondOK(req, "answer")
+	})
+	sound := newBackend(t, func(req receivedRequest) { respondOK(req, "answer") })
+	s := newFixture(t, slices.Repeat([]*backend{sound}, settledServers)...)
+	s.updateServers(paused.listing("joining", 16, 5))
+	// ask sends a request. If it waits at the silent server, time goes on until the relay gives that up.
+	ask := func() {
+		const steps = 80 // 20 s, less than the timeout of the request
+		passed, before := 0, paused.count()
+		c := s.client()
+		c.get("/safe/", "1")
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			c.wantStatus(200)
+		}()
+		for {
+			select {
+			case <-answered:
+				s.awaitAttemptsEnd()
+				return
+			default:
+			}
+			if paused.count() > before && silent.Load() && passed < steps {
+				passed++
+				s.advanceToNextCheck(250 * clock.Millisecond)
+				s.updateServers()
+			}
+			runtime.Gosched()
+		}
+	}
+	send := func(duration clock.Millis) {
+		for end := s.clock.Now() + duration; s.clock.Now() < end; {
+			ask()
+			s.advanceToNextCheck(250 * clock.Millisecond)
+			s.updateServers()
+		}
+	}
+	for paused.count() == 0 {
+		ask()
+	}
+	if !s.serverState("joining").Unresponsive {
+		t.Fatal("the server counts as responsive, want unresponsive")
+	}
+	before := paused.count()
+	send(10 * clock.Second)
+	if got, want := paused.count()-before, 21; got > want {
+		t.Errorf("requests during 10 s of silence: got %d, want at most %d", got, want)
+	}
+	silent.Store(false)
+	before = paused.count()
+	send(10 * clock.Second)
+	if paused.count() == before {
+		t.Error("no request within 10 s after the server has recovered")
+	}
+}
