--- a/event/relay.go
+++ b/event/relay.go
@@ -31,4 +31,5 @@
 	HandlerPanicked       = define(436, "handler_panicked", Error, "Handling a call failed unexpectedly; it was answered with status 500.")
 	LoadUnknown           = define(457, "load_unknown", Warn, "A backend server reports its load in a form that is not known in full; the figures that can be read are used. At most one line an hour.")
 	RetryRefused          = define(450, "retry_refused", Warn, "A request was not sent again because the retry budget of its service is used up; at most one line a second.")
+	ServerSettled         = define(451, "server_settled", Info, "A backend server that had just started or recovered answers like the others of its service; this entry uses it without a window.")
 )
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -123,13 +123,13 @@
 	// otherwise the division would change with each request.
 	own, others := f.serversForPromptLength(now, p, req.long(), candidates)
 	if allowed := f.withinLimits(now, req, own); len(allowed) > 0 {
-		return f.pickByAffinity(now, req, allowed), own
+		return f.pickByAffinity(now, req, f.withinWindows(now, allowed)), own
 	}
 	allowed := f.withinLimits(now, req, others)
 	if len(allowed) == 0 {
 		return nil, own
 	}
-	return f.pickNearest(now, req, allowed), own
+	return f.pickNearest(now, req, f.withinWindows(now, allowed)), own
 }
 
 // pickByAffinity prefers the servers that probably have the request's prompt parts
