quarantine: the next trial waits as long as servers have run until they ended

Cause: trials of a part follow each other after 4 s.

Change: the interval grows by the longest time that a request of the part was at a server that ended. TestTrialWaitsForOutcomeOfFormerOne failed before.

--- a/quarantine/deadly_test.go
+++ b/quarantine/deadly_test.go
@@ -159,3 +159,26 @@
 	q.Doubtful(clock.Second, subject)
 	q.RecordSurvival(clock.Second, subject, false)
 }
+
+// Guards against a second trial that is sent before the outcome of the first one can be known, because
+// servers run for seconds under the request before they end.
+func TestTrialWaitsForOutcomeOfFormerOne(t *testing.T) {
+	const runTime = 10 * clock.Second
+	q := newQuarantine("entry")
+	s := subject("system", "deadly")
+	for i := range 2 {
+		at := runTime + clock.Millis(i)*clock.Second
+		q.RecordEnd(s, run(i), quarantine.Loss{At: at, Sent: at - runTime, Begun: true})
+	}
+	begin := 12 * clock.Second
+	if v := q.Check(begin, s, 4); !v.Trial {
+		t.Fatalf("suspect part: got %+v, want a trial", v)
+	}
+	q.BeginTrial(begin, key("deadly"))
+	if v := q.Check(begin+runTime+clock.Second, s, 4); !v.Pending {
+		t.Errorf("while the trial may still run: got %+v, want the request to wait", v)
+	}
+	if v := q.Check(begin+runTime+10*clock.Second, s, 4); !v.Trial {
+		t.Errorf("long after the trial: got %+v, want another one", v)
+	}
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -131,10 +131,20 @@
 	if r.trial.number == 0 {
 		return 0
 	}
-	interval := trialInterval << min(max(r.endedTrials()-1, 0), maxTrialDoublings)
+	interval := r.longestRun() + trialInterval<<min(max(r.endedTrials()-1, 0), maxTrialDoublings)
 	return max(r.trial.at+interval, r.knownSince) + offset(key, entry, r.trial.number, trialSpread)
 }
 
+// longestRun returns the longest time for which a request was at a server that ended: the outcome of a
+// trial can take as long.
+func (r *suspectRecord) longestRun() clock.Millis {
+	longest := clock.Millis(0)
+	for _, end := range r.ends {
+		longest = max(longest, end.at-end.sentAt)
+	}
+	return longest
+}
+
 // endedTrials returns the number of servers that ended under trials.
 func (r *suspectRecord) endedTrials() int {
 	n := 0
