fencing: orders to engines and calls of duties are sent by one piece of code

The client of duties had written again what control.deliverOrder does: a new connection, one write after the check of the lease, and a reset when the call is given up. Package fencing holds it; both only say what they send and what an answer means. Outcomes are as before.

--- a/control/orders.go
+++ b/control/orders.go
@@ -1,17 +1,15 @@
 package control
 
 import (
-	"bufio"
 	"context"
-	"net"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/event"
+	"github.com/galenaslip/galenaslip/fencing"
 	"github.com/galenaslip/galenaslip/placement"
 )
 
@@ -24,9 +22,6 @@
 	// maxOrdersInFlight is the maximum number of orders in delivery at the same
 	// time. Further orders are dropped, and the planner sends them again.
 	maxOrdersInFlight = 64
-	// orderBuffer is the size of the write buffer in bytes. A whole order fits in,
-	// so that no byte reaches the connection before the check of the leader lease.
-	orderBuffer = 64 << 10
 	// maxOrderAnswer is the largest accepted answer to an order in bytes.
 	maxOrderAnswer = 64 << 10
 )
@@ -106,45 +101,19 @@
 	if err != nil {
 		return 0, err
 	}
-	conn, err := fasthttp.DialTimeout(order.Address, dialTimeout.Duration())
-	if err != nil {
-		return 0, errors.Wrapf(err, "connecting to engine %s", order.Address)
-	}
-	stop := context.AfterFunc(ctx, func() { abortConnection(conn) })
-	defer stop()
-	defer conn.Close() //nolint:errcheck // The answer was read, or the error is reported.
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + order.Address + pathOrders)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.Header.SetContentType(fiber.MIMEApplicationJSON)
-	request.SetConnectionClose()
-	request.SetBodyRaw(body)
-	writer := bufio.NewWriterSize(conn, orderBuffer)
-	if err := request.Write(writer); err != nil {
-		return 0, errors.Wrapf(err, "encoding order %s", order.ID)
-	}
-	if !c.holdsLeaderLease(order.FencingToken) {
+	answer, _, err := fencing.Call{
+		Address: order.Address, Path: pathOrders, Body: body, DialTimeout: dialTimeout, MaxAnswerBytes: maxOrderAnswer,
+		MayAct: func() bool { return c.holdsLeaderLease(order.FencingToken) },
+		Sent: func() {
+			c.metrics.ordersSent.WithLabelValues(string(order.Kind)).Inc()
+			c.placementController.log(event.OrderSent, order)
+		},
+	}.Send(ctx)
+	if errors.Is(err, fencing.ErrMayNotAct) {
 		return 0, errLeaseExpired
 	}
-	if err := writer.Flush(); err != nil {
-		return 0, errors.Wrapf(err, "sending order %s", order.ID)
-	}
-	c.metrics.ordersSent.WithLabelValues(string(order.Kind)).Inc()
-	c.placementController.log(event.OrderSent, order)
-	if err := response.ReadLimitBody(bufio.NewReader(conn), maxOrderAnswer); err != nil {
-		return 0, errors.Wrapf(err, "reading the answer to order %s", order.ID)
-	}
-	return response.StatusCode(), nil
-}
-
-// abortConnection closes a connection and drops all data that was not
-// delivered. After a plain close the operating system could still deliver an
-// order that the planner counts as lost.
-func abortConnection(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if err != nil {
+		return 0, errors.Wrapf(err, "order %s", order.ID)
 	}
-	_ = conn.Close()
+	return answer.Status, nil
 }
