relay, control: no lists for windows that nobody has; one question about leadership

A choice of a server divided all servers by their windows, for each request, also when none has started or recovered; it now looks for one first. The controller of capacity asks Control.leadership, as the duties do, in place of reading the status of the log itself.

--- a/control/capacity.go
+++ b/control/capacity.go
@@ -15,7 +15,6 @@
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/duty"
 	"github.com/galenaslip/galenaslip/event"
-	"github.com/galenaslip/galenaslip/replica"
 	"github.com/galenaslip/galenaslip/roster"
 )
 
@@ -78,19 +77,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.control.options.Clock.Now()
-	status := s.control.log.Load().Status()
-	if status.Role != replica.Leader || status.LeaseRemaining <= 0 {
+	leadership := s.control.leadership()
+	if leadership.LeaseRemaining <= 0 {
 		s.term = 0
 		return 0, nil
 	}
-	if s.term != status.Term {
-		s.startTerm(now, status.Term)
+	if s.term != leadership.Term {
+		s.startTerm(now, leadership.Term)
 	}
 	s.loadCatalog()
 	if now < s.readyAt || len(s.services) == 0 {
 		return 0, nil
 	}
-	servers := s.control.serverRegistry.capacityServers(status.Term)
+	servers := s.control.serverRegistry.capacityServers(s.term)
 	loads, reported := s.loads(now)
 	due := now-s.plannedAt >= capacityInterval
 	if due {
--- a/relay/slowstart.go
+++ b/relay/slowstart.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 
 	"github.com/samber/lo"
 
@@ -104,6 +105,9 @@
 // refused for a window: if all servers start, or none has a free slot, it returns all. The caller
 // holds the lock.
 func (f *fleet) withinWindows(now clock.Millis, servers []*server) []*server {
+	if !slices.ContainsFunc(servers, func(s *server) bool { return s.window.Active(now) }) {
+		return servers // most of the time, so that a choice allocates nothing for the windows
+	}
 	starting, settled := lo.FilterReject(servers, func(s *server, _ int) bool { return f.isStarting(now, s) })
 	if len(starting) == 0 || len(settled) == 0 {
 		return servers
