--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -184,8 +184,8 @@
 
 // CheckAbandoned checks the runs at which requests with a digest were abandoned lately, so that a
 // request that ends servers is known before it is sent to the next one. It begins at most one check
-// of a run in abandonedCheckInterval. It returns a channel for each running check that is worth
-// waiting for, which is closed when that one is finished. A host that has not answered so far probably stays
+// of a run in abandonedCheckInterval. It returns a channel for each running check that may end
+// soon, which is closed when that one is finished. A host that has not answered so far probably stays
 // silent: nobody waits for it.
 func (e *EndChecks) CheckAbandoned(digest string) []<-chan struct{} {
 	e.mu.Lock()
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -37,8 +37,8 @@
 
 // Evidence returns the records of the keys that are quarantined, suspect or one end short of it, with the
 // servers that ended under them, and the number of the newest change of these. It returns false if nothing
-// changed after the change with the given number. These are the records that are worth keeping over a
-// restart of all processes.
+// changed after the change with the given number. These are the records that are kept over a restart of
+// all processes.
 func (q *Quarantine) Evidence(now clock.Millis, since uint64) (Report, uint64, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
