review: streams whose relay and members are killed together are not taken up

Cause: the origin of a stream is in the memory of its relay and of two members only. Once all are killed at the same moment, a service with two versions refuses each take-up for as long as both are in the table.

--- a/review/standins-2/deadly.go
+++ b/review/standins-2/deadly.go
@@ -90,6 +90,7 @@
 	hasPart := strings.Contains(r.Header.Get("X-Prefix-Hash"), deadlyPart)
 	if hasPart && d.arrived(v, id) {
 		_, _ = io.WriteString(c, okHead(r, "seal-"+id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+		writeEvents(c, time.Duration(envNumber("CRASH_AFTER_MS", 0))*time.Millisecond)
 		d.crash(v)
 		return false
 	}
@@ -97,6 +98,17 @@
 	return writeStream(c, r, streamEvents, eventPause)
 }
 
+// writeEvents writes events of a stream for some time.
+func writeEvents(c net.Conn, duration time.Duration) {
+	for i, end := 1, time.Now().Add(duration); time.Now().Before(end); i++ {
+		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return
+		}
+		time.Sleep(eventPause)
+	}
+}
+
 // arrived counts a request with the part, and reports whether the server ends under it.
 func (d *deadlyCase) arrived(v *server, id string) bool {
 	d.mu.Lock()
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -25,6 +25,7 @@
 	"part-far-back":       playPartFarBack,
 	"part-known-as-sound": playPartKnownAsSound,
 	"back-at-version":     playVersions,
+	"records-lost":        playTakeUps,
 	"continue":            playContinue,
 }
 
