review: case 6 breaks whatever the phase of the check-ins

Cause: with check-ins 3 s late, the last one of the former run could be overdue at the client's fourth retry if it was sent more than 1.1 s before the crash.

Change: they are 3.5 s late.

--- a/review/standins-2/versions.go
+++ b/review/standins-2/versions.go
@@ -14,8 +14,8 @@
 	versionEvents   = 100
 	versionPause    = 50 * time.Millisecond
 	brokenOffAfter  = 800 * time.Millisecond
-	downTime        = 2 * time.Second // from the end of the server until it is back
-	checkInLateness = 3 * time.Second // how late the server's check-ins arrive
+	downTime        = 2 * time.Second         // from the end of the server until it is back
+	checkInLateness = 3500 * time.Millisecond // how late the server's check-ins arrive
 	clientTries     = 5
 	allowedMixed    = 2
 	formerVersion   = "v1"
