control: members keep records of streams on disk

What callers saw: after a relay and all members were killed at one moment, none of the streams of that relay was taken up at another one while two software versions of their servers served (503, stream_version_unknown). New streams began there.

Cause: the record of which version began a stream was in the memory of its relay and of two members. The relay tells members that were started again, but here it ended with them. Ruled out: heartbeats of the new leader (the refusals go on until 12 s after all servers have announced themselves), other members being asked (their addresses are the same).

Change: a member appends the records that it is told to a file, at most 50 ms later, and syncs it; it reads the file when it starts (storage.RecordFile, with a checksum for each batch). Records that were read count as begun at the start of the member, so that only a later heartbeat of the server confirms its version. Contradictory records stay contradictory when they are kept or told anew; before, they were left out.

--- a/continuation/continuation_test.go
+++ b/continuation/continuation_test.go
@@ -223,6 +223,24 @@
 	})
 }
 
+// Guards against a contradiction that is forgotten when a process is told the records anew, so that the stream
+// goes on at one of its origins.
+func TestCopiedRecordsKeepContradictions(t *testing.T) {
+	first := continuation.NewRecords(10)
+	first.Add(0, continuation.Record{Stream: "one", Origin: continuation.Origin{Service: "s", Version: "v1"}})
+	first.Add(0, continuation.Record{Stream: "both", Origin: continuation.Origin{Service: "s", Version: "v1"}})
+	first.Add(0, continuation.Record{Stream: "both", Origin: continuation.Origin{Service: "s", Version: "v2"}})
+	second := continuation.NewRecords(10)
+	for _, r := range first.All(0) {
+		second.Add(0, r)
+	}
+	for stream, want := range map[string]continuation.Knowledge{"one": continuation.Recorded, "both": continuation.Contradictory} {
+		if _, got := second.Lookup(0, stream); got != want {
+			t.Errorf("stream %s: got knowledge %v, want %v", stream, got, want)
+		}
+	}
+}
+
 // Guards against a stream that is recorded again and again, and against long header lines that the IDs
 // of streams keep in memory.
 func TestRecordsTakeBoundedMemory(t *testing.T) {
--- a/continuation/doc.go
+++ b/continuation/doc.go
@@ -4,7 +4,8 @@
 //
 // Records. The process that passes on the first event of a stream records its origin: the service
 // and the version that began it. Each record is told to a few holders (Holders), which outlive the
-// process; a caller that takes a stream up at another process has it found there (Records).
+// process and keep it on disk; a caller that takes a stream up at another process has it found there
+// (Records).
 //
 // Versions. The control group keeps which versions of each service are in service or have been until
 // lately (Table). A version is in the table before the first stream can begin at it, and leaves it
--- a/continuation/records.go
+++ b/continuation/records.go
@@ -18,8 +18,8 @@
 
 // Record is the origin of a stream.
 type Record struct {
-	Stream string // ID of the request that brought the first event
-	Origin Origin
+	Stream string       // ID of the request that brought the first event
+	Origin Origin       // empty if it is known that records with different origins exist
 	Server string       // the server that began the stream
 	Age    clock.Millis // time since it began
 }
@@ -70,7 +70,7 @@
 	defer r.mu.Unlock()
 	r.expire(now)
 	kept, ok := r.byStream[record.Stream]
-	if ok && kept.origin != record.Origin {
+	if ok && kept.origin != record.Origin || record.Origin == (Origin{}) {
 		kept.contradictory = true
 	}
 	if !ok {
@@ -105,16 +105,18 @@
 	return Record{Stream: stream, Origin: kept.origin, Server: kept.server, Age: now - kept.begunAt}, Recorded
 }
 
-// All returns the records that are kept and not contradictory.
+// All returns the records that are kept. The origin of contradictory ones is empty.
 func (r *Records) All(now clock.Millis) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
 	all := make([]Record, 0, len(r.byStream))
 	for stream, kept := range r.byStream {
-		if !kept.contradictory {
-			all = append(all, Record{Stream: stream, Origin: kept.origin, Server: kept.server, Age: now - kept.begunAt})
+		record := Record{Stream: stream, Origin: kept.origin, Server: kept.server, Age: now - kept.begunAt}
+		if kept.contradictory {
+			record.Origin = Origin{}
 		}
+		all = append(all, record)
 	}
 	return all
 }
--- a/control/control.go
+++ b/control/control.go
@@ -101,6 +101,7 @@
 	propagation         *changePropagation
 	quarantine          *quarantine.Quarantine
 	streams             *continuation.Records // of streams that entries have begun
+	streamFile          *streamFile           // keeps these records on disk
 	runID               string                // identifies this process
 	limits              *ratelimit.Limits
 	shares              *limitShares
@@ -146,6 +147,8 @@
 	quarantineFile := newQuarantineFile(c)
 	quarantineFile.load()
 	c.streams, c.runID = continuation.NewRecords(maxStreamRecords), uuid.NewString()[:8]
+	c.streamFile = newStreamFile(c)
+	c.streamFile.load()
 	c.limits, c.shares = ratelimit.NewLimits(), newLimitShares(c)
 	c.serverRegistry = newServerRegistry(c)
 	if c.options.OpenLog == nil {
@@ -179,6 +182,7 @@
 	c.startTask(func() { c.serverRegistry.run(ctx) })
 	c.startTask(func() { c.maintainVersions(ctx) })
 	c.startTask(func() { quarantineFile.run(ctx) })
+	c.startTask(func() { c.streamFile.run(ctx) })
 	c.startTask(func() { c.delegate.run(ctx) })
 	c.startTask(func() { c.forwarder.run(ctx) })
 	c.startTask(func() { c.duties.run(ctx) })
--- a/control/streams.go
+++ b/control/streams.go
@@ -64,9 +64,8 @@
 		return invalidError(fiber.StatusBadRequest, errors.Wrap(err, "decoding streams"))
 	}
 	now := c.options.Clock.Now()
-	for _, stream := range w.Streams {
-		c.streams.Add(now, stream.record())
-	}
+	records := lo.Map(w.Streams, func(stream wireStream, _ int) continuation.Record { return stream.record() })
+	c.streamFile.add(lo.Filter(records, func(r continuation.Record, _ int) bool { return c.streams.Add(now, r) }))
 	return respondValue(f, wireHolder{Run: c.runID})
 }
 
--- a/control/versions_test.go
+++ b/control/versions_test.go
@@ -1,8 +1,12 @@
 package control_test
 
 import (
+	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -98,6 +102,86 @@
 	g.eventually("the records to be told again", foundAll)
 }
 
+// Guards against streams whose origin is lost because the entry that has begun them and all members were
+// killed together: the members keep the records on disk.
+func TestStreamOriginsOutliveAllProcesses(t *testing.T) {
+	const streams = 30
+	g := newSeededGroup(t, 3)
+	origins := []continuation.Origin{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}
+	stream := func(i int) string { return fmt.Sprintf("stream-%d", i) }
+	ctx, stopEntry := context.WithCancel(t.Context())
+	entry := control.NewStreamDirectory(g.clock, "")
+	entry.SetMembers(g.addresses())
+	go entry.Run(ctx)
+	for i := range streams {
+		entry.Add(continuation.Record{Stream: stream(i), Origin: origins[i%2], Server: "s1"})
+	}
+	entry.Add(continuation.Record{Stream: stream(0), Origin: origins[1], Server: "s1"})
+	foundAll := func() bool {
+		other := g.directory()
+		for i := range streams {
+			found, knowledge := other.Lookup(t.Context(), stream(i))
+			if i == 0 && knowledge == continuation.Contradictory {
+				continue
+			}
+			if knowledge != continuation.Recorded || found.Origin != origins[i%2] || found.Server != "s1" {
+				return false
+			}
+		}
+		return true
+	}
+	g.eventually("the records to be told", foundAll)
+	names := lo.Keys(g.running)
+	g.eventually("the records to be saved", func() bool {
+		return lo.SumBy(names, func(name string) int { return g.savedStreams(name) }) >= 2*streams
+	})
+	stopEntry()
+	for _, name := range names {
+		g.crash(name)
+	}
+	for _, name := range names {
+		g.start(name)
+	}
+	if !foundAll() {
+		t.Errorf("after all processes were killed: got streams without their origin, want all of them")
+	}
+}
+
+// Guards against records that are never saved because the disk refused writes when they were told, and
+// against a member that does not start because of a file that it cannot read.
+func TestStreamOriginsAreSavedOnceDiskTakesWrites(t *testing.T) {
+	const streams = 30
+	g := newSeededGroup(t, 3)
+	folder := filepath.Join(g.memberOptions["c1"].Folder, "streams")
+	if err := os.MkdirAll(filepath.Join(folder, "blocked"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	g.crash("c1")
+	g.start("c1")
+	entry := g.directory()
+	for i := range streams {
+		entry.Add(continuation.Record{Stream: fmt.Sprintf("stream-%d", i), Origin: continuation.Origin{Service: "s", Version: "v1"}})
+	}
+	g.eventually("the other members to have saved their records", func() bool {
+		return g.savedStreams("c2")+g.savedStreams("c3") >= streams
+	})
+	if err := os.RemoveAll(folder); err != nil {
+		t.Fatal(err)
+	}
+	g.eventually("all records to be saved", func() bool {
+		return g.savedStreams("c1") > 0 && g.savedStreams("c1")+g.savedStreams("c2")+g.savedStreams("c3") == 2*streams
+	})
+}
+
+// savedStreams returns the number of records of streams in the file of a member.
+func (g *group) savedStreams(name string) int {
+	data, err := os.ReadFile(filepath.Join(g.memberOptions[name].Folder, "streams"))
+	if err != nil {
+		return 0
+	}
+	return strings.Count(string(data), `"id":"stream-`)
+}
+
 // versionWatcher is an entry that watches the group for servers and versions.
 type versionWatcher struct {
 	mu      sync.Mutex
--- a/event/control.go
+++ b/event/control.go
@@ -26,4 +26,5 @@
 	UsageSkipped           = define(322, "usage_skipped", Warn, "Windows of usage that ended long ago are not reported.")
 	DelegateChanged        = define(315, "delegate_changed", Info, "An entry watches another control member.")
 	QuarantineNotSaved     = define(329, "quarantine_not_saved", Warn, "The evidence against requests that end servers cannot be read from the data folder or written there; it is collected anew after a restart.")
+	StreamsNotSaved        = define(330, "streams_not_saved", Warn, "Records of which software versions began streams cannot be read from the data folder or written there; they are lost if the entry that has them and this process are killed together.")
 )
