control: members that missed records of streams are told them again

What callers saw: streams of a relay that ends were refused elsewhere (503, stream_version_unknown), although the relay and the members had run side by side long enough to tell.

Cause: the same as for records that were lost with all processes: a record was told once, and again only to a member that had been heard from before and then answered as another process. Members that could not be reached then, that joined later, or whose records did not fit into the queue never learned of it.

Change: an entry remembers which members lack records, and tells these all of its records once they answer, none more often than every 2 s. All members of the group are asked with an empty message every 2 s while there are records, also those that hold none yet.

Evidence: control.TestStreamOriginsReachMembersThatMissedThem failed before ("timed out waiting for a member to know the streams that it holds", both cases).

--- a/control/stream_directory.go
+++ b/control/stream_directory.go
@@ -84,11 +84,12 @@
 	case d.queue <- record:
 	default:
 		d.dropped.Add(1)
+		d.holders.missedByAll(d.clock.Now())
 	}
 }
 
 // Run tells holders of the records until ctx ends. Records that come together are told together. A
-// holder that was started again is told all records of this entry anew.
+// holder that lacks records is told all of this entry's.
 func (d *StreamDirectory) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		check, release := d.clock.After(holderCheckInterval)
@@ -105,28 +106,30 @@
 	d.peerClient.httpClient.CloseIdleConnections()
 }
 
-// checkHolders sends an empty message to each holder of this entry's records that has not been heard
-// from lately, and all records to those that were started again since they took them.
+// checkHolders sends an empty message to each member that has not been heard from lately, and all records
+// to those that lack some.
 func (d *StreamDirectory) checkHolders() {
-	now := d.clock.Now()
-	members := d.memberAddresses()
-	if due := d.holders.due(now, members); len(due) > 0 && len(d.own.All(now)) > 0 {
+	now, members := d.clock.Now(), d.memberAddresses()
+	d.holders.setMembers(now, members)
+	if due := d.holders.takeDue(now); len(due) > 0 && len(d.own.All(now)) > 0 {
 		d.sendBatches(lo.SliceToMap(due, func(holder string) (string, []continuation.Record) { return holder, nil }))
 	}
-	restarted := d.holders.takeRestarted()
-	if len(restarted) == 0 {
+	behind := d.holders.takeBehind(d.clock.Now())
+	if len(behind) == 0 {
 		return
 	}
 	batches := map[string][]continuation.Record{}
 	for _, r := range d.own.All(now) {
 		holders := continuation.Holders(r.Stream, members)
-		for _, holder := range lo.Intersect(holders[:min(len(holders), continuation.HolderCount)], restarted) {
+		for _, holder := range lo.Intersect(holders[:min(len(holders), continuation.HolderCount)], behind) {
 			batches[holder] = append(batches[holder], r)
 		}
 	}
 	for holder, records := range batches {
 		for _, batch := range lo.Chunk(records, streamQueueSize) {
-			d.sendBatches(map[string][]continuation.Record{holder: batch})
+			if len(d.sendBatches(map[string][]continuation.Record{holder: batch})) > 0 {
+				break // it is told all records again once it answers
+			}
 		}
 	}
 }
@@ -193,6 +196,9 @@
 	}
 	_, body, err := d.peerClient.exchange(fasthttp.MethodPost, holder, pathStreams, data, streamCallTimeout)
 	if err != nil {
+		if len(batch) > 0 {
+			d.holders.missed(d.clock.Now(), holder)
+		}
 		return err
 	}
 	var answer wireHolder
