quarantine: all parts of a prompt are judged

What callers saw: a part of long prompts that ends each server that begins to answer on it ended two servers with each request, for as long as such requests came, and with them the sound streams that ran there.

Cause: the quarantine looked at the first 16 parts of a prompt, in the judgement and in the evidence; the part stood behind them. Ruled out: that another part explains its ends (the parts before it are known as sound), that the evidence does not reach other entries (there is none). serve entry had the same limit for the messages of a chat.

Change: a request is judged by all parts.

--- a/entry/deadly_request_test.go
+++ b/entry/deadly_request_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -379,30 +380,41 @@
 }
 
 // Guards against a message that ends each server before its answer begins and is never found, because
-// no two requests with it are alike: what they share is looked at too.
+// no two requests with it are alike: what they share is looked at too, however long the conversation before it is.
 func TestDeadlyMessageOfDifferentRequestsIsRefused(t *testing.T) {
 	t.Parallel()
+	for _, before := range []int{1, 40} {
+		t.Run(fmt.Sprintf("%d messages before it", before), func(t *testing.T) {
+			t.Parallel()
+			checkDeadlyMessage(t, lo.Times(before, func(i int) string { return fmt.Sprint("instructions ", i) }))
+		})
+	}
+}
+
+// checkDeadlyMessage checks that a message that ends servers behind the given others is found.
+func checkDeadlyMessage(t *testing.T, before []string) {
+	t.Helper()
 	s := newMortalSite(t, 1, 10, func(*mortalServer) {})
 	send := func(messages ...string) reply {
-		return do(s.t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatOf(messages...))
+		return do(s.t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatOf(slices.Concat(before, messages)...))
 	}
 	for i := range 20 {
-		if got := send("instructions", "document", fmt.Sprint("question ", i)); got.status != http.StatusOK {
+		if got := send("document", fmt.Sprint("question ", i)); got.status != http.StatusOK {
 			t.Fatalf("sound request: got %d %s, want 200", got.status, got.code())
 		}
 	}
 	for i := range 8 {
-		send("instructions", deadlyText, fmt.Sprint("question ", i))
+		send(deadlyText, fmt.Sprint("question ", i))
 		s.wait(600 * clock.Millisecond)
 	}
 	if got, want := s.lost(), 4; got > want {
 		t.Errorf("servers ended: got %d, want at most %d", got, want)
 	}
 	s.wait(2 * clock.Second)
-	if got := send("instructions", deadlyText, "another question"); got.status != http.StatusBadRequest {
+	if got := send(deadlyText, "another question"); got.status != http.StatusBadRequest {
 		t.Errorf("request with the deadly message: got %d %s, want 400", got.status, got.code())
 	}
-	if got := send("instructions", "document", "another question"); got.status != http.StatusOK {
-		t.Errorf("request with the same first message: got %d %s, want 200", got.status, got.code())
+	if got := send("document", "another question"); got.status != http.StatusOK {
+		t.Errorf("request with the same first messages: got %d %s, want 200", got.status, got.code())
 	}
 }
--- a/quarantine/crash_test.go
+++ b/quarantine/crash_test.go
@@ -49,12 +49,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		shape := rapid.SampledFrom(shapes[1:]).Draw(t, "shape")
 		s := newSimulation(rapid.Uint64().Draw(t, "seed"), shape.servers, shape.entries)
-		s.deadly = func(r *simRequest) string {
-			if strings.HasPrefix(r.subject.Parts[2], "deadly") {
-				return r.subject.Parts[2]
-			}
-			return ""
-		}
+		s.deadly = (*simRequest).deadlySession
 		s.plain = rapid.Bool().Draw(t, "no answer begins")
 		s.templates = rapid.IntRange(1, 12).Draw(t, "templates")
 		deadlyParts := clock.Millis(rapid.IntRange(1, 2).Draw(t, "deadly parts"))
@@ -69,14 +64,51 @@
 			}
 			s.send(s.newRequest())
 		})
-		if len(s.refused) > 0 {
-			t.Errorf("%d of %d sound requests were refused, the first is %+v", len(s.refused), s.requests, s.refused[0].subject)
+		s.checkDeadlyFound(t)
+	})
+}
+
+// deadlySession returns the session part of a request if it is one that ends servers.
+func (r *simRequest) deadlySession() string {
+	if part := r.sessionPart(); strings.HasPrefix(part, "deadly") {
+		return part
+	}
+	return ""
+}
+
+// checkDeadlyFound checks that no sound request was refused, and that few deadly ones were sent after the third
+// end of their cause.
+func (s *simulation) checkDeadlyFound(t *rapid.T) {
+	if len(s.refused) > 0 {
+		t.Errorf("%d of %d sound requests were refused, the first is %+v", len(s.refused), s.requests, s.refused[0].subject)
+	}
+	for cause, got := range s.lateSends {
+		if want := 3; got > want {
+			t.Errorf("requests with %s sent later than %d ms after the third end: got %d, want at most %d", cause, contactTime, got, want)
 		}
-		for cause, got := range s.lateSends {
-			if want := 3; got > want {
-				t.Errorf("requests with %s sent later than %d ms after the third end: got %d, want at most %d", cause, contactTime, got, want)
+	}
+}
+
+// Guards against a part that ends server after server and is never found, because it stands behind many others of
+// its prompt: parts that all requests share, or parts that no other request has. Entries may have been started
+// just before.
+func TestDeadlyPartIsFoundBehindManyParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := rapid.SampledFrom(shapes[1:]).Draw(t, "shape")
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), shape.servers, shape.entries)
+		s.deadly = (*simRequest).deadlySession
+		s.plain = rapid.Bool().Draw(t, "no answer begins")
+		s.sharedParts = rapid.SampledFrom([]int{0, 15, 17, 120}).Draw(t, "shared parts")
+		s.ownParts = rapid.SampledFrom([]int{0, 17, 120}).Draw(t, "own parts")
+		first := clock.Millis(rapid.SampledFrom([]int{0, 1000, 3000}).Draw(t, "first deadly request"))
+		interval := clock.Millis(rapid.IntRange(10, 50).Draw(t, "ticks between deadly requests")) * tick
+		s.play(func(now clock.Millis) {
+			if now >= first && now%interval == 0 {
+				s.send(s.newRequestOf("deadly"))
 			}
-		}
+			s.send(s.newRequest())
+		})
+		s.checkDeadlyFound(t)
 	})
 }
 
@@ -105,13 +137,6 @@
 			}
 			s.send(s.newRequest())
 		})
-		if len(s.refused) > 0 {
-			t.Errorf("%d of %d sound requests were refused, the first is %+v", len(s.refused), s.requests, s.refused[0].subject)
-		}
-		for cause, got := range s.lateSends {
-			if want := 3; got > want {
-				t.Errorf("requests with %s sent later than %d ms after the third end: got %d, want at most %d", cause, contactTime, got, want)
-			}
-		}
+		s.checkDeadlyFound(t)
 	})
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -6,10 +6,11 @@
 // has, each request that waited there or whose answer had just begun is held against its key,
 // that is a digest of workspace, method, host, target and body, and against each part of its prompt,
 // because a server can end before a byte of an answer arrives. A part that many of the recent requests
-// to the service have is at most servers that end, so that only begun answers count against it. A
-// request that this process gave up at the server, because its caller left or another server was to
-// answer, counts too if the end becomes known within a few seconds: it may have gone on running there.
-// Requests that did not end their servers (survivals) speak for both.
+// to the service have is at most servers that end, so that only begun answers count against it. A prompt
+// may have any number of parts; of one with very many, those are left out that are sound most likely, or
+// that no other request has. A request that this process gave up at the server, because its caller left or
+// another server was to answer, counts too if the end becomes known within a few seconds: it may have gone
+// on running there. Requests that did not end their servers (survivals) speak for both.
 //
 // Weight. Ends that come together have one cause in common, so they are one round and count once,
 // and less the more other servers of the service end at that time or have ended lately. For
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -59,8 +59,6 @@
 	maxServers       = 512  // ended servers
 	maxWaiting       = 32   // requests that waited at one ended server and are suspects
 	maxKnownSurvived = 4096 // parts without ends whose survivals are remembered
-	// maxPartsPerRequest is the number of parts of a request that are looked at.
-	maxPartsPerRequest = 16
 )
 
 // Options configure a Quarantine.
@@ -143,7 +141,7 @@
 	if len(s.Parts) < 2 {
 		return nil
 	}
-	shared := s.Parts[:min(len(s.Parts)-1, maxPartsPerRequest)]
+	shared := s.Parts[:len(s.Parts)-1]
 	keys := make([]Key, len(shared))
 	for i, id := range shared {
 		keys[i] = NewKey(s.Service, id)
@@ -228,15 +226,13 @@
 		return
 	}
 	end := endRecord{at: loss.At, sentAt: loss.Sent, begun: loss.Begun, repeated: loss.Repeated, request: digest[:min(len(digest), shortDigestLength)]}
-	for depth, key := range s.partKeys() {
-		end.depth, end.trial = depth, key == loss.Tried
-		if loss.Begun || end.trial || q.isRare(key) {
-			q.observeEnd(loss.At, key, run, end)
-		}
+	for _, p := range q.blamedParts(s, loss) {
+		end.depth, end.trial = p.depth, p.trial
+		q.observeEnd(loss.At, p.key, run, end)
 	}
 	if digest != "" {
 		key := NewRequestKey(s.Service, digest)
-		end.depth, end.trial = maxPartsPerRequest, key == loss.Tried
+		end.depth, end.trial = len(s.Parts), key == loss.Tried
 		q.observeEnd(loss.At, key, run, end)
 	}
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -265,6 +265,31 @@
 	}
 }
 
+// Guards against a part that is not held to be a suspect because another one is in the prompt many times, and against
+// memory and reports that grow with the number of parts of a prompt.
+func TestLongPromptsAreBounded(t *testing.T) {
+	const requests, partsEach = 400, 1000
+	q := newQuarantine("a")
+	for i := range requests {
+		now := clock.Millis(i) * 10
+		ids := slices.Repeat([]string{"repeated"}, partsEach/2)
+		for j := range partsEach / 2 {
+			ids = append(ids, fmt.Sprintf("own-%d-%d", i, j))
+		}
+		s := subject(append(ids, "p")...)
+		q.Check(now, s, 1)
+		if i%200 == 199 {
+			q.RecordEnd(s, run(i), quarantine.Loss{Begun: true, At: now})
+		}
+	}
+	if got, want := len(all(q, requests*10).Ends), 2*16; got > want {
+		t.Errorf("ends: got %d, want at most %d", got, want)
+	}
+	if got, want := len(q.Suspect(requests*10, quarantine.NewKey(service, "p")).Servers), 2; got != want {
+		t.Errorf("servers that ended under the part: got %d, want %d", got, want)
+	}
+}
+
 // Guards against reports that grow with what is known in place of what is new: when many servers
 // ended at once, each watch carried all records, and the control leader lost its quorum over
 // that work. What another process has told is not news either once both have it.
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -37,8 +37,11 @@
 	templates int                        // number of parts that many requests share
 	deadly    func(r *simRequest) string // why the request ends its server; "" if it does not
 	plain     bool                       // answers begin only when they are whole
-	refused   []*simRequest              // requests that are not deadly and were refused as certain
-	ends      map[string][]clock.Millis  // of servers that deadly requests have ended, by cause
+	// sharedParts and ownParts are the numbers of further parts that stand before the session part in each
+	// prompt: parts that all requests share, and parts that no other request has.
+	sharedParts, ownParts int
+	refused               []*simRequest             // requests that are not deadly and were refused as certain
+	ends                  map[string][]clock.Millis // of servers that deadly requests have ended, by cause
 	// lateSends counts deadly requests that were sent later than contactTime after the third end of
 	// the same cause, by cause.
 	lateSends map[string]int
@@ -277,9 +280,19 @@
 // newRequestOf returns a request with a session part and a body of its own.
 func (s *simulation) newRequestOf(session string) *simRequest {
 	s.requests++
-	return &simRequest{subject: withDigest(subject("system", s.template(), session), fmt.Sprintf("%08x", s.requests)), callsLeft: 1}
+	parts := []string{"system", s.template()}
+	for i := range s.sharedParts {
+		parts = append(parts, fmt.Sprint("shared-", i))
+	}
+	for i := range s.ownParts {
+		parts = append(parts, fmt.Sprintf("own-%d-%d", s.requests, i))
+	}
+	return &simRequest{subject: withDigest(subject(append(parts, session)...), fmt.Sprintf("%08x", s.requests)), callsLeft: 1}
 }
 
+// sessionPart returns the session part of a request, which is the one before the last.
+func (r *simRequest) sessionPart() string { return r.subject.Parts[len(r.subject.Parts)-2] }
+
 // template returns one of the parts that many requests share.
 func (s *simulation) template() string {
 	if s.templates == 0 {
