entry: a search for a stream asks all engines

What callers saw: 404 for an answer that an engine was still generating, at an entry that knows more than 64 engines, after the entry that had accepted it and those that it had told were lost.

Cause: the search asked the first 64 engines by name. Related to the lost records of streams: what finds a stream again must not depend on which processes are left, or on the size of a list.

Change: all engines are asked, 64 at a time, until one has the stream.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -96,7 +96,7 @@
 		t.Errorf("attempts at the crashed engine: got %d, want at most 1", got)
 	}
 	s.engines[0].Fault(standin.Fault{Kind: standin.Recover})
-	s.eventually("the engine is in use again", func() bool { return s.usableServers() == 2 })
+	s.eventually("the engine is in use again", func() bool { return s.usableServers(0) == 2 })
 }
 
 // retriedAttempts returns the number of failed attempts after which the first entry
@@ -150,8 +150,8 @@
 	s.planServerStop(s.engines[0], clock.Second)
 	readStream(t, r.Body, &tr, readToEnd)
 	tr.expectAnswer(t, prompt)
-	if got := s.engines[0].State().StartsByRequest; len(got) != 1 || s.usableServers() != 0 {
-		t.Errorf("got starts %v and %d usable servers, want one start and none", got, s.usableServers())
+	if got := s.engines[0].State().StartsByRequest; len(got) != 1 || s.usableServers(0) != 0 {
+		t.Errorf("got starts %v and %d usable servers, want one start and none", got, s.usableServers(0))
 	}
 }
 
@@ -229,7 +229,7 @@
 }
 
 // Guards against a stream that cannot be resumed after its entry was lost, although the
-// engine still has it, and against an entry that cancels a stream which another entry
+// engine still has it, also where there are many engines, and against an entry that cancels a stream which another entry
 // has taken over.
 func TestResumeElsewhere(t *testing.T) {
 	t.Parallel()
@@ -238,11 +238,13 @@
 		at     int // index of the entry at which the stream is resumed
 		crash  bool
 		digest clock.Millis
+		others int // engines that do not have the stream
 	}{
 		{name: "same entry", at: 0, digest: 50},
 		{name: "other entry", at: 1, digest: 50},
 		{name: "other entry after a crash", at: 1, crash: true, digest: 50},
 		{name: "other entry after a crash before the first digest", at: 1, crash: true, digest: clock.Hour},
+		{name: "other entry after a crash before the first digest, many engines", at: 1, crash: true, digest: clock.Hour, others: 200},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -252,6 +254,12 @@
 			r := s.openStream(prompt, withHeader("X-Request-Id", "r-1"))
 			var tr transcript
 			readStream(t, r.Body, &tr, func() bool { return tr.Position() >= 50 })
+			for i := range tt.others {
+				s.addEngine(fmt.Sprintf("another-engine-%d", i), s.engineOptions)
+			}
+			if tt.others > 0 {
+				s.eventually("the other entry knows many engines", func() bool { return s.usableServers(1) > 70 })
+			}
 			if tt.digest < clock.Hour {
 				s.eventually("the other entry knows the stream", func() bool { return s.peerStreams(1) == 1 })
 			}
@@ -323,7 +331,7 @@
 		leaving := s.engineRunning("r-1")
 		stopped := make(chan error, 1)
 		go func() { stopped <- leaving.Stop(t.Context()) }()
-		s.eventually("the server is out of use", func() bool { return s.usableServers() == 1 })
+		s.eventually("the server is out of use", func() bool { return s.usableServers(0) == 1 })
 		for range 10 {
 			do(t, http.MethodPost, s.url(0, "/v1/chat/completions"), chatBody("x [tokens=2]", false))
 		}
@@ -390,10 +398,10 @@
 	return r.StatusCode == http.StatusOK
 }
 
-// usableServers returns the number of servers that the first entry can use.
-func (s *site) usableServers() int {
+// usableServers returns the number of servers that an entry can use.
+func (s *site) usableServers(entry int) int {
 	var w struct{ Servers []struct{ Usable bool } }
-	getJSON(s.t, s.entries[0], "/debug/state", &w)
+	getJSON(s.t, s.entries[entry], "/debug/state", &w)
 	n := 0
 	for _, v := range w.Servers {
 		if v.Usable {
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -145,6 +145,8 @@
 	entries  []*entry.Entry
 	engines  []*standin.Engine
 	services []*standin.Service
+
+	engineOptions standin.EngineOptions // of the engines that newSite starts
 }
 
 const (
@@ -172,6 +174,7 @@
 		s.addEntry(fmt.Sprintf("entry-%d", i), entryOptions)
 	}
 	engineOptions.Announce = s.announce()
+	s.engineOptions = engineOptions
 	for i := range engines {
 		s.addEngine(fmt.Sprintf("engine-%d", i), engineOptions)
 	}
--- a/entry/measure_test.go
+++ b/entry/measure_test.go
@@ -309,7 +309,7 @@
 				tr.expectAnswer(b, longPrompt(100))
 				_ = pauses.RecordValue(int64(pause))
 				e.Fault(standin.Fault{Kind: standin.Recover})
-				s.eventually("both engines are in use", func() bool { return s.usableServers() == 2 })
+				s.eventually("both engines are in use", func() bool { return s.usableServers(0) == 2 })
 			}
 			b.ReportMetric(float64(pauses.ValueAtQuantile(50)), "p50-ms")
 			b.ReportMetric(float64(pauses.Max()), "max-ms")
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -100,7 +100,7 @@
 		}, want: "configuration_lease_lapsed/unknown"},
 		{name: "no server", refuse: func(s *site) {
 			_ = s.services[0].Stop(context.Background())
-			s.eventually("no server is left", func() bool { return s.usableServers() == 1 })
+			s.eventually("no server is left", func() bool { return s.usableServers(0) == 1 })
 		}, want: "/"},
 	}
 	for _, tt := range tests {
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// maxSearchedEngines bounds the engines that are asked for a stream that no digest
-	// lists. Such a stream began shortly before its entry was lost.
-	maxSearchedEngines = 64
+	// maxParallelProbes bounds the engines that a search asks at the same time for a stream that
+	// no digest lists. Such a stream began shortly before its entry was lost, or its entry was lost
+	// together with those that it had told.
+	maxParallelProbes = 64
 	// maxParallelSearches bounds the concurrent searches, because after the loss of an
 	// entry many callers resume at once.
 	maxParallelSearches = 8
@@ -114,7 +115,7 @@
 	return true
 }
 
-// searchEngines asks the engines for a stream that no digest lists.
+// searchEngines asks all engines for a stream that no digest lists.
 func (e *Entry) searchEngines(id string, position int) streamLocation {
 	select {
 	case e.searchSemaphore <- struct{}{}:
@@ -127,9 +128,19 @@
 		return streamLocation{}
 	}
 	engines := lo.Filter(servers, func(s backend.Server, _ int) bool { return s.Kind() == backend.Engine && s.Usable })
+	for _, batch := range lo.Chunk(engines, maxParallelProbes) {
+		if location := e.probeEngines(batch, id, position); location.found {
+			return location
+		}
+	}
+	return streamLocation{}
+}
+
+// probeEngines asks engines for a stream at the same time.
+func (e *Entry) probeEngines(engines []backend.Server, id string, position int) streamLocation {
 	found := make(chan streamLocation, len(engines))
 	var probes taskGroup
-	for _, s := range engines[:min(len(engines), maxSearchedEngines)] {
+	for _, s := range engines {
 		probes.Go(func() {
 			if e.engineHasStream(s.Address(), id, position) {
 				found <- streamLocation{server: s.Server(), engineAddress: s.Address(), found: true}
