relay, control: a take-up that control could not answer is told to come back

What callers saw: 503 stream_version_unknown without Retry-After, that is to begin anew, for a stream that was taken up while no member answered, for example in the second in which all of them are started again. The record of the stream was found a second later.

Cause: that no holder of a record answered was taken for that there is no record. The same where the leader could not be asked for heartbeats, or control confirmed no versions in time.

Change: these are told apart (continuation.Unavailable), and the refusal has a Retry-After, that of other refusals for want of control. What is refused for good still has none.

--- a/continuation/decision.go
+++ b/continuation/decision.go
@@ -23,6 +23,8 @@
 	// Contradictory means that records with different origins were found: the server that began the
 	// stream was restarted with another version under its name.
 	Contradictory
+	// Unavailable means that no holder of a record could be asked. A record may be found later.
+	Unavailable
 )
 
 // Verdict tells whether a stream may go on.
@@ -43,7 +45,7 @@
 func Decide(knowledge Knowledge, recorded Origin, service string, versions []string, inService []Origin) (Origin, Verdict) {
 	origin := recorded
 	switch knowledge {
-	case Contradictory:
+	case Contradictory, Unavailable:
 		return Origin{}, VersionUnknown
 	case Unrecorded:
 		possible := lo.Uniq(versions)
--- a/control/stream_directory.go
+++ b/control/stream_directory.go
@@ -208,13 +208,14 @@
 }
 
 // Lookup returns what is known of the origin of a stream. It asks the holders unless the stream is one
-// of this entry's own, and once more after a short time if none of them knows it.
+// of this entry's own, and once more after a short time if none of them knows it or answers.
 func (d *StreamDirectory) Lookup(ctx context.Context, stream string) (continuation.Record, continuation.Knowledge) {
 	if stream == "" {
 		return continuation.Record{}, continuation.Unrecorded
 	}
 	record, knowledge := d.own.Lookup(d.clock.Now(), stream)
-	for attempt := 0; knowledge == continuation.Unrecorded && attempt < 2; attempt++ {
+	isFound := func() bool { return knowledge == continuation.Recorded || knowledge == continuation.Contradictory }
+	for attempt := 0; !isFound() && attempt < 2; attempt++ {
 		if attempt > 0 && !d.clock.Sleep(ctx, lookupPause) {
 			break
 		}
@@ -227,35 +228,50 @@
 func (d *StreamDirectory) ask(stream string) (continuation.Record, continuation.Knowledge) {
 	holders := continuation.Holders(stream, d.memberAddresses())
 	holders = holders[:min(len(holders), continuation.AskedCount)]
-	found := make([]*wireStream, len(holders))
+	answers := make([]holderAnswer, len(holders))
 	var wait sync.WaitGroup
 	for i, holder := range holders {
-		wait.Go(func() { found[i] = d.askHolder(holder, stream) })
+		wait.Go(func() { answers[i] = d.askHolder(holder, stream) })
 	}
 	wait.Wait()
-	answers := continuation.NewRecords(1)
-	for _, w := range lo.Compact(found) {
-		if w.Contradictory {
+	if !lo.SomeBy(answers, func(a holderAnswer) bool { return a.answered }) {
+		return continuation.Record{}, continuation.Unavailable
+	}
+	records := continuation.NewRecords(1)
+	for _, a := range answers {
+		switch {
+		case a.stream == nil:
+		case a.stream.Contradictory:
 			return continuation.Record{}, continuation.Contradictory
+		default:
+			records.Add(d.clock.Now(), a.stream.record())
 		}
-		answers.Add(d.clock.Now(), w.record())
 	}
-	return answers.Lookup(d.clock.Now(), stream)
+	return records.Lookup(d.clock.Now(), stream)
 }
 
-// askHolder returns what one holder knows of a stream, nil if it knows nothing or does not answer.
-func (d *StreamDirectory) askHolder(holder, stream string) *wireStream {
+// holderAnswer is what a holder has answered.
+type holderAnswer struct {
+	answered bool
+	stream   *wireStream // nil if it knows nothing of the stream
+}
+
+// askHolder asks one holder of a stream's record.
+func (d *StreamDirectory) askHolder(holder, stream string) holderAnswer {
 	data, err := json.Marshal(wireStreamLookup{Streams: []string{stream}})
 	if err != nil {
 		panic(errors.WithStack(err)) // cannot happen: strings can be encoded
 	}
 	_, body, err := d.peerClient.exchange(fasthttp.MethodPost, holder, pathStreamLookup, data, streamCallTimeout)
 	if err != nil {
-		return nil
+		return holderAnswer{}
 	}
 	var answer wireStreams
-	if json.Unmarshal(body, &answer) != nil || len(answer.Streams) != 1 || answer.Streams[0].Stream != stream {
-		return nil
+	if json.Unmarshal(body, &answer) != nil {
+		return holderAnswer{}
+	}
+	if len(answer.Streams) != 1 || answer.Streams[0].Stream != stream {
+		return holderAnswer{answered: true}
 	}
-	return &answer.Streams[0]
+	return holderAnswer{answered: true, stream: &answer.Streams[0]}
 }
--- a/control/versions_test.go
+++ b/control/versions_test.go
@@ -139,6 +139,9 @@
 	for _, name := range names {
 		g.crash(name)
 	}
+	if _, got := g.directory().Lookup(t.Context(), stream(0)); got != continuation.Unavailable {
+		t.Errorf("while no member runs: got knowledge %v, want %v", got, continuation.Unavailable)
+	}
 	for _, name := range names {
 		g.start(name)
 	}
--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -132,11 +132,17 @@
 		x.begunBy, x.begunAt = recorded.Server, x.relay.clock.Now()-recorded.Age
 	}
 	var versions []string
+	if knowledge == continuation.Unavailable {
+		return x.refuseStreamForNow(continuation.Origin{Service: x.service})
+	}
 	if knowledge == continuation.Unrecorded {
-		table, confirmed := x.awaitConfirmed(x.request.arrivedAt)
-		if !confirmed || len(x.route.Shares) > 1 {
+		if len(x.route.Shares) > 1 {
 			return x.refuseStream("stream_version_unknown", continuation.Origin{Service: x.service})
 		}
+		table, confirmed := x.awaitConfirmed(x.request.arrivedAt)
+		if !confirmed {
+			return x.refuseStreamForNow(continuation.Origin{Service: x.service})
+		}
 		versions = table.Versions(x.service)
 	}
 	origin, verdict := x.decideOrigin(knowledge, recorded.Origin, versions)
@@ -170,6 +176,7 @@
 
 var (
 	errVersionUnconfirmed = errors.New("it is not certain which version of the server began the stream")
+	errControlUnavailable = errors.New("control cannot be asked for the versions of the servers")
 	errVersionChanged     = errors.New("it is not certain that the server still is of the version that began the stream")
 )
 
@@ -187,7 +194,7 @@
 	heartbeats, askedAt, err := x.relay.origins.Heartbeats(ctx, lo.Uniq(lo.Compact([]string{server, x.begunBy})))
 	switch {
 	case err != nil:
-		return errors.Wrap(errVersionUnconfirmed, err.Error())
+		return errors.Wrap(errControlUnavailable, err.Error())
 	case x.begunBy != "" && !heartbeats[x.begunBy].Confirms(x.origin.Version, x.begunAt, askedAt):
 		return errVersionUnconfirmed
 	case !heartbeats[server].Confirms(x.origin.Version, a.firstByteAt, askedAt), a.versionUncertain.Load():
@@ -219,6 +226,13 @@
 	return &refusal{status: statusUnavailable, reason: reason, origin: origin}
 }
 
+// refuseStreamForNow returns the refusal of a stream that may go on once control can be asked again.
+func (x *exchange) refuseStreamForNow(origin continuation.Origin) *refusal {
+	r := x.refuseStream("stream_version_unknown", origin)
+	r.retryAfter = controlRetryAfter
+	return r
+}
+
 // fixOrigin restricts the request to servers that can continue a stream.
 func (x *exchange) fixOrigin(origin continuation.Origin) {
 	x.origin, x.requirements.version = &origin, &origin.Version
--- a/relay/out_of_step_test.go
+++ b/relay/out_of_step_test.go
@@ -84,7 +84,8 @@
 	}
 }
 
-// Guards against a relay that is cut off from control and continues streams by what it knew before.
+// Guards against a relay that is cut off from control and continues streams by what it knew before, and against a
+// caller that is not told to come back although the stream may go on once control answers again.
 func TestRelayCutOffContinuesNoStream(t *testing.T) {
 	b := newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
 	s, o := newLeaderFixture(t)
@@ -94,6 +95,33 @@
 	c.takeUp("next", "stream")
 	if head, body, err := c.read(); head.Status != 503 || !strings.Contains(body, "stream_version_unknown") {
 		t.Errorf("got status %d, %q and %v, want 503 stream_version_unknown", head.Status, body, err)
+	} else if got := head.Get("Retry-After"); got == "" {
+		t.Error("got no Retry-After, want one")
+	}
+}
+
+// unavailableOrigins are origins of streams whose holders cannot be asked.
+type unavailableOrigins struct{ fakeOrigins }
+
+func (o unavailableOrigins) Lookup(context.Context, string) (continuation.Record, continuation.Knowledge) {
+	return continuation.Record{}, continuation.Unavailable
+}
+
+// Guards against a stream that goes on anywhere because nobody can be asked for its record, and against a caller that
+// is told that it can only begin anew although the record may be found a second later.
+func TestTakenUpStreamMayComeAgainWhenNobodyCanBeAsked(t *testing.T) {
+	b := newBackend(t, func(req receivedRequest) { endStream(req, 3, 4) })
+	s := newFixtureWith(t, func(options *relay.Options) { options.StreamOrigins = unavailableOrigins{newFakeOrigins()} })
+	s.updateServers(versionRecord("b", "v1", b))
+	s.confirmVersions("v1")
+	c := s.client()
+	c.takeUp("next", "stream")
+	head, body, err := c.read()
+	if head.Status != 503 || !strings.Contains(body, "stream_version_unknown") || head.Get("Retry-After") == "" {
+		t.Errorf("got status %d, %q, Retry-After %q and %v, want 503 stream_version_unknown with Retry-After", head.Status, body, head.Get("Retry-After"), err)
+	}
+	if got := b.count(); got != 0 {
+		t.Errorf("requests at the server: got %d, want none", got)
 	}
 }
 
--- a/relay/streaming.go
+++ b/relay/streaming.go
@@ -47,13 +47,15 @@
 // makeAttempt.
 func (x *exchange) afterBrokenStream(a *attempt, err error) (keepOpen, done bool) {
 	x.versionChanged = errors.Is(err, errVersionChanged)
-	unconfirmed := errors.Is(err, errVersionUnconfirmed)
+	unconfirmed, unavailable := errors.Is(err, errVersionUnconfirmed), errors.Is(err, errControlUnavailable)
 	switch {
 	case !x.out.headSent && unconfirmed:
 		return x.refuse(*x.refuseStream("stream_version_unknown", *x.origin)), true
+	case !x.out.headSent && unavailable:
+		return x.refuse(*x.refuseStreamForNow(*x.origin)), true
 	case !x.out.headSent:
 		return false, false
-	case unconfirmed, x.route.RepeatPolicy != catalog.Resumable, x.position.unplaced, a.versionUncertain.Load():
+	case unconfirmed, unavailable, x.route.RepeatPolicy != catalog.Resumable, x.position.unplaced, a.versionUncertain.Load():
 		return x.out.cutStream(), true
 	}
 	x.continues = true
