quarantine: a survival speaks for one software version of the servers

What callers saw: a part that servers had answered and that ends them after a release ended two servers with each request for as long as such requests came, and with them the sound streams that ran there. The same for a part whose servers end 0.7 s after they have begun to answer.

Cause: survivals counted for good and for all servers; from five on a part was sound. An answer of 500 ms counted as survived. Ruled out: that the ends are not recorded (the part is found if nothing had answered it before).

Change: ends and survivals carry the software version of the server, and a part is judged by the version at which its ends outweigh its survivals most. In a full record, ends at another version make room. A survival takes 750 ms. Versions that former builds do not tell count as any.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -374,7 +374,7 @@
 	p.waiting.remove(j)
 	p.running.add(j)
 	j.callerRequest.assigned <- assignment{
-		server: server, incarnation: choice.Server.Incarnation(), address: choice.Server.Address(),
+		server: server, incarnation: choice.Server.Incarnation(), address: choice.Server.Address(), version: choice.Server.Version(),
 		priority: choice.Priority, assignedAt: now, beginsAnew: beginsAnew,
 	}
 	return true
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -65,6 +65,13 @@
 	return quarantine.Subject{Service: o.request.pool, Parts: o.partIDs, Digest: func() string { return digest }}
 }
 
+// subjectAtServer is subject for what has happened at the server of the present attempt.
+func (o *endObserver) subjectAtServer() quarantine.Subject {
+	s := o.subject()
+	s.Version = o.attempt.version
+	return s
+}
+
 // subjectToSend is subject for the decision whether the request may be sent: it includes the
 // servers that may still end under the same request.
 func (o *endObserver) subjectToSend() quarantine.Subject {
@@ -151,7 +158,7 @@
 		return
 	}
 	o.attempt.survived = true
-	o.entry.quarantine.RecordSurvival(o.entry.options.Clock.Now(), o.subject(), o.probe)
+	o.entry.quarantine.RecordSurvival(o.entry.options.Clock.Now(), o.subjectAtServer(), o.probe)
 }
 
 // recordFailure records why a call of the attempt failed. A server whose host refuses
@@ -210,7 +217,7 @@
 // endRecorder returns a function that records that the server of the attempt has ended under the
 // request. It may be called much later, so it does not keep the request in memory.
 func (o *endObserver) endRecorder() func(at clock.Millis) {
-	a, known, subject, serverEnded := o.attempt, o.entry.quarantine, o.subject(), o.serverEnded
+	a, known, subject, serverEnded := o.attempt, o.entry.quarantine, o.subjectAtServer(), o.serverEnded
 	loss := quarantine.Loss{Sent: a.assignedAt, Begun: a.begun, Repeated: serverEnded.Load(), Tried: o.tried}
 	return func(at clock.Millis) {
 		loss := loss
--- a/entry/work.go
+++ b/entry/work.go
@@ -41,7 +41,8 @@
 	server      string
 	incarnation uint64 // of the server
 	address     string
-	priority    int // for the engine's own queue
+	version     string // of the server's software
+	priority    int    // for the engine's own queue
 	assignedAt  clock.Millis
 	rejection   *problem
 	beginsAnew  bool // the server cannot continue what earlier ones have produced
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -70,19 +70,19 @@
 	}
 	parts = lo.UniqBy(parts, func(p blamedPart) Key { return p.key })
 	for i := range parts {
-		parts[i].blame = q.blameOf(parts[i].key)
+		parts[i].blame = q.blameOf(parts[i].key, s.Version)
 	}
 	slices.SortFunc(parts, blamedPart.compare)
 	return parts[:min(len(parts), maxBlamedParts)]
 }
 
-// blameOf returns what is known of a part. The caller holds the lock.
-func (q *Quarantine) blameOf(key Key) blame {
+// blameOf returns what is known of a part whose server was of a software version. The caller holds the lock.
+func (q *Quarantine) blameOf(key Key, version string) blame {
 	b := blame{group: comesAgain}
 	if record, ok := q.suspects[key]; ok {
 		b.survivals, b.ends = record.survivalCount(), len(record.ends)
 	} else {
-		b.survivals, _ = q.survived.Peek(key)
+		b.survivals, _ = q.survived.Peek(survivedPart{key: key, version: version})
 	}
 	if t, ok := q.traffic[key.Service]; ok {
 		b.requests = t.count(key)
--- a/quarantine/codec.go
+++ b/quarantine/codec.go
@@ -46,6 +46,7 @@
 	Trial     bool         `json:"trial,omitempty"`
 	Request   string       `json:"request,omitempty"`
 	Several   bool         `json:"several,omitempty"`
+	Version   string       `json:"v,omitempty"` // former builds do not send it
 	AtServer  clock.Millis `json:"at_server_ms,omitempty"`
 	Age       clock.Millis `json:"age_ms"`
 }
@@ -61,8 +62,9 @@
 // wireSurvivals is the JSON form of Survivals.
 type wireSurvivals struct {
 	wireKey
-	Entry string `json:"entry"`
-	Count int    `json:"n"`
+	Entry   string `json:"entry"`
+	Version string `json:"v,omitempty"` // former builds do not send it
+	Count   int    `json:"n"`
 }
 
 // wireCount is the JSON form of Trial, Probe and Release.
@@ -91,14 +93,14 @@
 		Ends: lo.Map(r.Ends, func(e End, _ int) wireEnd {
 			return wireEnd{
 				wireKey: toWireKey(e.Key), Server: e.Server, StartedAt: e.StartedAt, Depth: e.Depth, Waiting: !e.Begun,
-				Repeated: e.Repeated, Trial: e.Trial, Request: e.Request, Several: e.Several, AtServer: e.AtServer, Age: e.Age,
+				Repeated: e.Repeated, Trial: e.Trial, Request: e.Request, Several: e.Several, Version: e.Version, AtServer: e.AtServer, Age: e.Age,
 			}
 		}),
 		Servers: lo.Map(r.Servers, func(e EndedServer, _ int) wireEndedServer {
 			return wireEndedServer{Service: e.Service, Server: e.Server, StartedAt: e.StartedAt, Age: e.Age}
 		}),
 		Survivals: lo.Map(r.Survivals, func(v Survivals, _ int) wireSurvivals {
-			return wireSurvivals{wireKey: toWireKey(v.Key), Entry: v.Entry, Count: v.Count}
+			return wireSurvivals{wireKey: toWireKey(v.Key), Entry: v.Entry, Version: v.Version, Count: v.Count}
 		}),
 		Trials: lo.Map(r.Trials, func(t Trial, _ int) wireCount {
 			return wireCount{wireKey: toWireKey(t.Key), Number: t.Number, Age: t.Age}
@@ -131,7 +133,7 @@
 			return End{
 				Key: e.toKey(kind), ServerRun: ServerRun{Server: e.Server, StartedAt: e.StartedAt},
 				Depth: e.Depth, Begun: !e.Waiting, Repeated: e.Repeated, Trial: e.Trial,
-				Request: e.Request, Several: e.Several, AtServer: e.AtServer, Age: e.Age,
+				Request: e.Request, Several: e.Several, Version: e.Version, AtServer: e.AtServer, Age: e.Age,
 			}
 		}),
 		Servers: lo.Map(w.Servers, func(e wireEndedServer, _ int) EndedServer {
@@ -140,7 +142,7 @@
 			}
 		}),
 		Survivals: lo.Map(w.Survivals, func(v wireSurvivals, _ int) Survivals {
-			return Survivals{Key: v.toKey(kind), Entry: v.Entry, Count: v.Count}
+			return Survivals{Key: v.toKey(kind), Entry: v.Entry, Version: v.Version, Count: v.Count}
 		}),
 		Trials: lo.Map(w.Trials, func(c wireCount, _ int) Trial {
 			return Trial{Key: c.toKey(kind), Number: c.Number, Age: c.Age}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -10,7 +10,8 @@
 // may have any number of parts; of one with very many, those are left out that are sound most likely, or
 // that no other request has. A request that this process gave up at the server, because its caller left or
 // another server was to answer, counts too if the end becomes known within a few seconds: it may have gone
-// on running there. Requests that did not end their servers (survivals) speak for both.
+// on running there. Requests that did not end their servers (survivals) speak for both, as far as servers of the
+// same software version ended.
 //
 // Weight. Ends that come together have one cause in common, so they are one round and count once,
 // and less the more other servers of the service end at that time or have ended lately. For
--- a/quarantine/judgement.go
+++ b/quarantine/judgement.go
@@ -323,8 +323,9 @@
 // part explains, in the order of time. The caller holds the lock.
 func (q *Quarantine) suspectEnds(key Key, record *suspectRecord, until clock.Millis, explained map[ServerRun]bool) []suspectEnd {
 	var ends []suspectEnd
+	version := record.accusedVersion()
 	for run, end := range record.ends {
-		if end.at <= until && record.counts(end) && !explained[run] {
+		if end.at <= until && record.counts(end) && end.isAt(version) && !explained[run] {
 			end.trial = end.trial && q.isOnlySuspect(key, run, end)
 			ends = append(ends, suspectEnd{endRecord: end, run: run})
 		}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -133,13 +133,13 @@
 		end := r.ends[run]
 		report.Ends = append(report.Ends, End{
 			Key: key, ServerRun: run, Depth: end.depth, Begun: end.begun, Repeated: end.repeated, Trial: end.trial,
-			Request: end.request, Several: end.several, AtServer: end.at - end.sentAt, Age: now - end.at,
+			Request: end.request, Several: end.several, Version: end.version, AtServer: end.at - end.sentAt, Age: now - end.at,
 		})
 	}
-	entries := lo.Keys(r.survivals)
-	slices.Sort(entries)
-	for _, entry := range entries {
-		report.Survivals = append(report.Survivals, Survivals{Key: key, Entry: entry, Count: r.survivals[entry]})
+	sources := lo.Keys(r.survivals)
+	slices.SortFunc(sources, survivalSource.compare)
+	for _, s := range sources {
+		report.Survivals = append(report.Survivals, Survivals{Key: key, Entry: s.entry, Version: s.version, Count: r.survivals[s]})
 	}
 	if r.trial.number > 0 {
 		report.Trials = append(report.Trials, Trial{Key: key, Number: r.trial.number, Age: now - r.trial.at})
@@ -164,7 +164,7 @@
 	at := now - max(e.Age, 0)
 	return endRecord{
 		depth: e.Depth, at: at, sentAt: at - max(e.AtServer, 0), begun: e.Begun, repeated: e.Repeated, trial: e.Trial,
-		request: e.Request, several: e.Several,
+		request: e.Request, several: e.Several, version: e.Version,
 	}
 }
 
@@ -187,7 +187,7 @@
 	}
 	for _, v := range r.Survivals {
 		if record, ok := q.suspects[v.Key]; ok {
-			q.addSurvivals(record, v.Entry, v.Count)
+			q.addSurvivals(record, survivalSource{entry: v.Entry, version: v.Version}, v.Count)
 		}
 	}
 	for _, t := range r.Trials {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/samber/lo"
 
 	"github.com/galenaslip/galenaslip/clock"
 )
@@ -23,7 +24,7 @@
 	// SurvivalTime is how long a server must go on answering a request for a survival, and the
 	// longest time between the begin of an answer and the end of its server for which the
 	// request is a suspect.
-	SurvivalTime = 500 * clock.Millisecond
+	SurvivalTime = 750 * clock.Millisecond
 	// settleTime is how old an end must be to count as certain. By then other entries have told
 	// of survivals of requests with the part, and of other servers that ended within
 	// togetherTime.
@@ -81,8 +82,8 @@
 	suspects map[Key]*suspectRecord
 	requests int // number of keys of whole requests in suspects
 	servers  map[ServerRun]serverEnd
-	counts   map[string]int       // number of servers, by service
-	survived *lru.Cache[Key, int] // survivals that this process has seen, for parts without ends
+	counts   map[string]int                // number of servers, by service
+	survived *lru.Cache[survivedPart, int] // survivals that this process has seen, for parts without ends
 	traffic  map[string]*partTraffic
 	expireAt clock.Millis // when old records are searched for next
 
@@ -103,7 +104,7 @@
 
 // New returns an empty quarantine.
 func New(options Options) *Quarantine {
-	survived, err := lru.New[Key, int](maxKnownSurvived)
+	survived, err := lru.New[survivedPart, int](maxKnownSurvived)
 	if err != nil {
 		panic(err) // cannot happen: the size is positive
 	}
@@ -126,6 +127,9 @@
 // Subject is what the judgement looks at in a request.
 type Subject struct {
 	Service string
+	// Version is the software version of the server that the request was sent to; "" if it is not known. A part
+	// may end the servers of one version alone.
+	Version string
 	Parts   []string // IDs of the parts of the prompt, in order
 	// Digest returns the digest of the request; see Digest. It is called only when it is needed.
 	// If it is nil, the request is not judged as a whole.
@@ -225,7 +229,7 @@
 	if loss.Answering > SurvivalTime || !loss.Begun && !q.addWaiting(run) {
 		return
 	}
-	end := endRecord{at: loss.At, sentAt: loss.Sent, begun: loss.Begun, repeated: loss.Repeated, request: digest[:min(len(digest), shortDigestLength)]}
+	end := endRecord{version: s.Version, at: loss.At, sentAt: loss.Sent, begun: loss.Begun, repeated: loss.Repeated, request: digest[:min(len(digest), shortDigestLength)]}
 	for _, p := range q.blamedParts(s, loss) {
 		end.depth, end.trial = p.depth, p.trial
 		q.observeEnd(loss.At, p.key, run, end)
@@ -257,38 +261,6 @@
 	q.addServer(service, run, now)
 }
 
-// RecordSurvival records that a request did not end its server: it was answered whole, or for
-// SurvivalTime. If it was a probe, its parts are released.
-func (q *Quarantine) RecordSurvival(now clock.Millis, s Subject, probe bool) {
-	s = q.withDigest(s)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, key := range q.keys(s) {
-		record, ok := q.suspects[key]
-		if !ok {
-			q.rememberSurvival(key)
-			continue
-		}
-		q.addSurvivals(record, q.entry, record.survivals[q.entry]+1)
-		if probe {
-			q.release(record, now)
-		}
-	}
-}
-
-// rememberSurvival counts a survival of a part without ends. Those of whole requests are not
-// remembered, because few requests come again. The caller holds the lock.
-func (q *Quarantine) rememberSurvival(key Key) {
-	if key.Kind == KindRequest {
-		return
-	}
-	count, ok := q.survived.Get(key)
-	if !ok {
-		key = key.clone()
-	}
-	q.survived.Add(key, min(count+1, maxSurvivals))
-}
-
 // Release ends the quarantine of a part: ends before now no longer count. It reports whether
 // the part is known.
 func (q *Quarantine) Release(now clock.Millis, key Key) bool {
@@ -337,7 +309,13 @@
 		return
 	}
 	record := q.suspectRecord(now, key)
-	defer record.setNewest()
+	q.mergeEnd(record, run, end)
+	record.setNewest()
+	q.recallSurvivals(key, record, end.version)
+}
+
+// mergeEnd adds the end of a server to a record. The caller holds the lock.
+func (q *Quarantine) mergeEnd(record *suspectRecord, run ServerRun, end endRecord) {
 	known, ok := record.ends[run]
 	if !ok {
 		if len(record.ends) >= maxEndsPerPart && !record.removeEndFor(end) {
@@ -357,21 +335,23 @@
 	}
 }
 
-// removeEndFor removes the newest end that is not that of a trial, to keep another one in its
-// place, and reports whether it has. Ends of trials are kept, because a quarantine needs one.
+// removeEndFor removes an end to keep another one in its place, and reports whether it has. That is the oldest end
+// at another software version, which says nothing about the version of the new one; else, for the end of a trial,
+// the newest end. Ends of trials are kept, because a quarantine needs one.
 func (r *suspectRecord) removeEndFor(end endRecord) bool {
-	if !end.trial {
+	runs := lo.Filter(sortedRuns(r.ends), func(run ServerRun, _ int) bool { return !r.ends[run].trial })
+	former := lo.Filter(runs, func(run ServerRun, _ int) bool { return !r.ends[run].isAt(end.version) && r.ends[run].at < end.at })
+	isOlder := func(a, b ServerRun) bool { return r.ends[a].at < r.ends[b].at }
+	isNewer := func(a, b ServerRun) bool { return r.ends[a].at > r.ends[b].at }
+	switch {
+	case len(former) > 0:
+		delete(r.ends, lo.MinBy(former, isOlder))
+	case end.trial && len(runs) > 0:
+		delete(r.ends, lo.MaxBy(runs, isNewer))
+	default:
 		return false
 	}
-	var newest ServerRun
-	found := false
-	for run, other := range r.ends {
-		if !other.trial && (!found || other.at > r.ends[newest].at) {
-			newest, found = run, true
-		}
-	}
-	delete(r.ends, newest)
-	return found
+	return true
 }
 
 // admits reports whether an end is added that another process has seen. When there are too many parts, all
@@ -395,10 +375,7 @@
 		q.remove(q.leastSuspect().key)
 	}
 	key = key.clone()
-	record := &suspectRecord{ends: map[ServerRun]endRecord{}, survivals: map[string]int{}, knownSince: now}
-	if count, ok := q.survived.Get(key); ok {
-		record.survivals[q.entry] = count
-	}
+	record := &suspectRecord{ends: map[ServerRun]endRecord{}, survivals: survivals{}, knownSince: now}
 	q.suspects[key] = record
 	if key.Kind == KindRequest {
 		q.requests++
@@ -416,18 +393,6 @@
 	q.judgedChanged = true
 }
 
-// addSurvivals takes over the count of an entry's survivals. The caller holds the lock.
-func (q *Quarantine) addSurvivals(record *suspectRecord, entry string, count int) {
-	known, ok := record.survivals[entry]
-	if !ok && record.survivalCount() >= maxSurvivals {
-		return
-	}
-	if count = min(count, maxSurvivals); count > known {
-		record.survivals[entry] = count
-		q.markChanged(record)
-	}
-}
-
 // leastSuspect returns the part with the fewest ends; among these, the one whose newest end is the
 // oldest. The caller holds the lock.
 func (q *Quarantine) leastSuspect() suspicion {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -101,6 +101,7 @@
 	Trial    bool         // the request was sent as a trial
 	Request  string       // short digest of one of the requests with the part
 	Several  bool         // several different requests with the part were there
+	Version  string       // of the server's software; "" if it is not known
 	AtServer clock.Millis // how long the request had been at the server
 	Age      clock.Millis // time since the end
 }
@@ -113,11 +114,12 @@
 }
 
 // Survivals records how many requests with the part an entry has seen that did not end their
-// servers. The count does not go beyond maxSurvivals.
+// servers, of one software version. The count does not go beyond maxSurvivals.
 type Survivals struct {
 	Key
-	Entry string
-	Count int
+	Entry   string
+	Version string // "" if it is not known
+	Count   int
 }
 
 // Trial records the newest request with the part that was sent to find out whether the part ends
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -13,7 +13,7 @@
 // suspectRecord holds the records of one part or request.
 type suspectRecord struct {
 	ends      map[ServerRun]endRecord
-	survivals map[string]int // by entry
+	survivals survivals
 	trial     countRecord
 	probe     countRecord
 	released  countRecord
@@ -39,6 +39,7 @@
 	trial    bool
 	request  string // short digest of one of the requests
 	several  bool   // several different requests
+	version  string // of the server's software; "" if it is not known
 }
 
 // merge returns the record of two reports of the same end.
@@ -48,6 +49,7 @@
 		begun: e.begun || other.begun, repeated: e.repeated || other.repeated, trial: e.trial || other.trial,
 		request: lo.CoalesceOrEmpty(min(e.request, other.request), e.request, other.request),
 		several: e.several || other.several || e.request != "" && other.request != "" && e.request != other.request,
+		version: lo.CoalesceOrEmpty(min(e.version, other.version), e.version, other.version),
 	}
 }
 
@@ -104,27 +106,6 @@
 	return s.key.compare(other.key)
 }
 
-// survivalCount returns the number of survivals that all entries have seen.
-func (r *suspectRecord) survivalCount() int {
-	count := 0
-	for _, n := range r.survivals {
-		count += n
-	}
-	return count
-}
-
-// requiredScore returns the score of ends from which the part is quarantined.
-func (r *suspectRecord) requiredScore() float64 {
-	if r.isSound() {
-		return maxEndsPerPart + 1
-	}
-	return float64(minEnds + endsPerSurvival*r.survivalCount())
-}
-
-// isSound reports whether so many requests survived that the part is neither suspect nor quarantined,
-// however many servers end under it.
-func (r *suspectRecord) isSound() bool { return r.survivalCount() >= maxSurvivals }
-
 // nextTrial returns when the given entry may send the next trial of the part. Entries that have learned of
 // the part only now, for example because they were started again, spread their trials too.
 func (r *suspectRecord) nextTrial(key Key, entry string) clock.Millis {
@@ -163,17 +144,6 @@
 	return clock.Millis(hash % uint64(window))
 }
 
-// countingEnds returns the number of ends since the newest release.
-func (r *suspectRecord) countingEnds() int {
-	n := 0
-	for _, end := range r.ends {
-		if r.counts(end) {
-			n++
-		}
-	}
-	return n
-}
-
 // counts reports whether an end is newer than the newest release.
 func (r *suspectRecord) counts(end endRecord) bool {
 	return r.released.number == 0 || end.at > r.released.at
--- a/relay/deadly_request_test.go
+++ b/relay/deadly_request_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/control"
+	"github.com/galenaslip/galenaslip/roster"
 )
 
 // newDeadlyBackend returns a server that ends before it answers a request whose body has the
@@ -85,3 +86,47 @@
 		})
 	}
 }
+
+// Guards against a part of prompts that ends server after server once these have a new software version, because
+// servers of the former one have answered it.
+func TestDeadlyPartOfNewVersionIsRefused(t *testing.T) {
+	s := newFixture(t)
+	former := newBackend(t, func(req receivedRequest) { respondOK(req, "whole") })
+	leaving := versionRecord("former", "v1", former)
+	s.updateServers(leaving)
+	c := s.client()
+	number := 0
+	send := func(part string) int {
+		number++
+		body := fmt.Sprintf("%s body %d", part, number)
+		c.send(fmt.Sprintf("POST /safe/ HTTP/1.1\r\nHost: h\r\nId: %d\r\nKey: k\r\nParts: common %s own-%d\r\nContent-Length: %d\r\n\r\n%s", number, part, number, len(body), body))
+		head, _, err := c.read()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return head.Status
+	}
+	for range 6 {
+		send("deadly")
+	}
+	for range 30 {
+		send("sound")
+	}
+	leaving.State = roster.Gone
+	s.updateServers(leaving)
+	for i := range 8 {
+		s.updateServers(versionRecord(fmt.Sprint("next-", i), "v2", newDeadlyBackend(t, "deadly")))
+	}
+	status := 0
+	for range 8 {
+		status = send("deadly")
+		s.advanceToNextCheck(600)
+		s.renewLease()
+	}
+	if want := 400; status != want {
+		t.Errorf("request with the part: got status %d, want %d", status, want)
+	}
+	if got, want := send("sound"), 200; got != want {
+		t.Errorf("sound request: got status %d, want %d", got, want)
+	}
+}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -19,6 +19,13 @@
 	return quarantine.Subject{Service: x.service, Parts: x.partIDs, Digest: x.digest}
 }
 
+// subjectAt is subject for what has happened at the server of an attempt.
+func (x *exchange) subjectAt(a *attempt) quarantine.Subject {
+	s := x.subject()
+	s.Version = a.version
+	return s
+}
+
 // subjectToSend is subject for the decision whether the request may be sent: it includes the
 // servers that may still end under the same request.
 func (x *exchange) subjectToSend() quarantine.Subject {
@@ -82,7 +89,7 @@
 		return
 	}
 	a.survived = true
-	x.relay.quarantine.RecordSurvival(x.relay.clock.Now(), x.subject(), x.probe)
+	x.relay.quarantine.RecordSurvival(x.relay.clock.Now(), x.subjectAt(a), x.probe)
 }
 
 // recordProgress records that the stream goes on.
@@ -121,7 +128,7 @@
 // endRecorder returns a function that records that the server of an attempt has ended under the
 // request. It may be called much later, so it does not keep the request in memory.
 func (x *exchange) endRecorder(a *attempt) func(at clock.Millis) {
-	known, subject, digest, serverEnded, run := x.relay.quarantine, x.subject(), x.digest(), x.serverEnded, a.run
+	known, subject, digest, serverEnded, run := x.relay.quarantine, x.subjectAt(a), x.digest(), x.serverEnded, a.run
 	subject.Digest = func() string { return digest }
 	loss := quarantine.Loss{Sent: a.chosenAt, Begun: a.body != nil, Repeated: x.serverEnded.Load(), Tried: x.tried}
 	firstByteAt := a.firstByteAt
