commands: a repeated SIGTERM does not end a process that is stopping

What callers saw: running requests were cut when the platform repeated its order to stop within the grace time.

Cause: after the first signal the handler was taken away, so that the next SIGTERM ended the process.

Change: SIGTERM stays caught until the process has stopped. A second interrupt (SIGINT) still ends it at once. This holds for all roles and the stand-ins.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -39,7 +39,8 @@
 		Long: short + `.
 
 The process runs until it gets SIGTERM or SIGINT, or until an operator announces
-its planned stop. It then finishes its work and ends with exit code 0.`,
+its planned stop. It then finishes its work and ends with exit code 0. Further
+SIGTERM signals do not end it sooner; a second SIGINT does.`,
 		Example: "  galenaslip serve " + role + " --settings /etc/galenaslip/" + role + ".yaml",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -174,27 +175,32 @@
 }
 
 // runProcess waits for a signal, or until the process itself has stopped as planned,
-// and then calls Stop. A second signal ends the process immediately.
+// and then calls Stop. Further SIGTERM signals have no effect, because a platform may repeat
+// its order; a second interrupt ends the process immediately.
 func runProcess(ctx context.Context, p process, stopped <-chan struct{}, h hangupSignals) error {
-	signals, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer release()
-	waitForStop(signals, stopped, h, p)
-	release()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	if waitForStop(ctx, signals, stopped, h, p) == os.Interrupt {
+		signal.Reset(os.Interrupt)
+	}
 	if err := p.Stop(ctx); err != nil {
 		return fail(ExitFailed, errors.Wrap(err, "graceful stop failed"))
 	}
 	return nil
 }
 
-// waitForStop returns at a signal or when stopped is closed. Meanwhile it reloads
-// the settings at each SIGHUP.
-func waitForStop(signals context.Context, stopped <-chan struct{}, h hangupSignals, p process) {
+// waitForStop returns at a signal, with this signal, or when ctx ends or stopped is closed. Meanwhile it
+// reloads the settings at each SIGHUP.
+func waitForStop(ctx context.Context, signals <-chan os.Signal, stopped <-chan struct{}, h hangupSignals, p process) os.Signal {
 	for {
 		select {
-		case <-signals.Done():
-			return
+		case s := <-signals:
+			return s
+		case <-ctx.Done():
+			return nil
 		case <-stopped:
-			return
+			return nil
 		case <-h:
 			if r, ok := p.(reloader); ok {
 				r.Reload()
