--- a/commands/stop_test.go
+++ b/commands/stop_test.go
@@ -1,12 +1,14 @@
 package commands_test
 
 import (
+	"encoding/json"
 	"strings"
 	"syscall"
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/galenaslip/galenaslip/caller"
-	"github.com/galenaslip/galenaslip/clock"
 	"github.com/galenaslip/galenaslip/standin"
 )
 
@@ -23,11 +25,10 @@
 		}
 		answered <- got
 	}()
-	c := clock.New()
-	c.Sleep(t.Context(), 300*clock.Millisecond) // the answer has begun
+	eventually(t, "the request runs", func() bool { return runningRequests(s.entries[0]) == 1 })
 	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
 		sendSignal(t, s.entryProcesses[0], signal)
-		c.Sleep(t.Context(), 100*clock.Millisecond)
+		systemClock.Sleep(t.Context(), pollInterval)
 	}
 	if got, want := (<-answered).Text, strings.Join(standin.AnswerTokens("m-small", prompt), ""); got != want {
 		t.Errorf("streamed answer: got %d bytes, want %d", len(got), len(want))
@@ -36,3 +37,17 @@
 		t.Errorf("exit code: got %d, want %d", got, want)
 	}
 }
+
+// runningRequests returns the number of requests that servers run for an entry.
+func runningRequests(entry string) int {
+	_, body, err := fasthttp.Get(nil, "http://"+entry+"/debug/state")
+	var state struct{ Pools []struct{ Running int } }
+	if err != nil || json.Unmarshal(body, &state) != nil {
+		return 0
+	}
+	running := 0
+	for _, p := range state.Pools {
+		running += p.Running
+	}
+	return running
+}
