quarantine: the choice of parts of a long prompt goes by the version that ended

Reading the change again: of a prompt with more than 16 parts, a part that servers of the former version had answered and under which one of them had ended by chance counted as sound, so that ends at the new version were not recorded against it.

Change: what many requests survived is looked up for the software version of the server that ended.

Evidence: quarantine.TestPartOfLongPromptThatEndsServersOfNewVersionIsFound failed before (nothing quarantined).

--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -79,10 +79,9 @@
 // blameOf returns what is known of a part whose server was of a software version. The caller holds the lock.
 func (q *Quarantine) blameOf(key Key, version string) blame {
 	b := blame{group: comesAgain}
+	b.survivals, _ = q.survived.Peek(survivedPart{key: key, version: version})
 	if record, ok := q.suspects[key]; ok {
-		b.survivals, b.ends = record.survivalCount(), len(record.ends)
-	} else {
-		b.survivals, _ = q.survived.Peek(survivedPart{key: key, version: version})
+		b.survivals, b.ends = max(b.survivals, record.survivals.at(version)), len(record.ends)
 	}
 	if t, ok := q.traffic[key.Service]; ok {
 		b.requests = t.count(key)
--- a/quarantine/version_test.go
+++ b/quarantine/version_test.go
@@ -70,3 +70,31 @@
 	}
 	wantQuarantined(t, q, at+settled, "p")
 }
+
+// Guards against a part of a long prompt that ends the servers of a new software version and is left out of the
+// evidence, because servers of the former one have answered it.
+func TestPartOfLongPromptThatEndsServersOfNewVersionIsFound(t *testing.T) {
+	var shared []string
+	for i := range 20 {
+		shared = append(shared, fmt.Sprint("shared-", i))
+	}
+	sound, deadly := subject(shared...), subject(append([]string{"p"}, shared...)...)
+	q := newQuarantine("a")
+	for range 20 {
+		q.RecordSurvival(0, atVersion("v1", deadly), false)
+	}
+	at := endApart(q, clock.Second, atVersion("v1", subject("p")), 100, 1) + apart
+	at = endApart(q, at, atVersion("v1", subject(shared[:16]...)), 200, 2) + 20*clock.Second
+	for range 5 {
+		q.RecordSurvival(at, atVersion("v2", sound), false)
+	}
+	for i := range 3 {
+		at += apart
+		loss := quarantine.Loss{Begun: true, At: at}
+		if i == 2 {
+			loss.Tried = key("p")
+		}
+		q.RecordEnd(atVersion("v2", deadly), run(i), loss)
+	}
+	wantQuarantined(t, q, at+settled, "p")
+}
