quarantine, control: three comments say what the code does now

A probe releases only what servers of the same version have ended under; survivals are remembered for versions without ends; records that were dropped are told later.

--- a/control/stream_directory.go
+++ b/control/stream_directory.go
@@ -40,7 +40,7 @@
 	members    atomic.Pointer[[]string]
 	own        *continuation.Records // of streams that this entry has begun or looked up
 	queue      chan continuation.Record
-	dropped    atomic.Uint64 // records that did not fit into the queue or reached no holder
+	dropped    atomic.Uint64 // see Dropped
 
 	holders *recordHolders
 
@@ -71,8 +71,8 @@
 	return nil
 }
 
-// Dropped returns the number of records that were lost because the queue was full or no holder was
-// reached.
+// Dropped returns the number of records that did not fit into the queue or reached no holder at first.
+// Holders are told of them later, unless the entry ends before.
 func (d *StreamDirectory) Dropped() uint64 { return d.dropped.Load() }
 
 // Add records the origin of a stream. It does not block.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -83,7 +83,7 @@
 	requests int // number of keys of whole requests in suspects
 	servers  map[ServerRun]serverEnd
 	counts   map[string]int                // number of servers, by service
-	survived *lru.Cache[survivedPart, int] // survivals that this process has seen, for parts without ends
+	survived *lru.Cache[survivedPart, int] // survivals that this process has seen, at versions without ends
 	traffic  map[string]*partTraffic
 	expireAt clock.Millis // when old records are searched for next
 
--- a/quarantine/survival.go
+++ b/quarantine/survival.go
@@ -92,7 +92,8 @@
 }
 
 // RecordSurvival records that a request did not end its server: it was answered whole, or for
-// SurvivalTime. If it was a probe, its parts are released.
+// SurvivalTime. If it was a probe, those of its parts are released under which servers of the same software
+// version have ended.
 func (q *Quarantine) RecordSurvival(now clock.Millis, s Subject, probe bool) {
 	s = q.withDigest(s)
 	q.mu.Lock()
