review: case 13, the key of the last tenant still works

A manifest with an empty list of tenants opens all routes: a key that it takes away, and one that never was, are run. The confirmed departure without effect (case 14 before) goes: it has the cause of the wrong service in common.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -24,8 +24,8 @@
 	"two-versions":      twoVersions,
 	"leaving-forgotten": leavingForgotten,
 	"wrong-service":     wrongService,
-	"draining-ignored":  drainingIgnored,
 	"stream-lost":       streamLost,
+	"last-tenant":       lastTenant,
 }
 
 func main() {
