review: case 12, streams that a relay began while the core was down

The members are killed and back 0.9 s later; a relay that began 24 streams meanwhile is killed 0.8 s after them.

--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -39,12 +39,17 @@
 	server  string
 }
 
-// send sends a request over a channel of its own, with the header fields that a client sends.
+// send sends a request to the first relay over a channel of its own, with the header fields that a client sends.
 func (s *site) send(method, path, body string, deadline time.Duration, headers map[string]string) answer {
+	return s.sendTo(1, method, path, body, deadline, headers)
+}
+
+// sendTo is send to a relay, from 1.
+func (s *site) sendTo(relay int, method, path, body string, deadline time.Duration, headers map[string]string) answer {
 	a := answer{id: newID(), sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+s.front()+path, strings.NewReader(body))
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+s.front(relay)+path, strings.NewReader(body))
 	if err != nil {
 		a.err = err
 		return a
@@ -56,7 +61,7 @@
 	for name, value := range headers {
 		q.Header.Set(name, value)
 	}
-	s.record.log("client sends %s %s %s %v", a.id, method, path, headers)
+	s.record.log("client sends %s %s %s %v to relay-%d", a.id, method, path, headers, members+relay)
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	r, err := c.Do(q)
 	if err != nil {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -21,11 +21,11 @@
 const longestRun = 110 * time.Second
 
 var cases = map[string]func(s *site, trouble bool) (int, error){
-	"two-versions":      twoVersions,
 	"leaving-forgotten": leavingForgotten,
 	"wrong-service":     wrongService,
 	"stream-lost":       streamLost,
 	"last-tenant":       lastTenant,
+	"untold-streams":    untoldStreams,
 }
 
 func main() {
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -22,10 +22,12 @@
 	drainTime   = 2 * time.Second
 	contactTime = 3 * time.Second
 	members     = 3
+	relays      = 2 // at most
 )
 
-// site is a small deployment: three members of the control group and one relay, each a process of the
-// project, and stand-ins for servers, clients and the operator in this process.
+// site is a small deployment: three members of the control group and one relay or two, each a process of the
+// project, and stand-ins for servers, clients and the operator in this process. The processes are named member-1 to
+// member-3, and relay-4 and relay-5, by the last number of their addresses.
 type site struct {
 	folder  string
 	program string
@@ -81,7 +83,7 @@
 		}
 		port := first.Addr().(*net.TCPAddr).Port
 		free := true
-		for n := 2; n <= members+1 && free; n++ {
+		for n := 2; n <= members+relays && free; n++ {
 			l, err := net.Listen("tcp", s.address(n, port))
 			if free = err == nil; free {
 				_ = l.Close()
@@ -100,7 +102,8 @@
 // control returns the address at which member n, from 1, serves servers and the operator.
 func (s *site) control(n int) string { return s.address(n, s.ports["control"]) }
 
-func (s *site) front() string { return s.address(members+1, s.ports["front"]) }
+// front returns the address at which relay n, from 1, serves clients.
+func (s *site) front(n int) string { return s.address(members+n, s.ports["front"]) }
 
 // settings fills in what deploy/member.yaml and deploy/relay.yaml have. Only the first start of a member founds the group.
 func (s *site) settings(role string, n int) string {
@@ -116,7 +119,7 @@
 			s.control(n), filepath.Join(s.folder, fmt.Sprintf("data-%d", n)), s.byName[fmt.Sprintf("member-%d", n)] == nil)
 	}
 	return text + fmt.Sprintf("listen: %s\nready_listen: %s\nstate_listen: %s\nmemory_mb: 414\nretry_ratio: 0.2\nretry_window_s: 10\nretry_slack: 54\n",
-		s.front(), s.address(n, s.ports["ready"]), s.address(n, s.ports["state"]))
+		s.address(n, s.ports["front"]), s.address(n, s.ports["ready"]), s.address(n, s.ports["state"]))
 }
 
 // startProcess starts a process with the command of the deploy file.
