--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -26,6 +26,7 @@
 	"stream-lost":       streamLost,
 	"last-tenant":       lastTenant,
 	"untold-streams":    untoldStreams,
+	"upgraded":          upgraded,
 }
 
 func main() {
